--- /dev/null
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/__init__.py
@@ -0,0 +1,3 @@
+"""``dandelionctl``: the operators' command line."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
@@ -0,0 +1,62 @@
+"""``dandelionctl lab``: the commands of the lab."""
+
+import cyclopts
+
+from . import batch
+from . import demo as demo_module
+from . import engine as engine_module
+
+app = cyclopts.App(name="lab", help="Stand-ins, load and experiments.")
+
+
+@app.command
+def engine(
+    name: str,
+    *,
+    announce_to: list[str],
+    failure_domain: str = "fd1",
+    model: list[str] = ("small",),
+    slots: int = 8,
+    port: int = 0,
+    step_ms: float = 10.0,
+    token: str = "",
+):
+    """Run a stand-in engine that announces itself, until interrupted.
+
+    Example: dandelionctl lab engine e1 --announce-to 127.0.0.1:8001
+
+    Parameters
+    ----------
+    name
+        The name of the backend server.
+    announce_to
+        Addresses of the backend-server listeners, taken in turn.
+    failure_domain
+        The failure domain that it says it is in.
+    model
+        A model that it has loaded; may be given more than once.
+    slots
+        How many streams it runs at once.
+    port
+        The port to listen on; 0 picks one.
+    step_ms
+        The time of an empty step, in milliseconds.
+    token
+        The bearer token for announcements.
+    """
+    pace = batch.Pace(step=step_ms / 1000.0)
+    served = engine_module.Engine(
+        name, failure_domain, list(model), slots, pace
+    )
+    served.start(port)
+    print(f"{name} listens on {served.url}", flush=True)
+    served.announce(list(announce_to), token)
+
+
+@app.command
+def demo():
+    """Run three instances and stand-in engines, and show what they do.
+
+    Example: dandelionctl lab demo
+    """
+    return demo_module.run()
--- /dev/null
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/demo.py
@@ -0,0 +1,145 @@
+"""``make demo``: the whole path on one machine."""
+
+import collections
+import contextlib
+import time
+
+from dandeliontrail_ctl import api
+from dandeliontrail_ctl import tables
+import gevent
+import msgspec
+import rich.console
+
+from . import batch
+from . import client
+from . import engine
+from . import processes
+
+NAMES = ("i1", "i2", "i3")
+DOMAINS = ("fd1", "fd2", "fd3")
+KEYS = {"transformer-lab": "demo-key-1", "reports": "demo-key-2"}
+ANSWERS = 8
+
+POOLS = {"models": {"select": {"kind": "model_engine"}}}
+CLASSES = {
+    "lookup": {
+        "priority": 0,
+        "targets": {"first_token_ms": 300},
+        "minimum_share": 0.2,
+        "pools": ["models"],
+    },
+    "review": {
+        "priority": 3,
+        "repeatable": False,
+        "sheddable": True,
+        "minimum_share": 0.1,
+        "pools": ["models"],
+    },
+}
+
+
+def organisations():
+    """Return the two sample organisations."""
+    return {
+        name: {
+            "keys": [engine.key_hash(key)],
+            "classes": list(CLASSES),
+            "default_class": "lookup",
+        }
+        for name, key in KEYS.items()
+    }
+
+
+def run():
+    """Start all, show all, stop all; return the exit code."""
+    console = rich.console.Console()
+    with contextlib.ExitStack() as stack:
+        deployment = stack.enter_context(processes.Deployment(NAMES, DOMAINS))
+        _start_engines(stack, deployment)
+        _apply(deployment)
+        console.print("3 instances in 3 failure domains are up.")
+        _send(console, deployment)
+        _show(console, deployment)
+    console.print(f"Exit codes: {deployment.exit_codes}")
+    return 0 if not any(deployment.exit_codes) else 1
+
+
+def _start_engines(stack, deployment):
+    addresses = deployment.addresses("backend_servers")
+    for index, domain in enumerate(DOMAINS):
+        served = engine.Engine(
+            f"e{index + 1}", domain, ["small"], 8, batch.Pace()
+        )
+        served.start()
+        stack.callback(served.stop)
+        announcer = gevent.spawn(served.announce, addresses)
+        stack.callback(announcer.kill)
+
+
+def _apply(deployment):
+    servers = [
+        api.Api(f"http://{address}")
+        for address in deployment.addresses("operators")
+    ]
+    for kind, objects in (
+        ("backendpools", POOLS),
+        ("requestclasses", CLASSES),
+        ("organisations", organisations()),
+    ):
+        for name, spec in objects.items():
+            for server in servers:
+                server.put(kind, name, spec)
+    wait_until(lambda: all(_has_all(item) for item in servers))
+
+
+def _has_all(server):
+    status = server.get("status")
+    listed = server.get("organisations")["items"]
+    return len(listed) == len(KEYS) and (
+        status["serving_backend_servers"] == len(DOMAINS)
+    )
+
+
+def wait_until(holds, seconds=20.0):
+    """Wait until ``holds()`` is true."""
+    deadline = time.monotonic() + seconds
+    while not holds():
+        if time.monotonic() > deadline:
+            raise RuntimeError("the demo did not come up in time")
+        gevent.sleep(0.1)
+
+
+def _send(console, deployment):
+    callers = deployment.addresses("callers")
+    jobs = []
+    for number in range(ANSWERS):
+        organisation = list(KEYS)[number % 2]
+        class_name = list(CLASSES)[number // 2 % 2]
+        ask = client.Ask(
+            callers[number % len(callers)],
+            KEYS[organisation],
+            class_name,
+            f"sample {number}",
+            stream=number % 3 != 0,
+        )
+        jobs.append((organisation, ask, gevent.spawn(client.send, ask)))
+    for organisation, ask, job in jobs:
+        answer = job.get()
+        console.print(
+            f"{organisation}/{ask.class_name}: {answer.status}"
+            f" from {answer.backend_server}: {answer.text[:40]}…"
+        )
+
+
+def _show(console, deployment):
+    servers = deployment.addresses("operators")
+    series = collections.defaultdict(list)
+    for address in servers:
+        listing = api.Api(f"http://{address}").get("histograms")
+        for item in listing["items"]:
+            found = msgspec.convert(item, tables.Series)
+            series[(found.by, found.name, found.metric)].append(found)
+    console.print(tables.histograms(series))
+    for address in servers:
+        status = api.Api(f"http://{address}").get("status")
+        console.print(tables.status([status]))
--- /dev/null
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -0,0 +1,199 @@
+"""A stand-in model engine, over HTTP, as the contract has engines."""
+
+import hashlib
+import random
+import re
+
+import gevent
+from gevent import pywsgi
+import geventhttpclient
+import msgspec
+
+from . import batch
+
+ANNOUNCE_SECONDS = 1.0
+ANNOUNCE_TIMEOUT = 1.0
+JSON = ("Content-Type", "application/json")
+BYTES_PER_TOKEN = 4
+DEFAULT_TOKENS = 16
+
+
+class Ask(msgspec.Struct):
+    """The fields of a generation request that the stand-in reads."""
+
+    model: str
+    stream: bool = False
+    priority: int = 1
+    max_tokens: int = DEFAULT_TOKENS
+
+
+class Engine:
+    """Batches, streams, honours priority, cancels and resumes."""
+
+    def __init__(self, name, failure_domain, models, slots, pace):
+        self.name = name
+        self.failure_domain = failure_domain
+        self.models = models
+        self.batch = batch.Batch(slots, pace)
+        self.leaving = False
+        self.epoch = 1
+        self.ran = []
+        self._server = None
+        self._stepper = None
+
+    @property
+    def url(self):
+        """Where it is reached."""
+        return f"http://127.0.0.1:{self._server.server_port}"
+
+    def start(self, port=0):
+        """Listen and start to step."""
+        self._server = pywsgi.WSGIServer(
+            ("127.0.0.1", port), self, log=None, error_log=None
+        )
+        self._server.start()
+        self._stepper = gevent.spawn(self.batch.run)
+
+    def stop(self):
+        """Stop at once, as a crash would."""
+        self._stepper.kill()
+        self._server.stop(0)
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        if path in ("/health", "/load"):
+            return _json(start_response, "200 OK", self._load())
+        found = re.fullmatch(r"/v1/streams/([^/]+)", path)
+        if found and method == "DELETE":
+            known = self.batch.cancel(found[1])
+            status = "200 OK" if known else "404 Not Found"
+            return _json(start_response, status, {})
+        if found:
+            return self._resume(environ, start_response, found[1])
+        if path in ("/v1/chat/completions", "/v1/completions"):
+            return self._generate(environ, start_response)
+        return _json(start_response, "404 Not Found", {})
+
+    def _load(self):
+        return {
+            "running": len(self.batch.running),
+            "waiting": len(self.batch.waiting),
+            "kv_used": 0,
+            "measured_ms_ago": 0.0,
+        }
+
+    def _generate(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        ask = msgspec.json.decode(body, type=Ask)
+        request_id = environ.get("HTTP_X_REQUEST_ID") or str(random.random())
+        prompt_tokens = len(body) // BYTES_PER_TOKEN
+        stream = batch.Stream(
+            request_id, ask.priority, prompt_tokens, ask.max_tokens
+        )
+        self.ran.append(request_id)
+        self.batch.submit(stream)
+        if ask.stream:
+            return self._events(start_response, stream, 0)
+        text = "".join(stream.read())
+        if not stream.finished:
+            return _json(start_response, "500 Internal Server Error", {})
+        return _json(start_response, "200 OK", _whole(stream, ask, text))
+
+    def _resume(self, environ, start_response, request_id):
+        stream = self.batch.streams.get(request_id)
+        if stream is None:
+            return _json(start_response, "404 Not Found", {})
+        found = re.search(r"from=(\d+)", environ.get("QUERY_STRING", ""))
+        start = int(found[1]) if found else 0
+        return self._events(start_response, stream, start)
+
+    def _events(self, start_response, stream, start):
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return self._event_bytes(stream, start)
+
+    def _event_bytes(self, stream, start):
+        try:
+            for token in stream.read(start):
+                chunk = {"choices": [{"delta": {"content": token}}]}
+                yield b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+            if stream.finished:
+                yield b"data: [DONE]\n\n"
+        finally:
+            if not stream.finished:
+                stream.cancel()
+
+    def announcement(self, sequence):
+        """Return what the engine says of itself."""
+        models = [{"name": name, "version": "1"} for name in self.models]
+        return {
+            "backend_server": self.name,
+            "epoch": self.epoch,
+            "sequence": sequence,
+            "kind": "model_engine",
+            "url": self.url,
+            "failure_domain": self.failure_domain,
+            "models": models,
+            "slots": self.batch.slots,
+            "kv_tokens": 100_000,
+            "load": self._load(),
+            "leaving": self.leaving,
+            "lease": 3,
+        }
+
+    def announce(self, addresses, token=""):
+        """Announce for ever, to one address after the other."""
+        sequence = 0
+        headers = {"Content-Type": "application/json"}
+        if token:
+            headers["Authorization"] = f"Bearer {token}"
+        while True:
+            address = addresses[sequence % len(addresses)]
+            sequence += 1
+            body = msgspec.json.encode(self.announcement(sequence))
+            _post(address, body, headers)
+            gevent.sleep(ANNOUNCE_SECONDS)
+
+
+def _post(address, body, headers):
+    host, port = address.rsplit(":", 1)
+    client = geventhttpclient.HTTPClient(
+        host, int(port), network_timeout=ANNOUNCE_TIMEOUT
+    )
+    try:
+        client.post("/v1/announcements", body, headers).read()
+    except (OSError, geventhttpclient.response.HTTPParseError):
+        return
+    finally:
+        client.close()
+
+
+def _whole(stream, ask, text):
+    return {
+        "id": stream.request_id,
+        "object": "chat.completion",
+        "model": ask.model,
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "stop",
+            }
+        ],
+        "usage": {
+            "prompt_tokens": stream.prompt_tokens,
+            "completion_tokens": len(stream.tokens),
+        },
+    }
+
+
+def _json(start_response, status, value):
+    body = msgspec.json.encode(value)
+    start_response(status, [JSON, ("Content-Length", str(len(body)))])
+    return [body]
+
+
+def key_hash(key):
+    """Return a caller's key in the form that organisations list."""
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/__init__.py
@@ -0,0 +1,3 @@
+"""``dandeliond``: one instance, around the pure reducer of the library."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -0,0 +1,147 @@
+"""Carries events to the reducer and its effects to the outside.
+
+All runs on one thread in one gevent loop, and :meth:`Host.submit` does not
+yield to the loop while the reducer works, so that no two events interleave.
+"""
+
+import collections
+
+import gevent
+
+from dandeliontrail import effects
+from dandeliontrail import events
+
+# The reducer's timers are in tenths of a second and above.
+TICK = 0.1
+
+
+class Host:
+    """One instance: its reducer and all that its effects touch."""
+
+    def __init__(self, reducer, clock, peer_link, engines, metrics, logger):
+        self.reducer = reducer
+        self.clock = clock
+        self.metrics = metrics
+        self.logger = logger
+        self._peer_link = peer_link
+        self._engines = engines
+        self._exchanges = {}
+        self._writes = {}
+        self._queue = collections.deque()
+        self._busy = False
+        self._carry_out = {
+            effects.Dispatch: self._to_exchange,
+            effects.Refuse: self._to_exchange,
+            effects.Finish: self._to_exchange,
+            effects.Cancel: self._cancel,
+            effects.SendPeer: self._send_peer,
+            effects.WriteAnswered: self._answer_write,
+            effects.Log: self._log,
+            effects.Measure: self._measure,
+        }
+
+    @property
+    def state(self):
+        """The shared state of the reducer, to be read only."""
+        return self.reducer.state
+
+    def start(self, address):
+        """Tell the reducer where this instance is reached and tick on."""
+        self.submit(events.Started(address))
+        return gevent.spawn(self._tick_forever)
+
+    def submit(self, event):
+        """Apply ``event`` and carry out all effects.
+
+        An event submitted by an effect waits until the one before it is
+        done, so that effects come out in the order of their causes.
+        """
+        self._queue.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._queue:
+                self._apply(self._queue.popleft())
+        finally:
+            self._busy = False
+
+    def _apply(self, event):
+        try:
+            out = self.reducer.apply(event, self.clock.now())
+        except Exception as exc:
+            self._fault(event, exc)
+            return
+        self._run(out)
+
+    def _fault(self, event, exc):
+        """Keep one faulty event from taking the instance down."""
+        self.metrics.counters["faults_total"] += 1
+        name = type(event).__name__
+        fields = {"event": name, "error": str(exc)}
+        self.logger.error("event failed", extra=fields, exc_info=exc)
+        exchange = self._exchanges.get(getattr(event, "request_id", None))
+        if exchange:
+            exchange.fault()
+
+    def _run(self, out):
+        for effect in out:
+            self._carry_out[type(effect)](effect)
+
+    def _tick_forever(self):
+        while True:
+            gevent.sleep(TICK)
+            try:
+                self._run(self.reducer.tick(self.clock.now()))
+            except Exception as exc:
+                self._fault(self.reducer, exc)
+
+    def attach(self, exchange):
+        """Route effects for a request to its exchange."""
+        self._exchanges[exchange.request_id] = exchange
+
+    def detach(self, exchange):
+        """Forget an exchange that has ended."""
+        self._exchanges.pop(exchange.request_id, None)
+
+    def open_exchanges(self):
+        """Return how many requests are under way."""
+        return len(self._exchanges)
+
+    def waiting(self):
+        """Return how many requests of each class wait in queues."""
+        return self.reducer.waiting()
+
+    def expect_write(self, write_id, result):
+        """Deliver the answer of a write to ``result``, an async result."""
+        self._writes[write_id] = result
+
+    def forget_write(self, write_id):
+        """Stop waiting for the answer of a write."""
+        self._writes.pop(write_id, None)
+
+    def _to_exchange(self, effect):
+        exchange = self._exchanges.get(effect.request_id)
+        if exchange:
+            exchange.put(effect)
+
+    def _cancel(self, effect):
+        gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
+
+    def _send_peer(self, effect):
+        self._peer_link.send(effect.address, effect.message)
+
+    def _answer_write(self, effect):
+        waiting = self._writes.pop(effect.write_id, None)
+        if waiting:
+            waiting.set(effect.result)
+
+    def _log(self, effect):
+        level = effect.level.upper()
+        self.logger.log(_LEVELS[level], effect.message, extra=effect.fields)
+
+    def _measure(self, effect):
+        self.metrics.record(effect)
+
+
+_LEVELS = {"DEBUG": 10, "INFO": 20, "WARNING": 30, "ERROR": 40}
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/jsonlog.py
@@ -0,0 +1,24 @@
+"""Structured logs: one JSON object a line, on standard error."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json as jsonlogger
+
+
+def make_logger(name, level, instance):
+    """Return a logger whose lines carry ``instance``."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        jsonlogger.JsonFormatter(
+            "{levelname}{message}{asctime}",
+            style="{",
+            rename_fields={"levelname": "level", "asctime": "time"},
+            static_fields={"instance": instance},
+        )
+    )
+    logger = logging.getLogger(name)
+    logger.handlers = [handler]
+    logger.propagate = False
+    logger.setLevel(level.upper())
+    return logger
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/__init__.py
@@ -0,0 +1,1 @@
+"""The four listeners of an instance, each a WSGI application."""
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
@@ -0,0 +1,57 @@
+"""The listener for backend servers: announcements."""
+
+import msgspec
+
+from dandeliontrail.coordination import servers
+from dandeliontrail import events
+from dandeliontrail.resources import announcements
+
+from .. import tokens
+from .. import wsgi
+
+BODY_BYTES = 256 * 1024
+BODY_SECONDS = 5.0
+
+
+class Accepted(msgspec.Struct):
+    """The answer to an announcement; ``lease`` is in seconds."""
+
+    lease: float
+    accepted: bool = True
+
+
+class BackendServersApp:
+    """Takes in what backend servers say of themselves."""
+
+    def __init__(self, host, door):
+        self._host = host
+        self._door = door
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        if environ["PATH_INFO"] == "/healthz":
+            return wsgi.reply_json(start_response, {"ok": True})
+        if not self._door.name_of(tokens.bearer(environ)):
+            raise wsgi.Problem(
+                401,
+                "unknown_token",
+                "The token is not in backend_tokens_file.",
+                "send Authorization: Bearer with a registered token",
+            )
+        if environ["PATH_INFO"] != "/v1/announcements":
+            raise wsgi.not_found(environ["PATH_INFO"])
+        return self._announce(environ, start_response)
+
+    def _announce(self, environ, start_response):
+        body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
+        try:
+            announcement = msgspec.json.decode(
+                body, type=announcements.Announcement
+            )
+        except msgspec.DecodeError as exc:
+            raise wsgi.Problem(
+                400, "malformed", f"{exc}.", "correct the field named"
+            )
+        self._host.submit(events.Announced(announcement))
+        lease = min(announcement.lease, servers.LONGEST_LEASE)
+        return wsgi.reply_json(start_response, Accepted(lease))
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -0,0 +1,176 @@
+"""The listener for callers: the OpenAI-style paths and plain services."""
+
+import hashlib
+import uuid
+
+import msgspec
+
+from dandeliontrail import events
+
+from .. import relay
+from .. import tokens
+from .. import wsgi
+
+GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
+SERVICES = "/services/"
+# English text runs at about four bytes a token; the engine's own count
+# replaces this estimate when the answer is whole.
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+PREFIX_BYTES = 1024
+
+
+class Fields(msgspec.Struct):
+    """The fields of a generation request that the router reads."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+class ModelView(msgspec.Struct):
+    """One model in the answer to ``GET /v1/models``."""
+
+    id: str
+    object: str = "model"
+
+
+class ModelListing(msgspec.Struct):
+    """The answer to ``GET /v1/models``."""
+
+    data: list[ModelView]
+    object: str = "list"
+
+
+class CallersApp:
+    """Serves callers."""
+
+    def __init__(self, host, engines, limits, drain):
+        self._host = host
+        self._engines = engines
+        self._limits = limits
+        self._drain = drain
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        path = environ["PATH_INFO"]
+        if path == "/healthz":
+            return wsgi.reply_json(start_response, {"ok": True})
+        if path == "/readyz":
+            return self._ready(start_response)
+        if path == "/v1/models":
+            return self._models(start_response)
+        if path in GENERATION_PATHS:
+            return self._generate(environ, start_response, path)
+        if path.startswith(SERVICES):
+            return self._service(environ, start_response, path)
+        raise wsgi.not_found(path)
+
+    def _ready(self, start_response):
+        if self._drain.draining:
+            raise wsgi.Problem(
+                503, "draining", "It is draining.", "use another instance"
+            )
+        return wsgi.reply_json(start_response, {"ready": True})
+
+    def _models(self, start_response):
+        now = self._host.clock.now()
+        names = {
+            name
+            for server in self._host.state.registry.serving(now)
+            for model in server.announcement.models
+            for name in [model.name, *model.adapters]
+        }
+        listing = ModelListing([ModelView(name) for name in sorted(names)])
+        return wsgi.reply_json(start_response, listing)
+
+    def _body(self, environ):
+        limits = self._limits
+        return wsgi.read_body(environ, limits.body_bytes, limits.body_seconds)
+
+    def _generate(self, environ, start_response, path):
+        if environ["REQUEST_METHOD"] != "POST":
+            raise wsgi.Problem(
+                405, "method", "Only POST is served here.", "use POST"
+            )
+        body = self._body(environ)
+        fields, raw = _decode(body)
+        event = self._event(environ, body)
+        event.model = fields.model
+        event.path = path
+        event.streamed = fields.stream
+        event.prompt_tokens = len(body) // BYTES_PER_TOKEN
+        event.prefix_hash = hashlib.sha256(body[:PREFIX_BYTES]).hexdigest()
+        event.max_output_tokens = (
+            fields.max_completion_tokens
+            or fields.max_tokens
+            or DEFAULT_OUTPUT_TOKENS
+        )
+        call = relay.GenerationCall(path, raw, fields.stream)
+        return self._relay(event, call, start_response)
+
+    def _service(self, environ, start_response, path):
+        service, _, rest = path[len(SERVICES) :].partition("/")
+        body = self._body(environ)
+        event = self._event(environ, body)
+        event.service = service
+        event.path = "/" + rest
+        query = environ.get("QUERY_STRING", "")
+        target = event.path + (f"?{query}" if query else "")
+        call = relay.ServiceCall(
+            environ["REQUEST_METHOD"],
+            target,
+            environ.get("CONTENT_TYPE", ""),
+            body,
+        )
+        return self._relay(event, call, start_response)
+
+    def _event(self, environ, body):
+        key = tokens.bearer(environ)
+        return events.RequestReceived(
+            request_id=str(uuid.uuid4()),
+            key_hash=tokens.hash_of(key) if key else "",
+            class_name=environ.get("HTTP_X_REQUEST_CLASS", ""),
+            timeout=_timeout(environ),
+            idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+            body_digest=hashlib.sha256(body).hexdigest(),
+        )
+
+    def _relay(self, event, call, start_response):
+        served = relay.Relay(self._host, self._engines, event, call)
+        return served.run(start_response)
+
+
+def _decode(body):
+    try:
+        fields = msgspec.json.decode(body, type=Fields)
+        raw = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except msgspec.DecodeError as exc:
+        raise wsgi.Problem(
+            400,
+            "malformed",
+            f"{exc}.",
+            "send a JSON object with the field named",
+            outcome="not-run",
+        )
+    return fields, raw
+
+
+def _timeout(environ):
+    text = environ.get("HTTP_X_REQUEST_TIMEOUT", "")
+    if not text:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < 1e6:
+        raise wsgi.Problem(
+            400,
+            "timeout",
+            f"X-Request-Timeout is {text!r}.",
+            "give a number of seconds above 0",
+            outcome="not-run",
+        )
+    return seconds
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
@@ -0,0 +1,45 @@
+"""The listener for other instances of the system."""
+
+import msgspec
+
+from dandeliontrail.coordination import codec
+from dandeliontrail import events
+
+from .. import peer_link
+from .. import wsgi
+
+BODY_SECONDS = 5.0
+SIGNATURE = "HTTP_" + peer_link.SIGNATURE_HEADER.upper().replace("-", "_")
+
+
+class PeersApp:
+    """Takes in the batches that :mod:`..peer_link` sends."""
+
+    def __init__(self, host, key, limits):
+        self._host = host
+        self._key = key
+        self._limits = limits
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        if environ["PATH_INFO"] != peer_link.PATH:
+            raise wsgi.not_found(environ["PATH_INFO"])
+        body = wsgi.read_body(environ, self._limits.body_bytes, BODY_SECONDS)
+        if not self._key.verify(body, environ.get(SIGNATURE, "")):
+            raise wsgi.Problem(
+                401,
+                "peer_signature",
+                "The batch is not signed with this system's key.",
+                "give every instance the same peer_key_file",
+            )
+        try:
+            envelope = codec.decode(body)
+        except msgspec.DecodeError as exc:
+            raise wsgi.Problem(
+                400, "malformed", f"{exc}.", "run one release everywhere"
+            )
+        for message in envelope.messages:
+            self._host.submit(
+                events.PeerMessageReceived(envelope.sender, message)
+            )
+        return wsgi.reply(start_response, 200, b"{}", [wsgi.JSON])
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -0,0 +1,253 @@
+"""What operators read: objects, servers, instances, usage, histograms."""
+
+import typing
+
+import msgspec
+
+from dandeliontrail.resources import checks
+
+from .. import wsgi
+
+
+class InForce(msgspec.Struct):
+    """How many instances have a version in force, of how many known."""
+
+    instances: int
+    of: int
+
+
+class Status(msgspec.Struct):
+    """The observed part of an object."""
+
+    conditions: list[str]
+    in_force: InForce
+
+
+class Object(msgspec.Struct):
+    """One declared object, as the API shows it."""
+
+    kind: str
+    name: str
+    version: int
+    spec: typing.Any
+    status: Status
+
+
+class Listing(msgspec.Struct):
+    """All objects of a kind, at one version of the log."""
+
+    kind: str
+    version: int
+    items: list[typing.Any]
+
+
+class ServerView(msgspec.Struct):
+    """A backend server as this instance knows it; times in seconds."""
+
+    name: str
+    kind: str
+    url: str
+    failure_domain: str
+    serving: bool
+    leaving: bool
+    heard_ago: float
+    announcement: typing.Any
+
+
+class InstanceView(msgspec.Struct):
+    """An instance as this one knows it; ``heard_ago`` in seconds."""
+
+    name: str
+    failure_domain: str
+    region: str
+    address: str
+    applied: int
+    heard_ago: float
+
+
+class UsageView(msgspec.Struct):
+    """What an organisation used in one class."""
+
+    organisation: str
+    request_class: str
+    requests: int
+    prompt_tokens: int
+    output_tokens: int
+    wasted_tokens: int
+
+
+def get(host, words):
+    """Return what ``/apis/v1/`` and ``words`` name."""
+    reader = _READERS.get(words[0])
+    if reader and len(words) == 1:
+        return reader(host)
+    if words[0] == "status":
+        return _status(host)
+    if len(words) == 1:
+        return _list(host, words[0])
+    if len(words) == 2 and reader:
+        return _named(reader(host), words)
+    if len(words) == 2:
+        return _object(host, held(host, *words))
+    raise wsgi.not_found("/".join(words))
+
+
+def held(host, kind, name):
+    """Return the stored object, or raise the problem that it is not."""
+    try:
+        found = host.state.store.get(checks.kind_of(kind), name)
+    except checks.errors.ResourceInvalid as exc:
+        raise wsgi.Problem(404, "unknown_kind", exc.message, exc.remedy)
+    if found is None:
+        raise wsgi.Problem(
+            404,
+            "not_found",
+            f"There is no {kind}/{name}.",
+            "list the kind to see the names that exist",
+        )
+    return found
+
+
+def _named(listing, words):
+    for item in listing.items:
+        if item.name == words[1]:
+            return item
+    raise wsgi.Problem(
+        404,
+        "not_found",
+        f"There is no {'/'.join(words)}.",
+        "list the kind to see the names that exist",
+    )
+
+
+def _list(host, kind_text):
+    try:
+        kind = checks.kind_of(kind_text)
+    except checks.errors.ResourceInvalid as exc:
+        raise wsgi.Problem(404, "unknown_kind", exc.message, exc.remedy)
+    store = host.state.store
+    found = store.objects[kind]
+    items = [_object(host, found[name]) for name in sorted(found)]
+    return Listing(kind_text, store.version, items)
+
+
+def _object(host, resource):
+    in_force = _in_force(host, resource.version)
+    return Object(
+        resource.kind.value,
+        resource.name,
+        resource.version,
+        resource.spec,
+        Status(["Accepted"], in_force),
+    )
+
+
+def _in_force(host, version):
+    now = host.clock.now()
+    others = host.state.members.alive(now)
+    reached = sum(1 for item in others if item.applied >= version)
+    own = 1 if host.state.store.version >= version else 0
+    return InForce(reached + own, len(others) + 1)
+
+
+def _servers(host):
+    now = host.clock.now()
+    items = [
+        ServerView(
+            name,
+            server.announcement.kind,
+            server.announcement.url,
+            server.announcement.failure_domain,
+            server.serves(now),
+            server.announcement.leaving,
+            round(now - server.heard, 3),
+            server.announcement,
+        )
+        for name, server in sorted(host.state.registry.servers.items())
+    ]
+    return Listing("backendservers", host.state.store.version, items)
+
+
+def _instances(host):
+    now = host.clock.now()
+    own = host.state.identity
+    items = [
+        InstanceView(
+            own.instance,
+            own.failure_domain,
+            own.region,
+            own.address,
+            host.state.store.version,
+            0.0,
+        )
+    ]
+    for name, member in sorted(host.state.members.members.items()):
+        items.append(
+            InstanceView(
+                name,
+                member.failure_domain,
+                member.region,
+                member.address,
+                member.applied,
+                round(now - member.heard, 3),
+            )
+        )
+    return Listing("instances", host.state.store.version, items)
+
+
+def _usage(host):
+    items = [
+        UsageView(
+            organisation,
+            class_name,
+            held_totals.requests,
+            held_totals.prompt_tokens,
+            held_totals.output_tokens,
+            held_totals.wasted_tokens,
+        )
+        for (organisation, class_name), held_totals in sorted(
+            host.state.usage.totals.items()
+        )
+    ]
+    return Listing("usage", host.state.store.version, items)
+
+
+def _histograms(host):
+    series = host.metrics.series()
+    return Listing("histograms", host.state.store.version, series)
+
+
+class StatusView(msgspec.Struct):
+    """One instance at a glance."""
+
+    instance: str
+    failure_domain: str
+    version: int
+    open_requests: int
+    waiting: dict[str, int]
+    serving_backend_servers: int
+    backend_servers: int
+    instances_heard: int
+
+
+def _status(host):
+    state = host.state
+    now = host.clock.now()
+    return StatusView(
+        state.identity.instance,
+        state.identity.failure_domain,
+        state.store.version,
+        host.open_exchanges(),
+        host.waiting(),
+        len(state.registry.serving(now)),
+        len(state.registry.servers),
+        len(state.members.alive(now)),
+    )
+
+
+_READERS = {
+    "backendservers": _servers,
+    "instances": _instances,
+    "usage": _usage,
+    "histograms": _histograms,
+}
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -0,0 +1,226 @@
+"""The settings of one instance, read from YAML and checked whole.
+
+Each field has its meaning, unit and bounds beside it.  Every fault is a
+:class:`dandeliontrail.SettingsError` whose message names the key, the value,
+what is allowed and the remedy.
+"""
+
+import pathlib
+import re
+
+import msgspec
+import yaml
+
+import dandeliontrail
+
+ADDRESS = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}")
+NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]{0,62})")
+LISTENERS = ("callers", "backend_servers", "operators", "peers")
+LEVELS = ("debug", "info", "warning", "error")
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=True):
+    """``IP:port`` of each listener; port 0 picks a free one."""
+
+    callers: str
+    backend_servers: str
+    operators: str
+    peers: str
+
+
+class Keeper(msgspec.Struct, forbid_unknown_fields=True):
+    """Only on an instance with a disk: the folder of its own state."""
+
+    data_dir: str
+
+
+class Credentials(msgspec.Struct, forbid_unknown_fields=True):
+    """Files with the secrets of each listener.
+
+    ``open`` names the listeners that are knowingly left without.
+    """
+
+    peer_key_file: str = ""
+    operator_tokens_file: str = ""
+    backend_tokens_file: str = ""
+    open: list[str] = []
+
+
+class Tls(msgspec.Struct, forbid_unknown_fields=True):
+    """Certificate and key files of one listener, in PEM.
+
+    With ``client_ca``, a caller must show a certificate that it signed.
+    """
+
+    certificate: str
+    key: str
+    client_ca: str = ""
+
+
+class LogSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """``level`` is the lowest level that is written."""
+
+    level: str = "info"
+
+
+class LimitSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Bounds on what callers may cost an instance.
+
+    ``body_bytes`` caps a request's body.  ``header_seconds`` and
+    ``body_seconds`` cap how slowly a caller may send them.
+    ``drain_notice_seconds`` is how long a draining instance still takes
+    new connections, until the platform's balancer has noticed;
+    ``drain_seconds`` is the longest drain in all.
+    """
+
+    body_bytes: int = 8 * 1024 * 1024
+    body_seconds: float = 30.0
+    connections: int = 4096
+    drain_notice_seconds: float = 5.0
+    drain_seconds: float = 300.0
+    backend_silent_seconds: float = 30.0
+    connect_seconds: float = 1.0
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True):
+    """All settings of one instance, as the settings file has them."""
+
+    instance: str
+    failure_domain: str
+    region: str
+    listen: Listen
+    peers: list[str] = []
+    keeper: Keeper | None = None
+    bootstrap_keepers: list[str] = []
+    credentials: Credentials = msgspec.field(default_factory=Credentials)
+    tls: dict[str, Tls] = {}
+    log: LogSettings = msgspec.field(default_factory=LogSettings)
+    limits: LimitSettings = msgspec.field(default_factory=LimitSettings)
+
+
+def load(path):
+    """Read, check and return the settings in the file at ``path``."""
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as exc:
+        raise dandeliontrail.SettingsError(
+            f"{path} cannot be read: {exc.strerror}.",
+            "give the path of a settings file that this user may read",
+        )
+    return parse(text)
+
+
+def parse(text):
+    """Return the checked settings in the YAML ``text``."""
+    try:
+        cfg = msgspec.convert(yaml.safe_load(text), Settings)
+    except yaml.YAMLError as exc:
+        raise dandeliontrail.SettingsError(
+            f"The file is not YAML: {' '.join(str(exc).split())}.",
+            "correct it at the line named",
+        )
+    except msgspec.ValidationError as exc:
+        raise dandeliontrail.SettingsError(
+            f"{exc}.",
+            "correct the key at the path named; docs/operators/settings.md"
+            " lists all keys",
+        )
+    _check(cfg)
+    return cfg
+
+
+def _require(holds, key, value, allowed, remedy):
+    if not holds:
+        raise dandeliontrail.SettingsError(
+            f"{key} is {value!r}; allowed: {allowed}.", remedy
+        )
+
+
+def _check(cfg):
+    for key in ("instance", "failure_domain", "region"):
+        value = getattr(cfg, key)
+        _require(
+            NAME.fullmatch(value),
+            key,
+            value,
+            "1 to 63 letters, digits, dots, underscores and hyphens",
+            "give it a name of that form",
+        )
+    for key in LISTENERS:
+        _check_address(f"listen.{key}", getattr(cfg.listen, key))
+    for index, value in enumerate(cfg.peers):
+        _check_address(f"peers[{index}]", value)
+    _require(
+        cfg.log.level in LEVELS,
+        "log.level",
+        cfg.log.level,
+        ", ".join(LEVELS),
+        "use one of these",
+    )
+    _check_limits(cfg.limits)
+    _check_credentials(cfg.credentials)
+    for key in cfg.tls:
+        _require(
+            key in LISTENERS,
+            "tls",
+            key,
+            ", ".join(LISTENERS),
+            "name a listener",
+        )
+    _require(
+        cfg.keeper is None or cfg.keeper.data_dir,
+        "keeper.data_dir",
+        "",
+        "the path of a folder",
+        "name the folder, or leave keeper out on an instance without disk",
+    )
+
+
+def _check_address(key, value):
+    good = ADDRESS.fullmatch(value)
+    port = int(value.rsplit(":", 1)[1]) if good else 0
+    _require(
+        good and port <= 65535,
+        key,
+        value,
+        "IP:port with a port from 0 to 65535",
+        "give the address by number, as in 10.0.0.1:8000",
+    )
+
+
+def _check_limits(limits):
+    for key in limits.__struct_fields__:
+        value = getattr(limits, key)
+        _require(
+            value >= 0 if key.startswith("drain") else value > 0,
+            f"limits.{key}",
+            value,
+            "a number above 0",
+            "give a larger number, or leave the key out for its default",
+        )
+
+
+def _check_credentials(credentials):
+    known = LISTENERS[1:]
+    for name in credentials.open:
+        _require(
+            name in known,
+            "credentials.open",
+            name,
+            ", ".join(known),
+            "name only listeners that may be left open",
+        )
+    files = {
+        "backend_servers": "backend_tokens_file",
+        "operators": "operator_tokens_file",
+        "peers": "peer_key_file",
+    }
+    for listener, key in files.items():
+        value = getattr(credentials, key)
+        _require(
+            value or listener in credentials.open,
+            f"credentials.{key}",
+            value,
+            f"a file, unless credentials.open names {listener}",
+            f"name the file, or add {listener} to credentials.open",
+        )
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/__init__.py
@@ -0,0 +1,33 @@
+"""Coordination and decision parts of a router for language-model traffic.
+
+The public face: build a reducer with :func:`new_reducer`, hand it events
+with the present time, and carry out the effects that it returns.
+"""
+
+from .components.state import Identity
+from .errors import DandeliontrailError
+from .errors import InvariantBroken
+from .errors import ResourceInvalid
+from .errors import SettingsError
+from .errors import StorageError
+from .errors import VersionConflict
+from .reducer import new_reducer
+from .reducer import Reducer
+from .sentinels import Nothing
+from .sentinels import Reason
+
+__version__ = "0.1.0"
+
+__all__ = [
+    "DandeliontrailError",
+    "Identity",
+    "InvariantBroken",
+    "Nothing",
+    "Reason",
+    "Reducer",
+    "ResourceInvalid",
+    "SettingsError",
+    "StorageError",
+    "VersionConflict",
+    "new_reducer",
+]
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -0,0 +1,99 @@
+"""The life of a request as an explicit state machine.
+
+``NOT_RUN`` can be reached only from phases in which no backend server can
+have begun.  That single table is what makes the word "not run" true; the
+check on it stays on in production.
+"""
+
+import dataclasses
+import enum
+
+from .. import invariants
+from ..decisions import work as work_module
+
+
+class Phase(enum.Enum):
+    """Where a request is in its life."""
+
+    RECEIVED = "received"
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    MAY_HAVE_BEGUN = "may_have_begun"
+    STREAMING = "streaming"
+    COMPLETE = "complete"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+_NEXT = {
+    Phase.RECEIVED: {Phase.QUEUED, Phase.NOT_RUN},
+    Phase.QUEUED: {Phase.DISPATCHED, Phase.NOT_RUN},
+    Phase.DISPATCHED: {
+        Phase.MAY_HAVE_BEGUN,
+        Phase.QUEUED,
+        Phase.NOT_RUN,
+    },
+    # Back to QUEUED only on the server's own word that it did not begin, or
+    # for a repeatable request, whose earlier attempt then counts as begun.
+    Phase.MAY_HAVE_BEGUN: {
+        Phase.STREAMING,
+        Phase.QUEUED,
+        Phase.COMPLETE,
+        Phase.UNKNOWN,
+    },
+    Phase.STREAMING: {Phase.COMPLETE, Phase.QUEUED, Phase.UNKNOWN},
+    Phase.COMPLETE: set(),
+    Phase.NOT_RUN: set(),
+    Phase.UNKNOWN: set(),
+}
+
+ENDED = frozenset({Phase.COMPLETE, Phase.NOT_RUN, Phase.UNKNOWN})
+
+
+@dataclasses.dataclass(slots=True)
+class Life:
+    """One request from its receipt to its outcome.
+
+    ``begun`` counts the attempts that may have begun; it never falls but
+    by the server's own word.  ``first_output`` is zero until there is one.
+    """
+
+    work: work_module.Work
+    phase: Phase = Phase.RECEIVED
+    attempt: int = 0
+    begun: int = 0
+    server: str = ""
+    dispatched: float = 0.0
+    first_output: float = 0.0
+    relayed: int = 0
+
+    def move(self, phase):
+        """Enter ``phase``, which the table must allow."""
+        request_id = self.work.request_id
+        invariants.check(
+            phase in _NEXT[self.phase],
+            "request-life",
+            f"{request_id} from {self.phase.value} to {phase.value}",
+        )
+        invariants.check(
+            phase is not Phase.NOT_RUN or self.begun == 0,
+            "not-run-is-true",
+            f"{request_id} has {self.begun} attempts that may have begun",
+        )
+        self.phase = phase
+
+    def begin(self):
+        """Take note that the present attempt may have begun."""
+        self.move(Phase.MAY_HAVE_BEGUN)
+        self.begun += 1
+        invariants.check(
+            self.work.repeatable or self.begun == 1,
+            "non-repeatable-runs-at-most-once",
+            f"{self.work.request_id} begins for the {self.begun}. time",
+        )
+
+    def unbegin(self):
+        """Take back the present attempt on the server's own word."""
+        if self.phase is Phase.MAY_HAVE_BEGUN:
+            self.begun -= 1
+        self.move(Phase.QUEUED)
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -0,0 +1,58 @@
+"""The state that several components read, each part with one owner.
+
+Whoever is named as the owner is the only component that changes the part.
+"""
+
+import dataclasses
+import random
+
+from ..coordination import membership
+from ..coordination import servers
+from ..coordination import usage
+from ..decisions import directory
+from ..resources import store
+
+
+@dataclasses.dataclass(slots=True)
+class Identity:
+    """Who this instance is; ``address`` is that of its peer listener."""
+
+    instance: str
+    failure_domain: str
+    region: str
+    incarnation: int
+    address: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Shared state of one instance.
+
+    Owners: ``store`` the configuration component, ``registry`` the server
+    component, ``members`` the membership component, ``usage`` the request
+    component.
+    """
+
+    identity: Identity
+    rng: random.Random
+    store: store.ResourceStore
+    registry: servers.ServerRegistry
+    members: membership.Membership
+    usage: usage.UsageLedger
+    directory: directory.Directory
+    draining: bool = False
+
+
+def new_state(identity, rng, seeds=()):
+    """Return the state of an instance that knows only its seeds."""
+    objects = store.ResourceStore()
+    registry = servers.ServerRegistry()
+    return State(
+        identity,
+        rng,
+        objects,
+        registry,
+        membership.Membership(seeds),
+        usage.UsageLedger(),
+        directory.Directory(registry, objects),
+    )
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""How instances act together: membership, records, log, usage."""
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -0,0 +1,39 @@
+"""One codec for all messages between instances: JSON, checked."""
+
+import typing
+
+import msgspec
+
+from . import messages
+from . import servers
+
+ALL = (
+    messages.Hello,
+    servers.ServerRecords,
+)
+
+Message = typing.Union[ALL]
+
+
+class Envelope(msgspec.Struct):
+    """A batch of messages from one sender."""
+
+    sender: messages.Sender
+    messages: list[Message]
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(Envelope)
+
+
+def encode(envelope):
+    """Return the bytes of an envelope."""
+    return _ENCODER.encode(envelope)
+
+
+def decode(body):
+    """Return the envelope in ``body``.
+
+    Raises ``msgspec.DecodeError`` or its kin where it is not one.
+    """
+    return _DECODER.decode(body)
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -0,0 +1,49 @@
+"""The face of a policy: what decides which work runs where, and when.
+
+The node and the policy bench drive every policy through this class alone,
+so that a baseline and the policy in use are measured on equal terms.
+"""
+
+import abc
+
+
+class Policy(abc.ABC):
+    """Owns the queues and the view of load; one for each instance."""
+
+    @abc.abstractmethod
+    def offer(self, work, now):
+        """Queue ``work`` and return it, or refuse it with a ``Nothing``."""
+
+    @abc.abstractmethod
+    def next(self, now, directory):
+        """Return the placements and refusals that are due at ``now``.
+
+        ``directory`` tells which servers may take which work.  The policy
+        counts what it places as outstanding until :meth:`ended`.
+        """
+
+    @abc.abstractmethod
+    def first_output(self, request_id, now):
+        """Take note that the first output of an attempt came in."""
+
+    @abc.abstractmethod
+    def ended(self, ended, now):
+        """Take note of how an attempt ended."""
+
+    @abc.abstractmethod
+    def requeue(self, work, now):
+        """Put work whose attempt did not begin back to the front."""
+
+    @abc.abstractmethod
+    def withdraw(self, request_id):
+        """Forget queued work whose caller is gone; return it or ``None``."""
+
+    @abc.abstractmethod
+    def waiting(self):
+        """Return how many requests of each class wait, as a dict."""
+
+    def observe(self, server, now):
+        """Take note of a server's new load report."""
+
+    def forget_server(self, name):
+        """Drop what is held about a server that is gone."""
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -0,0 +1,64 @@
+"""The unit that decisions are about."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """One request as the decisions see it.
+
+    ``received`` and ``deadline`` are on the clock of this instance;
+    ``avoid`` names the servers on which an attempt failed already.
+    ``predicted_tokens`` is the expected output length, zero if unknown.
+    """
+
+    request_id: str
+    organisation: str
+    class_name: str
+    model: str
+    service: str
+    priority: int
+    received: float
+    deadline: float
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    predicted_tokens: int = 0
+    prefix_hash: str = ""
+    sheddable: bool = False
+    repeatable: bool = True
+    minimum_share: float = 0.0
+    weight: float = 1.0
+    first_token_ms: float | None = None
+    total_ms: float | None = None
+    avoid: set = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """The decision to give ``work`` to a backend server now."""
+
+    work: Work
+    server: str
+
+
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """The decision to answer queued ``work`` without running it."""
+
+    work: Work
+    nothing: object
+
+
+@dataclasses.dataclass(slots=True)
+class Ended:
+    """How an attempt ended, as feedback to the policy.
+
+    ``wasted`` tells that its output was of no use to any caller.
+    """
+
+    request_id: str
+    server: str
+    output_tokens: int = 0
+    failed: bool = False
+    wasted: bool = False
+    gaps_ms: list = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -0,0 +1,21 @@
+"""Everything that the reducer may ask of the outside, as data."""
+
+from .config import WriteAnswered
+from .peers import SendPeer
+from .reports import Log
+from .reports import Measure
+from .requests import Cancel
+from .requests import Dispatch
+from .requests import Finish
+from .requests import Refuse
+
+__all__ = [
+    "Cancel",
+    "Dispatch",
+    "Finish",
+    "Log",
+    "Measure",
+    "Refuse",
+    "SendPeer",
+    "WriteAnswered",
+]
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -0,0 +1,31 @@
+"""Everything that can happen to an instance, as data.
+
+Each event is one thing that the outside told the instance.  Time is not in
+them: the reducer is handed the present time beside each event.
+"""
+
+from .config import WriteSubmitted
+from .peers import PeerMessageReceived
+from .peers import Started
+from .requests import AnswerFinished
+from .requests import AttemptBegan
+from .requests import AttemptFailed
+from .requests import CallerGone
+from .requests import FirstOutput
+from .requests import NotBegun
+from .requests import RequestReceived
+from .servers import Announced
+
+__all__ = [
+    "Announced",
+    "AnswerFinished",
+    "AttemptBegan",
+    "AttemptFailed",
+    "CallerGone",
+    "FirstOutput",
+    "NotBegun",
+    "PeerMessageReceived",
+    "RequestReceived",
+    "Started",
+    "WriteSubmitted",
+]
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -0,0 +1,91 @@
+"""Events in the life of one request."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class RequestReceived:
+    """A caller's request, read whole and well formed.
+
+    ``timeout`` is in seconds from now, ``prompt_tokens`` an estimate made
+    from the length of the body.  Exactly one of ``model`` and ``service``
+    is not empty.
+    """
+
+    request_id: str
+    key_hash: str
+    class_name: str
+    model: str = ""
+    service: str = ""
+    path: str = ""
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    prefix_hash: str = ""
+    timeout: float | None = None
+    idempotency_key: str = ""
+    body_digest: str = ""
+    streamed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptBegan:
+    """The first byte of attempt ``attempt`` is about to be sent."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class NotBegun:
+    """It is certain that attempt ``attempt`` did not start any work.
+
+    ``server_said`` is true where the server itself answered ``not-run``,
+    false where no byte of the request left this instance.
+    """
+
+    request_id: str
+    attempt: int
+    server_said: bool
+    retry_after: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class FirstOutput:
+    """The first event of the answer came in."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerFinished:
+    """The answer came in whole.
+
+    ``gaps_ms`` samples the time between two outputs.
+    """
+
+    request_id: str
+    attempt: int
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    gaps_ms: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptFailed:
+    """The attempt broke off after it may have begun.
+
+    ``relayed`` counts the events that the caller already has.
+    """
+
+    request_id: str
+    attempt: int
+    relayed: int
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class CallerGone:
+    """The caller closed its connection before the answer was whole."""
+
+    request_id: str
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -0,0 +1,83 @@
+"""One reducer over all events of an instance, with effects as data.
+
+>>> import random
+>>> from dandeliontrail import new_reducer, Identity
+>>> reducer = new_reducer(Identity("i1", "fd1", "r1", 1), random.Random(0))
+>>> reducer.tick(0.0)
+[]
+"""
+
+from . import events
+from .components import backend_servers
+from .components import configuration
+from .components import members
+from .components import requests
+from .components import state as state_module
+from .decisions import baselines
+
+
+class Reducer:
+    """Hands each event to the component that answers to its type."""
+
+    __slots__ = ("state", "policy", "components", "_handlers", "_messages")
+
+    def __init__(self, state, policy, components):
+        self.state = state
+        self.policy = policy
+        self.components = components
+        self._handlers = {}
+        self._messages = {}
+        for component in components:
+            self._register(component)
+
+    def _register(self, component):
+        for kind, handler in component.handlers().items():
+            # A peer's message reaches its handler with the sender; all
+            # other events stand for themselves.
+            is_event = kind.__module__.startswith(events.__name__)
+            table = self._handlers if is_event else self._messages
+            table.setdefault(kind, []).append(handler)
+
+    def apply(self, event, now):
+        """Return the effects of ``event``, which happens at ``now``."""
+        if isinstance(event, events.PeerMessageReceived):
+            return self._apply_message(event, now)
+        out = []
+        for handler in self._handlers[type(event)]:
+            out.extend(handler(event, now))
+        return out
+
+    def _apply_message(self, event, now):
+        out = []
+        self.state.members.hear(event.source, now)
+        for handler in self._messages[type(event.message)]:
+            out.extend(handler(event.source, event.message, now))
+        return out
+
+    def waiting(self):
+        """Return how many requests of each class wait in queues."""
+        return self.policy.waiting()
+
+    def tick(self, now):
+        """Return the effects that are due at ``now``."""
+        out = []
+        for component in self.components:
+            out.extend(component.tick(now))
+        return out
+
+
+def new_reducer(identity, rng, seeds=(), policy=None):
+    """Return the reducer of an instance, put together from its parts.
+
+    ``rng`` is a ``random.Random``: the only source of chance in here, so
+    that a run can be repeated from its seed.
+    """
+    state = state_module.new_state(identity, rng, seeds)
+    chosen = policy or baselines.PriorityLeastOutstanding()
+    parts = [
+        members.Members(state),
+        backend_servers.BackendServers(state, chosen),
+        configuration.Configuration(state),
+        requests.Requests(state, chosen),
+    ]
+    return Reducer(state, chosen, parts)
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' objects: their shape, their checks and their store."""
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
@@ -0,0 +1,48 @@
+"""What a backend server says of itself, as it crosses the wire."""
+
+import msgspec
+
+
+class Model(msgspec.Struct):
+    """One model, or an adapter over one, that an engine has loaded."""
+
+    name: str
+    version: str = ""
+    adapters: list[str] = []
+
+
+class Load(msgspec.Struct):
+    """An engine's own view of its load, ``measured_ms_ago`` old."""
+
+    running: int = 0
+    waiting: int = 0
+    kv_used: int = 0
+    measured_ms_ago: float = 0.0
+
+
+class Announcement(msgspec.Struct):
+    """One announcement; ``(epoch, sequence)`` orders those of a server.
+
+    ``lease`` is in seconds: how long the server may be taken for alive
+    without hearing from it again.
+    """
+
+    backend_server: str
+    epoch: int
+    sequence: int
+    kind: str
+    url: str
+    failure_domain: str = ""
+    models: list[Model] = []
+    service: str = ""
+    slots: int = 1
+    kv_tokens: int = 0
+    role: str = ""
+    load: Load = msgspec.field(default_factory=Load)
+    leaving: bool = False
+    checks_fencing: bool = False
+    lease: float = 3.0
+
+    def order(self):
+        """Return the pair by which a newer announcement is told."""
+        return (self.epoch, self.sequence)
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/checks.py
@@ -0,0 +1,164 @@
+"""Checks on the operators' objects, made before a change is accepted."""
+
+import re
+
+import msgspec
+
+from .. import errors
+from . import specs
+
+NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+KEY = re.compile(r"sha256:[0-9a-f]{64}")
+LOWEST_PRIORITY = 15
+
+
+class NoSuchObject(errors.DandeliontrailError):
+    """The change names an object that does not exist."""
+
+
+def kind_of(text):
+    """Return the kind called ``text``."""
+    try:
+        return specs.Kind(text)
+    except ValueError:
+        known = ", ".join(kind.value for kind in specs.Kind)
+        raise errors.ResourceInvalid(
+            "kind", f"{text!r} is not a kind.", f"use one of {known}"
+        )
+
+
+def present(held, operation):
+    """Raise unless the object that ``operation`` names exists."""
+    if held is None:
+        raise NoSuchObject(
+            f"There is no {operation.kind}/{operation.name}.",
+            "list the kind to see the names that exist",
+        )
+
+
+def decode(kind, operation):
+    """Return the checked spec of a put."""
+    if not NAME.fullmatch(operation.name):
+        raise errors.ResourceInvalid(
+            "name",
+            f"{operation.name!r} is not a name.",
+            "use at most 63 lower-case letters, digits, dots and hyphens",
+        )
+    try:
+        spec = msgspec.json.decode(operation.spec, type=specs.SPEC_TYPES[kind])
+    except msgspec.ValidationError as exc:
+        raise errors.ResourceInvalid(
+            "spec", f"{exc}.", "correct the field at the path named"
+        )
+    _CHECKS[kind](spec)
+    return spec
+
+
+def _require(holds, field, message, remedy):
+    if not holds:
+        raise errors.ResourceInvalid(field, message, remedy)
+
+
+def _organisation(spec):
+    for key in spec.keys:
+        _require(
+            KEY.fullmatch(key),
+            "spec.keys",
+            "a key is not a hash.",
+            "give sha256: and the 64 hex digits of the key's hash",
+        )
+    _require(
+        spec.weight > 0,
+        "spec.weight",
+        f"{spec.weight} is not a weight.",
+        "give a number above 0",
+    )
+
+
+def _request_class(spec):
+    _require(
+        0 <= spec.priority <= LOWEST_PRIORITY,
+        "spec.priority",
+        f"{spec.priority} is out of range.",
+        f"give a whole number from 0 to {LOWEST_PRIORITY}",
+    )
+    _require(
+        0 <= spec.minimum_share < 1,
+        "spec.minimum_share",
+        f"{spec.minimum_share} is out of range.",
+        "give a share from 0 to below 1",
+    )
+
+
+def _backend_pool(spec):
+    _require(
+        spec.select.kind in ("", "model_engine", "service"),
+        "spec.select.kind",
+        f"{spec.select.kind!r} is not a kind of backend server.",
+        "use model_engine or service",
+    )
+
+
+def _model_placement(spec):
+    _require(
+        0 <= spec.minimum_copies <= spec.maximum_copies,
+        "spec.minimum_copies",
+        "it is above maximum_copies or below 0.",
+        "give 0 <= minimum_copies <= maximum_copies",
+    )
+
+
+_CHECKS = {
+    specs.Kind.ORGANISATIONS: _organisation,
+    specs.Kind.REQUEST_CLASSES: _request_class,
+    specs.Kind.BACKEND_POOLS: _backend_pool,
+    specs.Kind.MODEL_PLACEMENTS: _model_placement,
+}
+
+
+def across(objects):
+    """Check the references between objects, after a change as a whole.
+
+    Deleting something that is still named elsewhere fails here too.
+    """
+    classes = objects[specs.Kind.REQUEST_CLASSES]
+    pools = objects[specs.Kind.BACKEND_POOLS]
+    for name, resource in classes.items():
+        for pool in resource.spec.pools:
+            _require(
+                pool in pools,
+                f"requestclasses/{name}.spec.pools",
+                f"there is no backend pool {pool!r}.",
+                "create the pool, or take it out of the class first",
+            )
+    owners = {}
+    for name, resource in objects[specs.Kind.ORGANISATIONS].items():
+        _check_organisation_links(name, resource.spec, classes, owners)
+    shares = sum(item.spec.minimum_share for item in classes.values())
+    _require(
+        shares < 1,
+        "spec.minimum_share",
+        f"the shares of all classes add up to {shares:.2f}.",
+        "lower them until the sum is below 1",
+    )
+
+
+def _check_organisation_links(name, spec, classes, owners):
+    named = list(spec.classes)
+    if spec.default_class:
+        named.append(spec.default_class)
+    for class_name in named:
+        _require(
+            class_name in classes,
+            f"organisations/{name}.spec.classes",
+            f"there is no request class {class_name!r}.",
+            "create the class, or take it out of the organisation first",
+        )
+    for key in spec.keys:
+        owner = owners.setdefault(key, name)
+        _require(
+            owner == name,
+            f"organisations/{name}.spec.keys",
+            f"a key belongs to organisation {owner!r} already.",
+            "give each organisation keys of its own",
+        )
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -0,0 +1,46 @@
+"""Sentinel values that carry a reason.
+
+Decisions return one of these in place of a result where there is none.  All
+are false in a condition, so that the caller reads naturally::
+
+    server = place(req, servers)
+    if not server:
+        log(server.reason)
+"""
+
+import dataclasses
+import enum
+
+
+class Reason(enum.Enum):
+    """Why a decision went against a request; the text goes to logs."""
+
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_TARGET = "unknown_target"
+    OVER_LIMIT = "organisation_over_limit"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_SERVER = "no_backend_server"
+    ALL_BUSY = "all_backend_servers_busy"
+    DRAINING = "instance_draining"
+    SERVER_FAILED = "backend_server_failed"
+    NO_QUORUM = "no_quorum"
+    KEY_REUSED = "idempotency_key_reused"
+    ANSWER_GONE = "answer_no_longer_held"
+    CALLER_GONE = "caller_gone"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Nothing:
+    """The absence of a result, with the reason for it.
+
+    ``retry_after`` is in seconds; ``None`` means that trying again later
+    does not help.
+    """
+
+    reason: Reason
+    retry_after: float | None = None
+
+    def __bool__(self):
+        return False
--- /dev/null
+++ b/tests/common/world.py
@@ -0,0 +1,109 @@
+"""A small world on loopback: real instances and stand-in engines.
+
+All run in the one gevent loop of the test, so that a test can reach into
+any of them, and cost a few milliseconds to start.
+"""
+
+import contextlib
+import logging
+import time
+
+import gevent
+
+from dandeliontrail_ctl import api
+from dandeliontrail_lab import batch
+from dandeliontrail_lab import engine
+from dandeliontrail_node import instance
+from dandeliontrail_node import settings
+
+KEY = "test-key"
+LISTENERS = ("callers", "backend_servers", "operators", "peers")
+WAIT_SECONDS = 15.0
+
+
+def wait_until(holds, seconds=WAIT_SECONDS):
+    """Wait until ``holds()`` is true, and fail when it never is."""
+    deadline = time.monotonic() + seconds
+    while not holds():
+        assert time.monotonic() < deadline, "waited in vain"
+        gevent.sleep(0.01)
+
+
+def make_settings(name, domain="fd1", peers=(), **limits):
+    """Return the settings of an instance on free ports of loopback."""
+    return settings.Settings(
+        instance=name,
+        failure_domain=domain,
+        region="r1",
+        listen=settings.Listen(*["127.0.0.1:0"] * len(LISTENERS)),
+        peers=list(peers),
+        credentials=settings.Credentials(open=list(LISTENERS[1:])),
+        limits=settings.LimitSettings(**limits),
+    )
+
+
+class World:
+    """Instances and engines that are closed with the test."""
+
+    def __init__(self):
+        self._stack = contextlib.ExitStack()
+        self.instances = []
+        self.engines = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        return self._stack.__exit__(*exc_info)
+
+    def instance(self, name, domain="fd1", **limits):
+        """Start an instance that knows those started before."""
+        limits.setdefault("drain_notice_seconds", 0.0)
+        peers = [item.addresses["peers"] for item in self.instances]
+        cfg = make_settings(name, domain, peers, **limits)
+        logger = logging.getLogger(f"test.{name}")
+        started = instance.Instance(cfg, logger)
+        self._stack.enter_context(started)
+        self.instances.append(started)
+        return started
+
+    def engine(self, name, domain="fd1", slots=8, step=0.002, announce=True):
+        """Start an engine that announces itself to all instances in turn."""
+        pace = batch.Pace(step=step, step_per_stream=0.0, prefill=0.0)
+        served = engine.Engine(name, domain, ["small"], slots, pace)
+        served.start()
+        self._stack.callback(served.stop)
+        self.engines.append(served)
+        if announce:
+            addresses = [
+                item.addresses["backend_servers"] for item in self.instances
+            ]
+            announcer = gevent.spawn(served.announce, addresses)
+            self._stack.callback(announcer.kill)
+            wait_until(lambda: self.knows(name))
+        return served
+
+    def knows(self, server):
+        """Tell whether every instance gives work to a backend server."""
+        return all(
+            server in item.host.state.registry.servers
+            for item in self.instances
+        )
+
+    def apply(self, classes, organisations=None):
+        """Declare one pool of all engines, the classes and a caller."""
+        organisations = organisations or {
+            "lab": {
+                "keys": [engine.key_hash(KEY)],
+                "classes": list(classes),
+                "default_class": next(iter(classes)),
+            }
+        }
+        for item in self.instances:
+            server = api.Api(f"http://{item.addresses['operators']}")
+            server.put("backendpools", "all", {"select": {}})
+            for name, spec in classes.items():
+                spec = {"pools": ["all"], **spec}
+                server.put("requestclasses", name, spec)
+            for name, spec in organisations.items():
+                server.put("organisations", name, spec)
--- /dev/null
+++ b/tests/cover/test_whole_path.py
@@ -0,0 +1,69 @@
+"""From a caller to an engine and back, over real sockets on loopback."""
+
+import gevent
+
+from dandeliontrail_ctl import api
+from dandeliontrail_lab import client
+
+from tests.common import world
+
+LOOKUP = {"lookup": {"priority": 0}}
+
+
+def ask(instance, **fields):
+    address = instance.addresses["callers"]
+    return client.Ask(address, world.KEY, "", "hello", **fields)
+
+
+def test_can_serve_streamed_and_whole_answers():
+    with world.World() as made:
+        one = made.instance("i1")
+        made.engine("e1")
+        made.apply(LOOKUP)
+        for streamed in (True, False):
+            answer = client.send(ask(one, stream=streamed, max_tokens=5))
+            assert answer.complete
+            assert answer.tokens == 5
+            assert answer.backend_server == "e1"
+        server = api.Api(f"http://{one.addresses['operators']}")
+        (used,) = server.get("usage")["items"]
+        assert used["requests"] == 2
+        assert used["output_tokens"] == 10
+
+
+def test_cut_stream_never_looks_whole():
+    # The engine dies in the middle of an answer.  A non-repeatable request
+    # cannot go elsewhere, so the caller must see an error and no [DONE].
+    with world.World() as made:
+        one = made.instance("i1")
+        served = made.engine("e1", step=0.02)
+        made.apply({"summary": {"repeatable": False}})
+        job = gevent.spawn(client.send, ask(one, max_tokens=500))
+        world.wait_until(lambda: served.batch.begun)
+        gevent.sleep(0.1)
+        served.batch.cancel(served.ran[0])
+        answer = job.get()
+        assert not answer.complete
+        assert answer.outcome == "unknown"
+        assert answer.error == "backend_server_failed"
+
+
+def test_unknown_key_is_told_so_without_a_run():
+    with world.World() as made:
+        one = made.instance("i1")
+        served = made.engine("e1")
+        made.apply(LOOKUP)
+        asked = ask(one)
+        asked.key = "wrong"
+        answer = client.send(asked)
+        assert answer.status == 401
+        assert answer.outcome == "not-run"
+        assert served.ran == []
+
+
+def test_instances_learn_of_each_others_backend_servers():
+    with world.World() as made:
+        made.instance("i1", "fd1")
+        made.instance("i2", "fd2")
+        made.engine("e1")
+        assert made.knows("e1")
