Replicate the configuration: a quorum log among keepers

Cause: each instance applied a write to itself alone, so instances disagreed and a restart forgot everything. Change: a leader-based replicated log, pure, in coordination/quorum_log*; keepers sync before they acknowledge or vote; learners fetch committed entries from whoever is ahead; any instance takes a write. Components add entry kinds through State.log (register, propose); see the docstring of coordination/quorum_log.py. The demo and the tests' world now write once.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/demo.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/demo.py
@@ -87,8 +87,7 @@
         ("organisations", organisations()),
     ):
         for name, spec in objects.items():
-            for server in servers:
-                server.put(kind, name, spec)
+            servers[0].put(kind, name, spec)
     wait_until(lambda: all(_has_all(item) for item in servers))
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -27,6 +27,7 @@
         self._engines = engines
         self._exchanges = {}
         self._writes = {}
+        self._disk = None
         self._queue = collections.deque()
         self._busy = False
         self._carry_out = {
@@ -36,6 +37,8 @@
             effects.Cancel: self._cancel,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
+            effects.AppendLog: self._write_log,
+            effects.ReplaceLog: self._write_log,
             effects.Log: self._log,
             effects.Measure: self._measure,
         }
@@ -45,6 +48,10 @@
         """The shared state of the reducer, to be read only."""
         return self.reducer.state
 
+    def attach_disk(self, writer):
+        """Carry the log's writes to ``writer``."""
+        self._disk = writer
+
     def start(self, address):
         """Tell the reducer where this instance is reached and tick on."""
         self.submit(events.Started(address))
@@ -136,6 +143,9 @@
         if waiting:
             waiting.set(effect.result)
 
+    def _write_log(self, effect):
+        self._disk.put(effect)
+
     def _log(self, effect):
         level = effect.level.upper()
         self.logger.log(_LEVELS[level], effect.message, extra=effect.fields)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -12,8 +12,11 @@
 
 import dandeliontrail
 from dandeliontrail.coordination import messages
+from dandeliontrail.coordination import quorum_log_records
 
 from . import clock
+from . import disk
+from . import disk_writer
 from . import drain
 from . import engine_client
 from . import host as host_module
@@ -71,20 +74,51 @@
             limits.connect_seconds, limits.backend_silent_seconds
         )
         self._stack.callback(self._engines.close)
-        identity = dandeliontrail.Identity(
-            cfg.instance,
-            cfg.failure_domain,
-            cfg.region,
-            self._sender.incarnation,
-        )
+        storage = self._open_storage()
         self.host = host_module.Host(
-            dandeliontrail.new_reducer(identity, random.Random(), cfg.peers),
+            self._new_reducer(storage),
             clock.MonotonicClock(),
             link,
             self._engines,
             metrics.Metrics(),
             self._logger,
         )
+        if storage:
+            writer = disk_writer.DiskWriter(storage, self.host.submit)
+            self._stack.callback(writer.close)
+            self.host.attach_disk(writer)
+
+    def _open_storage(self):
+        keeper = self._cfg.keeper
+        if keeper is None:
+            return None
+        storage = disk.FileStorage(keeper.data_dir)
+        self._stack.callback(storage.close)
+        return storage
+
+    def _new_reducer(self, storage):
+        cfg = self._cfg
+        identity = dandeliontrail.Identity(
+            cfg.instance,
+            cfg.failure_domain,
+            cfg.region,
+            self._sender.incarnation,
+        )
+        keeper = None
+        if storage:
+            keeper = quorum_log_records.Keeper(storage.folder, *storage.load())
+        elif not cfg.bootstrap_keepers:
+            self._logger.warning(
+                "no bootstrap_keepers: the configuration is kept in memory"
+                " by this instance alone"
+            )
+        return dandeliontrail.new_reducer(
+            identity,
+            random.Random(),
+            cfg.peers,
+            keeper=keeper,
+            bootstrap=cfg.bootstrap_keepers,
+        )
 
     def _apps(self):
         cfg = self._cfg
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -7,6 +7,8 @@
 import random
 
 from ..coordination import membership
+from ..coordination import quorum_log
+from ..coordination import quorum_log_neighbours as neighbours
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
@@ -28,9 +30,9 @@
 class State:
     """Shared state of one instance.
 
-    Owners: ``store`` the configuration component, ``registry`` the server
-    component, ``members`` the membership component, ``usage`` the request
-    component.
+    Owners: ``store`` and ``log`` the configuration component,
+    ``registry`` the server component, ``members`` the membership
+    component, ``usage`` the request component.
     """
 
     identity: Identity
@@ -40,19 +42,33 @@
     members: membership.Membership
     usage: usage.UsageLedger
     directory: directory.Directory
+    log: quorum_log.QuorumLog
     draining: bool = False
 
 
-def new_state(identity, rng, seeds=()):
-    """Return the state of an instance that knows only its seeds."""
+def new_state(identity, rng, seeds=(), keeper=None, bootstrap=()):
+    """Return the state of an instance that knows only its seeds.
+
+    ``keeper`` is what its disk has (``quorum_log_records.Keeper``), where it
+    has one; ``bootstrap`` names the first keepers.
+    """
     objects = store.ResourceStore()
     registry = servers.ServerRegistry()
+    members = membership.Membership(seeds)
+    log = quorum_log.QuorumLog(
+        identity.instance,
+        rng,
+        neighbours.KnownMembers(identity, members),
+        keeper,
+        bootstrap,
+    )
     return State(
         identity,
         rng,
         objects,
         registry,
-        membership.Membership(seeds),
+        members,
         usage.UsageLedger(),
         directory.Directory(registry, objects),
+        log,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from . import messages
+from . import quorum_log_messages
 from . import servers
 
 ALL = (
     messages.Hello,
     servers.ServerRecords,
+    *quorum_log_messages.ALL,
 )
 
 Message = typing.Union[ALL]
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -0,0 +1,359 @@
+"""One replica of the quorum log, as the rest of an instance sees it.
+
+The keepers agree on one ordered log; every instance applies its entries in
+order.  How a component uses it:
+
+* It defines its kind of entry as a tagged ``msgspec.Struct`` and adds it to
+  ``ALL`` in :mod:`.quorum_log_entries`.
+* It registers an applier, once, when the reducer is put together::
+
+      state.log.register(LeaseRequest, LeaseApplier(table))
+
+  The applier (:class:`.quorum_log_machine.Applier`) is handed the entries of
+  that kind in log order, on every instance alike: ``apply(version, entry)``
+  returns a result.  It uses no clock and no chance; what depends on either
+  is put into the entry by its proposer.  ``dump`` and ``load`` make its
+  state part of the checkpoints, and ``result_type`` lets kept results be
+  read back.
+* It proposes an entry from inside the reducer and gets the result back
+  there::
+
+      return state.log.propose(entry, proposal_id, now, self._settled)
+
+  ``propose`` returns effects, to be returned from the handler.  Later
+  ``self._settled(settled, now)`` is called exactly once with a
+  :class:`Settled` and returns effects in turn.  The entry has then taken
+  effect *on this instance*, so what is read here afterwards shows it.
+
+``proposal_id`` is unique to the proposal: the same id proposed again, on
+any instance, takes effect once and gives the first result, for as long as
+results are kept (:data:`.quorum_log_machine.KEPT_RESULTS` of each kind).
+
+``NOT_RUN`` is said only where the proposal was never sent to anyone who
+could have appended it; everything else that fails is ``UNKNOWN``.
+
+An instance whose settings name no keepers at all is the one voter of a log
+of its own, in memory: for embedding and tests.
+"""
+
+import msgspec
+
+from .. import effects
+from . import quorum_log_catch_up as catch_up_module
+from . import quorum_log_core as core_module
+from . import quorum_log_election as election_module
+from . import quorum_log_entries as entries
+from . import quorum_log_founding as founding_module
+from . import quorum_log_freshness as freshness_module
+from . import quorum_log_leader as leader_module
+from . import quorum_log_machine as machine_module
+from . import quorum_log_messages as messages
+from . import quorum_log_proposals as proposals_module
+from . import quorum_log_records as records
+from . import quorum_log_start as start_module
+
+Settled = proposals_module.Settled
+SettledKind = proposals_module.SettledKind
+
+# How many instances are told at once that the applied version grew.  Each
+# tells as many in turn, so that 530 are reached in four rounds even where
+# a quarter of the notices is lost.
+NOTICES = 8
+NOTICE_INTERVAL = 1.0
+
+
+class LogStatus(msgspec.Struct):
+    """How a replica stands; ages in seconds, -1 for never."""
+
+    role: str
+    term: int
+    leader: str
+    applied: int
+    confirmed_ago: float
+    stale: bool
+    ready: bool
+    in_memory: bool
+    disk_failed: bool
+    voters: list[entries.Voter]
+    missing_founders: list[str]
+
+
+class QuorumLog:
+    """The replica of one instance.  ``open`` it before all else."""
+
+    def __init__(self, name, rng, neighbours, keeper=None, bootstrap=()):
+        self._keeper = keeper
+        self._neighbours = neighbours
+        self._in_memory = keeper is None and not bootstrap
+        folder = keeper.folder if keeper else ""
+        self._machine = machine_module.Machine()
+        core = core_module.Core(name, folder, rng, self._machine)
+        self._core = core
+        self._freshness = freshness_module.Freshness(self._machine)
+        self._leadership = leader_module.Leadership(core, self._freshness)
+        self._election = election_module.Election(core, self._leadership.begin)
+        self._following = leader_module.Following(
+            core, self._election, self._freshness
+        )
+        self._founding = founding_module.Founding(core, bootstrap)
+        self._catch_up = catch_up_module.CatchUp(core, neighbours)
+        self._proposals = proposals_module.Proposals(
+            core, self._leadership, sorted(bootstrap)
+        )
+        self._start = start_module.Start(
+            core, self._freshness, self._catch_up, neighbours
+        )
+        self._told = 0
+        self._next_notice = float("-inf")
+        self._was_stale = False
+
+    # -- the seam ---------------------------------------------------------
+
+    def register(self, kind, applier):
+        """Have ``applier`` apply the entries of type ``kind``."""
+        self._machine.register(kind, applier)
+
+    def propose(self, body, proposal_id, now, on_settled):
+        """Propose an entry; return effects.
+
+        ``on_settled(settled, now)`` is called once and returns effects.
+        """
+        self._proposals.add(body, proposal_id, now, on_settled)
+        known = self._proposals.take_applied(type(body), proposal_id)
+        out = _call(known, now) if known else []
+        return out + self._finish(now)
+
+    @property
+    def applied(self):
+        """Return the position of the last entry applied here."""
+        return self._machine.applied
+
+    @property
+    def ready(self):
+        """Tell whether the state here may be served from."""
+        return self._start.ready
+
+    def stale(self, now):
+        """Tell whether a majority has not been heard of for a while."""
+        return self._freshness.stale(now)
+
+    def leader(self, now):
+        """Return the name of the leader where it is known, or ''."""
+        return self._proposals.leader(now)
+
+    def status(self, now):
+        """Return how this replica stands."""
+        core = self._core
+        return LogStatus(
+            core.role.value,
+            core.term,
+            self.leader(now),
+            core.commit,
+            round(self._freshness.confirmed_ago(now), 3),
+            self.stale(now),
+            self.ready,
+            self._in_memory,
+            core.halted,
+            list(core.log.voters),
+            self._founding.missing(),
+        )
+
+    # -- events -----------------------------------------------------------
+
+    def open(self, now=0.0):
+        """Start from the disk, after all appliers are registered."""
+        restored = records.restore(self._keeper) if self._keeper else None
+        if restored:
+            self._core.restore(restored)
+        if self._in_memory:
+            self._founding.alone()
+            self._election.tick(now)
+            self._start.ready = True
+        return self._finish(now)
+
+    def tick(self, now):
+        """Return the effects that are due."""
+        core = self._core
+        if self._in_memory:
+            self._leadership.tick(now)
+            return self._finish(now)
+        greeting = self._founding.tick(now)
+        out = self._broadcast(greeting) if greeting else []
+        if self._start.asks(now):
+            out.extend(self._broadcast(self._progress(now, asks=True)))
+        self._election.tick(now)
+        self._leadership.tick(now)
+        self._catch_up.tick(now)
+        self._proposals.tick(now)
+        for expired in self._proposals.take_expired(now):
+            out.extend(_call(expired, now))
+        if self._start.tick(now):
+            fields = {"applied": core.commit, "stale": self.stale(now)}
+            out.append(effects.Log("info", "state is current", fields))
+        out.extend(self._tell_stale(now))
+        out.extend(self._finish(now))
+        return out
+
+    def synced(self, ticket, now):
+        """Take note that a write and all before are on the disk."""
+        self._core.synced(ticket)
+        return self._finish(now)
+
+    def storage_failed(self, detail, now):
+        """Stop being a keeper; go on serving as a learner."""
+        self._core.halt()
+        fields = {
+            "error": detail,
+            "remedy": "see docs/operators/keepers.md, replace a keeper",
+        }
+        return [
+            effects.Log("error", "the disk failed: keeper stopped", fields),
+            *self._finish(now),
+        ]
+
+    def handlers(self):
+        """Return the map from message type to ``handler``."""
+        return {
+            messages.VoteRequest: self._guard(self._election.request),
+            messages.VoteReply: self._guard(self._election.reply),
+            messages.AppendRequest: self._guard(self._following.request),
+            messages.AppendReply: self._guard(self._leadership.reply),
+            messages.Fetch: self._guard(self._catch_up.fetch),
+            messages.Committed: self._guard(self._catch_up.committed),
+            messages.CheckpointSent: self._guard(self._catch_up.checkpoint),
+            messages.Propose: self._guard(self._proposed),
+            messages.Progress: self._progress_heard,
+            messages.KeeperHello: self._keeper_hello,
+        }
+
+    def _guard(self, handler):
+        """Hand on only messages of the own log."""
+
+        def guarded(source, message, now):
+            if message.log_id and message.log_id == self._core.log_id:
+                handler(source, message, now)
+            return self._finish(now)
+
+        return guarded
+
+    def _proposed(self, source, message, now):
+        core = self._core
+        if core.role is core_module.Role.LEADER:
+            self._leadership.append(message.body, message.proposal_id, now)
+        else:
+            core.send(source.instance, self._progress(now))
+
+    def _keeper_hello(self, source, message, now):
+        if not self._in_memory:
+            self._founding.hello(source, message, now)
+        return self._finish(now)
+
+    def _progress_heard(self, source, message, now):
+        core = self._core
+        if self._in_memory:
+            return []
+        if not core.log_id and not core.disk:
+            core.log_id = message.log_id
+        name = source.instance
+        if message.log_id == core.log_id:
+            self._proposals.hear_leader(message.leader, now)
+            if not message.asks or message.applied:
+                self._catch_up.hear(name, message.applied)
+            if not message.asks:
+                self._start.hear(name)
+            self._freshness.hear(message.confirmed_ago, message.applied, now)
+            self._catch_up.tick(now)
+            if self._proposals.wants_leader():
+                self._proposals.tick(now)
+        if message.asks:
+            core.send(name, self._progress(now))
+        return self._finish(now)
+
+    def _progress(self, now, asks=False):
+        core = self._core
+        return messages.Progress(
+            core.log_id,
+            core.commit,
+            self._freshness.confirmed_ago(now),
+            self.leader(now),
+            asks,
+        )
+
+    # -- effects ----------------------------------------------------------
+
+    def _finish(self, now):
+        """Turn what the parts put out into effects."""
+        core = self._core
+        out = []
+        before = core.commit
+        core.maybe_checkpoint()
+        core.flush()
+        while core.out:
+            out.extend(self._carry(core.out.popleft(), now))
+            core.flush()
+        self._freshness.applied()
+        if self._told < core.commit or before < core.commit:
+            for settled in self._proposals.take_known():
+                out.extend(_call(settled, now))
+        out.extend(self._notify(now))
+        return out
+
+    def _carry(self, item, now):
+        if isinstance(item, core_module.Send):
+            address = self._neighbours.address_of(item.to)
+            if not address:
+                return []
+            return [effects.SendPeer(address, item.message)]
+        if isinstance(item, core_module.Write):
+            return [effects.AppendLog(item.ticket, item.records)]
+        if isinstance(item, core_module.Rewrite):
+            return [
+                effects.ReplaceLog(item.ticket, item.checkpoint, item.records)
+            ]
+        entry = item.entry
+        self._leadership.settled(entry)
+        known = self._proposals.take_applied(
+            type(entry.body), entry.proposal_id
+        )
+        return _call(known, now) if known else []
+
+    def _notify(self, now):
+        """Tell some others when the applied version grew, or it is time."""
+        core = self._core
+        if self._in_memory or not core.log_id:
+            return []
+        if core.commit <= self._told and now < self._next_notice:
+            return []
+        self._told = core.commit
+        self._next_notice = now + NOTICE_INTERVAL
+        names = sorted(self._neighbours.alive(now))
+        if len(names) > NOTICES:
+            names = core.rng.sample(names, NOTICES)
+        notice = self._progress(now)
+        addresses = [self._neighbours.address_of(name) for name in names]
+        return [effects.SendPeer(item, notice) for item in addresses if item]
+
+    def _broadcast(self, message):
+        addresses = self._neighbours.addresses()
+        if len(addresses) > 4 * NOTICES:
+            addresses = self._core.rng.sample(addresses, 4 * NOTICES)
+        return [effects.SendPeer(item, message) for item in addresses]
+
+    def _tell_stale(self, now):
+        stale = self.ready and self.stale(now)
+        if stale == self._was_stale:
+            return []
+        self._was_stale = stale
+        if not stale:
+            return [effects.Log("info", "state is fresh again")]
+        fields = {"applied": self._core.commit}
+        text = "state is stale: no majority of keepers is heard"
+        return [effects.Log("warning", text, fields)]
+
+
+def _call(settled, now):
+    calls, result = settled
+    out = []
+    for call in calls:
+        out.extend(call(result, now))
+    return out
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
@@ -0,0 +1,131 @@
+"""How instances that are behind catch up from any that is ahead.
+
+Committed entries are facts: whoever has them may pass them on, and
+whoever gets them may apply them, keeper or not.  So an instance fetches
+from the nearest one that is ahead, and in a cut-off failure domain a
+restarted instance gets back all that the domain already had.
+"""
+
+from . import quorum_log_core as core_module
+from . import quorum_log_messages as messages
+from . import quorum_log_records as records
+
+BATCH = 256
+# A fetch without an answer is repeated elsewhere after this long; it is
+# above the round trip between regions and below the 3 s goal.
+FETCH_SECONDS = 0.8
+# A voter gets entries from its leader; it fetches only when that has not
+# helped for this long.
+VOTER_PATIENCE = 0.6
+
+
+class CatchUp:
+    """Serves and makes fetches of committed entries."""
+
+    def __init__(self, core, neighbours):
+        self._core = core
+        self._neighbours = neighbours
+        self._ahead = {}
+        self._asked = None
+        self._asked_at = float("-inf")
+        self._behind_since = None
+
+    def hear(self, name, applied):
+        """Take note of how far another instance is."""
+        self._ahead[name] = applied
+
+    def most(self, names):
+        """Return the highest version heard of from any of ``names``."""
+        return max((self._ahead.get(name, 0) for name in names), default=0)
+
+    def tick(self, now):
+        """Fetch where this instance is behind one that is reachable."""
+        core = self._core
+        alive = self._neighbours.alive(now)
+        self._ahead = {
+            name: applied
+            for name, applied in self._ahead.items()
+            if name in alive
+        }
+        sources = [
+            name
+            for name in sorted(self._ahead)
+            if self._ahead[name] > core.commit
+        ]
+        if not sources or core.role is core_module.Role.LEADER:
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        patience = VOTER_PATIENCE if core.is_voter() else 0.0
+        if now - self._behind_since < patience:
+            return
+        if now - self._asked_at < FETCH_SECONDS:
+            return
+        self._ask(self._choose(sources), now)
+
+    def _choose(self, sources):
+        """Prefer the own failure domain, and whoever was not asked last."""
+        near = self._neighbours.same_domain
+        fresh = [name for name in sources if name != self._asked]
+        pool = [name for name in fresh if near(name)] or fresh or sources
+        return self._core.rng.choice(pool)
+
+    def _ask(self, name, now):
+        core = self._core
+        self._asked = name
+        self._asked_at = now
+        core.send(name, messages.Fetch(core.log_id, core.commit))
+
+    def fetch(self, source, message, now):
+        """Serve a fetch, by entries or, for one far behind, a checkpoint."""
+        core = self._core
+        if message.after >= core.commit:
+            return
+        if message.after < core.log.base:
+            data = records.encode(core.checkpoint())
+            reply = messages.CheckpointSent(
+                core.log_id, records.msgspec.Raw(data)
+            )
+        else:
+            most = min(BATCH, core.commit - message.after)
+            found = core.log.after(message.after, most)
+            reply = messages.Committed(core.log_id, found)
+        core.send(source.instance, reply)
+
+    def committed(self, source, message, now):
+        """Take in committed entries.
+
+        An own entry of another term at the same place was never committed
+        and gives way, together with all that follows it.
+        """
+        core = self._core
+        for entry in message.entries:
+            if entry.index <= core.commit:
+                continue
+            if entry.index > core.commit + 1:
+                break
+            self._accept(entry)
+            core.advance(entry.index)
+        self._answered(now)
+
+    def _accept(self, entry):
+        core = self._core
+        if entry.term > core.term:
+            core.step_down(entry.term)
+        if core.log.term_at(entry.index) != entry.term:
+            core.append(entry)
+
+    def checkpoint(self, source, message, now):
+        """Take in a checkpoint that is ahead."""
+        core = self._core
+        found = records.decode_checkpoint(bytes(message.checkpoint))
+        if found.index > core.commit:
+            core.install(found)
+        self._answered(now)
+
+    def _answered(self, now):
+        """Go on at once after an answer."""
+        self._asked_at = float("-inf")
+        self._asked = None
+        self.tick(now)
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -1,5 +1,7 @@
 """Everything that the reducer may ask of the outside, as data."""
 
+from .config import AppendLog
+from .config import ReplaceLog
 from .config import WriteAnswered
 from .peers import SendPeer
 from .reports import Log
@@ -10,12 +12,14 @@
 from .requests import Refuse
 
 __all__ = [
+    "AppendLog",
     "Cancel",
     "Dispatch",
     "Finish",
     "Log",
     "Measure",
     "Refuse",
+    "ReplaceLog",
     "SendPeer",
     "WriteAnswered",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/config.py
@@ -1,4 +1,4 @@
-"""Effects that answer operators."""
+"""Effects that answer operators and keep the log on the disk."""
 
 import dataclasses
 
@@ -11,3 +11,23 @@
 
     write_id: str
     result: changes.Result
+
+
+@dataclasses.dataclass(slots=True)
+class AppendLog:
+    """Append ``records`` to the disk, sync, then report ``LogSynced``.
+
+    Writes are carried out in the order in which they come.
+    """
+
+    ticket: int
+    records: list
+
+
+@dataclasses.dataclass(slots=True)
+class ReplaceLog:
+    """Put ``checkpoint`` and ``records`` in place of all on the disk."""
+
+    ticket: int
+    checkpoint: bytes
+    records: list
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -4,6 +4,8 @@
 them: the reducer is handed the present time beside each event.
 """
 
+from .config import LogSynced
+from .config import StorageFailed
 from .config import WriteSubmitted
 from .peers import PeerMessageReceived
 from .peers import Started
@@ -23,9 +25,11 @@
     "AttemptFailed",
     "CallerGone",
     "FirstOutput",
+    "LogSynced",
     "NotBegun",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
+    "StorageFailed",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/events/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/config.py
@@ -1,4 +1,4 @@
-"""Events that change the declared objects."""
+"""Events that change the declared objects, and those of their disk."""
 
 import dataclasses
 
@@ -11,3 +11,17 @@
 
     write_id: str
     change: changes.Change
+
+
+@dataclasses.dataclass(slots=True)
+class LogSynced:
+    """The write ``ticket`` and all before it are synced."""
+
+    ticket: int
+
+
+@dataclasses.dataclass(slots=True)
+class StorageFailed:
+    """A write or sync failed; what the disk holds is not known."""
+
+    detail: str
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -66,13 +66,18 @@
         return out
 
 
-def new_reducer(identity, rng, seeds=(), policy=None):
+def new_reducer(
+    identity, rng, seeds=(), policy=None, keeper=None, bootstrap=()
+):
     """Return the reducer of an instance, put together from its parts.
 
     ``rng`` is a ``random.Random``: the only source of chance in here, so
-    that a run can be repeated from its seed.
+    that a run can be repeated from its seed.  ``keeper`` is what the disk
+    holds (``quorum_log_records.Keeper``) on an instance that has one, and
+    ``bootstrap`` the names of the first keepers; without either, the
+    instance keeps a log of its own in memory.
     """
-    state = state_module.new_state(identity, rng, seeds)
+    state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
     parts = [
         members.Members(state),
@@ -80,4 +85,6 @@
         configuration.Configuration(state),
         requests.Requests(state, chosen),
     ]
+    # Every applier is registered by now, as the replay needs them all.
+    state.log.open()
     return Reducer(state, chosen, parts)
--- a/packages/dandeliontrail/src/dandeliontrail/resources/changes.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/changes.py
@@ -32,7 +32,7 @@
     if_match: int | None = None
 
 
-class Change(msgspec.Struct):
+class Change(msgspec.Struct, tag="change"):
     """What an operator asked for, under an ``operation_id`` of its own."""
 
     operation_id: str
--- a/packages/dandeliontrail/src/dandeliontrail/resources/store.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/store.py
@@ -4,7 +4,6 @@
 order give the same objects and the same results on every instance.
 """
 
-import collections
 import dataclasses
 import typing
 
@@ -16,10 +15,6 @@
 from . import checks
 from . import specs
 
-# A resend comes within minutes of a lost answer; at the 2,100 changes a day
-# of the largest deployment this many results reach back almost two days.
-KEPT_RESULTS = 4096
-
 
 @dataclasses.dataclass(slots=True)
 class Resource:
@@ -31,15 +26,30 @@
     spec: typing.Any
 
 
+class StoredObject(msgspec.Struct):
+    """One object, as checkpoints carry it."""
+
+    kind: specs.Kind
+    name: str
+    version: int
+    spec: msgspec.Raw
+
+
+class StoredState(msgspec.Struct):
+    """All objects, as checkpoints carry them."""
+
+    version: int
+    objects: list[StoredObject]
+
+
 class ResourceStore:
-    """All objects, the version they stand at, and recent results."""
+    """All objects and the version they stand at."""
 
-    __slots__ = ("version", "objects", "results", "_by_key")
+    __slots__ = ("version", "objects", "_by_key")
 
     def __init__(self):
         self.version = 0
         self.objects = {kind: {} for kind in specs.Kind}
-        self.results = collections.OrderedDict()
         self._by_key = {}
 
     def get(self, kind, name):
@@ -56,24 +66,14 @@
         return self._by_key.get(key_hash, "")
 
     def apply(self, version, change):
-        """Apply one logged change at ``version`` and return its result.
-
-        A change whose ``operation_id`` was seen before is not applied
-        again: its first result is returned.  That is what makes a resend
-        after a lost answer safe.
-        """
+        """Apply one logged change at ``version`` and return its result."""
         invariants.check(
             version > self.version,
             "applied-version-never-falls",
             f"{version} after {self.version}",
         )
-        earlier = self.results.get(change.operation_id)
-        if earlier is not None:
-            self.version = version
-            return earlier
         result = self._apply_fresh(version, change)
         self.version = version
-        self._remember(change.operation_id, result)
         return result
 
     def _apply_fresh(self, version, change):
@@ -106,12 +106,31 @@
         checks.across(staged)
         return staged
 
-    def _remember(self, operation_id, result):
-        if not operation_id:
-            return
-        self.results[operation_id] = result
-        while len(self.results) > KEPT_RESULTS:
-            self.results.popitem(last=False)
+    def dump(self):
+        """Return all objects as a :class:`StoredState`."""
+        objects = [
+            StoredObject(
+                kind, name, held.version, msgspec.Raw(encode_spec(held.spec))
+            )
+            for kind, named in self.objects.items()
+            for name, held in named.items()
+        ]
+        return StoredState(self.version, objects)
+
+    def load(self, state):
+        """Take over the JSON of a :class:`StoredState`."""
+        found = msgspec.json.decode(state, type=StoredState)
+        objects = {kind: {} for kind in specs.Kind}
+        for item in found.objects:
+            spec = msgspec.json.decode(
+                item.spec, type=specs.SPEC_TYPES[item.kind]
+            )
+            objects[item.kind][item.name] = Resource(
+                item.kind, item.name, item.version, spec
+            )
+        self.objects = objects
+        self.version = found.version
+        self._index_keys()
 
     def _index_keys(self):
         organisations = self.objects[specs.Kind.ORGANISATIONS]
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import logging
+import tempfile
 import time
 
 import gevent
@@ -17,6 +18,8 @@
 from dandeliontrail_node import settings
 
 KEY = "test-key"
+# The first instance of each world is its one keeper.
+FIRST = "i1"
 LISTENERS = ("callers", "backend_servers", "operators", "peers")
 WAIT_SECONDS = 15.0
 
@@ -29,14 +32,19 @@
         gevent.sleep(0.01)
 
 
-def make_settings(name, domain="fd1", peers=(), **limits):
-    """Return the settings of an instance on free ports of loopback."""
+def make_settings(name, domain="fd1", peers=(), keeper="", **limits):
+    """Return the settings of an instance on free ports of loopback.
+
+    ``keeper`` is the folder of the one keeper, ``i1`` everywhere.
+    """
     return settings.Settings(
         instance=name,
         failure_domain=domain,
         region="r1",
         listen=settings.Listen(*["127.0.0.1:0"] * len(LISTENERS)),
         peers=list(peers),
+        keeper=settings.Keeper(keeper) if keeper else None,
+        bootstrap_keepers=[FIRST],
         credentials=settings.Credentials(open=list(LISTENERS[1:])),
         limits=settings.LimitSettings(**limits),
     )
@@ -60,7 +68,10 @@
         """Start an instance that knows those started before."""
         limits.setdefault("drain_notice_seconds", 0.0)
         peers = [item.addresses["peers"] for item in self.instances]
-        cfg = make_settings(name, domain, peers, **limits)
+        keeper = ""
+        if name == FIRST:
+            keeper = self._stack.enter_context(tempfile.TemporaryDirectory())
+        cfg = make_settings(name, domain, peers, keeper, **limits)
         logger = logging.getLogger(f"test.{name}")
         started = instance.Instance(cfg, logger)
         self._stack.enter_context(started)
@@ -99,11 +110,17 @@
                 "default_class": next(iter(classes)),
             }
         }
-        for item in self.instances:
-            server = api.Api(f"http://{item.addresses['operators']}")
-            server.put("backendpools", "all", {"select": {}})
-            for name, spec in classes.items():
-                spec = {"pools": ["all"], **spec}
-                server.put("requestclasses", name, spec)
-            for name, spec in organisations.items():
-                server.put("organisations", name, spec)
+        server = api.Api(f"http://{self.instances[0].addresses['operators']}")
+        server.put("backendpools", "all", {"select": {}})
+        for name, spec in classes.items():
+            spec = {"pools": ["all"], **spec}
+            server.put("requestclasses", name, spec)
+        for name, spec in organisations.items():
+            written = server.put("organisations", name, spec)
+        wait_until(lambda: self.in_force(written["version"]))
+
+    def in_force(self, version):
+        """Tell whether every instance has applied ``version``."""
+        return all(
+            item.host.state.store.version >= version for item in self.instances
+        )
