Keep history, references and voters in the replicated state

Cause: each change copied every dict and walked every organisation; there was no history, no way to change keepers, no proof of the log. Change: changes are made in place and undone as a whole, references are indexed, minimum shares are summed exactly (the order of a dict differs after a checkpoint); recent changes are kept for watches and roll-backs; keepers can be added and removed one at a time, a new one counting once it has caught up; a Hypothesis machine drives several pure replicas.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -6,12 +6,15 @@
 
 from . import messages
 from . import quorum_log_messages
+from . import quorum_log_voters
 from . import servers
 
 ALL = (
     messages.Hello,
     servers.ServerRecords,
     *quorum_log_messages.ALL,
+    quorum_log_voters.VoterRequest,
+    quorum_log_voters.VoterReply,
 )
 
 Message = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -51,6 +51,7 @@
 from . import quorum_log_proposals as proposals_module
 from . import quorum_log_records as records
 from . import quorum_log_start as start_module
+from . import quorum_log_voters as voters_module
 
 Settled = proposals_module.Settled
 SettledKind = proposals_module.SettledKind
@@ -100,6 +101,9 @@
         self._proposals = proposals_module.Proposals(
             core, self._leadership, sorted(bootstrap)
         )
+        self._voters = voters_module.VoterChanges(
+            core, self._leadership, self._founding
+        )
         self._start = start_module.Start(
             core, self._freshness, self._catch_up, neighbours
         )
@@ -123,6 +127,47 @@
         out = _call(known, now) if known else []
         return out + self._finish(now)
 
+    def change_voter(self, action, name, request_id, now):
+        """Ask for a keeper more or less; return effects.
+
+        The leader's answer comes as an ``effects.VoterAnswered``.
+        """
+        request = voters_module.VoterRequest(
+            self._core.log_id, request_id, action, name
+        )
+        if self._core.role is core_module.Role.LEADER:
+            reply = self._voter_reply(request, now)
+            return [_answered(reply), *self._finish(now)]
+        leader = self.leader(now)
+        if leader:
+            self._core.send(leader, request)
+            return self._finish(now)
+        reply = voters_module.VoterReply(
+            self._core.log_id,
+            request_id,
+            "No leader of the keepers is known here.",
+            "send it again later, or to another instance",
+        )
+        return [_answered(reply)]
+
+    def _voter_reply(self, request, now):
+        refusal = self._voters.start(request.action, request.name, now)
+        if refusal:
+            text, remedy = refusal.message, refusal.remedy
+        else:
+            text, remedy = "accepted; list the keepers to see it done", ""
+        return voters_module.VoterReply(
+            self._core.log_id, request.request_id, text, remedy
+        )
+
+    def _voter_requested(self, source, message, now):
+        if self._core.role is core_module.Role.LEADER:
+            reply = self._voter_reply(message, now)
+            self._core.send(source.instance, reply)
+
+    def _voter_answered(self, source, message, now):
+        return [_answered(message)]
+
     @property
     def applied(self):
         """Return the position of the last entry applied here."""
@@ -222,6 +267,8 @@
             messages.Committed: self._guard(self._catch_up.committed),
             messages.CheckpointSent: self._guard(self._catch_up.checkpoint),
             messages.Propose: self._guard(self._proposed),
+            voters_module.VoterRequest: self._guard(self._voter_requested),
+            voters_module.VoterReply: self._voter_answered,
             messages.Progress: self._progress_heard,
             messages.KeeperHello: self._keeper_hello,
         }
@@ -357,3 +404,7 @@
     for call in calls:
         out.extend(call(result, now))
     return out
+
+
+def _answered(reply):
+    return effects.VoterAnswered(reply.request_id, reply.message, reply.remedy)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
@@ -159,19 +159,23 @@
         core.leader_heard = now
 
     def _hears_quorum(self, now):
-        since = now - QUORUM_SILENT_AFTER
-        if self._since > since:
+        if now - self._since < QUORUM_SILENT_AFTER:
             return True
-        return self._reached(lambda peer: peer.heard > since)
+        return self.hears_majority_of(self._core.log.voters, now)
+
+    def hears_majority_of(self, voters, now):
+        """Tell whether a majority of ``voters`` was heard of lately."""
+        since = now - QUORUM_SILENT_AFTER
+        return self._reached(lambda peer: peer.heard > since, voters)
 
-    def _reached(self, holds):
+    def _reached(self, holds, voters=None):
         """Tell whether ``holds`` is true for a majority with this one."""
         core = self._core
-        voters = core.log.voters
-        count = sum(1 for item in voters if item == core.me)
-        for voter in core.other_voters():
+        voters = core.log.voters if voters is None else voters
+        count = 0
+        for voter in voters:
             peer = self._peers.get(voter)
-            if peer and holds(peer):
+            if voter == core.me or (peer and holds(peer)):
                 count += 1
         return count >= entries.majority(voters)
 
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voters.py
@@ -0,0 +1,100 @@
+"""Operators' changes of who is a keeper, one voter at a time."""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from . import quorum_log_entries as entries
+
+
+class VoterAction(enum.Enum):
+    """What is asked for."""
+
+    ADD = "add"
+    REMOVE = "remove"
+
+
+class VoterRequest(msgspec.Struct, tag="voter_request"):
+    """Asks the leader to add or remove the keeper called ``name``."""
+
+    log_id: str
+    request_id: str
+    action: VoterAction
+    name: str
+
+
+class VoterReply(msgspec.Struct, tag="voter_reply"):
+    """What the leader says; ``remedy`` is empty where it was accepted."""
+
+    log_id: str
+    request_id: str
+    message: str
+    remedy: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """Why a change of voters was not accepted."""
+
+    message: str
+    remedy: str
+
+    def __bool__(self):
+        return True
+
+
+class VoterChanges:
+    """Checks and starts changes of voters, on the leader."""
+
+    def __init__(self, core, leadership, founding):
+        self._core = core
+        self._leadership = leadership
+        self._founding = founding
+
+    def start(self, action, name, now):
+        """Start a change and return ``None``, or a :class:`Refusal`."""
+        if not self._leadership.can_change_voters():
+            return Refusal(
+                "Another change of keepers, or a new leader, is settling.",
+                "send it again in a few seconds",
+            )
+        if action is VoterAction.ADD:
+            return self._add(name)
+        return self._remove(name, now)
+
+    def _add(self, name):
+        voters = self._core.log.voters
+        folder = self._founding.folders.get(name)
+        if folder is None:
+            return Refusal(
+                f"{name} has not shown itself as an instance with a disk.",
+                "start it with keeper.data_dir and let it reach a keeper",
+            )
+        wanted = entries.Voter(name, folder)
+        if any(item.name == name for item in voters):
+            return Refusal(
+                f"{name} is a keeper already, by this or an earlier disk.",
+                f"if it lost its disk, remove {name} first and add it then",
+            )
+        # It becomes a voter once it has caught up, not before: until then
+        # it would be counted on for entries that it does not have.
+        self._leadership.joining = wanted
+        return None
+
+    def _remove(self, name, now):
+        voters = self._core.log.voters
+        left = [item for item in voters if item.name != name]
+        if len(left) == len(voters):
+            return Refusal(
+                f"{name} is not a keeper.", "list the keepers to see who is"
+            )
+        if not self._leadership.hears_majority_of(left, now):
+            return Refusal(
+                f"Without {name} fewer than a majority of the keepers left"
+                " would be reachable.",
+                "bring another keeper back first, or add one",
+            )
+        self._leadership.joining = None
+        self._leadership.change_voters(left, now)
+        return None
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -2,6 +2,7 @@
 
 from .config import AppendLog
 from .config import ReplaceLog
+from .config import VoterAnswered
 from .config import WriteAnswered
 from .peers import SendPeer
 from .reports import Log
@@ -21,5 +22,6 @@
     "Refuse",
     "ReplaceLog",
     "SendPeer",
+    "VoterAnswered",
     "WriteAnswered",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/config.py
@@ -31,3 +31,15 @@
     ticket: int
     checkpoint: bytes
     records: list
+
+
+@dataclasses.dataclass(slots=True)
+class VoterAnswered:
+    """The leader's answer to a change of keepers.
+
+    ``remedy`` is empty where the change was accepted.
+    """
+
+    request_id: str
+    message: str
+    remedy: str
--- a/packages/dandeliontrail/src/dandeliontrail/resources/store.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/store.py
@@ -13,6 +13,8 @@
 from .. import invariants
 from . import changes
 from . import checks
+from . import history as history_module
+from . import references
 from . import specs
 
 
@@ -36,21 +38,24 @@
 
 
 class StoredState(msgspec.Struct):
-    """All objects, as checkpoints carry them."""
+    """All objects and recent changes, as checkpoints carry them."""
 
     version: int
     objects: list[StoredObject]
+    floor: int
+    items: list[history_module.HistoryItem]
 
 
 class ResourceStore:
-    """All objects and the version they stand at."""
+    """All objects, the version they stand at, and recent changes."""
 
-    __slots__ = ("version", "objects", "_by_key")
+    __slots__ = ("version", "objects", "history", "_references")
 
     def __init__(self):
         self.version = 0
         self.objects = {kind: {} for kind in specs.Kind}
-        self._by_key = {}
+        self.history = history_module.History()
+        self._references = references.References()
 
     def get(self, kind, name):
         """Return the object, or ``None`` where there is none."""
@@ -63,7 +68,7 @@
 
     def organisation_of(self, key_hash):
         """Return the name of the organisation that owns a key, or ''."""
-        return self._by_key.get(key_hash, "")
+        return self._references.owners.get(key_hash, "")
 
     def apply(self, version, change):
         """Apply one logged change at ``version`` and return its result."""
@@ -72,39 +77,70 @@
             "applied-version-never-falls",
             f"{version} after {self.version}",
         )
-        result = self._apply_fresh(version, change)
         self.version = version
-        return result
+        staged = self._stage(version, change)
+        if isinstance(staged, changes.Result):
+            return staged
+        steps = staged.steps()
+        if steps:
+            self.history.add(
+                history_module.HistoryItem(
+                    version, change.author, change.operation_id, steps
+                )
+            )
+        return changes.Result(changes.ResultKind.ACCEPTED, version)
 
-    def _apply_fresh(self, version, change):
+    def check(self, change):
+        """Return the result that ``change`` would have now."""
+        staged = self._stage(self.version, change)
+        if isinstance(staged, changes.Result):
+            return staged
+        staged.undo()
+        return changes.Result(changes.ResultKind.ACCEPTED, self.version)
+
+    def _stage(self, version, change):
+        """Make the change in place; return it, or why it was undone."""
+        staged = _Staged(self.objects, self._references)
         try:
-            staged = self._stage(version, change)
+            staged.run(version, change)
         except errors.VersionConflict as exc:
-            return _result(changes.ResultKind.CONFLICT, exc, exc.present)
+            failed = _result(changes.ResultKind.CONFLICT, exc, exc.present)
         except checks.NoSuchObject as exc:
-            return _result(changes.ResultKind.NOT_FOUND, exc)
+            failed = _result(changes.ResultKind.NOT_FOUND, exc)
         except errors.ResourceInvalid as exc:
-            return _result(changes.ResultKind.INVALID, exc, 0, field=exc.field)
-        self.objects = staged
-        self._index_keys()
-        return changes.Result(changes.ResultKind.ACCEPTED, version)
-
-    def _stage(self, version, change):
-        staged = {kind: dict(held) for kind, held in self.objects.items()}
-        for operation in change.operations:
-            kind = checks.kind_of(operation.kind)
-            held = staged[kind].get(operation.name)
-            _check_version(operation, held)
-            if operation.verb is changes.Verb.DELETE:
-                checks.present(held, operation)
-                del staged[kind][operation.name]
-                continue
-            spec = checks.decode(kind, operation)
-            staged[kind][operation.name] = Resource(
-                kind, operation.name, version, spec
+            failed = _result(
+                changes.ResultKind.INVALID, exc, 0, field=exc.field
             )
-        checks.across(staged)
-        return staged
+        else:
+            return staged
+        staged.undo()
+        return failed
+
+    def rollback(self, version):
+        """Return the operations that bring all back to ``version``.
+
+        Each names the present version of its object, so that what others
+        change meanwhile is not overwritten.  Raises
+        :class:`.history.HistoryGone` for a version no longer held.
+        """
+        operations = []
+        for (kind, name), spec in self.history.specs_at(version).items():
+            held = self.get(kind, name)
+            present = held.version if held else 0
+            if spec is None and held is None:
+                continue
+            if spec is None:
+                operation = changes.Operation(
+                    changes.Verb.DELETE, kind.value, name, if_match=present
+                )
+            elif held and bytes(spec) == encode_spec(held.spec):
+                continue
+            else:
+                operation = changes.Operation(
+                    changes.Verb.PUT, kind.value, name, spec, present
+                )
+            operations.append(operation)
+        return operations
 
     def dump(self):
         """Return all objects as a :class:`StoredState`."""
@@ -115,30 +151,114 @@
             for kind, named in self.objects.items()
             for name, held in named.items()
         ]
-        return StoredState(self.version, objects)
+        return StoredState(
+            self.version, objects, self.history.floor, list(self.history.items)
+        )
 
     def load(self, state):
         """Take over the JSON of a :class:`StoredState`."""
         found = msgspec.json.decode(state, type=StoredState)
         objects = {kind: {} for kind in specs.Kind}
+        index = references.References()
         for item in found.objects:
             spec = msgspec.json.decode(
                 item.spec, type=specs.SPEC_TYPES[item.kind]
             )
-            objects[item.kind][item.name] = Resource(
-                item.kind, item.name, item.version, spec
-            )
+            resource = Resource(item.kind, item.name, item.version, spec)
+            objects[item.kind][item.name] = resource
+            index.add(resource)
         self.objects = objects
+        self._references = index
         self.version = found.version
-        self._index_keys()
-
-    def _index_keys(self):
-        organisations = self.objects[specs.Kind.ORGANISATIONS]
-        self._by_key = {
-            key: name
-            for name, resource in organisations.items()
-            for key in resource.spec.keys
-        }
+        self.history = history_module.History(found.floor, found.items)
+
+
+class _Staged:
+    """One change made in place, so that it can be undone as a whole."""
+
+    __slots__ = ("_objects", "_references", "_before", "_indexed")
+
+    def __init__(self, objects, index):
+        self._objects = objects
+        self._references = index
+        self._before = {}
+        self._indexed = False
+
+    def run(self, version, change):
+        """Make the change; raises where it must not take effect."""
+        for operation in change.operations:
+            self._operate(version, operation)
+        self._reindex(self._before.items(), self._after())
+        self._indexed = True
+        self._check()
+
+    def _operate(self, version, operation):
+        kind = checks.kind_of(operation.kind)
+        named = self._objects[kind]
+        held = named.get(operation.name)
+        _check_version(operation, held)
+        if operation.verb is changes.Verb.DELETE:
+            checks.present(held, operation)
+            self._before.setdefault((kind, operation.name), held)
+            del named[operation.name]
+            return
+        spec = checks.decode(kind, operation)
+        # Writing what is there already changes nothing, so that applying a
+        # folder again disturbs nobody.  A conditional write does count:
+        # of two against one version only one may win.
+        if operation.if_match is None and held and held.spec == spec:
+            return
+        self._before.setdefault((kind, operation.name), held)
+        named[operation.name] = Resource(kind, operation.name, version, spec)
+
+    def _after(self):
+        return [
+            (key, self._objects[key[0]].get(key[1])) for key in self._before
+        ]
+
+    def _reindex(self, old, new):
+        for _, resource in old:
+            if resource:
+                self._references.remove(resource)
+        for _, resource in new:
+            if resource:
+                self._references.add(resource)
+
+    def _check(self):
+        kinds = set()
+        for (kind, name), resource in self._after():
+            kinds.add(kind)
+            if resource:
+                self._references.check_present(resource, self._objects)
+            else:
+                self._references.check_absent(kind, name)
+        if specs.Kind.REQUEST_CLASSES in kinds:
+            references.check_shares(self._objects[specs.Kind.REQUEST_CLASSES])
+
+    def undo(self):
+        """Put everything back as it was."""
+        after = self._after()
+        for (kind, name), resource in self._before.items():
+            if resource:
+                self._objects[kind][name] = resource
+            else:
+                self._objects[kind].pop(name, None)
+        if self._indexed:
+            self._reindex(after, self._before.items())
+
+    def steps(self):
+        """Return what the change did, for the history."""
+        return [
+            history_module.Step(kind, name, _raw(before), _raw(after))
+            for ((kind, name), before), (_, after) in zip(
+                self._before.items(), self._after()
+            )
+            if before is not after
+        ]
+
+
+def _raw(resource):
+    return msgspec.Raw(encode_spec(resource.spec)) if resource else None
 
 
 def _check_version(operation, held):
--- /dev/null
+++ b/tests/common/quorum_machine.py
@@ -0,0 +1,193 @@
+"""The state machine over :mod:`.quorum_world`, for short and long runs."""
+
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import msgspec
+
+from dandeliontrail.coordination import quorum_log
+from dandeliontrail.coordination import quorum_log_core
+from dandeliontrail.coordination import quorum_log_voters
+from dandeliontrail.resources import changes
+
+from . import quorum_world
+
+POOLS = ("p1", "p2")
+
+
+def put(operation_id, name, number, if_match):
+    """Return a change of one pool."""
+    spec = {"select": {"model": f"m{number}"}}
+    raw = msgspec.Raw(msgspec.json.encode(spec))
+    operation = changes.Operation(
+        changes.Verb.PUT, "backendpools", name, raw, if_match
+    )
+    return changes.Change(operation_id, [operation])
+
+
+class QuorumMachine(stateful.RuleBasedStateMachine):
+    """Writes, loss, partitions, crashes, lost disks, changes of voters."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = None
+        self.count = 0
+        self.lost = set()
+        self.writes = {}
+        self.not_again = set()
+        self.kept = quorum_log_core.CHECKPOINT_ENTRIES
+        self.kept_tail = quorum_log_core.TAIL_ENTRIES
+
+    @stateful.initialize(
+        seed=st.integers(0, 2**32), loss=st.sampled_from([0.0, 0.1, 0.3])
+    )
+    def begin(self, seed, loss):
+        # Checkpoints after a handful of entries, so that short runs have
+        # many of them.
+        quorum_log_core.CHECKPOINT_ENTRIES = 6
+        quorum_log_core.TAIL_ENTRIES = 2
+        self.world = quorum_world.QuorumWorld(random.Random(seed))
+        self.world.run_until(self.world.leader)
+        self.world.loss = loss
+
+    def teardown(self):
+        try:
+            if self.world:
+                self.heal_and_settle()
+        finally:
+            quorum_log_core.CHECKPOINT_ENTRIES = self.kept
+            quorum_log_core.TAIL_ENTRIES = self.kept_tail
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.3, 1.0, 3.0, 6.0]))
+    def run(self, seconds):
+        self.world.run(seconds)
+
+    @stateful.rule(
+        data=st.data(),
+        pool=st.sampled_from(POOLS),
+        guess=st.sampled_from(["any", "present", "old"]),
+    )
+    def write(self, data, pool, guess):
+        name = data.draw(st.sampled_from(sorted(self.world.nodes)))
+        self.count += 1
+        held = self.world.nodes[name].store.objects
+        versions = [
+            item.version
+            for kind in held.values()
+            for item in kind.values()
+            if item.name == pool
+        ]
+        present = versions[0] if versions else 0
+        if_match = {"any": None, "present": present, "old": 1}[guess]
+        change = put(f"op{self.count}", pool, self.count, if_match)
+        self.writes[change.operation_id] = change
+        self.world.propose(name, change)
+
+    @stateful.precondition(lambda self: self.writes)
+    @stateful.rule(data=st.data())
+    def resend(self, data):
+        operation_id = data.draw(st.sampled_from(sorted(self.writes)))
+        name = data.draw(st.sampled_from(sorted(self.world.nodes)))
+        self.world.propose(name, self.writes[operation_id])
+
+    @stateful.rule(sides=st.lists(st.integers(0, 1), min_size=6, max_size=6))
+    def partition(self, sides):
+        self.world.cut = dict(zip(self.world.names, sides))
+
+    @stateful.rule()
+    def heal(self):
+        self.world.cut = {}
+
+    @stateful.precondition(lambda self: len(self.world.nodes) > 2)
+    @stateful.rule(data=st.data())
+    def crash(self, data):
+        name = data.draw(st.sampled_from(sorted(self.world.nodes)))
+        self.world.crash(name)
+
+    @stateful.rule(data=st.data())
+    def restart(self, data):
+        down = sorted(set(self.world.names) - set(self.world.nodes))
+        if down:
+            self.world.start(data.draw(st.sampled_from(down)))
+
+    @stateful.rule(data=st.data())
+    def lose_disk(self, data):
+        """One keeper at a time may lose its disk until it is replaced."""
+        down = sorted(set(self.world.disks) - set(self.world.nodes))
+        if not down or self.lost:
+            return
+        name = data.draw(st.sampled_from(down))
+        self.world.lose_disk(name)
+        self.lost.add(name)
+
+    @stateful.rule(data=st.data())
+    def change_voter(self, data):
+        action = data.draw(st.sampled_from(quorum_log_voters.VoterAction))
+        name = data.draw(st.sampled_from(sorted(self.world.disks)))
+        if action is quorum_log_voters.VoterAction.REMOVE:
+            voters = {item.name for item in self.world.voters()}
+            if len(voters) <= 3 and name not in self.lost:
+                return
+        self.world.change_voter(action, name)
+
+    def heal_and_settle(self):
+        """In the end all come back, agree, and take another write."""
+        world = self.world
+        world.cut = {}
+        world.loss = 0.0
+        for name in world.names:
+            if name not in world.nodes:
+                world.start(name)
+        world.run_until(world.leader)
+        world.run(10.0)
+        last = put("last", "p1", 0, None)
+        world.propose("l1", last)
+        world.run_until(lambda: world.settled["last"])
+        assert world.settled["last"][0].kind is quorum_log.SettledKind.APPLIED
+        version = world.at["last"]
+        world.run_until(
+            lambda: all(
+                node.log.applied >= version for node in world.nodes.values()
+            )
+        )
+        self.check_answers()
+
+    def check_answers(self):
+        """Each answer that was given is true."""
+        for operation_id, ends in self.world.settled.items():
+            applied = [
+                end
+                for end in ends
+                if end.kind is quorum_log.SettledKind.APPLIED
+            ]
+            assert all(end == applied[0] for end in applied)
+            for end in applied:
+                assert end.version == self.world.at[operation_id]
+            never_ran = [
+                end
+                for end in ends
+                if end.kind is quorum_log.SettledKind.NOT_RUN
+            ]
+            # One that crashed with its instance was not answered, and may
+            # have run.
+            if len(never_ran) == self.world.proposed[operation_id]:
+                assert operation_id not in self.world.at
+        self.check_winners()
+
+    def check_winners(self):
+        """Of several writes against one version, one is accepted."""
+        winners = set()
+        for operation_id, change in self.writes.items():
+            version = self.world.at.get(operation_id)
+            operation = change.operations[0]
+            if version is None or operation.if_match is None:
+                continue
+            seen = self.world.history[version]
+            _, result = msgspec.json.decode(
+                seen, type=tuple[changes.Change, changes.Result]
+            )
+            if result.kind is changes.ResultKind.ACCEPTED:
+                key = (operation.name, operation.if_match)
+                assert key not in winners, f"{key} has two winners"
+                winners.add(key)
--- /dev/null
+++ b/tests/cover/test_quorum_log.py
@@ -0,0 +1,10 @@
+"""The quorum log under loss, partition, crash, lost disks, changed voters."""
+
+import hypothesis
+
+from tests.common import quorum_machine
+
+TestQuorumLog = quorum_machine.QuorumMachine.TestCase
+TestQuorumLog.settings = hypothesis.settings(
+    max_examples=12, stateful_step_count=15
+)
