Server records with leases by age, membership with suspicion, repair

Announcements went one hop and greetings said nothing of what was missed: a lost message stayed lost, an older record could revive a leaving server through another instance, and a message that waited in a socket prolonged a lease by as long.

Backend server records are now ordered by epoch and sequence with leaving first within an epoch; renewals carry a hash of the content and the age, and the receiver adds what the message was delayed, told from the least difference of the two monotonic clocks. Instances suspect, ask others, and refute; links are a full mesh up to 16 instances and two rings above; digests compared each second repair what news missed. The peer link sheds by importance over a byte budget and replaces connections that went silent.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -11,7 +11,7 @@
 from gevent import pywsgi
 
 import dandeliontrail
-from dandeliontrail.coordination import messages
+from dandeliontrail import events
 
 from . import clock
 from . import drain
@@ -27,6 +27,10 @@
 from .listeners import peers
 
 
+# The last messages go out over connections that are already open.
+LEAVE_SECONDS = 0.1
+
+
 class Instance:
     """One running instance; use it as a context manager."""
 
@@ -57,32 +61,33 @@
     def _build(self):
         cfg = self._cfg
         limits = cfg.limits
-        self._sender = messages.Sender(
+        self._key = tokens.PeerKey(cfg.credentials.peer_key_file)
+        identity = dandeliontrail.Identity(
             cfg.instance,
-            "",
             cfg.failure_domain,
             cfg.region,
             time.time_ns(),
         )
-        self._key = tokens.PeerKey(cfg.credentials.peer_key_file)
-        link = peer_link.HttpPeerLink(self._sender, self._key)
+        ticking = clock.MonotonicClock()
+        measured = metrics.Metrics()
+        link = peer_link.HttpPeerLink(
+            identity,
+            self._key,
+            ticking,
+            measured.counters,
+            limits.peer_bytes_per_second,
+        )
         self._stack.callback(link.close)
         self._engines = engine_client.PooledEngineClient(
             limits.connect_seconds, limits.backend_silent_seconds
         )
         self._stack.callback(self._engines.close)
-        identity = dandeliontrail.Identity(
-            cfg.instance,
-            cfg.failure_domain,
-            cfg.region,
-            self._sender.incarnation,
-        )
         self.host = host_module.Host(
             dandeliontrail.new_reducer(identity, random.Random(), cfg.peers),
-            clock.MonotonicClock(),
+            ticking,
             link,
             self._engines,
-            metrics.Metrics(),
+            measured,
             self._logger,
         )
 
@@ -138,7 +143,6 @@
             for name, server in self._servers.items()
         }
         self.addresses = addresses
-        self._sender.address = addresses["peers"]
         ticker = self.host.start(addresses["peers"])
         self._stack.callback(ticker.kill)
         self._logger.info("listening", extra=addresses)
@@ -151,8 +155,14 @@
         self._stopping.wait()
         self._logger.info("draining")
         self._drain.wait(self.host)
+        self._leave()
         self._logger.info("drained")
 
+    def _leave(self):
+        """Tell the others, and give the message time to go out."""
+        self.host.submit(events.Left())
+        gevent.sleep(LEAVE_SECONDS)
+
     def _on_term(self):
         self._drain.begin()
         self.host.state.draining = True
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
@@ -38,8 +38,15 @@
             raise wsgi.Problem(
                 400, "malformed", f"{exc}.", "run one release everywhere"
             )
+        self._count(len(body), len(envelope.messages))
         for message in envelope.messages:
             self._host.submit(
                 events.PeerMessageReceived(envelope.sender, message)
             )
         return wsgi.reply(start_response, 200, b"{}", [wsgi.JSON])
+
+    def _count(self, size, messages):
+        counters = self._host.metrics.counters
+        counters["peer_received_bytes_total"] += size
+        counters["peer_received_messages_total"] += messages
+        counters["peer_received_batches_total"] += 1
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
@@ -1,105 +1,204 @@
 """Carries messages between instances: HTTP with JSON, signed.
 
-Each address has one outbox and one greenlet that sends what has gathered
-as one batch.  Messages may be lost; every mechanism above repeats itself.
+Each address has one outbox, one connection and one greenlet that sends
+what has gathered as one batch.  Messages may be lost or repeated; every
+mechanism above allows for both.
 """
 
-import collections
-import random
-
 import gevent
 from gevent import event as gevent_event
 import geventhttpclient
 
 from dandeliontrail.coordination import codec
+from dandeliontrail.coordination import messages
 from dandeliontrail import interfaces
 
+from . import outbox
+
 PATH = "/peer/v1/messages"
 SIGNATURE_HEADER = "X-Peer-Signature"
-# A batch of this many messages stays below the body limit of the receiver;
-# an outbox keeps the newest, since every message is repeated or superseded.
-LONGEST_OUTBOX = 512
 CONNECT_SECONDS = 1.0
-SEND_SECONDS = 2.0
 BACKOFF_SECONDS = 0.5
+# A connection that has gone silent is told by the pace of those before: it
+# is given up after so many times the usual time of an answer, within these
+# bounds.
+SILENT_FACTOR = 20.0
+SHORTEST_SILENCE = 0.5
+LONGEST_SILENCE = 2.0
+PACE_WEIGHT = 0.2
+# An outbox that nobody uses, since its instance has gone, is closed.
+IDLE_SECONDS = 30.0
+# What HTTP adds to the body of a batch and its answer, about; counted
+# towards the budget.
+OVERHEAD_BYTES = 400
 FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
 
 
+class ByteBudget:
+    """A token bucket of one second's bytes, which may go into debt.
+
+    What must be sent is sent in any case; the debt then holds back the
+    rest for as long as it takes.
+    """
+
+    __slots__ = ("_rate", "_left", "_filled")
+
+    def __init__(self, rate, now):
+        self._rate = rate
+        self._left = rate
+        self._filled = now
+
+    def has_left(self, now):
+        """Tell whether anything is left of the budget."""
+        gained = (now - self._filled) * self._rate
+        self._left = min(self._rate, self._left + gained)
+        self._filled = now
+        return self._left > 0
+
+    def spend(self, count):
+        """Take ``count`` bytes out."""
+        self._left -= count
+
+
 class HttpPeerLink(interfaces.PeerLink):
-    """Sends to any number of addresses without ever blocking the sender."""
+    """Sends to any number of addresses without ever blocking the sender.
+
+    ``counters`` takes ``peer_*`` counts; ``bytes_per_second`` is the budget
+    over all addresses, above which :mod:`.outbox` sheds.
+    """
 
-    def __init__(self, sender, key):
-        self._sender = sender
+    def __init__(self, identity, key, clock, counters, bytes_per_second):
+        self._identity = identity
         self._key = key
-        self._outboxes = {}
-        self.sent_bytes = 0
-        self.sent_messages = 0
+        self.clock = clock
+        self.counters = counters
+        self.budget = ByteBudget(bytes_per_second, clock.now())
+        self._lines = {}
 
     def send(self, address, message):
         """Queue ``message`` for the instance at ``address``."""
-        outbox = self._outboxes.get(address)
-        if outbox is None:
-            outbox = _Outbox(address, self)
-            self._outboxes[address] = outbox
-        outbox.put(message)
+        line = self._lines.get(address)
+        if line is None:
+            line = _Line(address, self)
+            self._lines[address] = line
+        line.put(message)
 
-    def pack(self, messages):
+    def pack(self, batch):
         """Return the body of a batch and the headers that sign it."""
-        body = codec.encode(codec.Envelope(self._sender, messages))
+        own = self._identity
+        sender = messages.Sender(
+            own.instance,
+            own.address,
+            own.failure_domain,
+            own.region,
+            own.incarnation,
+            round(min(item.queued for item in batch), 4),
+        )
+        envelope = codec.Envelope(sender, [item.message for item in batch])
+        body = codec.encode(envelope)
         headers = {
             "Content-Type": "application/json",
             SIGNATURE_HEADER: self._key.sign(body),
         }
-        self.sent_bytes += len(body)
-        self.sent_messages += len(messages)
+        self.budget.spend(len(body) + OVERHEAD_BYTES)
+        self.counters["peer_sent_bytes_total"] += len(body)
+        self.counters["peer_sent_messages_total"] += len(batch)
+        self.counters["peer_sent_batches_total"] += 1
         return body, headers
 
+    def forget(self, line):
+        """Drop a line that has closed itself."""
+        if self._lines.get(line.address) is line:
+            del self._lines[line.address]
+
     def close(self):
         """Stop sending."""
-        for outbox in self._outboxes.values():
-            outbox.close()
+        for line in list(self._lines.values()):
+            line.close()
 
 
-class _Outbox:
-    """What is still to be sent to one address."""
+class _Line:
+    """The outbox, the connection and the sending greenlet of an address."""
 
     def __init__(self, address, link):
+        self.address = address
         self._link = link
-        self._waiting = collections.deque(maxlen=LONGEST_OUTBOX)
+        self._outbox = outbox.Outbox()
         self._filled = gevent_event.Event()
-        host, port = address.rsplit(":", 1)
-        self._client = geventhttpclient.HTTPClient(
-            host.strip("[]"),
-            int(port),
-            connection_timeout=CONNECT_SECONDS,
-            network_timeout=SEND_SECONDS,
-        )
+        self._client = None
+        self._usual = 0.0
         self._greenlet = gevent.spawn(self._send_forever)
 
     def put(self, message):
         """Queue one message."""
-        self._waiting.append(message)
+        self._outbox.put(message, self._link.clock.now())
         self._filled.set()
 
     def close(self):
         """Stop the greenlet and close the connection."""
         self._greenlet.kill()
-        self._client.close()
+        self._hang_up()
 
     def _send_forever(self):
-        while True:
-            self._filled.wait()
+        while self._filled.wait(IDLE_SECONDS):
             self._filled.clear()
-            batch = list(self._waiting)
-            self._waiting.clear()
-            if batch and not self._post(batch):
-                gevent.sleep(BACKOFF_SECONDS * (0.5 + random.random()))
-
-    def _post(self, batch):
+            if not self._send_waiting():
+                gevent.sleep(BACKOFF_SECONDS)
+        self._link.forget(self)
+        self._hang_up()
+
+    def _send_waiting(self):
+        """Send what has gathered; return whether it arrived."""
+        rich = self._link.budget.has_left(self._link.clock.now())
+        shed = self._outbox.shed
+        batch = self._outbox.take(rich)
+        counters = self._link.counters
+        counters["peer_shed_messages_total"] += self._outbox.shed - shed
+        if not batch:
+            return True
         body, headers = self._link.pack(batch)
+        # A connection that something in between has lost track of takes the
+        # bytes and answers nothing, for good, while a new one works.  So
+        # the batch goes out once more on a new one; both may arrive.
+        reused = self._client is not None
+        if self._post(body, headers):
+            return True
+        return reused and self._post(body, headers)
+
+    def _post(self, body, headers):
+        began = self._link.clock.now()
         try:
-            response = self._client.post(PATH, body, headers)
-            response.read()
+            with gevent.Timeout(self._patience()):
+                client = self._connected()
+                response = client.post(PATH, body, headers)
+                response.read()
         except FAILURES:
+            self._hang_up()
+            self._link.counters["peer_failed_batches_total"] += 1
             return False
+        took = self._link.clock.now() - began
+        self._usual += PACE_WEIGHT * (took - self._usual)
         return response.status_code == 200
+
+    def _patience(self):
+        if self._client is None:
+            return CONNECT_SECONDS + LONGEST_SILENCE
+        expected = max(SHORTEST_SILENCE, SILENT_FACTOR * self._usual)
+        return min(LONGEST_SILENCE, expected)
+
+    def _connected(self):
+        if self._client is None:
+            host, port = self.address.rsplit(":", 1)
+            self._client = geventhttpclient.HTTPClient(
+                host.strip("[]"),
+                int(port),
+                headers={"User-Agent": "dandeliond"},
+                connection_timeout=CONNECT_SECONDS,
+                network_timeout=LONGEST_SILENCE,
+            )
+        return self._client
+
+    def _hang_up(self):
+        if self._client is not None:
+            self._client.close()
+            self._client = None
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -71,6 +71,8 @@
     ``drain_notice_seconds`` is how long a draining instance still takes
     new connections, until the platform's balancer has noticed;
     ``drain_seconds`` is the longest drain in all.
+    ``peer_bytes_per_second`` is what messages to other instances may cost
+    before load reports and repairs are kept back.
     """
 
     body_bytes: int = 8 * 1024 * 1024
@@ -80,6 +82,7 @@
     drain_seconds: float = 300.0
     backend_silent_seconds: float = 30.0
     connect_seconds: float = 1.0
+    peer_bytes_per_second: int = 64 * 1024
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True):
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -3,46 +3,257 @@
 from .. import effects
 from .. import events
 from .. import interfaces
+from ..coordination import dissemination
 from ..coordination import membership
 from ..coordination import messages
+from . import probes
+
+# A failed instance or a seed not yet heard is tried this often, so that the
+# two sides of a healed partition find each other.
+RETRY_INTERVAL = 2.0
+FORGET_INTERVAL = 10.0
+Standing = membership.Standing
 
 
 class Members(interfaces.Component):
-    """Greets every known address once a second."""
+    """Sends heartbeats, suspects the silent and spreads what it learns."""
 
     def __init__(self, state):
         self._state = state
-        self._next_hello = 0.0
+        self._members = state.members
+        self._probes = probes.Probes(state)
+        self._linked = {}
+        self._next_heartbeat = 0.0
+        self._next_retry = 0.0
+        self._next_forget = 0.0
+        self._last_tick = None
+        self._suspected = set()
+        self._leaving = False
 
     def handlers(self):
         """Return the handlers of membership events and messages."""
         return {
             events.Started: self._started,
-            messages.Hello: self._hello,
+            events.Left: self._left,
+            messages.Heartbeat: self._heartbeat,
+            membership.MemberRecords: self._records,
+            dissemination.Probe: self._probes.probe,
+            dissemination.ProbeAnswer: self._probes.answer,
         }
 
     def tick(self, now):
-        """Send the greetings that are due."""
-        if now < self._next_hello:
-            return []
-        self._next_hello = now + membership.HELLO_INTERVAL
-        addresses = self._state.members.addresses()
-        hello = messages.Hello(addresses, self._state.store.version)
+        """Send what is due and judge who is silent."""
+        self._members.changes.clear()
+        self._members.heartbeat_now = now >= self._next_heartbeat
+        self._excuse_pause(now)
+        out = self._judge(now)
+        if self._members.heartbeat_now:
+            self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
+            self._members.age_offsets(membership.HEARTBEAT_INTERVAL)
+            self._recover_health(now)
+            out.extend(self._heartbeats(now))
+        if now >= self._next_retry:
+            self._next_retry = now + RETRY_INTERVAL
+            out.extend(self._retry())
+        if now >= self._next_forget:
+            self._next_forget = now + FORGET_INTERVAL
+            self._members.forget(now)
+        return out
+
+    def _excuse_pause(self, now):
+        """Do not blame the others for a pause of this process.
+
+        After a pause all are silent at once, before the messages that wait
+        in the sockets are read.  The time that stood still counts for
+        nobody, and this instance becomes more patient for a while.
+        """
+        late = now - self._last_tick if self._last_tick is not None else 0.0
+        self._last_tick = now
+        if late > membership.LATE_TICK:
+            self._members.shift(late)
+            self._worsen_health()
+
+    def _worsen_health(self):
+        health = self._members.health + 1
+        self._members.health = min(health, membership.WORST_HEALTH)
+
+    def _recover_health(self, now):
+        if self._members.health and self._members.hears_anybody(now):
+            self._members.health -= 1
+
+    def _heartbeat_message(self, last=False, ask=False):
+        state = self._state
+        digests = {
+            dissemination.Table.MEMBERS.value: state.members.digest.root,
+            dissemination.Table.SERVERS.value: state.registry.digest.root,
+        }
+        return messages.Heartbeat(
+            state.store.version,
+            state.identity.refutations,
+            digests,
+            last,
+            ask,
+        )
+
+    def _heartbeats(self, now):
+        """Greet all links, and say farewell where a link has ended."""
+        before = self._linked
+        links = self._members.links()
+        self._linked = {item.instance: item for item in links}
+        message = self._heartbeat_message()
+        out = []
+        for member in links:
+            if not member.linked:
+                # Both ends choose the same links, so it will greet us too.
+                member.linked = True
+                member.heard = now
+            out.append(effects.SendPeer(member.address, message))
+        farewell = self._heartbeat_message(last=True)
+        for name, member in before.items():
+            if name not in self._linked and not member.gone():
+                out.append(effects.SendPeer(member.address, farewell))
+        return out
+
+    def _retry(self):
+        """Greet one address that nobody answers at."""
+        known = {
+            item.address
+            for item in self._members.members.values()
+            if not item.gone()
+        }
+        failed = {
+            item.address
+            for item in self._members.members.values()
+            if item.standing is Standing.FAILED
+        }
         own = self._state.identity.address
+        tried = sorted((self._members.seeds | failed) - known - {own})
+        if not tried:
+            return []
+        if known:
+            tried = [self._state.rng.choice(tried)]
+        message = self._heartbeat_message(last=True, ask=True)
+        return [effects.SendPeer(address, message) for address in tried]
+
+    def _judge(self, now):
+        """Take every silent member one step further."""
+        out = []
+        for member in list(self._members.members.values()):
+            if member.gone():
+                continue
+            if member.standing is Standing.SUSPECT:
+                out.extend(self._judge_suspect(member, now))
+            elif member.linked:
+                out.extend(self._judge_linked(member, now))
+        return out
+
+    def _judge_linked(self, member, now):
+        silent = now - member.heard
+        if silent < membership.PROBE_AFTER * self._members.patience():
+            return []
+        if member.probed is None:
+            member.probed = now
+            return self._probes.ask(member, now)
+        waited = now - member.probed
+        if waited < probes.PROBE_WAIT * self._members.patience():
+            return []
+        if not self._members.hears_anybody(now):
+            # Nobody is heard at all: the fault is with this instance, and
+            # to call everybody failed would only slow down its return.
+            return []
+        return self._spread_standing(member, Standing.SUSPECT, now)
+
+    def _judge_suspect(self, member, now):
+        allowed = membership.SUSPICION_SECONDS * self._members.patience()
+        if now - member.since < allowed:
+            return []
+        if not self._members.hears_anybody(now):
+            return []
+        return self._spread_standing(member, Standing.FAILED, now)
+
+    def _spread_standing(self, member, standing, now):
+        if standing is Standing.SUSPECT:
+            self._suspected.add(member.instance)
+        record = self._members.mark(member, standing, now)
+        return self._spread([record])
+
+    def _spread(self, records, but=""):
+        message = membership.MemberRecords(records)
         return [
-            effects.SendPeer(address, hello)
-            for address in addresses
-            if address != own
+            effects.SendPeer(item.address, message)
+            for item in self._members.links()
+            if item.instance != but
         ]
 
     def _started(self, event, now):
         self._state.identity.address = event.address
         return []
 
-    def _hello(self, source, message, now):
-        members = self._state.members
-        member = members.hear(source, now)
+    def _left(self, event, now):
+        self._leaving = True
+        record = self._members.own_record(Standing.LEFT)
+        return self._spread([record])
+
+    def _heartbeat(self, source, message, now):
+        member = self._members.members[source.instance]
+        if source.incarnation < member.incarnation:
+            return self._tell(source, member.record)
+        out = []
+        if member.standing is not Standing.ALIVE:
+            # Our record is stronger than its own word: it must hear of it
+            # to refute it, and its refutation then reaches everybody.
+            if message.refutations <= member.record.refutations:
+                return self._tell(source, member.record)
+            out.extend(self._take_back(source, message.refutations, now))
         member.applied = message.applied
-        members.seeds.update(message.addresses)
-        members.seeds.discard(self._state.identity.address)
-        return []
+        member.linked = not message.last
+        if message.ask:
+            answer = self._heartbeat_message(last=True)
+            out.append(effects.SendPeer(source.address, answer))
+        return out
+
+    def _tell(self, source, record):
+        message = membership.MemberRecords([record])
+        return [effects.SendPeer(source.address, message)]
+
+    def _take_back(self, source, refutations, now):
+        record = membership.MemberRecord(
+            source.instance,
+            source.address,
+            source.failure_domain,
+            source.region,
+            source.incarnation,
+            refutations,
+        )
+        self._members.learn(record, now)
+        return self._spread([record], source.instance)
+
+    def _records(self, source, message, now):
+        news = []
+        refuted = False
+        for record in message.records:
+            if self._members.contradicts(record):
+                refuted = True
+            elif self._members.learn(record, now):
+                news.append(record)
+                self._judge_own_suspicion(record, now)
+        out = self._spread(news, source.instance) if news else []
+        if refuted and not self._leaving:
+            out.extend(self._refute(source, message.records))
+        return out
+
+    def _refute(self, source, records):
+        for record in records:
+            if self._members.contradicts(record):
+                self._members.refute(record)
+        own = self._members.own_record()
+        return self._spread([own], source.instance) + self._tell(source, own)
+
+    def _judge_own_suspicion(self, record, now):
+        """Grow patient where this instance suspected somebody wrongly."""
+        if record.instance not in self._suspected:
+            return
+        self._suspected.discard(record.instance)
+        if record.standing is Standing.ALIVE:
+            self._members.members[record.instance].heard = now
+            self._worsen_health()
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -15,13 +15,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Identity:
-    """Who this instance is; ``address`` is that of its peer listener."""
+    """Who this instance is; ``address`` is that of its peer listener.
+
+    ``refutations`` grows whenever this instance proves wrong another that
+    took it for failed, ``incarnation`` with each start.
+    """
 
     instance: str
     failure_domain: str
     region: str
     incarnation: int
     address: str = ""
+    refutations: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +57,7 @@
         rng,
         objects,
         registry,
-        membership.Membership(seeds),
+        membership.Membership(identity, seeds),
         usage.UsageLedger(),
         directory.Directory(registry, objects),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,12 +4,21 @@
 
 import msgspec
 
+from . import dissemination
+from . import membership
 from . import messages
 from . import servers
 
 ALL = (
-    messages.Hello,
+    messages.Heartbeat,
+    membership.MemberRecords,
     servers.ServerRecords,
+    servers.Renewals,
+    dissemination.SyncBuckets,
+    dissemination.SyncKeys,
+    dissemination.SyncWant,
+    dissemination.Probe,
+    dissemination.ProbeAnswer,
 )
 
 Message = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -1,71 +1,401 @@
-"""Which other instances there are, and where.
+"""Which other instances there are, where, and whether they can be reached.
 
-An instance starts from a few seed addresses and learns the rest from
-the greetings that instances exchange.
+The member table is a join of records: each instance's record is ordered by
+``(incarnation, refutations, standing)`` and the greater wins, so that
+records may arrive repeated, late and in any order (Das, Gupta and Motivala,
+"SWIM", 2002; Dadgar, Phillips and Currey, "Lifeguard", 2017).  An instance
+starts from a few seed addresses and learns the rest from other instances.
 """
 
 import dataclasses
+import enum
 
-# Greetings go out once a second; three missed ones and a half make a peer
-# silent.
-HELLO_INTERVAL = 1.0
+import msgspec
+
+from .. import invariants
+from . import digests
+from . import links
+
+# Heartbeats go out once a second on each link.
+HEARTBEAT_INTERVAL = 1.0
+# Three missed heartbeats and a half make a linked instance silent; others
+# are asked whether they can reach it a second sooner.
 SILENT_AFTER = 3.5
+PROBE_AFTER = 2.5
+# How long a suspected instance has to refute.  News takes well under a
+# second, so this allows for a few lost messages.
+SUSPICION_SECONDS = 3.0
+# A slow instance multiplies its patience by up to this.
+WORST_HEALTH = 4
+# A tick this late means that this process, not its peers, stood still.
+LATE_TICK = 0.5
+# Failed instances are tried again for a day, since a partition may be
+# long; those that left are remembered while old news may be on its way.
+KEEP_FAILED = 24 * 3600.0
+KEEP_LEFT = 600.0
+# Clocks of two machines drift apart by less than this, in s per s.
+DRIFT = 0.0002
 
 
-@dataclasses.dataclass(slots=True)
-class Member:
-    """Another instance; ``heard`` is on this instance's clock."""
+class Standing(enum.Enum):
+    """What is known of an instance, the stronger claim later."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+_RANK = {standing: rank for rank, standing in enumerate(Standing)}
+
+
+class MemberRecord(msgspec.Struct, array_like=True):
+    """What one instance tells others about an instance."""
 
     instance: str
     address: str
     failure_domain: str
     region: str
     incarnation: int
+    refutations: int = 0
+    standing: Standing = Standing.ALIVE
+
+    def order(self):
+        """Return the key by which the greater record wins."""
+        rank = _RANK[self.standing]
+        return (self.incarnation, self.refutations, rank)
+
+
+class MemberRecords(msgspec.Struct, tag="members"):
+    """Records of instances that the sender holds."""
+
+    records: list[MemberRecord]
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """Another instance as it is seen from here.
+
+    ``heard`` is when it was last heard directly, ``since`` when its
+    standing last changed, both on this instance's clock.  ``linked`` tells
+    whether it sends heartbeats here.  ``offset`` is the least difference
+    seen between this clock and its own.  ``agreed`` is when its table of
+    finished usage was last the same as ours.
+    """
+
+    record: MemberRecord
     heard: float
+    since: float
     applied: int = 0
+    linked: bool = False
+    probed: float | None = None
+    offset: float | None = None
+    agreed: float = float("-inf")
+
+    @property
+    def instance(self):
+        """The name of the instance."""
+        return self.record.instance
+
+    @property
+    def address(self):
+        """The address of its peer listener."""
+        return self.record.address
+
+    @property
+    def failure_domain(self):
+        """The failure domain it runs in."""
+        return self.record.failure_domain
+
+    @property
+    def region(self):
+        """The region it runs in."""
+        return self.record.region
+
+    @property
+    def incarnation(self):
+        """A number that grows with each of its starts."""
+        return self.record.incarnation
+
+    @property
+    def standing(self):
+        """What is known of it."""
+        return self.record.standing
+
+    def gone(self):
+        """Tell whether it has left or is taken for failed."""
+        return self.standing in (Standing.FAILED, Standing.LEFT)
+
+
+class Change(enum.Enum):
+    """What happened to a member, for other components to see."""
+
+    JOINED = "joined"
+    RESTARTED = "restarted"
+    SUSPECTED = "suspected"
+    FAILED = "failed"
+    LEFT = "left"
+    RETURNED = "returned"
+
+
+@dataclasses.dataclass(slots=True)
+class MemberChange:
+    """One change to the member table."""
+
+    instance: str
+    change: Change
 
 
 class Membership:
-    """The members heard of, by name, and the seeds not yet heard of."""
+    """The members by name, and the seeds to start from.
+
+    ``changes`` holds the changes since the last tick but one and is cleared
+    by the membership component; others read it in their own tick.
+    """
 
-    __slots__ = ("members", "seeds")
+    __slots__ = (
+        "members",
+        "seeds",
+        "changes",
+        "digest",
+        "health",
+        "heartbeat_now",
+        "_identity",
+        "_links",
+        "_last_heard",
+    )
 
-    def __init__(self, seeds):
+    def __init__(self, identity, seeds):
         self.members = {}
         self.seeds = set(seeds)
+        self.changes = []
+        self.digest = digests.TableDigest()
+        self.health = 0
+        self.heartbeat_now = False
+        self._identity = identity
+        self._links = None
+        self._last_heard = {}
+
+    def own_record(self, standing=Standing.ALIVE):
+        """Return this instance's record of itself."""
+        own = self._identity
+        return MemberRecord(
+            own.instance,
+            own.address,
+            own.failure_domain,
+            own.region,
+            own.incarnation,
+            own.refutations,
+            standing,
+        )
 
     def hear(self, sender, now):
-        """Take note of a message of ``sender``."""
+        """Take note of a message that came directly from ``sender``."""
         held = self.members.get(sender.instance)
-        if held and sender.incarnation < held.incarnation:
+        if held is None or sender.incarnation > held.incarnation:
+            record = MemberRecord(
+                sender.instance,
+                sender.address,
+                sender.failure_domain,
+                sender.region,
+                sender.incarnation,
+            )
+            self.learn(record, now)
+            held = self.members[sender.instance]
+        if sender.incarnation < held.incarnation:
             return held
-        applied = held.applied if held else 0
-        member = Member(
-            sender.instance,
-            sender.address,
-            sender.failure_domain,
-            sender.region,
-            sender.incarnation,
-            now,
-            applied,
+        held.heard = now
+        held.probed = None
+        self._last_heard[held.failure_domain] = now
+        self._note_offset(held, sender, now)
+        return held
+
+    def _note_offset(self, member, sender, now):
+        offset = now - sender.clock
+        if member.offset is None or offset < member.offset:
+            member.offset = offset
+
+    def delay(self, sender, now):
+        """Return for how many seconds a message was under way at least.
+
+        Both clocks are monotonic but have nothing in common.  Their
+        difference is least for the fastest message so far; what a later one
+        is above that, it was delayed, in a queue, on the way or because
+        either end stood still.  So a message that waited two seconds in a
+        socket cannot grant two seconds more of a lease.
+        """
+        member = self.members.get(sender.instance)
+        if member is None or member.offset is None:
+            return 0.0
+        return max(0.0, now - sender.clock - member.offset)
+
+    def learn(self, record, now):
+        """Take in a record and return whether it was news."""
+        held = self.members.get(record.instance)
+        if record.instance == self._identity.instance:
+            return False
+        if held is None:
+            self._add(record, now)
+            return True
+        if record.order() <= held.record.order():
+            return False
+        self._replace(held, record, now)
+        return True
+
+    def _add(self, record, now):
+        member = Member(record, now, now)
+        self.members[record.instance] = member
+        self.digest.put(record.instance, record.order())
+        self._links = None
+        if not member.gone():
+            self._note(record.instance, Change.JOINED)
+
+    def _replace(self, held, record, now):
+        before = held.record
+        invariants.check(
+            record.order() > before.order(),
+            "member_record_never_displaced_by_older",
+            record.instance,
         )
-        self.members[sender.instance] = member
-        return member
+        held.record = record
+        held.since = now
+        held.probed = None
+        if record.incarnation != before.incarnation:
+            held.offset = None
+            held.applied = 0
+            held.heard = now
+        self.digest.put(record.instance, record.order())
+        self._links = None
+        self._note(record.instance, _change(before, record))
+
+    def _note(self, instance, change):
+        self.changes.append(MemberChange(instance, change))
+
+    def mark(self, member, standing, now):
+        """Give a member a new standing and return its record."""
+        record = msgspec.structs.replace(member.record, standing=standing)
+        self.learn(record, now)
+        return member.record
+
+    def contradicts(self, record):
+        """Tell whether a record about this instance must be refuted."""
+        own = self.own_record()
+        return record.instance == own.instance and record.order() > own.order()
+
+    def refute(self, record):
+        """Outbid a record that is wrong about this instance.
+
+        A greater incarnation than our own means that the wall clock was set
+        back between two starts: this start must count as the newer.
+        """
+        own = self._identity
+        if record.incarnation > own.incarnation:
+            own.incarnation = record.incarnation + 1
+            own.refutations = 0
+        else:
+            own.refutations = record.refutations + 1
 
     def alive(self, now):
-        """Return the members that were heard of lately."""
-        return [
-            item
-            for item in self.members.values()
-            if now - item.heard < SILENT_AFTER
-        ]
+        """Return the members that can be reached, as far as is known."""
+        return [item for item in self.members.values() if reached(item, now)]
 
     def address_of(self, instance):
         """Return the peer address of an instance, or ''."""
         member = self.members.get(instance)
         return member.address if member else ""
 
-    def addresses(self):
-        """Return every address worth greeting."""
-        known = {item.address for item in self.members.values()}
-        return sorted(known | self.seeds)
+    def links(self):
+        """Return the members that this instance keeps in touch with."""
+        if self._links is None:
+            own = self._identity
+            domain_of = {
+                name: item.failure_domain
+                for name, item in self.members.items()
+                if not item.gone()
+            }
+            names = links.choose(own.instance, own.failure_domain, domain_of)
+            self._links = [self.members[name] for name in sorted(names)]
+        return self._links
+
+    def patience(self):
+        """Return the factor by which a slow instance waits longer."""
+        return 1.0 + self.health
+
+    def hears_anybody(self, now):
+        """Tell whether any other instance was heard lately."""
+        return self._heard_within(self._last_heard, now)
+
+    def hears_other_domain(self, now):
+        """Tell whether anybody outside this failure domain was heard."""
+        domain = self._identity.failure_domain
+        return self._heard_within(
+            [name for name in self._last_heard if name != domain], now
+        )
+
+    def _heard_within(self, domains, now):
+        limit = SILENT_AFTER * self.patience()
+        return any(now - self._last_heard[name] < limit for name in domains)
+
+    def hears_majority(self, now):
+        """Tell whether more than half of all instances are reached.
+
+        All that are known and have not left count, this one included; an
+        instance that hears nobody has no majority, whatever it remembers.
+        """
+        counted = [
+            item
+            for item in self.members.values()
+            if item.standing is not Standing.LEFT
+        ]
+        if counted and not self.hears_anybody(now):
+            return False
+        reachable = 1 + sum(1 for item in counted if reached(item, now))
+        return 2 * reachable > len(counted) + 1
+
+    def shift(self, seconds):
+        """Excuse all others for a time in which this process stood still."""
+        for member in self.members.values():
+            member.heard += seconds
+            member.since += seconds
+            if member.probed is not None:
+                member.probed += seconds
+
+    def age_offsets(self, seconds):
+        """Let least offsets rise by what two clocks may drift apart."""
+        for member in self.members.values():
+            if member.offset is not None:
+                member.offset += DRIFT * seconds
+
+    def forget(self, now):
+        """Drop members that have been gone for long."""
+        for name in [
+            name
+            for name, item in self.members.items()
+            if item.gone() and now - item.since > _keep(item)
+        ]:
+            del self.members[name]
+            self.digest.drop(name)
+            self._links = None
+
+
+def _keep(member):
+    return KEEP_LEFT if member.standing is Standing.LEFT else KEEP_FAILED
+
+
+def reached(member, now):
+    """Tell whether a member can be reached, as far as is known."""
+    if member.gone():
+        return False
+    return not member.linked or now - member.heard < SILENT_AFTER
+
+
+def _change(before, record):
+    if record.standing is Standing.SUSPECT:
+        return Change.SUSPECTED
+    if record.standing is Standing.FAILED:
+        return Change.FAILED
+    if record.standing is Standing.LEFT:
+        return Change.LEFT
+    if record.incarnation != before.incarnation:
+        return Change.RESTARTED
+    return Change.RETURNED
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
@@ -10,17 +10,33 @@
 
 
 class Sender(msgspec.Struct):
-    """Who sent an envelope; ``incarnation`` grows with each start."""
+    """Who sent an envelope; ``incarnation`` grows with each start.
+
+    ``clock`` is the sender's monotonic time, in seconds, at which the
+    oldest message of the envelope was queued.  It means nothing by itself;
+    see :meth:`..coordination.membership.Membership.delay` for its use.
+    """
 
     instance: str
     address: str
     failure_domain: str
     region: str
     incarnation: int
+    clock: float = 0.0
+
 
+class Heartbeat(msgspec.Struct, tag="heartbeat"):
+    """I am here, and this is a digest of what I hold.
 
-class Hello(msgspec.Struct, tag="hello"):
-    """I am here, and these are the addresses that I know."""
+    ``applied`` is the configuration version in force at the sender.
+    ``digests`` has one number for each replicated table, equal where two
+    instances hold the same.  ``last`` says that no more heartbeats follow
+    on this link, so that their end is no sign of a failure; ``ask`` that
+    the sender would like one back.
+    """
 
-    addresses: list[str] = []
     applied: int = 0
+    refutations: int = 0
+    digests: dict[str, int] = {}
+    last: bool = False
+    ask: bool = False
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from .config import WriteSubmitted
+from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
 from .requests import AnswerFinished
@@ -23,6 +24,7 @@
     "AttemptFailed",
     "CallerGone",
     "FirstOutput",
+    "Left",
     "NotBegun",
     "PeerMessageReceived",
     "RequestReceived",
--- a/packages/dandeliontrail/src/dandeliontrail/events/peers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/peers.py
@@ -13,6 +13,11 @@
     address: str
 
 
+@dataclasses.dataclass(slots=True)
+class Left:
+    """The instance is about to end and will not come back as it is."""
+
+
 @dataclasses.dataclass(slots=True)
 class PeerMessageReceived:
     """A message of another instance, already checked by the codec."""
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -11,6 +11,7 @@
 from .components import backend_servers
 from .components import configuration
 from .components import members
+from .components import repair
 from .components import requests
 from .components import state as state_module
 from .decisions import baselines
@@ -76,6 +77,7 @@
     chosen = policy or baselines.PriorityLeastOutstanding()
     parts = [
         members.Members(state),
+        repair.Repair(state),
         backend_servers.BackendServers(state, chosen),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
