The member digest includes the instance itself

Each instance left itself out of its own table, so no two digests were ever equal and every heartbeat started a comparison. A test now counts what is sent while nothing changes: heartbeats and nothing else.

--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -187,6 +187,7 @@
 
     def _started(self, event, now):
         self._state.identity.address = event.address
+        self._members.note_own()
         return []
 
     def _left(self, event, now):
--- a/packages/dandeliontrail/src/dandeliontrail/components/repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/repair.py
@@ -110,10 +110,8 @@
         return [records] if records.records else []
 
     def _members(self, keys):
-        held = self._state.members.members
-        return membership.MemberRecords(
-            [held[key].record for key in keys if key in held]
-        )
+        found = [self._state.members.record_of(key) for key in keys]
+        return membership.MemberRecords([item for item in found if item])
 
     def _servers(self, keys, now):
         registry = self._state.registry
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -189,6 +189,18 @@
             standing,
         )
 
+    def record_of(self, instance):
+        """Return the record to pass on about an instance, or ``None``."""
+        if instance == self._identity.instance:
+            return self.own_record()
+        member = self.members.get(instance)
+        return member.record if member else None
+
+    def note_own(self):
+        """Bring this instance's own entry of the digest up to date."""
+        own = self.own_record()
+        self.digest.put(own.instance, own.order())
+
     def hear(self, sender, now):
         """Take note of a message that came directly from ``sender``."""
         held = self.members.get(sender.instance)
@@ -294,6 +306,7 @@
             own.refutations = 0
         else:
             own.refutations = record.refutations + 1
+        self.note_own()
 
     def alive(self, now):
         """Return the members that can be reached, as far as is known."""
