--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import time
 
 import gevent
 
@@ -29,6 +30,7 @@
         self._writes = {}
         self._queue = collections.deque()
         self._busy = False
+        self._day = ""
         self._carry_out = {
             effects.Dispatch: self._to_exchange,
             effects.Refuse: self._to_exchange,
@@ -47,9 +49,17 @@
 
     def start(self, address):
         """Tell the reducer where this instance is reached and tick on."""
+        self._begin_day()
         self.submit(events.Started(address))
         return gevent.spawn(self._tick_forever)
 
+    def _begin_day(self):
+        """Tell the reducer the UTC date, by which usage is kept."""
+        day = time.strftime("%Y-%m-%d", time.gmtime())
+        if day != self._day:
+            self._day = day
+            self.submit(events.DayBegan(day))
+
     def submit(self, event):
         """Apply ``event`` and carry out all effects.
 
@@ -91,6 +101,7 @@
     def _tick_forever(self):
         while True:
             gevent.sleep(TICK)
+            self._begin_day()
             try:
                 self._run(self.reducer.tick(self.clock.now()))
             except Exception as exc:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -66,8 +66,9 @@
 
 
 class UsageView(msgspec.Struct):
-    """What an organisation used in one class."""
+    """What an organisation used in one class on one UTC day."""
 
+    day: str
     organisation: str
     request_class: str
     requests: int
@@ -196,20 +197,22 @@
 
 
 def _usage(host):
+    held = host.state.usage
     items = [
         UsageView(
-            organisation,
-            class_name,
-            held_totals.requests,
-            held_totals.prompt_tokens,
-            held_totals.output_tokens,
-            held_totals.wasted_tokens,
-        )
-        for (organisation, class_name), held_totals in sorted(
-            host.state.usage.totals.items()
+            key.day,
+            key.organisation,
+            key.class_name,
+            totals.requests,
+            totals.prompt_tokens,
+            totals.output_tokens,
+            totals.wasted_tokens,
         )
+        for key, totals in sorted(held.totals.daily.items())
     ]
-    return Listing("usage", host.state.store.version, items)
+    # Not the version of the log: two instances whose numbers are equal
+    # hold the same usage.
+    return Listing("usage", held.version(), items)
 
 
 def _histograms(host):
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -91,6 +91,8 @@
             state.store.version,
             state.identity.refutations,
             digests,
+            state.usage.own_version(),
+            state.usage.finished_root(),
             last,
             ask,
         )
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from ..coordination import ledger
 from ..coordination import membership
 from ..coordination import servers
 from ..coordination import usage
@@ -34,8 +35,8 @@
     """Shared state of one instance.
 
     Owners: ``store`` the configuration component, ``registry`` the server
-    component, ``members`` the membership component, ``usage`` the request
-    component.
+    component, ``members`` the membership component, ``usage`` the usage
+    component, into which the request component counts.
     """
 
     identity: Identity
@@ -43,7 +44,7 @@
     store: store.ResourceStore
     registry: servers.ServerRegistry
     members: membership.Membership
-    usage: usage.UsageLedger
+    usage: ledger.UsageLedger
     directory: directory.Directory
     draining: bool = False
 
@@ -52,12 +53,13 @@
     """Return the state of an instance that knows only its seeds."""
     objects = store.ResourceStore()
     registry = servers.ServerRegistry()
+    own = usage.Publisher(identity.instance, identity.incarnation)
     return State(
         identity,
         rng,
         objects,
         registry,
         membership.Membership(identity, seeds),
-        usage.UsageLedger(),
+        ledger.UsageLedger(own),
         directory.Directory(registry, objects),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -8,6 +8,7 @@
 from . import membership
 from . import messages
 from . import servers
+from . import usage
 
 ALL = (
     messages.Heartbeat,
@@ -19,6 +20,9 @@
     dissemination.SyncWant,
     dissemination.Probe,
     dissemination.ProbeAnswer,
+    usage.UsageRows,
+    usage.UsageHave,
+    usage.UsageCheckpoint,
 )
 
 Message = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/importance.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/importance.py
@@ -12,6 +12,7 @@
 
 from . import dissemination
 from . import servers
+from . import usage
 
 
 class Importance(enum.IntEnum):
@@ -26,6 +27,9 @@
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
+    usage.UsageRows,
+    usage.UsageHave,
+    usage.UsageCheckpoint,
 )
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
@@ -30,13 +30,16 @@
 
     ``applied`` is the configuration version in force at the sender.
     ``digests`` has one number for each replicated table, equal where two
-    instances hold the same.  ``last`` says that no more heartbeats follow
-    on this link, so that their end is no sign of a failure; ``ask`` that
-    the sender would like one back.
+    instances hold the same.  ``usage_version`` numbers the sender's own
+    usage, ``usage_finished`` stands for all that earlier starts used.
+    ``last`` says that no more heartbeats follow on this link, so that their
+    end is no sign of a failure; ``ask`` that the sender wants one back.
     """
 
     applied: int = 0
     refutations: int = 0
     digests: dict[str, int] = {}
+    usage_version: int = 0
+    usage_finished: int = 0
     last: bool = False
     ask: bool = False
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/usage.py
@@ -1,33 +1,136 @@
-"""What each organisation used, counted by this instance.
+"""What organisations used, as numbers that merge and as they cross a wire.
 
-Totals only grow within an incarnation of an instance, which is what lets
-them be merged in any order.
+Within one publisher, an incarnation of an instance, every count only grows.
+So of two rows for the same key the greater counts are the later ones, and
+rows can be merged in any order, late and repeatedly.
 """
 
 import msgspec
 
 
 class Totals(msgspec.Struct):
-    """Counts for one organisation and class."""
+    """Counts of finished requests and their tokens."""
 
     requests: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
     wasted_tokens: int = 0
 
+    def add(self, other):
+        """Add the counts of ``other``."""
+        self.requests += other.requests
+        self.prompt_tokens += other.prompt_tokens
+        self.output_tokens += other.output_tokens
+        self.wasted_tokens += other.wasted_tokens
 
-class UsageLedger:
-    """Totals by organisation and class."""
+    def less(self, other):
+        """Return these counts without those of ``other``."""
+        return Totals(
+            self.requests - other.requests,
+            self.prompt_tokens - other.prompt_tokens,
+            self.output_tokens - other.output_tokens,
+            self.wasted_tokens - other.wasted_tokens,
+        )
 
-    __slots__ = ("totals",)
+    def copy(self):
+        """Return the same counts as an object of their own."""
+        return Totals(*self.counts())
 
-    def __init__(self):
-        self.totals = {}
+    def counts(self):
+        """Return the counts in the order of their fields."""
+        return (
+            self.requests,
+            self.prompt_tokens,
+            self.output_tokens,
+            self.wasted_tokens,
+        )
 
-    def count(self, organisation, class_name, counted):
-        """Add ``counted`` to the totals of an organisation and class."""
-        held = self.totals.setdefault((organisation, class_name), Totals())
-        held.requests += counted.requests
-        held.prompt_tokens += counted.prompt_tokens
-        held.output_tokens += counted.output_tokens
-        held.wasted_tokens += counted.wasted_tokens
+    def tokens(self):
+        """Return the tokens that count towards an organisation's limits."""
+        return self.prompt_tokens + self.output_tokens
+
+
+def greater(one, other):
+    """Return the greater of each count."""
+    return Totals(
+        max(one.requests, other.requests),
+        max(one.prompt_tokens, other.prompt_tokens),
+        max(one.output_tokens, other.output_tokens),
+        max(one.wasted_tokens, other.wasted_tokens),
+    )
+
+
+class UsageKey(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """What a count is kept for; ``day`` is a UTC date, as 2026-03-14."""
+
+    day: str
+    organisation: str
+    class_name: str
+
+
+class UsageRow(msgspec.Struct, array_like=True):
+    """One count of a publisher, last changed at its ``version``."""
+
+    key: UsageKey
+    version: int
+    totals: Totals
+
+
+class Publisher(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """Who counted: one incarnation of an instance."""
+
+    instance: str
+    incarnation: int
+
+
+class UsageRows(msgspec.Struct, tag="usage_rows"):
+    """All rows of a publisher that changed after version ``since``.
+
+    Whoever holds the publisher up to ``since`` holds it up to ``through``
+    once these are merged.
+    """
+
+    publisher: Publisher
+    since: int
+    through: int
+    rows: list[UsageRow]
+
+
+class PublisherVersion(msgspec.Struct, array_like=True):
+    """Up to which version a publisher is held without gaps."""
+
+    publisher: Publisher
+    version: int
+
+
+class UsageHave(msgspec.Struct, tag="usage_have"):
+    """What the sender holds: publishers, and checkpoints by instance.
+
+    ``ask`` tells that it would like to hear the same of the receiver,
+    where that is behind.
+    """
+
+    versions: list[PublisherVersion]
+    checkpoints: dict[str, int]
+    ask: bool = True
+
+
+class UsageCheckpoint(msgspec.Struct, tag="usage_checkpoint"):
+    """The sum of all publishers of an instance up to ``through``.
+
+    ``root`` is the exclusive or of the hashes of what was folded, and
+    ``versions`` the sum of their versions.
+    """
+
+    instance: str
+    through: int
+    root: int
+    versions: int
+    rows: list[UsageRow]
+
+
+class LedgerSnapshot(msgspec.Struct):
+    """All that a ledger holds, for a disk."""
+
+    publishers: list[UsageRows]
+    checkpoints: list[UsageCheckpoint]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -8,14 +8,18 @@
 from .requests import Dispatch
 from .requests import Finish
 from .requests import Refuse
+from .usage import AppendUsage
+from .usage import ReplaceUsage
 
 __all__ = [
+    "AppendUsage",
     "Cancel",
     "Dispatch",
     "Finish",
     "Log",
     "Measure",
     "Refuse",
+    "ReplaceUsage",
     "SendPeer",
     "WriteAnswered",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -16,6 +16,8 @@
 from .requests import NotBegun
 from .requests import RequestReceived
 from .servers import Announced
+from .usage import DayBegan
+from .usage import UsageLoaded
 
 __all__ = [
     "Announced",
@@ -23,11 +25,13 @@
     "AttemptBegan",
     "AttemptFailed",
     "CallerGone",
+    "DayBegan",
     "FirstOutput",
     "Left",
     "NotBegun",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
+    "UsageLoaded",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -14,6 +14,7 @@
 from .components import repair
 from .components import requests
 from .components import state as state_module
+from .components import usage
 from .decisions import baselines
 
 
@@ -67,11 +68,12 @@
         return out
 
 
-def new_reducer(identity, rng, seeds=(), policy=None):
+def new_reducer(identity, rng, seeds=(), policy=None, keeps_usage=False):
     """Return the reducer of an instance, put together from its parts.
 
     ``rng`` is a ``random.Random``: the only source of chance in here, so
-    that a run can be repeated from its seed.
+    that a run can be repeated from its seed.  ``keeps_usage`` tells that
+    there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds)
     chosen = policy or baselines.PriorityLeastOutstanding()
@@ -79,6 +81,7 @@
         members.Members(state),
         repair.Repair(state),
         backend_servers.BackendServers(state, chosen),
+        usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
     ]
