--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -28,6 +28,8 @@
         self._engines = engines
         self._exchanges = {}
         self._writes = {}
+        self._disk = None
+        self._usage_disk = None
         self._queue = collections.deque()
         self._busy = False
         self._day = ""
@@ -38,6 +40,10 @@
             effects.Cancel: self._cancel,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
+            effects.AppendLog: self._write_log,
+            effects.ReplaceLog: self._write_log,
+            effects.AppendUsage: self._write_usage,
+            effects.ReplaceUsage: self._write_usage,
             effects.Log: self._log,
             effects.Measure: self._measure,
         }
@@ -47,6 +53,15 @@
         """The shared state of the reducer, to be read only."""
         return self.reducer.state
 
+    def attach_disk(self, writer):
+        """Carry the log's writes to ``writer``."""
+        self._disk = writer
+
+    def attach_usage_disk(self, keeping):
+        """Take in the usage on a disk and carry new usage to it."""
+        self._usage_disk = keeping
+        self.submit(keeping.load())
+
     def start(self, address):
         """Tell the reducer where this instance is reached and tick on."""
         self._begin_day()
@@ -147,6 +162,12 @@
         if waiting:
             waiting.set(effect.result)
 
+    def _write_log(self, effect):
+        self._disk.put(effect)
+
+    def _write_usage(self, effect):
+        self._usage_disk.put(effect)
+
     def _log(self, effect):
         level = effect.level.upper()
         self.logger.log(_LEVELS[level], effect.message, extra=effect.fields)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -1,6 +1,7 @@
 """Puts one instance together and owns all that must be closed."""
 
 import contextlib
+import pathlib
 import random
 import signal
 import time
@@ -11,15 +12,19 @@
 from gevent import pywsgi
 
 import dandeliontrail
+from dandeliontrail.coordination import quorum_log_records
 from dandeliontrail import events
 
 from . import clock
+from . import disk
+from . import disk_writer
 from . import drain
 from . import engine_client
 from . import host as host_module
 from . import metrics
 from . import peer_link
 from . import tokens
+from . import usage_disk
 from . import wsgi
 from .listeners import backend_servers
 from .listeners import callers
@@ -82,14 +87,53 @@
             limits.connect_seconds, limits.backend_silent_seconds
         )
         self._stack.callback(self._engines.close)
+        storage = self._open_storage()
+        usage_storage = self._open_storage("usage")
         self.host = host_module.Host(
-            dandeliontrail.new_reducer(identity, random.Random(), cfg.peers),
+            self._new_reducer(identity, storage),
             ticking,
             link,
             self._engines,
             measured,
             self._logger,
         )
+        if storage:
+            writer = disk_writer.DiskWriter(storage, self.host.submit)
+            self._stack.callback(writer.close)
+            self.host.attach_disk(writer)
+        if usage_storage:
+            keeping = usage_disk.UsageDisk(usage_storage, self._logger)
+            self._stack.callback(keeping.close)
+            self.host.attach_usage_disk(keeping)
+
+    def _open_storage(self, folder=""):
+        """Return the storage in a part of the data folder, if any."""
+        keeper = self._cfg.keeper
+        if keeper is None:
+            return None
+        path = pathlib.Path(keeper.data_dir) / folder
+        storage = disk.FileStorage(path)
+        self._stack.callback(storage.close)
+        return storage
+
+    def _new_reducer(self, identity, storage):
+        cfg = self._cfg
+        keeper = None
+        if storage:
+            keeper = quorum_log_records.Keeper(storage.folder, *storage.load())
+        elif not cfg.bootstrap_keepers:
+            self._logger.warning(
+                "no bootstrap_keepers: the configuration is kept in memory"
+                " by this instance alone"
+            )
+        return dandeliontrail.new_reducer(
+            identity,
+            random.Random(),
+            cfg.peers,
+            keeper=keeper,
+            bootstrap=cfg.bootstrap_keepers,
+            keeps_usage=storage is not None,
+        )
 
     def _apps(self):
         cfg = self._cfg
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -8,6 +8,8 @@
 
 from ..coordination import ledger
 from ..coordination import membership
+from ..coordination import quorum_log
+from ..coordination import quorum_log_neighbours as neighbours
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
@@ -34,9 +36,10 @@
 class State:
     """Shared state of one instance.
 
-    Owners: ``store`` the configuration component, ``registry`` the server
-    component, ``members`` the membership component, ``usage`` the usage
-    component, into which the request component counts.
+    Owners: ``store`` and ``log`` the configuration component,
+    ``registry`` the server component, ``members`` the membership
+    component, ``usage`` the usage component, into which the request
+    component counts.
     """
 
     identity: Identity
@@ -46,20 +49,34 @@
     members: membership.Membership
     usage: ledger.UsageLedger
     directory: directory.Directory
+    log: quorum_log.QuorumLog
     draining: bool = False
 
 
-def new_state(identity, rng, seeds=()):
-    """Return the state of an instance that knows only its seeds."""
+def new_state(identity, rng, seeds=(), keeper=None, bootstrap=()):
+    """Return the state of an instance that knows only its seeds.
+
+    ``keeper`` is what its disk has (``quorum_log_records.Keeper``), where it
+    has one; ``bootstrap`` names the first keepers.
+    """
     objects = store.ResourceStore()
     registry = servers.ServerRegistry()
     own = usage.Publisher(identity.instance, identity.incarnation)
+    members = membership.Membership(identity, seeds)
+    log = quorum_log.QuorumLog(
+        identity.instance,
+        rng,
+        neighbours.KnownMembers(identity, members),
+        keeper,
+        bootstrap,
+    )
     return State(
         identity,
         rng,
         objects,
         registry,
-        membership.Membership(identity, seeds),
+        members,
         ledger.UsageLedger(own),
         directory.Directory(registry, objects),
+        log,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/components/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage.py
@@ -33,7 +33,8 @@
         self._keeps = keeps
         self._sent = {}
         self._asked = {}
-        self._next_copy = None
+        self._settled_at = None
+        self._next_copy = 0.0
         self._next_save = 0.0
         self._journal = JOURNAL_LENGTH
         self._agreed_since = None
@@ -52,12 +53,12 @@
 
     def tick(self, now):
         """Send what was counted, and fold and save when that is due."""
-        if self._next_copy is None:
-            self._next_copy = now + SETTLE_SECONDS
+        if self._settled_at is None:
+            self._settled_at = now + SETTLE_SECONDS
             self._may_fold_at = now + FOLD_AFTER_START
         self._follow_incarnation()
         out = self._save(now)
-        if now < self._next_copy:
+        if now < self._settled_at:
             return out
         links = self._state.members.links()
         if self._state.members.heartbeat_now:
@@ -66,8 +67,10 @@
             self._finish_superseded()
             if now >= self._may_fold_at:
                 self._fold(now)
-        else:
+        elif now >= self._next_copy:
             out.extend(self._send_rows(self._copies(links)))
+        else:
+            return out
         self._next_copy = now + COPY_INTERVAL
         return out
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -7,6 +7,7 @@
 from . import dissemination
 from . import membership
 from . import messages
+from . import quorum_log_messages
 from . import servers
 from . import usage
 
@@ -23,6 +24,7 @@
     usage.UsageRows,
     usage.UsageHave,
     usage.UsageCheckpoint,
+    *quorum_log_messages.ALL,
 )
 
 Message = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -317,6 +317,11 @@
         member = self.members.get(instance)
         return member.address if member else ""
 
+    def addresses(self):
+        """Return every address at which an instance may be."""
+        known = {item.address for item in self.members.values()}
+        return sorted(known | self.seeds)
+
     def links(self):
         """Return the members that this instance keeps in touch with."""
         if self._links is None:
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -1,5 +1,7 @@
 """Everything that the reducer may ask of the outside, as data."""
 
+from .config import AppendLog
+from .config import ReplaceLog
 from .config import WriteAnswered
 from .peers import SendPeer
 from .reports import Log
@@ -12,6 +14,7 @@
 from .usage import ReplaceUsage
 
 __all__ = [
+    "AppendLog",
     "AppendUsage",
     "Cancel",
     "Dispatch",
@@ -19,6 +22,7 @@
     "Log",
     "Measure",
     "Refuse",
+    "ReplaceLog",
     "ReplaceUsage",
     "SendPeer",
     "WriteAnswered",
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -4,6 +4,8 @@
 them: the reducer is handed the present time beside each event.
 """
 
+from .config import LogSynced
+from .config import StorageFailed
 from .config import WriteSubmitted
 from .peers import Left
 from .peers import PeerMessageReceived
@@ -28,10 +30,12 @@
     "DayBegan",
     "FirstOutput",
     "Left",
+    "LogSynced",
     "NotBegun",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
+    "StorageFailed",
     "UsageLoaded",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -68,14 +68,25 @@
         return out
 
 
-def new_reducer(identity, rng, seeds=(), policy=None, keeps_usage=False):
+def new_reducer(
+    identity,
+    rng,
+    seeds=(),
+    policy=None,
+    keeper=None,
+    bootstrap=(),
+    keeps_usage=False,
+):
     """Return the reducer of an instance, put together from its parts.
 
     ``rng`` is a ``random.Random``: the only source of chance in here, so
-    that a run can be repeated from its seed.  ``keeps_usage`` tells that
+    that a run can be repeated from its seed.  ``keeper`` is what the disk
+    holds (``quorum_log_records.Keeper``) on an instance that has one, and
+    ``bootstrap`` the names of the first keepers; without either, the
+    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
     there is a disk for usage.
     """
-    state = state_module.new_state(identity, rng, seeds)
+    state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
     parts = [
         members.Members(state),
@@ -85,4 +96,6 @@
         configuration.Configuration(state),
         requests.Requests(state, chosen),
     ]
+    # Every applier is registered by now, as the replay needs them all.
+    state.log.open()
     return Reducer(state, chosen, parts)
