--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from ..coordination import ledger
 from ..coordination import membership
 from ..coordination import quorum_log
 from ..coordination import quorum_log_neighbours as neighbours
@@ -17,13 +18,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Identity:
-    """Who this instance is; ``address`` is that of its peer listener."""
+    """Who this instance is; ``address`` is that of its peer listener.
+
+    ``refutations`` grows whenever this instance proves wrong another that
+    took it for failed, ``incarnation`` with each start.
+    """
 
     instance: str
     failure_domain: str
     region: str
     incarnation: int
     address: str = ""
+    refutations: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +38,8 @@
 
     Owners: ``store`` and ``log`` the configuration component,
     ``registry`` the server component, ``members`` the membership
-    component, ``usage`` the request component.
+    component, ``usage`` the usage component, into which the request
+    component counts.
     """
 
     identity: Identity
@@ -40,7 +47,7 @@
     store: store.ResourceStore
     registry: servers.ServerRegistry
     members: membership.Membership
-    usage: usage.UsageLedger
+    usage: ledger.UsageLedger
     directory: directory.Directory
     log: quorum_log.QuorumLog
     draining: bool = False
@@ -54,7 +61,8 @@
     """
     objects = store.ResourceStore()
     registry = servers.ServerRegistry()
-    members = membership.Membership(seeds)
+    own = usage.Publisher(identity.instance, identity.incarnation)
+    members = membership.Membership(identity, seeds)
     log = quorum_log.QuorumLog(
         identity.instance,
         rng,
@@ -68,7 +76,7 @@
         objects,
         registry,
         members,
-        usage.UsageLedger(),
+        ledger.UsageLedger(own),
         directory.Directory(registry, objects),
         log,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,13 +4,26 @@
 
 import msgspec
 
+from . import dissemination
+from . import membership
 from . import messages
 from . import quorum_log_messages
 from . import servers
+from . import usage
 
 ALL = (
-    messages.Hello,
+    messages.Heartbeat,
+    membership.MemberRecords,
     servers.ServerRecords,
+    servers.Renewals,
+    dissemination.SyncBuckets,
+    dissemination.SyncKeys,
+    dissemination.SyncWant,
+    dissemination.Probe,
+    dissemination.ProbeAnswer,
+    usage.UsageRows,
+    usage.UsageHave,
+    usage.UsageCheckpoint,
     *quorum_log_messages.ALL,
 )
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -7,6 +7,7 @@
 from .config import LogSynced
 from .config import StorageFailed
 from .config import WriteSubmitted
+from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
 from .requests import AnswerFinished
@@ -17,6 +18,8 @@
 from .requests import NotBegun
 from .requests import RequestReceived
 from .servers import Announced
+from .usage import DayBegan
+from .usage import UsageLoaded
 
 __all__ = [
     "Announced",
@@ -24,12 +27,15 @@
     "AttemptBegan",
     "AttemptFailed",
     "CallerGone",
+    "DayBegan",
     "FirstOutput",
+    "Left",
     "LogSynced",
     "NotBegun",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
     "StorageFailed",
+    "UsageLoaded",
     "WriteSubmitted",
 ]
