Sample deployments, settings errors with remedies, the command line in modules

Cause: an operator had no sample to start from, a mistyped key got the checker's own words without the value or a remedy, and bad usage of dandelionctl exited with 1.

Change: examples/ holds two deployments of nine instances; settings errors are reworded with key, value, what is allowed and the remedy; dandelionctl is split by command, takes several servers and a config file, merges histograms in status, and has describe and drain. POST /apis/v1/drain on an instance starts the drain of SIGTERM.

--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
@@ -39,7 +39,7 @@
     """The resource API at one URL."""
 
     def __init__(self, server, token=""):
-        self._server = server
+        self.url = server
         self._headers = {"Content-Type": "application/json"}
         if token:
             self._headers["Authorization"] = f"Bearer {token}"
@@ -53,6 +53,10 @@
         body = msgspec.json.encode({"spec": spec})
         return self._call("PUT", (kind, name), body, _options(options))
 
+    def post(self, *words):
+        """Ask for an action."""
+        return self._call("POST", words, b"", {})
+
     def delete(self, kind, name, **options):
         """Delete one object."""
         return self._call("DELETE", (kind, name), b"", _options(options))
@@ -60,7 +64,7 @@
     def _call(self, method, words, body, headers):
         path = ROOT + "/".join(urllib.parse.quote(word) for word in words)
         client = geventhttpclient.HTTPClient.from_url(
-            url_module.URL(self._server), network_timeout=SECONDS
+            url_module.URL(self.url), network_timeout=SECONDS
         )
         try:
             response = client.request(
@@ -70,7 +74,7 @@
         except (OSError, geventhttpclient.response.HTTPParseError) as exc:
             raise ApiError(
                 0,
-                f"{self._server} does not answer: {exc}.",
+                f"{self.url} does not answer: {exc}.",
                 "check --server, or name another instance",
             )
         finally:
--- /dev/null
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of ``dandelionctl``, by what they are for."""
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/demo.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/demo.py
@@ -1,13 +1,12 @@
 """``make demo``: the whole path on one machine."""
 
-import collections
 import contextlib
 import time
 
 from dandeliontrail_ctl import api
+from dandeliontrail_ctl.commands import overview
 from dandeliontrail_ctl import tables
 import gevent
-import msgspec
 import rich.console
 
 from . import batch
@@ -132,14 +131,10 @@
 
 
 def _show(console, deployment):
-    servers = deployment.addresses("operators")
-    series = collections.defaultdict(list)
-    for address in servers:
-        listing = api.Api(f"http://{address}").get("histograms")
-        for item in listing["items"]:
-            found = msgspec.convert(item, tables.Series)
-            series[(found.by, found.name, found.metric)].append(found)
-    console.print(tables.histograms(series))
-    for address in servers:
-        status = api.Api(f"http://{address}").get("status")
-        console.print(tables.status([status]))
+    servers = [
+        api.Api(f"http://{address}")
+        for address in deployment.addresses("operators")
+    ]
+    found = overview.survey(servers)
+    console.print(tables.latency(found.latency))
+    console.print(tables.status(found.instances))
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -23,6 +23,7 @@
 from . import wsgi
 from .listeners import backend_servers
 from .listeners import callers
+from .listeners import drain_request
 from .listeners import operators
 from .listeners import peers
 
@@ -101,8 +102,10 @@
             "backend_servers": backend_servers.BackendServersApp(
                 self.host, self._doors["backend_servers"]
             ),
-            "operators": operators.OperatorsApp(
-                self.host, self._doors["operators"]
+            "operators": drain_request.DrainRequests(
+                operators.OperatorsApp(self.host, self._doors["operators"]),
+                self._doors["operators"],
+                self._on_term,
             ),
             "peers": peers.PeersApp(self.host, self._key, cfg.limits),
         }
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -5,6 +5,8 @@
 what is allowed and the remedy.
 """
 
+import ipaddress
+import math
 import pathlib
 import re
 
@@ -13,9 +15,12 @@
 
 import dandeliontrail
 
+from . import settings_errors
+
 ADDRESS = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}")
 NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]{0,62})")
 LISTENERS = ("callers", "backend_servers", "operators", "peers")
+HIGHEST_PORT = 65535
 LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -66,14 +71,20 @@
 class LimitSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Bounds on what callers may cost an instance.
 
-    ``body_bytes`` caps a request's body.  ``header_seconds`` and
-    ``body_seconds`` cap how slowly a caller may send them.
-    ``drain_notice_seconds`` is how long a draining instance still takes
-    new connections, until the platform's balancer has noticed;
+    ``body_bytes`` and ``header_bytes`` cap the two parts of a request;
+    ``header_seconds`` and ``body_seconds`` cap how slowly a caller may send
+    them, ``idle_seconds`` how long a connection stays open between two
+    requests, and ``write_seconds`` how long a caller may take nothing of
+    its answer.  ``drain_notice_seconds`` is how long a draining instance
+    still takes new connections, until the platform's balancer has noticed;
     ``drain_seconds`` is the longest drain in all.
     """
 
     body_bytes: int = 8 * 1024 * 1024
+    header_bytes: int = 64 * 1024
+    header_seconds: float = 10.0
+    idle_seconds: float = 120.0
+    write_seconds: float = 60.0
     body_seconds: float = 30.0
     connections: int = 4096
     drain_notice_seconds: float = 5.0
@@ -113,18 +124,16 @@
 def parse(text):
     """Return the checked settings in the YAML ``text``."""
     try:
-        cfg = msgspec.convert(yaml.safe_load(text), Settings)
+        loaded = yaml.safe_load(text)
     except yaml.YAMLError as exc:
         raise dandeliontrail.SettingsError(
             f"The file is not YAML: {' '.join(str(exc).split())}.",
             "correct it at the line named",
         )
+    try:
+        cfg = msgspec.convert(loaded, Settings)
     except msgspec.ValidationError as exc:
-        raise dandeliontrail.SettingsError(
-            f"{exc}.",
-            "correct the key at the path named; docs/operators/settings.md"
-            " lists all keys",
-        )
+        raise settings_errors.reworded(exc, loaded, Settings)
     _check(cfg)
     return cfg
 
@@ -167,6 +176,14 @@
             ", ".join(LISTENERS),
             "name a listener",
         )
+    for index, value in enumerate(cfg.bootstrap_keepers):
+        _require(
+            NAME.fullmatch(value),
+            f"bootstrap_keepers[{index}]",
+            value,
+            "the name of an instance",
+            "name an instance that has a keeper section",
+        )
     _require(
         cfg.keeper is None or cfg.keeper.data_dir,
         "keeper.data_dir",
@@ -177,10 +194,8 @@
 
 
 def _check_address(key, value):
-    good = ADDRESS.fullmatch(value)
-    port = int(value.rsplit(":", 1)[1]) if good else 0
     _require(
-        good and port <= 65535,
+        _is_address(value),
         key,
         value,
         "IP:port with a port from 0 to 65535",
@@ -188,14 +203,27 @@
     )
 
 
+def _is_address(value):
+    if not ADDRESS.fullmatch(value):
+        return False
+    host, port = value.rsplit(":", 1)
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return int(port) <= HIGHEST_PORT
+
+
 def _check_limits(limits):
     for key in limits.__struct_fields__:
         value = getattr(limits, key)
+        may_be_zero = key.startswith("drain")
+        in_range = value >= 0 if may_be_zero else value > 0
         _require(
-            value >= 0 if key.startswith("drain") else value > 0,
+            in_range and math.isfinite(value),
             f"limits.{key}",
             value,
-            "a number above 0",
+            "a number from 0 up" if may_be_zero else "a number above 0",
             "give a larger number, or leave the key out for its default",
         )
 
