Bounds on what a malformed or slow caller can cost

Cause: a head sent in drops held a greenlet for good; after a 413 the whole body was still read; Content-Length: abc printed a traceback; 3,000 nested brackets were answered 500; a caller that reads nothing held its engine stream for good; an announcement with url 'no url' or lease -1 was taken.

Change: http_server bounds heads, idle connections, discarded bodies and stalled writes; announcements are checked before they spread.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -7,8 +7,6 @@
 
 import gevent
 from gevent import event as gevent_event
-from gevent import pool
-from gevent import pywsgi
 
 import dandeliontrail
 from dandeliontrail.coordination import messages
@@ -17,6 +15,7 @@
 from . import drain
 from . import engine_client
 from . import host as host_module
+from . import http_server
 from . import metrics
 from . import peer_link
 from . import tokens
@@ -113,12 +112,11 @@
     def _listen(self):
         for name, app in self._apps().items():
             address = getattr(self._cfg.listen, name)
-            server = pywsgi.WSGIServer(
+            server = http_server.Server(
                 address,
                 wsgi.guard(app, self._logger),
-                spawn=pool.Pool(self._cfg.limits.connections),
-                log=None,
-                error_log=self._logger,
+                self._cfg.limits,
+                self._logger,
                 **self._tls(name),
             )
             server.start()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
@@ -1,9 +1,11 @@
 """The listener for backend servers: announcements."""
 
+import dandeliontrail
 import msgspec
 
 from dandeliontrail.coordination import servers
 from dandeliontrail import events
+from dandeliontrail.resources import announcement_checks
 from dandeliontrail.resources import announcements
 
 from .. import tokens
@@ -44,13 +46,14 @@
 
     def _announce(self, environ, start_response):
         body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
+        announcement = wsgi.decode(
+            body, announcements.Announcement, "correct the field named"
+        )
         try:
-            announcement = msgspec.json.decode(
-                body, type=announcements.Announcement
-            )
-        except msgspec.DecodeError as exc:
+            announcement_checks.check(announcement)
+        except dandeliontrail.ResourceInvalid as exc:
             raise wsgi.Problem(
-                400, "malformed", f"{exc}.", "correct the field named"
+                400, "invalid_announcement", exc.message, exc.remedy
             )
         self._host.submit(events.Announced(announcement))
         lease = min(announcement.lease, servers.LONGEST_LEASE)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -1,6 +1,7 @@
 """The listener for callers: the OpenAI-style paths and plain services."""
 
 import hashlib
+import typing
 import uuid
 
 import msgspec
@@ -20,13 +21,17 @@
 PREFIX_BYTES = 1024
 
 
+# Any context window is far below the upper bound.
+OutputTokens = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+
+
 class Fields(msgspec.Struct):
     """The fields of a generation request that the router reads."""
 
     model: str
     stream: bool = False
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: OutputTokens | None = None
+    max_completion_tokens: OutputTokens | None = None
 
 
 class ModelView(msgspec.Struct):
@@ -143,17 +148,9 @@
 
 
 def _decode(body):
-    try:
-        fields = msgspec.json.decode(body, type=Fields)
-        raw = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except msgspec.DecodeError as exc:
-        raise wsgi.Problem(
-            400,
-            "malformed",
-            f"{exc}.",
-            "send a JSON object with the field named",
-            outcome="not-run",
-        )
+    remedy = "send a JSON object with the field named"
+    fields = wsgi.decode(body, Fields, remedy)
+    raw = wsgi.decode(body, dict[str, msgspec.Raw], remedy)
     return fields, raw
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
@@ -97,12 +97,7 @@
                 changes.Verb.DELETE, kind, name, if_match=if_match
             )
         body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
-        try:
-            submitted = msgspec.json.decode(body, type=Submitted)
-        except msgspec.DecodeError as exc:
-            raise wsgi.Problem(
-                400, "malformed", f"{exc}.", "send {'spec': {…}} as JSON"
-            )
+        submitted = wsgi.decode(body, Submitted, "send {'spec': {…}} as JSON")
         spec = submitted.spec
         if method == "PATCH":
             spec = self._merged(kind, name, spec)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -12,6 +12,8 @@
     """An answer other than success, raised to end the handling.
 
     ``outcome`` and ``request_id`` stay empty where no request was run.
+    ``close`` ends the connection, where the next request could not be told
+    from the rest of this one.
     """
 
     def __init__(self, status, code, message, remedy, **extra):
@@ -23,6 +25,7 @@
         self.outcome = extra.get("outcome", "")
         self.request_id = extra.get("request_id", "")
         self.retry_after = extra.get("retry_after")
+        self.close = extra.get("close", False)
 
 
 class ErrorBody(msgspec.Struct, omit_defaults=True):
@@ -83,6 +86,8 @@
     if problem.retry_after is not None:
         seconds = max(1, round(problem.retry_after))
         headers.append(("Retry-After", str(seconds)))
+    if problem.close:
+        headers.append(("Connection", "close"))
     return headers
 
 
@@ -106,52 +111,61 @@
 
 
 def read_body(environ, limit, seconds):
-    """Return the body of a request, bounded in size and in time."""
-    length = environ.get("CONTENT_LENGTH") or ""
+    """Return the body of a request, bounded in size and in time.
+
+    The server has made sure that a ``Content-Length`` is a number.
+    """
+    length = environ.get("CONTENT_LENGTH")
     if length and int(length) > limit:
         raise _too_large(limit)
+    timeout = gevent.Timeout(seconds)
     try:
-        with gevent.Timeout(seconds):
+        with timeout:
             body = environ["wsgi.input"].read(limit + 1)
-    except gevent.Timeout:
-        raise Problem(
+    except gevent.Timeout as exc:
+        if exc is not timeout:
+            raise
+        raise _unreadable(
             408,
             "slow_body",
             f"The body did not arrive within {seconds:g} s.",
             "send it again over a faster connection",
-            outcome="not-run",
         )
-    except OSError:
-        raise Problem(
+    except OSError as exc:
+        raise _unreadable(
             400,
             "cut_body",
-            "The body broke off.",
-            "send it again",
-            outcome="not-run",
+            f"The body broke off or is malformed: {exc}.",
+            "send it again whole, with its right Content-Length or chunks",
         )
     if len(body) > limit:
         raise _too_large(limit)
-    if length and len(body) < int(length):
-        raise Problem(
-            400,
-            "cut_body",
-            "The body is shorter than its Content-Length.",
-            "send it again whole",
-            outcome="not-run",
-        )
     return body
 
 
-def _too_large(limit):
+def _unreadable(status, code, message, remedy):
     return Problem(
+        status, code, message, remedy, outcome="not-run", close=True
+    )
+
+
+def _too_large(limit):
+    return _unreadable(
         413,
         "too_large",
         f"The body is above {limit} bytes.",
         "send less, or ask an operator to raise limits.body_bytes",
-        outcome="not-run",
     )
 
 
+def decode(body, kind, remedy):
+    """Return the JSON ``body`` as a checked ``kind``."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise Problem(400, "malformed", f"{exc}.", remedy, outcome="not-run")
+
+
 def not_found(path):
     """Return the problem of an unknown path."""
     return Problem(
