--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
@@ -78,7 +78,7 @@
     started = time.monotonic()
     try:
         response = client.post(
-            "/v1/chat/completions", _body(ask), _headers(ask)
+            "/v1/chat/completions", body_of(ask), headers_of(ask)
         )
         answer = _read(response, ask.stream, started)
     except (OSError, geventhttpclient.response.HTTPParseError) as exc:
@@ -89,7 +89,8 @@
     return answer
 
 
-def _body(ask):
+def body_of(ask):
+    """Return the body of a request."""
     return msgspec.json.encode(
         {
             "model": ask.model,
@@ -100,7 +101,8 @@
     )
 
 
-def _headers(ask):
+def headers_of(ask):
+    """Return the headers of a request."""
     headers = {
         "Authorization": f"Bearer {ask.key}",
         "X-Request-Class": ask.class_name,
