--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,8 +4,9 @@
 time is read from the kernel.  Long streams give the cost of an event, short
 ones that of a request, as the slope and the start of one line fitted
 through them.  What the instance spends without any request is taken off:
-it is the cost of control and has a page of its own (docs/CAPACITY.md).  Bare proxy and instance take turns within one run, so that
-what else the machine does falls on both.
+it is the cost of control and has a page of its own (docs/CAPACITY.md).
+Bare proxy and instance take turns within one run, so that what else the
+machine does falls on both.
 
 Run: ``.venv/bin/python -m bench.relay``.
 """
