Hold histograms in pages of one octave

Cause: a whole HdrHistogram from 1 us to 24 hours takes 32,806 bytes; four metrics for each of 1,600 organisations would be 210 MB on every instance, above the 64 MB for control.

Change: counts are kept in pages that exist only where values fell, in the buckets of the library, and become a whole histogram only to be sent. /metrics can leave organisations out.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
@@ -57,7 +57,9 @@
                 "send Authorization: Bearer with a registered token",
             )
         if path == "/metrics":
-            text = self._host.metrics.text().encode()
+            query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+            by = query.get("by", [""])[0]
+            text = self._host.metrics.text(by).encode()
             plain = ("Content-Type", "text/plain; version=0.0.4")
             return wsgi.reply(start_response, 200, text, [plain])
         if not path.startswith(ROOT):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/metrics.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/metrics.py
@@ -1,17 +1,14 @@
-"""Histograms per class and per organisation.
+"""Histograms per class and per organisation, and counters.
 
-Values are recorded in microseconds with two significant digits, from 1 µs
-to 24 hours, which costs a fixed amount of memory for each histogram.
+Values are recorded in microseconds with two significant digits.
 """
 
 import collections
 
-from hdrh import histogram
 import msgspec
 
-LOWEST = 1
-HIGHEST = 24 * 3600 * 1_000_000
-DIGITS = 2
+from . import paged_counts
+
 MICROSECONDS = 1000.0
 QUANTILES = (50.0, 90.0, 95.0, 99.0, 99.9)
 
@@ -30,22 +27,22 @@
     """All histograms and counters of one instance."""
 
     def __init__(self):
-        self._histograms = {}
+        self._counts = {}
         self.counters = collections.Counter()
 
     def record(self, measure):
         """Take in one ``effects.Measure``."""
-        value = max(LOWEST, int(measure.value_ms * MICROSECONDS))
+        value = int(measure.value_ms * MICROSECONDS)
         metric = measure.metric.value
         self._record((metric, "class", measure.class_name), value)
         self._record((metric, "organisation", measure.organisation), value)
 
     def _record(self, key, value):
-        held = self._histograms.get(key)
+        held = self._counts.get(key)
         if held is None:
-            held = histogram.HdrHistogram(LOWEST, HIGHEST, DIGITS)
-            self._histograms[key] = held
-        held.record_value(min(value, HIGHEST))
+            held = paged_counts.PagedCounts()
+            self._counts[key] = held
+        held.record(value)
 
     def series(self):
         """Return every histogram in its encoded form."""
@@ -54,27 +51,33 @@
                 metric,
                 by,
                 name,
-                held.get_total_count(),
-                held.encode().decode("ascii"),
+                held.total,
+                held.whole().encode().decode("ascii"),
             )
-            for (metric, by, name), held in sorted(self._histograms.items())
+            for (metric, by, name), held in sorted(self._counts.items())
         ]
 
-    def text(self):
-        """Return all in the Prometheus text format."""
+    def text(self, by=""):
+        """Return all in the Prometheus text format.
+
+        ``by`` restricts it to ``class`` or ``organisation``: with 1,600
+        organisations their part is over 2 MB, too much to be read every
+        few seconds.
+        """
         lines = []
         for name, value in sorted(self.counters.items()):
             lines.append(f"dandeliontrail_{name} {value}")
-        for (metric, by, name), held in sorted(self._histograms.items()):
-            lines.extend(_summary(metric, by, name, held))
+        for (metric, kind, name), held in sorted(self._counts.items()):
+            if by in ("", kind):
+                lines.extend(_summary(metric, kind, name, held))
         return "\n".join(lines) + "\n"
 
 
 def _summary(metric, by, name, held):
     family = f"dandeliontrail_{metric}"
     label = f'{by}="{name}"'
-    for quantile in QUANTILES:
-        value = held.get_value_at_percentile(quantile) / MICROSECONDS
+    for quantile, value in zip(QUANTILES, held.quantiles(QUANTILES)):
         share = quantile / 100.0
-        yield f'{family}{{{label},quantile="{share:g}"}} {value:g}'
-    yield f"{family}_count{{{label}}} {held.get_total_count()}"
+        shown = value / MICROSECONDS
+        yield f'{family}{{{label},quantile="{share:g}"}} {shown:g}'
+    yield f"{family}_count{{{label}}} {held.total}"
