--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import time
 
 import gevent
 
@@ -28,8 +29,10 @@
         self._exchanges = {}
         self._writes = {}
         self._disk = None
+        self._usage_disk = None
         self._queue = collections.deque()
         self._busy = False
+        self._day = ""
         self._carry_out = {
             effects.Dispatch: self._to_exchange,
             effects.Refuse: self._to_exchange,
@@ -39,6 +42,8 @@
             effects.WriteAnswered: self._answer_write,
             effects.AppendLog: self._write_log,
             effects.ReplaceLog: self._write_log,
+            effects.AppendUsage: self._write_usage,
+            effects.ReplaceUsage: self._write_usage,
             effects.Log: self._log,
             effects.Measure: self._measure,
         }
@@ -52,11 +57,24 @@
         """Carry the log's writes to ``writer``."""
         self._disk = writer
 
+    def attach_usage_disk(self, keeping):
+        """Take in the usage on a disk and carry new usage to it."""
+        self._usage_disk = keeping
+        self.submit(keeping.load())
+
     def start(self, address):
         """Tell the reducer where this instance is reached and tick on."""
+        self._begin_day()
         self.submit(events.Started(address))
         return gevent.spawn(self._tick_forever)
 
+    def _begin_day(self):
+        """Tell the reducer the UTC date, by which usage is kept."""
+        day = time.strftime("%Y-%m-%d", time.gmtime())
+        if day != self._day:
+            self._day = day
+            self.submit(events.DayBegan(day))
+
     def submit(self, event):
         """Apply ``event`` and carry out all effects.
 
@@ -98,6 +116,7 @@
     def _tick_forever(self):
         while True:
             gevent.sleep(TICK)
+            self._begin_day()
             try:
                 self._run(self.reducer.tick(self.clock.now()))
             except Exception as exc:
@@ -146,6 +165,9 @@
     def _write_log(self, effect):
         self._disk.put(effect)
 
+    def _write_usage(self, effect):
+        self._usage_disk.put(effect)
+
     def _log(self, effect):
         level = effect.level.upper()
         self.logger.log(_LEVELS[level], effect.message, extra=effect.fields)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
@@ -57,7 +57,9 @@
                 "send Authorization: Bearer with a registered token",
             )
         if path == "/metrics":
-            text = self._host.metrics.text().encode()
+            query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+            by = query.get("by", [""])[0]
+            text = self._host.metrics.text(by).encode()
             plain = ("Content-Type", "text/plain; version=0.0.4")
             return wsgi.reply(start_response, 200, text, [plain])
         if not path.startswith(ROOT):
@@ -97,12 +99,7 @@
                 changes.Verb.DELETE, kind, name, if_match=if_match
             )
         body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
-        try:
-            submitted = msgspec.json.decode(body, type=Submitted)
-        except msgspec.DecodeError as exc:
-            raise wsgi.Problem(
-                400, "malformed", f"{exc}.", "send {'spec': {…}} as JSON"
-            )
+        submitted = wsgi.decode(body, Submitted, "send {'spec': {…}} as JSON")
         spec = submitted.spec
         if method == "PATCH":
             spec = self._merged(kind, name, spec)
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -11,9 +11,12 @@
 from .requests import Dispatch
 from .requests import Finish
 from .requests import Refuse
+from .usage import AppendUsage
+from .usage import ReplaceUsage
 
 __all__ = [
     "AppendLog",
+    "AppendUsage",
     "Cancel",
     "Dispatch",
     "Finish",
@@ -21,6 +24,7 @@
     "Measure",
     "Refuse",
     "ReplaceLog",
+    "ReplaceUsage",
     "SendPeer",
     "VoterAnswered",
     "WriteAnswered",
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -11,8 +11,10 @@
 from .components import backend_servers
 from .components import configuration
 from .components import members
+from .components import repair
 from .components import requests
 from .components import state as state_module
+from .components import usage
 from .decisions import baselines
 
 
@@ -67,7 +69,13 @@
 
 
 def new_reducer(
-    identity, rng, seeds=(), policy=None, keeper=None, bootstrap=()
+    identity,
+    rng,
+    seeds=(),
+    policy=None,
+    keeper=None,
+    bootstrap=(),
+    keeps_usage=False,
 ):
     """Return the reducer of an instance, put together from its parts.
 
@@ -75,13 +83,16 @@
     that a run can be repeated from its seed.  ``keeper`` is what the disk
     holds (``quorum_log_records.Keeper``) on an instance that has one, and
     ``bootstrap`` the names of the first keepers; without either, the
-    instance keeps a log of its own in memory.
+    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
+    there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
     parts = [
         members.Members(state),
+        repair.Repair(state),
         backend_servers.BackendServers(state, chosen),
+        usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
     ]
