Read optional raw values back from checkpoints and frames

Cause: msgspec decodes 'Raw | None' as null only, so a checkpoint with history, and a disk frame with a checkpoint, could not be read back. The long state machine shows it as a ValidationError on the first installed checkpoint. Change: an absent spec or checkpoint is the JSON null inside the Raw.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
@@ -34,6 +34,8 @@
 _HEADER = re.compile(rb"([a-z-]+) (\d+) ([0-9a-f]{32})\n")
 _LONGEST_HEADER = 128
 
+NO_CHECKPOINT = msgspec.Raw(b"null")
+
 REPLACE_KEEPER = (
     "stop the instance, move the folder away and bring the keeper back as a"
     " new one; see docs/operators/keepers.md"
@@ -44,7 +46,7 @@
     """The payload of a frame."""
 
     records: list[msgspec.Raw]
-    checkpoint: msgspec.Raw | None = None
+    checkpoint: msgspec.Raw = NO_CHECKPOINT
 
 
 class FileStorage(interfaces.Storage):
@@ -142,7 +144,7 @@
                 self._check_torn(data, at, start)
                 break
             frame = msgspec.json.decode(payload, type=Frame)
-            if frame.checkpoint is not None:
+            if bytes(frame.checkpoint) != bytes(NO_CHECKPOINT):
                 checkpoint = bytes(frame.checkpoint)
             records.extend(bytes(item) for item in frame.records)
             at += _FRAME.size + len(payload)
@@ -215,7 +217,7 @@
 
 def _frame(records, checkpoint=None):
     raw = [msgspec.Raw(item) for item in records]
-    state = msgspec.Raw(checkpoint) if checkpoint else None
+    state = msgspec.Raw(checkpoint) if checkpoint else NO_CHECKPOINT
     payload = msgspec.json.encode(Frame(raw, state))
     return _FRAME.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
--- a/packages/dandeliontrail/src/dandeliontrail/resources/history.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/history.py
@@ -23,17 +23,21 @@
     """A version was asked for that is no longer held."""
 
 
+# Stands for the spec of an object that is not there.
+ABSENT = b"null"
+
+
 class Step(msgspec.Struct):
-    """What a change did to one object; ``None`` where it is not there."""
+    """What a change did to one object, or ``ABSENT``."""
 
     kind: specs.Kind
     name: str
-    before: msgspec.Raw | None
-    after: msgspec.Raw | None
+    before: msgspec.Raw
+    after: msgspec.Raw
 
     def size(self):
         """Return about how many bytes the step costs."""
-        return 64 + len(self.before or b"") + len(self.after or b"")
+        return 64 + len(bytes(self.before)) + len(bytes(self.after))
 
 
 class HistoryItem(msgspec.Struct):
@@ -93,10 +97,10 @@
     def specs_at(self, version):
         """Return what has changed since ``version``, as it was then.
 
-        The map goes from kind and name to the spec or ``None``.
+        The map goes from kind and name to the bytes of the spec.
         """
         found = {}
         for item in self.since(version):
             for step in item.steps:
-                found.setdefault((step.kind, step.name), step.before)
+                found.setdefault((step.kind, step.name), bytes(step.before))
         return found
--- a/packages/dandeliontrail/src/dandeliontrail/resources/store.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/store.py
@@ -127,17 +127,19 @@
         for (kind, name), spec in self.history.specs_at(version).items():
             held = self.get(kind, name)
             present = held.version if held else 0
-            if spec is None and held is None:
+            if spec == _encoded(held):
                 continue
-            if spec is None:
+            if spec == history_module.ABSENT:
                 operation = changes.Operation(
                     changes.Verb.DELETE, kind.value, name, if_match=present
                 )
-            elif held and bytes(spec) == encode_spec(held.spec):
-                continue
             else:
                 operation = changes.Operation(
-                    changes.Verb.PUT, kind.value, name, spec, present
+                    changes.Verb.PUT,
+                    kind.value,
+                    name,
+                    msgspec.Raw(spec),
+                    present,
                 )
             operations.append(operation)
         return operations
@@ -249,7 +251,12 @@
     def steps(self):
         """Return what the change did, for the history."""
         return [
-            history_module.Step(kind, name, _raw(before), _raw(after))
+            history_module.Step(
+                kind,
+                name,
+                msgspec.Raw(_encoded(before)),
+                msgspec.Raw(_encoded(after)),
+            )
             for ((kind, name), before), (_, after) in zip(
                 self._before.items(), self._after()
             )
@@ -257,8 +264,11 @@
         ]
 
 
-def _raw(resource):
-    return msgspec.Raw(encode_spec(resource.spec)) if resource else None
+def _encoded(resource):
+    """Return the bytes of a spec, or those that stand for none."""
+    if resource is None:
+        return history_module.ABSENT
+    return encode_spec(resource.spec)
 
 
 def _check_version(operation, held):
