--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -8,6 +8,7 @@
 import time
 
 import gevent
+from gevent import event as gevent_event
 
 from dandeliontrail import effects
 from dandeliontrail import events
@@ -33,6 +34,8 @@
         self._queue = collections.deque()
         self._busy = False
         self._day = ""
+        self._version = 0
+        self._version_changed = gevent_event.Event()
         self._carry_out = {
             effects.Dispatch: self._to_exchange,
             effects.Refuse: self._to_exchange,
@@ -40,6 +43,7 @@
             effects.Cancel: self._cancel,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
+            effects.VoterAnswered: self._answer_voter_change,
             effects.AppendLog: self._write_log,
             effects.ReplaceLog: self._write_log,
             effects.AppendUsage: self._write_usage,
@@ -112,6 +116,17 @@
     def _run(self, out):
         for effect in out:
             self._carry_out[type(effect)](effect)
+        if self.state.store.version != self._version:
+            self._version = self.state.store.version
+            changed = self._version_changed
+            self._version_changed = gevent_event.Event()
+            changed.set()
+
+    def wait_version(self, seen, seconds):
+        """Wait until a version after ``seen`` is applied; tell if it is."""
+        if self.state.store.version <= seen:
+            self._version_changed.wait(seconds)
+        return self.state.store.version > seen
 
     def _tick_forever(self):
         while True:
@@ -162,6 +177,11 @@
         if waiting:
             waiting.set(effect.result)
 
+    def _answer_voter_change(self, effect):
+        waiting = self._writes.pop(effect.request_id, None)
+        if waiting:
+            waiting.set(effect)
+
     def _write_log(self, effect):
         self._disk.put(effect)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -77,6 +77,13 @@
             raise wsgi.Problem(
                 503, "draining", "It is draining.", "use another instance"
             )
+        if not self._host.state.log.ready:
+            raise wsgi.Problem(
+                503,
+                "no_configuration",
+                "It has not yet caught up with the configuration.",
+                "use another instance; see the log where it lasts",
+            )
         return wsgi.reply_json(start_response, {"ready": True})
 
     def _models(self, start_response):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from dandeliontrail.coordination import quorum_log
+from dandeliontrail import events
 from dandeliontrail.resources import checks
 
 from .. import wsgi
@@ -77,6 +79,15 @@
     wasted_tokens: int
 
 
+class HistoryView(msgspec.Struct):
+    """One accepted change; ``objects`` are those it touched."""
+
+    version: int
+    author: str
+    operation_id: str
+    objects: list[str]
+
+
 def get(host, words):
     """Return what ``/apis/v1/`` and ``words`` name."""
     reader = _READERS.get(words[0])
@@ -143,14 +154,57 @@
     )
 
 
+def after_write(host, words, result):
+    """Return the object that was written, or the bare result.
+
+    Someone else may have deleted it again by now, and a dry run may never
+    have made it.
+    """
+    found = host.state.store.get(checks.kind_of(words[0]), words[1])
+    return _object(host, found) if found else result
+
+
 def _in_force(host, version):
     now = host.clock.now()
     others = host.state.members.alive(now)
     reached = sum(1 for item in others if item.applied >= version)
     own = 1 if host.state.store.version >= version else 0
+    if reached < len(others):
+        # Heartbeats cross some links only; the others are asked, and the
+        # next look shows what they say.
+        host.submit(events.InForceAsked(version))
     return InForce(reached + own, len(others) + 1)
 
 
+def _history(host):
+    items = [
+        HistoryView(
+            item.version,
+            item.author,
+            item.operation_id,
+            [f"{step.kind.value}/{step.name}" for step in item.steps],
+        )
+        for item in host.state.store.history.items
+    ]
+    return Listing("history", host.state.store.version, items)
+
+
+def log_metrics(host):
+    """Return how the configuration stands, as Prometheus text."""
+    status = host.state.log.status(host.clock.now())
+    gauges = {
+        "applied": status.applied,
+        "stale": int(status.stale),
+        "ready": int(status.ready),
+        "leads": int(status.role == "leader"),
+        "confirmed_ago_seconds": status.confirmed_ago,
+    }
+    return "".join(
+        f"dandeliontrail_configuration_{name} {value}\n"
+        for name, value in gauges.items()
+    )
+
+
 def _servers(host):
     now = host.clock.now()
     items = [
@@ -231,6 +285,7 @@
     serving_backend_servers: int
     backend_servers: int
     instances_heard: int
+    configuration: quorum_log.LogStatus
 
 
 def _status(host):
@@ -245,6 +300,7 @@
         len(state.registry.serving(now)),
         len(state.registry.servers),
         len(state.members.alive(now)),
+        state.log.status(now),
     )
 
 
@@ -253,4 +309,5 @@
     "instances": _instances,
     "usage": _usage,
     "histograms": _histograms,
+    "history": _history,
 }
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -40,6 +40,12 @@
         "The organisation is over its limit.",
         "come back after Retry-After seconds, or ask an operator for more",
     ),
+    sentinels.Reason.NO_CONFIGURATION: _Text(
+        503,
+        "no_configuration",
+        "The instance has not yet caught up with the configuration.",
+        "come back after Retry-After seconds, or use another instance",
+    ),
     sentinels.Reason.SERVER_FAILED: _Text(
         502,
         "backend_server_failed",
--- a/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
@@ -12,8 +12,13 @@
 from .. import interfaces
 from ..coordination import quorum_log
 from ..coordination import quorum_log_machine as machine
+from ..coordination import quorum_log_messages as messages
 from ..resources import changes
 
+# However many operators watch a change land, the others are asked for
+# their versions this often at the most.
+ASK_INTERVAL = 0.5
+
 UNSETTLED = {
     quorum_log.SettledKind.NOT_RUN: changes.Result(
         changes.ResultKind.NO_QUORUM,
@@ -61,6 +66,8 @@
         self._state = state
         applier = ChangeApplier(state.store, state.directory)
         state.log.register(changes.Change, applier)
+        self._log_handlers = state.log.handlers()
+        self._next_ask = float("-inf")
 
     def handlers(self):
         """Return the handlers of writes, of the disk and of the log."""
@@ -68,7 +75,10 @@
             events.WriteSubmitted: self._write,
             events.LogSynced: self._synced,
             events.StorageFailed: self._storage_failed,
-            **self._state.log.handlers(),
+            events.VoterChangeAsked: self._change_voter,
+            events.InForceAsked: self._ask_in_force,
+            **self._log_handlers,
+            messages.Progress: self._progress,
         }
 
     def tick(self, now):
@@ -84,6 +94,28 @@
         operation_id = change.operation_id or event.write_id
         return self._state.log.propose(change, operation_id, now, settled)
 
+    def _change_voter(self, event, now):
+        return self._state.log.change_voter(
+            event.action, event.name, event.request_id, now
+        )
+
+    def _ask_in_force(self, event, now):
+        if now < self._next_ask:
+            return []
+        self._next_ask = now + ASK_INTERVAL
+        question = self._state.log.question(now)
+        return [
+            effects.SendPeer(member.address, question)
+            for member in self._state.members.alive(now)
+            if member.applied < event.version
+        ]
+
+    def _progress(self, source, message, now):
+        member = self._state.members.members.get(source.instance)
+        if member is not None:
+            member.applied = max(member.applied, message.applied)
+        return self._log_handlers[messages.Progress](source, message, now)
+
     def _synced(self, event, now):
         return self._state.log.synced(event.ticket, now)
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -56,6 +56,10 @@
         return self._decide(now)
 
     def _work_of(self, event, now):
+        if not self._state.log.ready:
+            # A valid key would be called unknown, or a class that is gone
+            # be served, by a state older than the failure domain had.
+            return sentinels.Nothing(sentinels.Reason.NO_CONFIGURATION, 1.0)
         store = self._state.store
         organisation = store.organisation_of(event.key_hash)
         if not organisation:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -316,6 +316,10 @@
             core.send(name, self._progress(now))
         return self._finish(now)
 
+    def question(self, now):
+        """Return the message that asks an instance how far it is."""
+        return self._progress(now, asks=True)
+
     def _progress(self, now, asks=False):
         core = self._core
         return messages.Progress(
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -4,8 +4,10 @@
 them: the reducer is handed the present time beside each event.
 """
 
+from .config import InForceAsked
 from .config import LogSynced
 from .config import StorageFailed
+from .config import VoterChangeAsked
 from .config import WriteSubmitted
 from .peers import Left
 from .peers import PeerMessageReceived
@@ -30,6 +32,7 @@
     "DayBegan",
     "FirstOutput",
     "Left",
+    "InForceAsked",
     "LogSynced",
     "NotBegun",
     "PeerMessageReceived",
@@ -37,5 +40,6 @@
     "Started",
     "StorageFailed",
     "UsageLoaded",
+    "VoterChangeAsked",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/events/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/config.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ..coordination import quorum_log_voters as voters
 from ..resources import changes
 
 
@@ -25,3 +26,19 @@
     """A write or sync failed; what the disk holds is not known."""
 
     detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class VoterChangeAsked:
+    """An operator wants a keeper added or removed."""
+
+    request_id: str
+    action: voters.VoterAction
+    name: str
+
+
+@dataclasses.dataclass(slots=True)
+class InForceAsked:
+    """An operator wants to know which instances are at ``version``."""
+
+    version: int
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -26,6 +26,7 @@
     DRAINING = "instance_draining"
     SERVER_FAILED = "backend_server_failed"
     NO_QUORUM = "no_quorum"
+    NO_CONFIGURATION = "no_configuration"
     KEY_REUSED = "idempotency_key_reused"
     ANSWER_GONE = "answer_no_longer_held"
     CALLER_GONE = "caller_gone"
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -122,5 +122,7 @@
     def in_force(self, version):
         """Tell whether every instance has applied ``version``."""
         return all(
-            item.host.state.store.version >= version for item in self.instances
+            item.host.state.log.ready
+            and item.host.state.store.version >= version
+            for item in self.instances
         )
