--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
@@ -9,8 +9,12 @@
 import dandeliontrail
 
 SECONDS = 15.0
+# A watch sends a line every ten seconds at the least; a connection silent
+# for longer than two of them is dead.
+WATCH_SILENCE = 25.0
 ROOT = "/apis/v1/"
 CONFLICT = 409
+FAILURES = (OSError, geventhttpclient.response.HTTPParseError)
 
 
 class ApiError(dandeliontrail.DandeliontrailError):
@@ -53,16 +57,41 @@
         body = msgspec.json.encode({"spec": spec})
         return self._call("PUT", (kind, name), body, _options(options))
 
-    def post(self, *words):
-        """Ask for an action."""
-        return self._call("POST", words, b"", {})
+    def post(self, *words, body=b"", **options):
+        """Ask for an action; a query may follow the last word."""
+        return self._call("POST", words, body, _options(options))
+
+    def watch(self, words, version):
+        """Yield each line of a watch from ``version`` on, decoded.
+
+        It ends where the connection does; the caller goes on from the
+        version of the last line.
+        """
+        path = ROOT + "/".join(urllib.parse.quote(word) for word in words)
+        client = geventhttpclient.HTTPClient.from_url(
+            url_module.URL(self.url), network_timeout=WATCH_SILENCE
+        )
+        try:
+            response = client.get(
+                f"{path}?watch=true&from={version}", self._headers
+            )
+            if response.status_code >= 400:
+                raise _error(response.status_code, response.read())
+            while line := response.readline(b"\n"):
+                yield msgspec.json.decode(line)
+        except FAILURES as exc:
+            raise _no_answer(self.url, exc)
+        finally:
+            client.close()
 
     def delete(self, kind, name, **options):
         """Delete one object."""
         return self._call("DELETE", (kind, name), b"", _options(options))
 
     def _call(self, method, words, body, headers):
-        path = ROOT + "/".join(urllib.parse.quote(word) for word in words)
+        path = ROOT + "/".join(
+            urllib.parse.quote(word, safe="?=") for word in words
+        )
         client = geventhttpclient.HTTPClient.from_url(
             url_module.URL(self.url), network_timeout=SECONDS
         )
@@ -71,12 +100,8 @@
                 method, path, body, {**self._headers, **headers}
             )
             text = response.read()
-        except (OSError, geventhttpclient.response.HTTPParseError) as exc:
-            raise ApiError(
-                0,
-                f"{self.url} does not answer: {exc}.",
-                "check --server, or name another instance",
-            )
+        except FAILURES as exc:
+            raise _no_answer(self.url, exc)
         finally:
             client.close()
         if response.status_code >= 400:
@@ -84,6 +109,14 @@
         return msgspec.json.decode(text)
 
 
+def _no_answer(url, exc):
+    return ApiError(
+        0,
+        f"{url} does not answer: {exc}.",
+        "check --server, or name another instance",
+    )
+
+
 def _options(options):
     headers = {}
     if options.get("if_match") is not None:
--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/main.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/main.py
@@ -17,8 +17,10 @@
 from . import jsonlog  # noqa: E402
 from .commands import changing  # noqa: E402
 from .commands import drain  # noqa: E402
+from .commands import keepers  # noqa: E402
 from .commands import objects  # noqa: E402
 from .commands import overview  # noqa: E402
+from .commands import watching  # noqa: E402
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -32,7 +34,7 @@
     version=__version__,
     help="Declare and watch objects of dandeliontrail, and see how it does.",
 )
-for module in (changing, objects, overview, drain):
+for module in (changing, watching, objects, overview, drain, keepers):
     module.register(app)
 
 
