Name the leader first-hand only; found and elect at once

Cause: cut off from the majority, an instance without a disk and a keeper kept telling each other of the lost leader, so a write was sent into the void and called 504 unknown although nobody could have taken it. Change: only a keeper that hears the leader names it. The first founder stands for election at once. The state machine delays messages and sees writes to a leader that is then isolated or crashed.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -321,12 +321,19 @@
         return self._progress(now, asks=True)
 
     def _progress(self, now, asks=False):
+        """Return how far this instance is.
+
+        Only a keeper that hears the leader itself names it.  Were hearsay
+        passed on, two instances that are cut off would tell each other of
+        the lost leader for good, send it writes, and call them unknown
+        that were never sent.
+        """
         core = self._core
         return messages.Progress(
             core.log_id,
             core.commit,
             self._freshness.confirmed_ago(now),
-            self.leader(now),
+            core.leader if core.is_voter() else "",
             asks,
         )
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_election.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_election.py
@@ -18,6 +18,8 @@
 HEARTBEAT = 0.2
 SHORTEST_TIMEOUT = 1.0
 TIMEOUT_SPREAD = 1.0
+# Enough for the other founders to learn that they are.
+FOUNDER_WAITS = 0.3
 
 
 class Election:
@@ -34,13 +36,20 @@
         spread = self._core.rng.random() * TIMEOUT_SPREAD
         self._deadline = now + SHORTEST_TIMEOUT + spread
 
+    def _begin(self, now):
+        """Wait for a leader; of a new log, one founder stands at once."""
+        self.restart(now)
+        log = self._core.log
+        if log.last_index == 0 and log.voters[0] == self._core.me:
+            self._deadline = now + FOUNDER_WAITS
+
     def tick(self, now):
         """Stand for election where no leader was heard for long."""
         core = self._core
         if not core.is_voter() or core.role is Role.LEADER:
             return
         if self._deadline is None:
-            self.restart(now)
+            self._begin(now)
         # A lone voter has nobody to wait for; once a candidate, it waits
         # for its disk like any other.
         waiting = core.role is Role.CANDIDATE or core.other_voters()
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_founding.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_founding.py
@@ -78,6 +78,9 @@
         if message.log_id:
             self._join(message)
             return
+        if self.folders.get(source.instance) != message.folder:
+            # It may not have heard of this one's folder yet.
+            core.send(source.instance, self.greeting())
         self.folders[source.instance] = message.folder
         self._maybe_found()
 
--- a/tests/common/quorum_machine.py
+++ b/tests/common/quorum_machine.py
@@ -42,9 +42,10 @@
     @stateful.initialize(
         seed=st.integers(0, 2**32),
         loss=st.sampled_from([0.0, 0.1, 0.3]),
+        delay=st.sampled_from([0.0, 0.5, 0.8]),
         slow_disk=st.sampled_from([0.0, 0.5, 0.95]),
     )
-    def begin(self, seed, loss, slow_disk):
+    def begin(self, seed, loss, delay, slow_disk):
         # Checkpoints after a handful of entries, so that short runs have
         # many of them.
         quorum_log_core.CHECKPOINT_ENTRIES = 6
@@ -52,6 +53,7 @@
         self.world = quorum_world.QuorumWorld(random.Random(seed))
         self.world.run_until(self.world.leader)
         self.world.loss = loss
+        self.world.delay = delay
         self.world.slow_disk = slow_disk
 
     def teardown(self):
@@ -102,6 +104,30 @@
     def partition(self, sides):
         self.world.partition(dict(zip(self.world.names, sides)))
 
+    @stateful.rule(
+        pools=st.lists(st.sampled_from(POOLS), min_size=1, max_size=4),
+        then=st.sampled_from(["nothing", "isolate", "crash", "split"]),
+        data=st.data(),
+    )
+    def write_to_leader(self, pools, then, data):
+        """Writes that the leader may or may not get to the others."""
+        leader = self.world.leader()
+        if not leader:
+            return
+        for pool in pools:
+            self.count += 1
+            change = put(f"op{self.count}", pool, self.count, None)
+            self.writes[change.operation_id] = change
+            self.world.propose(leader, change)
+        if then == "crash":
+            self.world.crash(leader)
+        elif then == "isolate":
+            self.world.partition({leader: 1})
+        elif then == "split":
+            others = sorted(set(self.world.disks) - {leader})
+            friend = data.draw(st.sampled_from(others))
+            self.world.partition({leader: 1, friend: 1})
+
     @stateful.rule()
     def heal(self):
         self.world.partition({})
@@ -151,6 +177,7 @@
         world = self.world
         world.partition({})
         world.loss = 0.0
+        world.delay = 0.0
         world.slow_disk = 0.0
         for name in world.names:
             if name not in world.nodes:
--- a/tests/common/quorum_world.py
+++ b/tests/common/quorum_world.py
@@ -122,6 +122,7 @@
         self.proposed = collections.Counter()
         self.loss = 0.0
         self.slow_disk = 0.0
+        self.delay = 0.0
         for name in self.names:
             self.start(name)
 
@@ -256,11 +257,14 @@
 
     def _deliver(self):
         batch, self.flying = self.flying, []
-        if self.loss:
+        if self.loss or self.delay:
             self.rng.shuffle(batch)
         for source, target, body in batch:
             if not self.connected(source, target):
                 continue
+            if self.rng.random() < self.delay:
+                self.flying.append((source, target, body))
+                continue
             chance = self.rng.random()
             if chance < self.loss:
                 continue
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -32,10 +32,13 @@
         gevent.sleep(0.01)
 
 
-def make_settings(name, domain="fd1", peers=(), keeper="", **limits):
+def make_settings(
+    name, domain="fd1", peers=(), keeper="", first=(FIRST,), **limits
+):
     """Return the settings of an instance on free ports of loopback.
 
-    ``keeper`` is the folder of the one keeper, ``i1`` everywhere.
+    ``keeper`` is its folder where it has one, ``first`` names the first
+    keepers.
     """
     return settings.Settings(
         instance=name,
@@ -44,7 +47,7 @@
         listen=settings.Listen(*["127.0.0.1:0"] * len(LISTENERS)),
         peers=list(peers),
         keeper=settings.Keeper(keeper) if keeper else None,
-        bootstrap_keepers=[FIRST],
+        bootstrap_keepers=list(first),
         credentials=settings.Credentials(open=list(LISTENERS[1:])),
         limits=settings.LimitSettings(**limits),
     )
@@ -53,8 +56,11 @@
 class World:
     """Instances and engines that are closed with the test."""
 
-    def __init__(self):
+    def __init__(self, keepers=(FIRST,)):
         self._stack = contextlib.ExitStack()
+        self._keepers = keepers
+        self._folders = {}
+        self._closers = {}
         self.instances = []
         self.engines = []
 
@@ -65,19 +71,36 @@
         return self._stack.__exit__(*exc_info)
 
     def instance(self, name, domain="fd1", **limits):
-        """Start an instance that knows those started before."""
+        """Start an instance that knows those started before.
+
+        One that was stopped starts again from its folder.
+        """
         limits.setdefault("drain_notice_seconds", 0.0)
         peers = [item.addresses["peers"] for item in self.instances]
-        keeper = ""
-        if name == FIRST:
-            keeper = self._stack.enter_context(tempfile.TemporaryDirectory())
-        cfg = make_settings(name, domain, peers, keeper, **limits)
+        cfg = make_settings(
+            name, domain, peers, self._folder(name), self._keepers, **limits
+        )
         logger = logging.getLogger(f"test.{name}")
         started = instance.Instance(cfg, logger)
-        self._stack.enter_context(started)
+        closer = self._stack.enter_context(contextlib.ExitStack())
+        closer.enter_context(started)
+        self._closers[name] = closer
         self.instances.append(started)
         return started
 
+    def _folder(self, name):
+        if name not in self._keepers:
+            return ""
+        if name not in self._folders:
+            folder = tempfile.TemporaryDirectory()
+            self._folders[name] = self._stack.enter_context(folder)
+        return self._folders[name]
+
+    def stop(self, started):
+        """Stop an instance; its folder stays."""
+        self.instances.remove(started)
+        self._closers.pop(started.host.state.identity.instance).close()
+
     def engine(self, name, domain="fd1", slots=8, step=0.002, announce=True):
         """Start an engine that announces itself to all instances in turn."""
         pace = batch.Pace(step=step, step_per_stream=0.0, prefill=0.0)
