Orders to engines under a lease, with fencing and a weight-store budget

Cause: nothing ordered models; two instances that each thought themselves responsible would have loaded and dropped against each other.

Change: LeaseRequest entries of the quorum log name one holder for each failure domain, fenced by the log position; the holder counts from before it asked, a successor waits out the lease and the longest order for engines that do not check. A pure plan compares placements with reports; download slots come from the log too. A prefix index of fixed size follows cache events. Stand-in engines obey orders, of both kinds.

Figures: test_order_leases fails when the successor's wait is shortened below the lease, when the longest order is left out, when the lease counts from the answer, and when it never ends.

Conclusion: the lease needs no clock in the log and no traffic when idle.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from . import batch
+from . import loading
 
 ANNOUNCE_SECONDS = 1.0
 ANNOUNCE_TIMEOUT = 1.0
@@ -30,10 +31,10 @@
 class Engine:
     """Batches, streams, honours priority, cancels and resumes."""
 
-    def __init__(self, name, failure_domain, models, slots, pace):
+    def __init__(self, name, failure_domain, models, slots, pace, desk=None):
         self.name = name
         self.failure_domain = failure_domain
-        self.models = models
+        self.desk = desk or loading.OrderDesk(models)
         self.batch = batch.Batch(slots, pace)
         self.leaving = False
         self.epoch = 1
@@ -65,6 +66,9 @@
         path = environ["PATH_INFO"]
         if path in ("/health", "/load"):
             return _json(start_response, "200 OK", self._load())
+        if path == "/v1/orders":
+            status, answer = self.desk.take(environ["wsgi.input"].read())
+            return _json(start_response, status, answer)
         found = re.fullmatch(r"/v1/streams/([^/]+)", path)
         if found and method == "DELETE":
             known = self.batch.cancel(found[1])
@@ -126,7 +130,6 @@
 
     def announcement(self, sequence):
         """Return what the engine says of itself."""
-        models = [{"name": name, "version": "1"} for name in self.models]
         return {
             "backend_server": self.name,
             "epoch": self.epoch,
@@ -134,7 +137,9 @@
             "kind": "model_engine",
             "url": self.url,
             "failure_domain": self.failure_domain,
-            "models": models,
+            "models": self.desk.models,
+            "role": self.desk.role,
+            "checks_fencing": self.desk.checks_fencing,
             "slots": self.batch.slots,
             "kv_tokens": 100_000,
             "load": self._load(),
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -11,6 +11,8 @@
 from dandeliontrail import effects
 from dandeliontrail import events
 
+from . import order_client
+
 # The reducer's timers are in tenths of a second and above.
 TICK = 0.1
 
@@ -28,6 +30,9 @@
         self._exchanges = {}
         self._writes = {}
         self._disk = None
+        self._order_client = order_client.OrderClient(
+            reducer.state.orders.lease, clock, self.submit
+        )
         self._queue = collections.deque()
         self._busy = False
         self._carry_out = {
@@ -35,6 +40,7 @@
             effects.Refuse: self._to_exchange,
             effects.Finish: self._to_exchange,
             effects.Cancel: self._cancel,
+            effects.GiveOrder: self._give_order,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
             effects.AppendLog: self._write_log,
@@ -135,6 +141,9 @@
     def _cancel(self, effect):
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
+    def _give_order(self, effect):
+        gevent.spawn(self._order_client.give, effect)
+
     def _send_peer(self, effect):
         self._peer_link.send(effect.address, effect.message)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
@@ -38,20 +38,29 @@
                 "The token is not in backend_tokens_file.",
                 "send Authorization: Bearer with a registered token",
             )
-        if environ["PATH_INFO"] != "/v1/announcements":
-            raise wsgi.not_found(environ["PATH_INFO"])
-        return self._announce(environ, start_response)
+        if environ["PATH_INFO"] == "/v1/announcements":
+            return self._announce(environ, start_response)
+        if environ["PATH_INFO"] == "/v1/cache-events":
+            return self._cache_events(environ, start_response)
+        raise wsgi.not_found(environ["PATH_INFO"])
+
+    def _cache_events(self, environ, start_response):
+        batch = _read(environ, announcements.CacheEvents)
+        self._host.submit(events.CacheChanged(batch))
+        return wsgi.reply_json(start_response, {"accepted": True})
 
     def _announce(self, environ, start_response):
-        body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
-        try:
-            announcement = msgspec.json.decode(
-                body, type=announcements.Announcement
-            )
-        except msgspec.DecodeError as exc:
-            raise wsgi.Problem(
-                400, "malformed", f"{exc}.", "correct the field named"
-            )
+        announcement = _read(environ, announcements.Announcement)
         self._host.submit(events.Announced(announcement))
         lease = min(announcement.lease, servers.LONGEST_LEASE)
         return wsgi.reply_json(start_response, Accepted(lease))
+
+
+def _read(environ, kind):
+    body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise wsgi.Problem(
+            400, "malformed", f"{exc}.", "correct the field named"
+        )
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -7,6 +7,7 @@
 from dandeliontrail.resources import checks
 
 from .. import wsgi
+from . import placement_status
 
 
 class InForce(msgspec.Struct):
@@ -133,12 +134,13 @@
 
 def _object(host, resource):
     in_force = _in_force(host, resource.version)
+    found = placement_status.conditions(host.state, resource)
     return Object(
         resource.kind.value,
         resource.name,
         resource.version,
         resource.spec,
-        Status(["Accepted"], in_force),
+        Status(["Accepted", *found], in_force),
     )
 
 
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/orders_state.py
@@ -0,0 +1,85 @@
+"""What is known about orders to engines, and the log entries behind it."""
+
+import dataclasses
+
+import msgspec
+
+from ..coordination import downloads
+from ..coordination import leases
+from ..coordination import quorum_log_machine as machine
+from ..decisions import prefix_index
+
+
+class LeaseApplier(machine.Applier):
+    """Applies lease requests."""
+
+    result_type = leases.LeaseResult
+
+    def __init__(self, table):
+        self._table = table
+
+    def apply(self, version, entry):
+        """Apply one request."""
+        return self._table.apply(version, entry)
+
+    def dump(self):
+        """Return all holdings as JSON."""
+        return msgspec.json.encode(self._table.snapshot())
+
+    def load(self, state):
+        """Take over all holdings."""
+        self._table.restore(msgspec.json.decode(state))
+
+
+class DownloadApplier(machine.Applier):
+    """Applies requests for download slots and their return."""
+
+    result_type = downloads.DownloadResult
+
+    def __init__(self, table):
+        self._table = table
+
+    def apply(self, version, entry):
+        """Apply one entry."""
+        return self._table.apply(version, entry)
+
+    def dump(self):
+        """Return the table as JSON."""
+        return msgspec.json.encode(self._table.snapshot())
+
+    def load(self, state):
+        """Take over the table."""
+        self._table.restore(msgspec.json.decode(state))
+
+
+@dataclasses.dataclass(slots=True)
+class OrdersState:
+    """Owned by the orders component; others only read it.
+
+    ``attainment`` counts, by ``(model, version)``, how often the requests
+    that this instance relayed met their class's targets; the request
+    component fills it in.
+    """
+
+    lease: leases.LeaseHolder
+    leases: leases.LeaseTable
+    downloads: downloads.DownloadTable
+    prefixes: prefix_index.PrefixIndex
+    reports: dict = dataclasses.field(default_factory=dict)
+    attainment: dict = dataclasses.field(default_factory=dict)
+
+
+def new_orders_state(identity):
+    """Return the state of an instance that has seen nothing yet."""
+    return OrdersState(
+        leases.LeaseHolder(identity),
+        leases.LeaseTable(),
+        downloads.DownloadTable(),
+        prefix_index.PrefixIndex(),
+    )
+
+
+def register(log, state):
+    """Have the log's lease and download entries applied to ``state``."""
+    log.register(leases.LeaseRequest, LeaseApplier(state.leases))
+    log.register(downloads.DownloadEntry, DownloadApplier(state.downloads))
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/placements.py
@@ -0,0 +1,110 @@
+"""What the declared placements mean for one failure domain."""
+
+from ..decisions import directory as directory_module
+from ..decisions import model_orders
+from ..resources import specs
+
+MODEL_ENGINE = "model_engine"
+PROTECTED_PRIORITY = 0
+
+
+def local_engines(state, now):
+    """Return the announcements of this failure domain's serving engines."""
+    domain = state.identity.failure_domain
+    return {
+        server.announcement.backend_server: server.announcement
+        for server in state.registry.serving(now)
+        if server.announcement.kind == MODEL_ENGINE
+        and server.announcement.failure_domain == domain
+    }
+
+
+def wanted(state, engines, used_models):
+    """Return each placement with the engines that may hold its copies."""
+    placements = state.store.objects[specs.Kind.MODEL_PLACEMENTS]
+    return [
+        model_orders.Wanted(
+            name,
+            placements[name].spec,
+            _allowed(state, placements[name].spec, engines),
+            _is_protected(state, placements[name].spec),
+            _in_use(placements[name].spec.model, engines, used_models),
+        )
+        for name in sorted(placements)
+    ]
+
+
+def _allowed(state, spec, engines):
+    pool = state.store.spec(specs.Kind.BACKEND_POOLS, spec.pool)
+    if pool is None:
+        return sorted(engines)
+    # A pool that selects by model would never contain the engine that is
+    # to load it, so that only its other fields count here.
+    select = specs.Select(
+        pool.select.kind,
+        "",
+        pool.select.service,
+        pool.select.failure_domain,
+        pool.select.backend_servers,
+    )
+    return [
+        name
+        for name in sorted(engines)
+        if directory_module.pool_has(select, engines[name])
+    ]
+
+
+def _is_protected(state, spec):
+    """Tell whether a class of the highest priority uses the placement."""
+    classes = state.store.objects[specs.Kind.REQUEST_CLASSES]
+    return any(
+        resource.spec.priority == PROTECTED_PRIORITY
+        and (not spec.pool or spec.pool in resource.spec.pools)
+        for resource in classes.values()
+    )
+
+
+def _in_use(model, engines, used_models):
+    """Tell whether anybody asks for a model.
+
+    Other instances' requests are seen through the engines' own reports: an
+    engine at work that holds the model may be at work on it.
+    """
+    if model in used_models:
+        return True
+    return any(
+        announcement.load.running + announcement.load.waiting > 0
+        for announcement in engines.values()
+        if model_orders.holds(announcement, model, "")
+    )
+
+
+def checks_fencing(state, announcement):
+    """Tell whether an engine refuses orders with an old fencing number.
+
+    What the operators say of its pools goes before its own word.
+    """
+    pools = state.store.objects[specs.Kind.BACKEND_POOLS]
+    said = [
+        resource.spec.checks_fencing
+        for resource in pools.values()
+        if resource.spec.checks_fencing is not None
+        and directory_module.pool_has(resource.spec.select, announcement)
+    ]
+    if said:
+        # Pools that disagree are taken at the cautious word.
+        return all(said)
+    return announcement.checks_fencing
+
+
+def is_seen(order, engines):
+    """Tell whether the engine reports what ``order`` asked for."""
+    announcement = engines.get(order.server)
+    if announcement is None:
+        return False
+    if order.kind is model_orders.OrderKind.ROLE:
+        return announcement.role == order.role
+    held = model_orders.holds(
+        announcement, order.model, order.version, order.adapter
+    )
+    return held == (order.kind is model_orders.OrderKind.LOAD)
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -12,6 +12,7 @@
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
+from . import orders_state
 from ..resources import store
 
 
@@ -32,7 +33,8 @@
 
     Owners: ``store`` and ``log`` the configuration component,
     ``registry`` the server component, ``members`` the membership
-    component, ``usage`` the request component.
+    component, ``usage`` the request component, ``orders`` the orders
+    component.
     """
 
     identity: Identity
@@ -43,6 +45,7 @@
     usage: usage.UsageLedger
     directory: directory.Directory
     log: quorum_log.QuorumLog
+    orders: orders_state.OrdersState
     draining: bool = False
 
 
@@ -71,4 +74,5 @@
         usage.UsageLedger(),
         directory.Directory(registry, objects),
         log,
+        orders_state.new_orders_state(identity),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -5,12 +5,16 @@
 import msgspec
 
 from . import messages
+from . import order_reports
 from . import quorum_log_messages
+from ..resources import announcements
 from . import servers
 
 ALL = (
     messages.Hello,
     servers.ServerRecords,
+    order_reports.OrdersReport,
+    announcements.CacheEvents,
     *quorum_log_messages.ALL,
 )
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from .. import invariants
+from . import downloads
+from . import leases
 from ..resources import changes
 
 
@@ -35,7 +37,13 @@
     voters: list[Voter]
 
 
-ALL = (NoOp, VoterChange, changes.Change)
+ALL = (
+    NoOp,
+    VoterChange,
+    changes.Change,
+    downloads.DownloadEntry,
+    leases.LeaseRequest,
+)
 
 Body = typing.Union[ALL]
 
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -3,6 +3,7 @@
 from .config import AppendLog
 from .config import ReplaceLog
 from .config import WriteAnswered
+from .orders import GiveOrder
 from .peers import SendPeer
 from .reports import Log
 from .reports import Measure
@@ -16,6 +17,7 @@
     "Cancel",
     "Dispatch",
     "Finish",
+    "GiveOrder",
     "Log",
     "Measure",
     "Refuse",
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/orders.py
@@ -0,0 +1,19 @@
+"""Effects that go to engines as orders."""
+
+import dataclasses
+
+from ..decisions import model_orders
+
+
+@dataclasses.dataclass(slots=True)
+class GiveOrder:
+    """Send ``order`` to the engine at ``url``.
+
+    Whoever carries it out asks ``LeaseHolder.may_order`` once more after
+    the connection stands, right before the first byte.
+    """
+
+    order: model_orders.Order
+    url: str
+    fencing: int
+    checks_fencing: bool
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -7,6 +7,9 @@
 from .config import LogSynced
 from .config import StorageFailed
 from .config import WriteSubmitted
+from .orders import CacheChanged
+from .orders import OrderAnswer
+from .orders import OrderAnswered
 from .peers import PeerMessageReceived
 from .peers import Started
 from .requests import AnswerFinished
@@ -23,10 +26,13 @@
     "AnswerFinished",
     "AttemptBegan",
     "AttemptFailed",
+    "CacheChanged",
     "CallerGone",
     "FirstOutput",
     "LogSynced",
     "NotBegun",
+    "OrderAnswer",
+    "OrderAnswered",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -9,8 +9,10 @@
 
 from . import events
 from .components import backend_servers
+from .components import caches
 from .components import configuration
 from .components import members
+from .components import orders
 from .components import requests
 from .components import state as state_module
 from .decisions import baselines
@@ -84,6 +86,8 @@
         backend_servers.BackendServers(state, chosen),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
+        orders.Orders(state),
+        caches.Caches(state),
     ]
     # Every applier is registered by now, as the replay needs them all.
     state.log.open()
--- a/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
@@ -1,5 +1,7 @@
 """What a backend server says of itself, as it crosses the wire."""
 
+import typing
+
 import msgspec
 
 
@@ -46,3 +48,27 @@
     def order(self):
         """Return the pair by which a newer announcement is told."""
         return (self.epoch, self.sequence)
+
+
+class CacheEvent(msgspec.Struct):
+    """One change of an engine's prefix cache.
+
+    ``kind`` is ``stored``, ``removed`` or ``cleared``.
+    """
+
+    kind: typing.Literal["stored", "removed", "cleared"]
+    prefix_hash: str = ""
+    tokens: int = 0
+
+
+class CacheEvents(msgspec.Struct, tag="cache_events"):
+    """A batch of cache events, in the order of their sequence numbers.
+
+    They come late, repeated and with gaps; ``first_sequence`` is that of
+    the first event here.
+    """
+
+    backend_server: str
+    epoch: int
+    first_sequence: int
+    events: list[CacheEvent]
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -78,10 +78,18 @@
         self.instances.append(started)
         return started
 
-    def engine(self, name, domain="fd1", slots=8, step=0.002, announce=True):
+    def engine(
+        self,
+        name,
+        domain="fd1",
+        slots=8,
+        step=0.002,
+        announce=True,
+        desk=None,
+    ):
         """Start an engine that announces itself to all instances in turn."""
         pace = batch.Pace(step=step, step_per_stream=0.0, prefill=0.0)
-        served = engine.Engine(name, domain, ["small"], slots, pace)
+        served = engine.Engine(name, domain, ["small"], slots, pace, desk)
         served.start()
         self._stack.callback(served.stop)
         self.engines.append(served)
--- /dev/null
+++ b/tests/cover/test_order_leases.py
@@ -0,0 +1,276 @@
+"""Only one instance at a time gives orders to a failure domain's engines."""
+
+import dataclasses
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
+import pytest
+
+import dandeliontrail
+from dandeliontrail.coordination import downloads
+from dandeliontrail.coordination import leases
+
+ARRIVES = "arrives"
+LATE = "late"
+LOST = "lost"
+FATES = (ARRIVES, ARRIVES, ARRIVES, LATE, LOST)
+RATES = (1.005, 0.995)
+# How much of the longest time an order may be under way it takes.
+DELAYS = (0.0, 0.99)
+TICK = 0.25
+TICKS = tuple(int(part * leases.LEASE / TICK) for part in (0.1, 0.45, 1, 1.3))
+
+
+@dataclasses.dataclass
+class Instance:
+    """An instance with a clock of its own offset and rate."""
+
+    name: str
+    index: int
+    offset: float
+    rate: float
+    incarnation: int = 1
+    holder: leases.LeaseHolder = None
+
+    def restart(self):
+        self.incarnation += 1
+        self.start()
+
+    def start(self):
+        identity = dandeliontrail.Identity(
+            self.name, "fd1", "r1", self.incarnation
+        )
+        self.holder = leases.LeaseHolder(identity)
+
+    def now(self, real):
+        return self.offset + self.rate * real
+
+
+@dataclasses.dataclass
+class InFlight:
+    """A log request, or its answer, between two processes."""
+
+    instance: Instance
+    holder: leases.LeaseHolder
+    content: object
+
+
+class OrdersDoNotInterleave(stateful.RuleBasedStateMachine):
+    """Two order givers load and unload the same engine against each other.
+
+    What a user sees: copies of a model come and go without end.  Cause: a
+    holder that was paused, cut off or slow goes on after its successor
+    began.  The engine here checks nothing, so only the waits protect it;
+    clocks run at rates up to 1% apart, answers are lost or late.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.real = 0.0
+        self.version = 0
+        self.table = leases.LeaseTable()
+        self.requests = []
+        self.answers = []
+        self.orders = []
+        self.highest = 0
+        self.instances = [
+            Instance(f"i{index}", index, index * 100.0, rate)
+            for index, rate in enumerate(RATES)
+        ]
+        for instance in self.instances:
+            instance.start()
+
+    which = st.integers(0, len(RATES) - 1)
+    any_index = st.integers(0, 7)
+
+    @stateful.rule(
+        ticks=st.sampled_from(TICKS),
+        delays=st.tuples(*[st.sampled_from(DELAYS)] * len(RATES)),
+    )
+    def time_passes(self, ticks, delays):
+        """Let everyone order as long as it may, each with its delay."""
+        for _ in range(ticks):
+            self.real += TICK
+            for instance, delay in zip(self.instances, delays, strict=True):
+                self.renew(instance)
+                self.send_order(instance, delay)
+            self.deliver_orders()
+
+    def renew(self, instance):
+        """Renew as a holder with work does, while the log answers it."""
+        holder = instance.holder
+        if holder.grant and holder.renewal_due(instance.now(self.real)):
+            self.ask(instance.index, ARRIVES)
+
+    def send_order(self, instance, delay):
+        if not instance.holder.may_order(False, instance.now(self.real)):
+            return
+        at = self.real + delay * leases.LONGEST_ORDER / instance.rate
+        self.orders.append((at, instance.holder.grant.fencing))
+
+    def deliver_orders(self):
+        due = sorted(item for item in self.orders if item[0] <= self.real)
+        self.orders = [item for item in self.orders if item[0] > self.real]
+        for _, fencing in due:
+            assert fencing >= self.highest, "orders of two holders mixed"
+            self.highest = fencing
+
+    @stateful.rule(index=which, fate=st.sampled_from(FATES))
+    def ask(self, index, fate):
+        instance = self.instances[index]
+        if instance.holder.asking():
+            return
+        now = instance.now(self.real)
+        present = self.table.holding("fd1")
+        item = InFlight(
+            instance, instance.holder, instance.holder.ask(present, now)
+        )
+        if fate == LATE:
+            self.requests.append(item)
+        else:
+            self.commit(item, fate)
+            self.answer(item)
+
+    def commit(self, item, fate):
+        self.version += 1
+        result = self.table.apply(self.version, item.content)
+        item.content = None if fate == LOST else result
+
+    def answer(self, item):
+        item.holder.answered(item.content, item.instance.now(self.real))
+
+    @stateful.rule(index=any_index, fate=st.sampled_from(FATES))
+    def late_message_arrives(self, index, fate):
+        late = self.requests + self.answers
+        if not late:
+            return
+        item = late[index % len(late)]
+        if item in self.answers:
+            self.answers.remove(item)
+            self.answer(item)
+            return
+        self.requests.remove(item)
+        self.commit(item, fate)
+        if fate == LATE:
+            self.answers.append(item)
+        else:
+            self.answer(item)
+
+    @stateful.rule(index=which)
+    def restart(self, index):
+        self.instances[index].restart()
+
+
+OrdersDoNotInterleave.TestCase.settings = hypothesis.settings(
+    max_examples=500, stateful_step_count=30
+)
+TestOrdersDoNotInterleave = OrdersDoNotInterleave.TestCase
+
+
+def make_holder(name):
+    identity = dandeliontrail.Identity(name, "fd1", "r1", 1)
+    return leases.LeaseHolder(identity)
+
+
+def test_successor_waits_for_an_engine_that_does_not_check():
+    # The holder is lost with an order under way.  Its successor must not
+    # order an engine that obeys everybody until that order has arrived;
+    # an engine that checks may be ordered at once.
+    table = leases.LeaseTable()
+    first = make_holder("i1")
+    first.answered(table.apply(1, first.ask(table.holding("fd1"), 0.0)), 0.0)
+    second = make_holder("i2")
+    request = second.ask(table.holding("fd1"), 10.0)
+    second.answered(table.apply(2, request), 10.0)
+    assert second.may_order(True, 10.1)
+    assert not second.may_order(False, 10.1)
+    # Renewals keep the lease but do not prolong the wait.
+    for now in (15.0, 25.0, 34.0):
+        request = second.ask(table.holding("fd1"), now)
+        second.answered(table.apply(int(now), request), now)
+    assert second.grant.fencing == 2
+    just_after_the_old_lease = 10.0 + leases.LEASE * 1.02
+    assert not second.may_order(False, just_after_the_old_lease)
+    assert second.may_order(False, 36.0)
+    first.superseded(table.holding("fd1"))
+    assert not first.may_order(True, 10.1)
+
+
+def test_lease_counts_from_before_it_was_asked_for():
+    # The log's answer reaches the holder after 15 of its 20 seconds.  A
+    # successor may have been granted right after it, and waits from then
+    # on: the holder must stop at 20, not at 35.
+    table = leases.LeaseTable()
+    holder = make_holder("i1")
+    request = holder.ask(table.holding("fd1"), 0.0)
+    holder.answered(table.apply(1, request), 15.0)
+    assert holder.may_order(True, 19.0)
+    assert not holder.may_order(True, leases.LEASE)
+
+
+def test_log_grants_one_of_two_that_replace_the_same_holder():
+    table = leases.LeaseTable()
+    one = make_holder("i1").ask(table.holding("fd1"), 0.0)
+    two = make_holder("i2").ask(table.holding("fd1"), 0.0)
+    assert table.apply(1, one).granted
+    refused = table.apply(2, two)
+    assert not refused.granted
+    assert refused.holding.holder == "i1"
+
+
+def request_slot(order, protected=False, fencing=1, domain="fd1"):
+    step = downloads.DownloadStep.ASK
+    return downloads.DownloadEntry(step, domain, fencing, order, 2, protected)
+
+
+def give_back(order, fencing=1):
+    step = downloads.DownloadStep.DONE
+    return downloads.DownloadEntry(step, "fd1", fencing, order)
+
+
+def test_protected_models_are_downloaded_first():
+    # A failure domain returns with all engines cold.  The review model's
+    # loads are asked for first; the lookup model must not wait for them.
+    table = downloads.DownloadTable()
+    granted = [
+        table.apply(1, request_slot(f"review{number}")).granted
+        for number in range(4)
+    ]
+    assert granted == [True, True, False, False]
+    lookup = request_slot("lookup", protected=True)
+    assert not table.apply(2, lookup).granted
+    table.apply(3, give_back("review0"))
+    assert not table.apply(4, request_slot("review2")).granted
+    assert table.apply(5, lookup).granted
+
+
+def test_successor_finds_the_slots_of_a_lost_holder():
+    table = downloads.DownloadTable()
+    table.apply(1, request_slot("a"))
+    table.apply(2, request_slot("b"))
+    table.apply(3, request_slot("c"))
+    # The successor asks with a larger fencing number: the place of "c" is
+    # gone with the holder that stood there, the running loads are not.
+    later = request_slot("d", fencing=9)
+    assert not table.apply(4, later).granted
+    assert {slot.order for slot in table.held_by("fd1")} == {"a", "b"}
+    table.apply(5, give_back("a", fencing=9))
+    assert table.apply(6, later).granted
+
+
+def test_budget_holds_after_a_checkpoint():
+    table = downloads.DownloadTable()
+    table.apply(1, request_slot("a"))
+    table.apply(2, request_slot("b"))
+    other = downloads.DownloadTable()
+    other.restore(table.snapshot())
+    assert not other.apply(3, request_slot("c")).granted
+
+
+def test_fencing_number_never_falls():
+    table = leases.LeaseTable()
+    table.apply(7, make_holder("i1").ask(table.holding("fd1"), 0.0))
+    stale = make_holder("i2").ask(table.holding("fd1"), 0.0)
+    with pytest.raises(dandeliontrail.InvariantBroken):
+        table.apply(7, stale)
--- /dev/null
+++ b/tests/cover/test_orders_component.py
@@ -0,0 +1,116 @@
+"""How the holder of a failure domain's orders goes about them."""
+
+import random
+
+import msgspec
+
+import dandeliontrail
+from dandeliontrail import effects
+from dandeliontrail import events
+from dandeliontrail.resources import announcements
+from dandeliontrail.resources import changes
+
+STEP = 0.5
+
+
+class Holder:
+    """One instance alone, with engines that report what they are told."""
+
+    def __init__(self, engines=("e1",)):
+        identity = dandeliontrail.Identity("i1", "fd1", "r1", 1)
+        self.reducer = dandeliontrail.new_reducer(identity, random.Random(0))
+        self.now = 0.0
+        self.sequence = 0
+        self.models = {name: {"small": "1"} for name in engines}
+        self.given = []
+
+    def declare(self, **spec):
+        raw = msgspec.Raw(msgspec.json.encode({"model": "medium", **spec}))
+        put = changes.Operation(
+            changes.Verb.PUT, "modelplacements", "medium", raw
+        )
+        change = changes.Change(f"op{self.sequence}", [put])
+        self.apply(events.WriteSubmitted("w", change))
+
+    def apply(self, event):
+        self.take(self.reducer.apply(event, self.now))
+
+    def take(self, out):
+        self.given += [x for x in out if isinstance(x, effects.GiveOrder)]
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP)):
+            self.now += STEP
+            self.announce()
+            self.take(self.reducer.tick(self.now))
+
+    def announce(self):
+        self.sequence += 1
+        for name, models in self.models.items():
+            made = announcements.Announcement(
+                name, 1, self.sequence, "model_engine", "http://127.0.0.1:1"
+            )
+            made.failure_domain = "fd1"
+            made.checks_fencing = True
+            made.models = [
+                announcements.Model(*item) for item in models.items()
+            ]
+            self.apply(events.Announced(made))
+
+    def answer(self, answer):
+        given = self.given[-1]
+        self.apply(
+            events.OrderAnswered(given.order.key, given.fencing, answer)
+        )
+
+
+def test_holder_does_not_take_its_own_slot_for_a_predecessors():
+    # A declared model is loaded ten seconds late.  The slot that the log
+    # granted was adopted as the load of a lost predecessor, and only the
+    # repetition of an unanswered order gave it at last.
+    holder = Holder()
+    holder.declare(version="1")
+    holder.run(5.0)
+    assert len(holder.given) == 1
+
+
+def test_order_without_an_answer_is_repeated_as_it_was():
+    holder = Holder()
+    holder.declare(version="1")
+    holder.run(15.0)
+    first, second = holder.given
+    assert first.order == second.order
+    holder.answer(events.OrderAnswer.ACCEPTED)
+    holder.run(30.0)
+    assert len(holder.given) == 2
+
+
+def test_refused_order_is_tried_on_another_engine():
+    holder = Holder(["e1", "e2"])
+    holder.declare(version="1")
+    holder.run(5.0)
+    holder.answer(events.OrderAnswer.REFUSED)
+    holder.run(5.0)
+    first, second = [item.order.server for item in holder.given]
+    assert {first, second} == {"e1", "e2"}
+
+
+def test_engine_lost_in_a_load_is_replaced():
+    # The engine crashes in the middle of the load and never reports it.
+    holder = Holder(["e1", "e2"])
+    holder.declare(version="1")
+    holder.run(5.0)
+    holder.answer(events.OrderAnswer.ACCEPTED)
+    del holder.models[holder.given[0].order.server]
+    holder.run(10.0)
+    assert len({item.order.server for item in holder.given}) == 2
+
+
+def test_stale_fencing_ends_the_lease():
+    # An engine has obeyed a larger number: another holder is at work.
+    holder = Holder()
+    holder.declare(version="1")
+    holder.run(5.0)
+    holder.answer(events.OrderAnswer.STALE_FENCING)
+    lease = holder.reducer.state.orders.lease
+    assert not lease.may_order(True, holder.now)
