--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
@@ -1,9 +1,11 @@
 """The listener for backend servers: announcements."""
 
+import dandeliontrail
 import msgspec
 
 from dandeliontrail.coordination import servers
 from dandeliontrail import events
+from dandeliontrail.resources import announcement_checks
 from dandeliontrail.resources import announcements
 
 from .. import tokens
@@ -51,6 +53,12 @@
 
     def _announce(self, environ, start_response):
         announcement = _read(environ, announcements.Announcement)
+        try:
+            announcement_checks.check(announcement)
+        except dandeliontrail.ResourceInvalid as exc:
+            raise wsgi.Problem(
+                400, "invalid_announcement", exc.message, exc.remedy
+            )
         self._host.submit(events.Announced(announcement))
         lease = min(announcement.lease, servers.LONGEST_LEASE)
         return wsgi.reply_json(start_response, Accepted(lease))
@@ -58,9 +66,4 @@
 
 def _read(environ, kind):
     body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise wsgi.Problem(
-            400, "malformed", f"{exc}.", "correct the field named"
-        )
+    return wsgi.decode(body, kind, "correct the field named")
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,17 +4,30 @@
 
 import msgspec
 
+from . import dissemination
+from . import membership
 from . import messages
 from . import order_reports
 from . import quorum_log_messages
 from ..resources import announcements
 from . import servers
+from . import usage
 
 ALL = (
-    messages.Hello,
+    messages.Heartbeat,
+    membership.MemberRecords,
     servers.ServerRecords,
     order_reports.OrdersReport,
     announcements.CacheEvents,
+    servers.Renewals,
+    dissemination.SyncBuckets,
+    dissemination.SyncKeys,
+    dissemination.SyncWant,
+    dissemination.Probe,
+    dissemination.ProbeAnswer,
+    usage.UsageRows,
+    usage.UsageHave,
+    usage.UsageCheckpoint,
     *quorum_log_messages.ALL,
 )
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -10,6 +10,7 @@
 from .orders import CacheChanged
 from .orders import OrderAnswer
 from .orders import OrderAnswered
+from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
 from .requests import AnswerFinished
@@ -20,6 +21,8 @@
 from .requests import NotBegun
 from .requests import RequestReceived
 from .servers import Announced
+from .usage import DayBegan
+from .usage import UsageLoaded
 
 __all__ = [
     "Announced",
@@ -28,7 +31,9 @@
     "AttemptFailed",
     "CacheChanged",
     "CallerGone",
+    "DayBegan",
     "FirstOutput",
+    "Left",
     "LogSynced",
     "NotBegun",
     "OrderAnswer",
@@ -37,5 +42,6 @@
     "RequestReceived",
     "Started",
     "StorageFailed",
+    "UsageLoaded",
     "WriteSubmitted",
 ]
