--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -7,7 +7,9 @@
 from . import dissemination
 from . import membership
 from . import messages
+from . import order_reports
 from . import quorum_log_messages
+from ..resources import announcements
 from . import servers
 from . import usage
 
@@ -15,6 +17,8 @@
     messages.Heartbeat,
     membership.MemberRecords,
     servers.ServerRecords,
+    order_reports.OrdersReport,
+    announcements.CacheEvents,
     servers.Renewals,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
