--- a/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
@@ -40,11 +40,18 @@
 )
 
 
+NULL = b"null"
+
+
 class Frame(msgspec.Struct):
-    """The payload of a frame."""
+    """The payload of a frame; ``checkpoint`` is null in all but the first.
+
+    The field is no ``Raw | None``, which msgspec encodes and then refuses
+    to decode.
+    """
 
     records: list[msgspec.Raw]
-    checkpoint: msgspec.Raw | None = None
+    checkpoint: msgspec.Raw = msgspec.Raw(NULL)
 
 
 class FileStorage(interfaces.Storage):
@@ -142,7 +149,7 @@
                 self._check_torn(data, at, start)
                 break
             frame = msgspec.json.decode(payload, type=Frame)
-            if frame.checkpoint is not None:
+            if bytes(frame.checkpoint) != NULL:
                 checkpoint = bytes(frame.checkpoint)
             records.extend(bytes(item) for item in frame.records)
             at += _FRAME.size + len(payload)
@@ -215,7 +222,7 @@
 
 def _frame(records, checkpoint=None):
     raw = [msgspec.Raw(item) for item in records]
-    state = msgspec.Raw(checkpoint) if checkpoint else None
+    state = msgspec.Raw(checkpoint or NULL)
     payload = msgspec.json.encode(Frame(raw, state))
     return _FRAME.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
