--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -8,8 +8,6 @@
 
 import gevent
 from gevent import event as gevent_event
-from gevent import pool
-from gevent import pywsgi
 
 import dandeliontrail
 from dandeliontrail.coordination import quorum_log_records
@@ -21,6 +19,7 @@
 from . import drain
 from . import engine_client
 from . import host as host_module
+from . import http_server
 from . import metrics
 from . import peer_link
 from . import tokens
@@ -28,6 +27,7 @@
 from . import wsgi
 from .listeners import backend_servers
 from .listeners import callers
+from .listeners import drain_request
 from .listeners import operators
 from .listeners import peers
 
@@ -150,8 +150,10 @@
             "backend_servers": backend_servers.BackendServersApp(
                 self.host, self._doors["backend_servers"]
             ),
-            "operators": operators.OperatorsApp(
-                self.host, self._doors["operators"]
+            "operators": drain_request.DrainRequests(
+                operators.OperatorsApp(self.host, self._doors["operators"]),
+                self._doors["operators"],
+                self._on_term,
             ),
             "peers": peers.PeersApp(self.host, self._key, cfg.limits),
         }
@@ -159,12 +161,11 @@
     def _listen(self):
         for name, app in self._apps().items():
             address = getattr(self._cfg.listen, name)
-            server = pywsgi.WSGIServer(
+            server = http_server.Server(
                 address,
                 wsgi.guard(app, self._logger),
-                spawn=pool.Pool(self._cfg.limits.connections),
-                log=None,
-                error_log=self._logger,
+                self._cfg.limits,
+                self._logger,
                 **self._tls(name),
             )
             server.start()
