--- a/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
@@ -34,19 +34,24 @@
 _HEADER = re.compile(rb"([a-z-]+) (\d+) ([0-9a-f]{32})\n")
 _LONGEST_HEADER = 128
 
-NO_CHECKPOINT = msgspec.Raw(b"null")
-
 REPLACE_KEEPER = (
     "stop the instance, move the folder away and bring the keeper back as a"
     " new one; see docs/operators/keepers.md"
 )
 
 
+NULL = b"null"
+
+
 class Frame(msgspec.Struct):
-    """The payload of a frame."""
+    """The payload of a frame; ``checkpoint`` is null in all but the first.
+
+    The field is no ``Raw | None``, which msgspec encodes and then refuses
+    to decode.
+    """
 
     records: list[msgspec.Raw]
-    checkpoint: msgspec.Raw = NO_CHECKPOINT
+    checkpoint: msgspec.Raw = msgspec.Raw(NULL)
 
 
 class FileStorage(interfaces.Storage):
@@ -144,7 +149,7 @@
                 self._check_torn(data, at, start)
                 break
             frame = msgspec.json.decode(payload, type=Frame)
-            if bytes(frame.checkpoint) != bytes(NO_CHECKPOINT):
+            if bytes(frame.checkpoint) != NULL:
                 checkpoint = bytes(frame.checkpoint)
             records.extend(bytes(item) for item in frame.records)
             at += _FRAME.size + len(payload)
@@ -217,7 +222,7 @@
 
 def _frame(records, checkpoint=None):
     raw = [msgspec.Raw(item) for item in records]
-    state = msgspec.Raw(checkpoint) if checkpoint else NO_CHECKPOINT
+    state = msgspec.Raw(checkpoint or NULL)
     payload = msgspec.json.encode(Frame(raw, state))
     return _FRAME.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -9,6 +9,9 @@
 from .config import StorageFailed
 from .config import VoterChangeAsked
 from .config import WriteSubmitted
+from .orders import CacheChanged
+from .orders import OrderAnswer
+from .orders import OrderAnswered
 from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
@@ -28,6 +31,7 @@
     "AnswerFinished",
     "AttemptBegan",
     "AttemptFailed",
+    "CacheChanged",
     "CallerGone",
     "DayBegan",
     "FirstOutput",
@@ -35,6 +39,8 @@
     "InForceAsked",
     "LogSynced",
     "NotBegun",
+    "OrderAnswer",
+    "OrderAnswered",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
