--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
@@ -54,6 +54,7 @@
         self._rounds = {}
         self._next_heartbeat = 0.0
         self._since = 0.0
+        self._now = 0.0
         self.joining = None
         self._in_flight = set()
 
@@ -111,6 +112,7 @@
 
     def broadcast(self, now):
         """Send every follower what it lacks, or a heartbeat."""
+        self._now = now
         self._next_heartbeat = now + election.HEARTBEAT
         self._round += 1
         self._rounds[self._round] = now
@@ -242,12 +244,13 @@
             return
         core.advance(reached)
         # The followers are told at once, so that a change is in force
-        # everywhere without waiting for the next heartbeat.
-        self._next_heartbeat = 0.0
+        # everywhere without waiting for the next heartbeat.  The time may
+        # be that of the event before, which only makes what a majority
+        # confirms to this round look older than it is.
+        self.broadcast(self._now if now is None else now)
         if core.me not in core.log.voters and (
             core.log.voters_index <= core.commit
         ):
-            self.broadcast(core.leader_heard)
             core.leader = ""
             core.rest()
 
