Fresh reads, and answers that come with a checkpoint

Cause: tests/cover/test_linearizable.py found that a write whose entry came to its instance inside a checkpoint was never answered (the check for it compared a version with itself), and that a replica did not notice when a committed position was taken by another entry after a majority had lost it. Change: ?fresh=true waits for a mark in the log, so that the read is not stale; results in a checkpoint settle what waits for them; what others say of a committed position is checked against the own (committed-never- changed). The test world compares every position, not only changes.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
@@ -57,6 +57,8 @@
     def _read(self, words, environ, start_response):
         if watches.wanted(environ):
             return watches.serve(self._host, words, environ, start_response)
+        if _asks_fresh(environ):
+            self._writer.refresh()
         if words == ["keepers"]:
             value = keepers.listing(self._host)
         else:
@@ -74,3 +76,8 @@
         if words[0] == "keepers":
             return keepers.change(self._host, words[1], method)
         return self._writer.object(words, author, environ)
+
+
+def _asks_fresh(environ):
+    query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+    return query.get("fresh", [""])[0] == "true"
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/writes.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/writes.py
@@ -152,9 +152,17 @@
         if query.get("dry_run", [""])[0] == "true":
             return self._host.state.store.check(change)
         write_id = str(uuid.uuid4())
+        return self._wait(write_id, events.WriteSubmitted(write_id, change))
+
+    def refresh(self):
+        """Return once all that was accepted until now is in force here."""
+        read_id = str(uuid.uuid4())
+        _checked(self._wait(read_id, events.ReadSubmitted(read_id)))
+
+    def _wait(self, write_id, event):
         waiting = gevent_event.AsyncResult()
         self._host.expect_write(write_id, waiting)
-        self._host.submit(events.WriteSubmitted(write_id, change))
+        self._host.submit(event)
         result = waiting.wait(WRITE_SECONDS)
         self._host.forget_write(write_id)
         if result is None:
--- a/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
@@ -11,6 +11,7 @@
 from .. import events
 from .. import interfaces
 from ..coordination import quorum_log
+from ..coordination import quorum_log_entries as entries
 from ..coordination import quorum_log_machine as machine
 from ..coordination import quorum_log_messages as messages
 from ..resources import changes
@@ -59,6 +60,23 @@
         self._directory.invalidate()
 
 
+class ReadMarkApplier(machine.Applier):
+    """Applies read marks, which have no state."""
+
+    result_type = changes.Result
+
+    def apply(self, version, entry):
+        """Return where the mark stands."""
+        return changes.Result(changes.ResultKind.ACCEPTED, version)
+
+    def dump(self):
+        """Return no state."""
+        return b"null"
+
+    def load(self, state):
+        """Take over nothing."""
+
+
 class Configuration(interfaces.Component):
     """Proposes operators' writes and answers with their results."""
 
@@ -66,6 +84,7 @@
         self._state = state
         applier = ChangeApplier(state.store, state.directory)
         state.log.register(changes.Change, applier)
+        state.log.register(entries.ReadMark, ReadMarkApplier())
         self._log_handlers = state.log.handlers()
         self._next_ask = float("-inf")
 
@@ -73,6 +92,7 @@
         """Return the handlers of writes, of the disk and of the log."""
         return {
             events.WriteSubmitted: self._write,
+            events.ReadSubmitted: self._read,
             events.LogSynced: self._synced,
             events.StorageFailed: self._storage_failed,
             events.VoterChangeAsked: self._change_voter,
@@ -86,14 +106,16 @@
         return self._state.log.tick(now)
 
     def _write(self, event, now):
-        def settled(found, now):
-            result = UNSETTLED.get(found.kind, found.result)
-            return [effects.WriteAnswered(event.write_id, result)]
-
         change = event.change
         operation_id = change.operation_id or event.write_id
+        settled = _answer_to(event.write_id)
         return self._state.log.propose(change, operation_id, now, settled)
 
+    def _read(self, event, now):
+        settled = _answer_to(event.read_id)
+        mark = entries.ReadMark()
+        return self._state.log.propose(mark, event.read_id, now, settled)
+
     def _change_voter(self, event, now):
         return self._state.log.change_voter(
             event.action, event.name, event.request_id, now
@@ -121,3 +143,13 @@
 
     def _storage_failed(self, event, now):
         return self._state.log.storage_failed(event.detail, now)
+
+
+def _answer_to(write_id):
+    """Return the call that answers whoever waits under ``write_id``."""
+
+    def settled(found, now):
+        result = UNSETTLED.get(found.kind, found.result)
+        return [effects.WriteAnswered(write_id, result)]
+
+    return settled
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -107,6 +107,7 @@
             core, self._freshness, self._catch_up, neighbours
         )
         self._spreading = spreading_module.Spreading(core, neighbours)
+        self._settled = 0
         self._was_stale = False
 
     # -- the seam ---------------------------------------------------------
@@ -345,14 +346,15 @@
         """Turn what the parts put out into effects."""
         core = self._core
         out = []
-        before = core.commit
         core.maybe_checkpoint()
         core.flush()
         while core.out:
             out.extend(self._carry(core.out.popleft(), now))
             core.flush()
         self._freshness.applied()
-        if before < core.commit:
+        if self._settled < core.commit:
+            # A checkpoint brings results without the entries themselves.
+            self._settled = core.commit
             for settled in self._proposals.take_known():
                 out.extend(_call(settled, now))
         out.extend(self._notify(now))
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
@@ -110,6 +110,7 @@
             return
         for entry in message.entries:
             if entry.index <= core.commit:
+                core.check_committed(entry.index, entry.term)
                 continue
             if entry.index > core.commit + 1:
                 break
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
@@ -238,6 +238,19 @@
         else:
             self.durable = entry.index
 
+    def check_committed(self, index, term):
+        """Check that what others say of a committed position agrees.
+
+        A position that was committed twice, with different entries, means
+        that a majority forgot what it had acknowledged.
+        """
+        held = self.log.term_at(index)
+        invariants.check(
+            index > self.commit or held in (None, term),
+            "committed-never-changed",
+            f"{self.name} has {index} of term {held}, not {term}",
+        )
+
     def advance(self, commit):
         """Apply the entries up to ``commit``."""
         while self.commit < commit:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
@@ -31,6 +31,14 @@
     """First entry of each leader; commits the entries before it."""
 
 
+class ReadMark(msgspec.Struct, tag="read_mark"):
+    """Changes nothing; who has applied it has all that came before.
+
+    A read that must not be stale proposes one and waits for it: the state
+    is then at least as new as at any moment before the read began.
+    """
+
+
 class VoterChange(msgspec.Struct, tag="voters"):
     """Replaces the set of voters, by one voter more or one less."""
 
@@ -39,6 +47,7 @@
 
 ALL = (
     NoOp,
+    ReadMark,
     VoterChange,
     changes.Change,
     downloads.DownloadEntry,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
@@ -329,6 +329,7 @@
         self._freshness.hear(message.confirmed_ago, message.commit, now)
         log = core.log
         previous = message.previous_index
+        core.check_committed(previous, message.previous_term)
         if previous > core.commit and (
             log.term_at(previous) != message.previous_term
         ):
@@ -339,6 +340,7 @@
             return
         for entry in message.entries:
             if entry.index <= core.commit:
+                core.check_committed(entry.index, entry.term)
                 continue
             if log.term_at(entry.index) != entry.term:
                 core.append(entry)
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -6,6 +6,7 @@
 
 from .config import InForceAsked
 from .config import LogSynced
+from .config import ReadSubmitted
 from .config import StorageFailed
 from .config import VoterChangeAsked
 from .config import WriteSubmitted
@@ -42,6 +43,7 @@
     "OrderAnswer",
     "OrderAnswered",
     "PeerMessageReceived",
+    "ReadSubmitted",
     "RequestReceived",
     "Started",
     "StorageFailed",
--- a/packages/dandeliontrail/src/dandeliontrail/events/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/config.py
@@ -14,6 +14,17 @@
     change: changes.Change
 
 
+@dataclasses.dataclass(slots=True)
+class ReadSubmitted:
+    """An operator's read that must not be stale.
+
+    It is answered like a write, once this instance has all that was
+    accepted before.
+    """
+
+    read_id: str
+
+
 @dataclasses.dataclass(slots=True)
 class LogSynced:
     """The write ``ticket`` and all before it are synced."""
--- a/tests/common/quorum_world.py
+++ b/tests/common/quorum_world.py
@@ -13,6 +13,7 @@
 from dandeliontrail.coordination import codec
 from dandeliontrail.coordination import messages
 from dandeliontrail.coordination import quorum_log
+from dandeliontrail.coordination import quorum_log_entries as entries
 from dandeliontrail.coordination import quorum_log_neighbours
 from dandeliontrail.coordination import quorum_log_records as records
 from dandeliontrail import effects
@@ -92,6 +93,17 @@
         return result
 
 
+class _Recorded:
+    """A machine whose ``apply`` is watched."""
+
+    def __init__(self, machine, apply):
+        self._machine = machine
+        self.apply = apply
+
+    def __getattr__(self, name):
+        return getattr(self._machine, name)
+
+
 class Node:
     """One replica that runs."""
 
@@ -120,6 +132,7 @@
         self.cut = {}
         self.flying = []
         self.history = {}
+        self.positions = {}
         self.at = {}
         self.settled = {}
         self.proposed = collections.Counter()
@@ -154,7 +167,9 @@
             disk.keeper() if disk else None,
             self.bootstrap,
         )
+        self._record_positions(log)
         log.register(changes.Change, RecordingApplier(self, objects))
+        log.register(entries.ReadMark, configuration.ReadMarkApplier())
         node = Node(log, objects, disk, self.now)
         self.nodes[name] = node
         node.domain_had = {
@@ -166,6 +181,19 @@
         }
         self.run_effects(name, log.open(self.now))
 
+    def _record_positions(self, log):
+        """Compare the entry that a replica applies at each position."""
+        machine = log._machine
+        apply = type(machine).apply
+
+        def recorded(entry):
+            seen = (entry.term, entry.proposal_id, type(entry.body))
+            held = self.positions.setdefault(entry.index, seen)
+            assert held == seen, f"position {entry.index} differs"
+            return apply(machine, entry)
+
+        log._core.machine = _Recorded(machine, recorded)
+
     def crash(self, name):
         """Stop a node; part of what its disk had not synced is lost."""
         node = self.nodes.pop(name)
