Power cuts right after writes in the state machine

Change: a rule writes to the leader, lets a tenth of a second pass and cuts the power of all keepers; half the crashes lose the whole cache.

--- a/tests/common/quorum_machine.py
+++ b/tests/common/quorum_machine.py
@@ -106,7 +106,9 @@
 
     @stateful.rule(
         pools=st.lists(st.sampled_from(POOLS), min_size=1, max_size=4),
-        then=st.sampled_from(["nothing", "isolate", "crash", "split"]),
+        then=st.sampled_from(
+            ["nothing", "isolate", "crash", "split", "power"]
+        ),
         data=st.data(),
     )
     def write_to_leader(self, pools, then, data):
@@ -121,6 +123,10 @@
             self.world.propose(leader, change)
         if then == "crash":
             self.world.crash(leader)
+        elif then == "power":
+            # Just when the others may have acknowledged.
+            self.world.run(0.1)
+            self.power_cut(True)
         elif then == "isolate":
             self.world.partition({leader: 1})
         elif then == "split":
@@ -139,6 +145,9 @@
         self.world.crash(name)
 
     @stateful.rule(restarted=st.booleans())
+    def power(self, restarted):
+        self.power_cut(restarted)
+
     def power_cut(self, restarted):
         """All keepers stop at once, whatever their disks have synced."""
         for name in sorted(set(self.world.nodes) & set(self.world.disks)):
--- a/tests/common/quorum_world.py
+++ b/tests/common/quorum_world.py
@@ -199,6 +199,7 @@
         node = self.nodes.pop(name)
         if node.disk:
             kept = self.rng.randint(0, len(node.disk.cache))
+            kept *= self.rng.randint(0, 1)
             for _ in range(kept):
                 node.disk.keep()
             node.disk.cache = []
