Relays above sixteen instances: leases vouched for by one number

Cause: at 53 pure nodes with 250 backend servers, flooding renewals over few links sent 232 KB a second from each node and leases lapsed all the same (121 of 250 serving at the worst node).

Change: above a full mesh of 16, each failure domain has two relays. They gather renewals and vouch for all running servers of a domain with one digest and one age; usage goes to one relay each. Records of what changes still go to everybody at once, and digests repair.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
@@ -30,7 +30,7 @@
 IDLE_SECONDS = 30.0
 # What HTTP adds to the body of a batch and its answer, about; counted
 # towards the budget.
-OVERHEAD_BYTES = 400
+OVERHEAD_BYTES = 330
 FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -3,7 +3,6 @@
 from .. import effects
 from .. import events
 from .. import interfaces
-from ..coordination import dissemination
 from ..coordination import servers
 from ..decisions import directory
 
@@ -11,67 +10,28 @@
 class BackendServers(interfaces.Component):
     """Takes in announcements and passes them on to the other instances.
 
-    What changes a server's record goes out at once.  Renewals of leases,
-    which are all but a few announcements, gather until the next heartbeat
-    and go along with it.
+    What changes a server's record goes out at once; all other announcements
+    are handed to :class:`.renewals.Renewals`.
     """
 
-    def __init__(self, state, policy):
+    def __init__(self, state, policy, renewals):
         self._state = state
         self._policy = policy
-        self._renewed = {}
+        self._renewals = renewals
 
     def handlers(self):
         """Return the handlers of server events and messages."""
         return {
             events.Announced: self._announced,
             servers.ServerRecords: self._records,
-            servers.Renewals: self._renewals,
         }
 
     def tick(self, now):
-        """Pass on renewals and forget servers that have been gone long."""
+        """Forget servers that have been gone for long."""
         for name in self._state.registry.forget(now):
             self._policy.forget_server(name)
             self._state.directory.invalidate()
-        if not self._state.members.heartbeat_now:
-            return []
-        return self._pass_on_renewals(now)
-
-    def _pass_on_renewals(self, now):
-        """Tell each link of the leases that were renewed.
-
-        In a full mesh each link hears of those announced to this instance,
-        and one link in turn of all that this one holds, so that a lease is
-        renewed even between two instances without a path of their own.
-        Above it everything must pass over the few links there are.
-        """
-        links = self._state.members.links()
-        if not links:
-            self._renewed.clear()
-            return []
-        whole = self._state.rng.choice(links).instance
-        registry = self._state.registry
-        out = []
-        for member in links:
-            names = [
-                name
-                for name, source in self._renewed.items()
-                if source != member.instance
-            ]
-            if member.instance == whole:
-                names = list(registry.servers)
-            renewals = [
-                registry.renewal_of(name, now)
-                for name in names
-                if name in registry.servers
-                and registry.servers[name].expires > now
-            ]
-            if renewals:
-                message = servers.Renewals(renewals)
-                out.append(effects.SendPeer(member.address, message))
-        self._renewed.clear()
-        return out
+        return []
 
     def _announced(self, event, now):
         announcement = event.announcement
@@ -81,18 +41,17 @@
         if not self._learn(announcement, 0.0, now):
             return []
         if self._state.registry.servers[name].content == content:
-            self._renewed[name] = ""
+            self._renewals.note(name)
             return []
         return self._spread([name], now)
 
-    def _spread(self, names, now, but=""):
+    def _spread(self, names, now, source=""):
         registry = self._state.registry
         records = [registry.record_of(name, now) for name in names]
         message = servers.ServerRecords(records)
         return [
             effects.SendPeer(member.address, message)
-            for member in self._state.members.links()
-            if member.instance != but
+            for member in self._state.members.spread_to(source)
         ]
 
     def _records(self, source, message, now):
@@ -110,26 +69,6 @@
             return []
         return self._spread(changed, now, source.instance)
 
-    def _renewals(self, source, message, now):
-        members = self._state.members
-        delay = members.delay(source, now)
-        relay = len(members.links()) < len(members.members)
-        want = []
-        for renewal in message.renewals:
-            name = renewal.backend_server
-            age = renewal.age + delay
-            news = self._state.registry.renew(renewal, age, now)
-            if news is None:
-                want.append(name)
-            elif news:
-                self._policy.observe(self._state.registry.servers[name], now)
-                if relay:
-                    self._renewed[name] = source.instance
-        if not want:
-            return []
-        asked = dissemination.SyncWant(dissemination.Table.SERVERS, want)
-        return [effects.SendPeer(source.address, asked)]
-
     def _learn(self, announcement, age, now):
         registry = self._state.registry
         held = registry.servers.get(announcement.backend_server)
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -83,14 +83,11 @@
 
     def _heartbeat_message(self, last=False, ask=False):
         state = self._state
-        digests = {
-            dissemination.Table.MEMBERS.value: state.members.digest.root,
-            dissemination.Table.SERVERS.value: state.registry.digest.root,
-        }
         return messages.Heartbeat(
             state.store.version,
             state.identity.refutations,
-            digests,
+            state.members.digest.root,
+            state.registry.digest.root,
             state.usage.own_version(),
             state.usage.finished_root(),
             last,
@@ -100,6 +97,7 @@
     def _heartbeats(self, now):
         """Greet all links, and say farewell where a link has ended."""
         before = self._linked
+        self._members.note_silent(now)
         links = self._members.links()
         self._linked = {item.instance: item for item in links}
         message = self._heartbeat_message()
@@ -179,12 +177,11 @@
         record = self._members.mark(member, standing, now)
         return self._spread([record])
 
-    def _spread(self, records, but=""):
+    def _spread(self, records, source=""):
         message = membership.MemberRecords(records)
         return [
             effects.SendPeer(item.address, message)
-            for item in self._members.links()
-            if item.instance != but
+            for item in self._members.spread_to(source)
         ]
 
     def _started(self, event, now):
@@ -250,7 +247,7 @@
             if self._members.contradicts(record):
                 self._members.refute(record)
         own = self._members.own_record()
-        return self._spread([own], source.instance) + self._tell(source, own)
+        return self._spread([own]) + self._tell(source, own)
 
     def _judge_own_suspicion(self, record, now):
         """Grow patient where this instance suspected somebody wrongly."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/repair.py
@@ -39,9 +39,12 @@
 
     def _heartbeat(self, source, message, now):
         out = []
-        for table in Table:
-            root = message.digests.get(table.value)
-            if root is None or root == self._digest(table).root:
+        roots = {
+            Table.MEMBERS: message.members,
+            Table.SERVERS: message.servers,
+        }
+        for table, root in roots.items():
+            if root == self._digest(table).root:
                 continue
             if self._may_compare(source.instance, table, now):
                 out.append(self._first_step(table))
--- a/packages/dandeliontrail/src/dandeliontrail/components/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage.py
@@ -3,6 +3,7 @@
 from .. import effects
 from .. import events
 from .. import interfaces
+from ..coordination import links
 from ..coordination import membership
 from ..coordination import messages
 from ..coordination import usage
@@ -60,15 +61,14 @@
         out = self._save(now)
         if now < self._settled_at:
             return out
-        links = self._state.members.links()
         if self._state.members.heartbeat_now:
-            out.extend(self._send_rows(links))
-            out.extend(self._compare(links))
+            out.extend(self._send_rows(self._audience()))
+            out.extend(self._compare())
             self._finish_superseded()
             if now >= self._may_fold_at:
                 self._fold(now)
-        elif now >= self._next_copy:
-            out.extend(self._send_rows(self._copies(links)))
+        elif now >= self._next_copy and self._state.members.full_mesh():
+            out.extend(self._send_rows(self._copies()))
         else:
             return out
         self._next_copy = now + COPY_INTERVAL
@@ -85,18 +85,39 @@
             self._ledger.rename_own(own.incarnation)
             self._sent.clear()
 
-    def _copies(self, links):
+    def _audience(self):
+        """Return whom to tell of new rows: all, or one relay.
+
+        The relays know each other's rows from comparing.  Half of the
+        instances tell the one, half the other, and each always the same:
+        another would need all rows since it was last told.
+        """
+        members = self._state.members
+        if members.full_mesh():
+            return members.links()
+        own = self._state.identity
+        relays = members.relays_of(own.failure_domain)
+        number, _ = links.place(own.instance)
+        return [relays[number % len(relays)]] if relays else []
+
+    def _collects(self):
+        """Tell whether this instance holds the rows of all others."""
+        members = self._state.members
+        return members.full_mesh() or members.is_relay()
+
+    def _copies(self):
         """Return two links that hold copies, in two failure domains."""
+        linked = self._state.members.links()
         domain = self._state.identity.failure_domain
-        near = [item for item in links if item.failure_domain == domain]
-        far = [item for item in links if item.failure_domain != domain]
-        return [*near[:1], *far[:1]] if near and far else links[:2]
+        near = [item for item in linked if item.failure_domain == domain]
+        far = [item for item in linked if item.failure_domain != domain]
+        return [*near[:1], *far[:1]] if near and far else linked[:2]
 
-    def _send_rows(self, links):
-        """Tell each link what was counted since it was last told."""
+    def _send_rows(self, audience):
+        """Tell each member what was counted since it was last told."""
         version = self._ledger.own_version()
         out = []
-        for member in links:
+        for member in audience:
             key = (member.instance, member.incarnation)
             sent = self._sent.get(key, 0)
             if sent == version:
@@ -106,15 +127,22 @@
             out.append(effects.SendPeer(member.address, rows))
         return out
 
-    def _compare(self, links):
+    def _compare(self):
         """Tell one link in turn all that is held here.
 
         Rows that were lost, and those of instances to which this one has
-        no link, come by this way.
+        no link, come by this way; with relays, it is how these know each
+        other's domains.
         """
-        if not links:
+        members = self._state.members
+        linked = members.links()
+        if members.is_relay():
+            linked = [item for item in linked if members.is_relay_of(item)]
+        elif not members.full_mesh():
+            return []
+        if not linked:
             return []
-        member = self._state.rng.choice(links)
+        member = self._state.rng.choice(linked)
         return [effects.SendPeer(member.address, self._ledger.have())]
 
     def _heartbeat(self, source, message, now):
@@ -122,6 +150,8 @@
         same = message.usage_finished == self._ledger.finished_root()
         member.agreed = now if same else float("-inf")
         publisher = usage.Publisher(source.instance, source.incarnation)
+        if not self._collects():
+            return []
         if message.usage_version <= self._ledger.held_version(publisher):
             return []
         # Rows of the same heartbeat may still be on their way; what is
@@ -129,12 +159,14 @@
         if self._asked.get(publisher) != self._ledger.held_version(publisher):
             self._asked[publisher] = self._ledger.held_version(publisher)
             return []
-        return [effects.SendPeer(source.address, self._ledger.have())]
+        want = self._ledger.want(publisher)
+        return [effects.SendPeer(source.address, want)]
 
     def _rows(self, source, message, now):
         if self._ledger.merge(message):
             return []
-        return [effects.SendPeer(source.address, self._ledger.have(False))]
+        want = self._ledger.want(message.publisher)
+        return [effects.SendPeer(source.address, want)]
 
     def _have(self, source, message, now):
         out = self._ledger.answer(message)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -16,6 +16,7 @@
     membership.MemberRecords,
     servers.ServerRecords,
     servers.Renewals,
+    servers.Vouches,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/digests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/digests.py
@@ -66,6 +66,10 @@
         self.buckets[index] ^= change
         self.root ^= change
 
+    def keys(self):
+        """Return the keys of all entries."""
+        return [key for entries in self._entries for key in entries]
+
     def differing(self, buckets):
         """Return the indices of the buckets that differ from ``buckets``."""
         return [
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -42,17 +42,27 @@
     """What is held of one publisher.
 
     ``version`` is up to where nothing is missing, ``ahead`` the ranges of
-    versions that came before what precedes them.
+    versions that came before what precedes them.  ``rows`` are in the order
+    of their versions as long as ``ordered`` says so.
     """
 
-    __slots__ = ("version", "ahead", "rows", "unsaved")
+    __slots__ = ("version", "ahead", "rows", "ordered", "newest", "unsaved")
 
     def __init__(self):
         self.version = 0
         self.ahead = []
         self.rows = {}
+        self.ordered = True
+        self.newest = 0
         self.unsaved = set()
 
+    def put_last(self, key, row):
+        """Move a row that changed to the end, where the newest are."""
+        self.rows.pop(key, None)
+        self.rows[key] = row
+        self.ordered = self.ordered and row.version >= self.newest
+        self.newest = max(self.newest, row.version)
+
     def covers(self, since, through):
         """Take note of a range; return whether nothing is missing."""
         self.ahead.append((since, through))
@@ -106,12 +116,11 @@
         """Add ``counted`` to this instance's rows."""
         held = self._publishers[self.own]
         key = usage.UsageKey(self.day, organisation, class_name)
-        row = held.rows.pop(key, None) or _Row(0, Totals())
+        row = held.rows.get(key) or _Row(0, Totals())
         held.version += 1
         row.version = held.version
         row.totals.add(counted)
-        # Put back last: the rows stay in the order of their versions.
-        held.rows[key] = row
+        held.put_last(key, row)
         held.unsaved.add(key)
         self.totals.add(key, counted)
 
@@ -177,9 +186,9 @@
         for key, row in reversed(held.rows.items()):
             if row.version > since:
                 rows.append(usage.UsageRow(key, row.version, row.totals))
-            elif publisher == self.own:
-                # Only the own rows are sure to be in order.
+            elif held.ordered:
                 break
+        rows.reverse()
         return usage.UsageRows(publisher, since, held.version, rows)
 
     def merge(self, message):
@@ -193,10 +202,7 @@
         return held.covers(message.since, message.through)
 
     def _merge_row(self, held, item):
-        row = held.rows.get(item.key)
-        if row is None:
-            row = _Row(0, Totals())
-            held.rows[item.key] = row
+        row = held.rows.get(item.key) or _Row(0, Totals())
         after = usage.greater(row.totals, item.totals)
         grown = after.less(row.totals)
         invariants.check(
@@ -204,7 +210,9 @@
             "usage_never_shrinks_within_a_publisher",
             item.key.organisation,
         )
-        row.version = max(row.version, item.version)
+        if item.version > row.version:
+            row.version = item.version
+            held.put_last(item.key, row)
         if any(grown.counts()):
             row.totals = after
             held.unsaved.add(item.key)
@@ -225,11 +233,20 @@
         }
         return usage.UsageHave(versions, checkpoints, ask)
 
+    def want(self, publisher):
+        """Return the request for what is missing of one publisher."""
+        version = usage.PublisherVersion(
+            publisher, self.held_version(publisher)
+        )
+        return usage.UsageHave([version], {}, ask=False, whole=False)
+
     def answer(self, have):
         """Return the messages that bring the sender of ``have`` up to here.
 
         Checkpoints come first, so that the rows after them count on top.
         """
+        if not have.whole:
+            return self._answer_wanted(have)
         out = [
             self.checkpoint_message(name)
             for name, held in sorted(self._checkpoints.items())
@@ -245,6 +262,13 @@
                 out.append(self.rows_since(publisher, version))
         return out
 
+    def _answer_wanted(self, have):
+        return [
+            self.rows_since(item.publisher, item.version)
+            for item in have.versions
+            if self.held_version(item.publisher) > item.version
+        ]
+
     def is_behind(self, have):
         """Tell whether the sender of ``have`` holds what is missing here."""
         for item in have.versions:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/links.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/links.py
@@ -1,57 +1,75 @@
 """Which other instances an instance keeps in touch with.
 
 Up to ``FULL_MESH`` instances every pair is linked: nine instances need
-eight links each and news arrives in one hop.  Above it, each instance has
-links to its neighbours on two rings, both of which all instances compute
-alike from their members:
-
-- the ring of its failure domain, in the order of hashed names, at distance
-  one and at about the square root of its length, each way;
-- the ring of all instances, at distance one each way, whose neighbours are
-  mostly in other failure domains.
-
-The rings alone connect everybody, which a random choice of as many links
-does only with high probability; and since distances count both ways, a
-link has the same two ends seen from each.  The long links keep the number
-of hops low.  See docs/design/membership.md for both measured.
+eight links each, news arrives in one hop, and no instance has a part that
+others depend on.
+
+Above it that costs too much: at 530 instances and 2,500 backend servers,
+renewals of leases alone would be above 100 KB a second for each instance,
+whichever way they are flooded (docs/design/membership.md has the figures).
+So each failure domain has two *relays*, the first of its instances in the
+order of hashed names that are not silent.  Instances are linked to the
+relays of their domain, and all relays to each other.  Every instance works
+this out from its own member table; where tables differ for a moment, there
+are more links than needed, not fewer.
 """
 
-import math
+import dataclasses
 
 from . import digests
 
 # A full mesh costs one request a second on each pair: at 16 instances that
 # is 15 requests a second each, about what one request in flight costs.
 FULL_MESH = 16
+# One may fail before the others notice; more would cost each instance more
+# and 23 instances at most may be set aside at ten failure domains.
+RELAYS = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Links:
+    """The links of one instance, by name; no relays in a full mesh.
+
+    ``relays`` has the names of the relays by failure domain.
+    """
+
+    names: set
+    relays: dict
+    is_relay: bool
 
 
 def place(name):
-    """Return where a name stands on a ring, the same everywhere."""
+    """Return where a name stands in the order, the same everywhere."""
     return (digests.hash_of(name.encode()), name)
 
 
-def choose(own, domain, domain_of):
-    """Return the names of the instances to keep in touch with.
+def choose(own, domain, domain_of, silent=()):
+    """Return the links of the instance ``own`` in ``domain``.
 
-    ``domain_of`` has the failure domain of every other instance by name.
+    ``domain_of`` has the failure domain of every other instance by name;
+    those in ``silent`` stay linked but are no relays.
     """
     if len(domain_of) < FULL_MESH:
-        return set(domain_of)
-    near = [name for name, value in domain_of.items() if value == domain]
-    chosen = _at_distances(own, near, _near_distances(len(near) + 1))
-    return chosen | _at_distances(own, list(domain_of), (1,))
-
-
-def _near_distances(length):
-    return (1, max(2, math.isqrt(length)))
+        return Links(set(domain_of), {}, False)
+    relays = _relays({**domain_of, own: domain}, silent)
+    is_relay = own in relays[domain]
+    names = set(relays[domain])
+    if is_relay:
+        names.update(*relays.values())
+        names.update(
+            name for name, value in domain_of.items() if value == domain
+        )
+    names.discard(own)
+    return Links(names, relays, is_relay)
 
 
-def _at_distances(own, others, distances):
-    ring = sorted([*others, own], key=place)
-    index = ring.index(own)
-    chosen = set()
-    for distance in distances:
-        chosen.add(ring[(index + distance) % len(ring)])
-        chosen.add(ring[(index - distance) % len(ring)])
-    chosen.discard(own)
-    return chosen
+def _relays(domain_of, silent):
+    by_domain = {}
+    for name in sorted(domain_of, key=place):
+        by_domain.setdefault(domain_of[name], []).append(name)
+    return {
+        domain: ([name for name in names if name not in silent] or names)[
+            :RELAYS
+        ]
+        for domain, names in by_domain.items()
+    }
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -162,6 +162,8 @@
         "heartbeat_now",
         "_identity",
         "_links",
+        "_linked_members",
+        "_silent",
         "_last_heard",
     )
 
@@ -174,6 +176,8 @@
         self.heartbeat_now = False
         self._identity = identity
         self._links = None
+        self._linked_members = []
+        self._silent = set()
         self._last_heard = {}
 
     def own_record(self, standing=Standing.ALIVE):
@@ -325,15 +329,80 @@
     def links(self):
         """Return the members that this instance keeps in touch with."""
         if self._links is None:
-            own = self._identity
-            domain_of = {
-                name: item.failure_domain
-                for name, item in self.members.items()
-                if not item.gone()
-            }
-            names = links.choose(own.instance, own.failure_domain, domain_of)
-            self._links = [self.members[name] for name in sorted(names)]
-        return self._links
+            self._choose_links()
+        return self._linked_members
+
+    def _choose_links(self):
+        own = self._identity
+        domain_of = {
+            name: item.failure_domain
+            for name, item in self.members.items()
+            if not item.gone()
+        }
+        self._links = links.choose(
+            own.instance, own.failure_domain, domain_of, self._silent
+        )
+        self._linked_members = [
+            self.members[name] for name in sorted(self._links.names)
+        ]
+
+    def note_silent(self, now):
+        """Take silent members for no relays, sooner than for failed."""
+        silent = {
+            name
+            for name, item in self.members.items()
+            if item.linked and now - item.heard > PROBE_AFTER
+        }
+        if silent != self._silent:
+            self._silent = silent
+            self._links = None
+
+    def full_mesh(self):
+        """Tell whether every instance is linked to every other."""
+        self.links()
+        return not self._links.relays
+
+    def is_relay(self):
+        """Tell whether this instance is a relay of its failure domain."""
+        self.links()
+        return self._links.is_relay
+
+    def is_first_relay(self):
+        """Tell whether this instance is the first relay of its domain."""
+        self.links()
+        own = self._identity
+        return self._links.relays[own.failure_domain][0] == own.instance
+
+    def relays_of(self, domain):
+        """Return the other members that are relays of a failure domain."""
+        self.links()
+        names = self._links.relays.get(domain, ())
+        return [self.members[name] for name in names if name in self.members]
+
+    def is_relay_of(self, member):
+        """Tell whether a member is a relay of its failure domain."""
+        return member in self.relays_of(member.failure_domain)
+
+    def spread_to(self, source=""):
+        """Return the links to pass on news to that came from ``source``.
+
+        In a full mesh to all others, whatever the source: two of them may
+        have no path to each other.  From a relay of its own domain an
+        instance has it last.  A relay tells its domain, and other relays
+        only what comes from its own domain.
+        """
+        out = [item for item in self.links() if item.instance != source]
+        if not source or self.full_mesh():
+            return out
+        domain = self._identity.failure_domain
+        sender = self.members[source]
+        if self.is_relay():
+            if sender.failure_domain == domain:
+                return out
+            return [item for item in out if item.failure_domain == domain]
+        if sender in self.relays_of(domain):
+            return []
+        return out
 
     def patience(self):
         """Return the factor by which a slow instance waits longer."""
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 
-class Sender(msgspec.Struct):
+class Sender(msgspec.Struct, array_like=True):
     """Who sent an envelope; ``incarnation`` grows with each start.
 
     ``clock`` is the sender's monotonic time, in seconds, at which the
@@ -25,12 +25,12 @@
     clock: float = 0.0
 
 
-class Heartbeat(msgspec.Struct, tag="heartbeat"):
+class Heartbeat(msgspec.Struct, tag="heartbeat", omit_defaults=True):
     """I am here, and this is a digest of what I hold.
 
     ``applied`` is the configuration version in force at the sender.
-    ``digests`` has one number for each replicated table, equal where two
-    instances hold the same.  ``usage_version`` numbers the sender's own
+    ``members`` and ``servers`` stand for the sender's tables, equal where
+    two instances hold the same.  ``usage_version`` numbers the sender's own
     usage, ``usage_finished`` stands for all that earlier starts used.
     ``last`` says that no more heartbeats follow on this link, so that their
     end is no sign of a failure; ``ask`` that the sender wants one back.
@@ -38,7 +38,8 @@
 
     applied: int = 0
     refutations: int = 0
-    digests: dict[str, int] = {}
+    members: int = 0
+    servers: int = 0
     usage_version: int = 0
     usage_finished: int = 0
     last: bool = False
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -22,6 +22,9 @@
 # announcement that is still on its way cannot bring the server back.
 KEEP_LAPSED = 60.0
 MOST_LAPSED = 10_000
+# So many of the servers heard longest ago are named in a vouch with ages of
+# their own, so that one that has fallen silent does not age all the others.
+MOST_LATE = 8
 
 
 class ServerRecord(msgspec.Struct):
@@ -60,6 +63,25 @@
     renewals: list[Renewal]
 
 
+class Vouch(msgspec.Struct, array_like=True):
+    """A relay's word for all running servers of a failure domain at once.
+
+    They are those that ``root`` stands for, and each was heard ``age``
+    seconds ago at most, but for those in ``late``, which has their ages.
+    """
+
+    failure_domain: str
+    root: int
+    age: float
+    late: dict[str, float]
+
+
+class Vouches(msgspec.Struct, tag="vouches"):
+    """Renewed leases of whole failure domains."""
+
+    vouches: list[Vouch]
+
+
 @dataclasses.dataclass(slots=True)
 class Server:
     """One backend server as it is seen from here.
@@ -86,11 +108,12 @@
 class ServerRegistry:
     """All backend servers heard of, by name."""
 
-    __slots__ = ("servers", "digest")
+    __slots__ = ("servers", "digest", "running")
 
     def __init__(self):
         self.servers = {}
         self.digest = digests.TableDigest()
+        self.running = {}
 
     def learn(self, announcement, age, now):
         """Take in a record and return whether it was news."""
@@ -105,11 +128,46 @@
         elif newer(announcement, held.announcement):
             self._replace(held, announcement, now - age)
         else:
-            return False
+            return self._hear_again(held, announcement, now - age)
         held.content = content_of(held.announcement)
-        self.digest.put(name, held.content)
+        self._enter(held)
         return True
 
+    def _hear_again(self, held, announcement, heard):
+        """Renew a lease by a record that is no newer but was heard later.
+
+        Relays vouch for servers without their sequences, so that two
+        instances may hold one announcement with different ages.
+        """
+        if announcement.epoch != held.announcement.epoch:
+            return False
+        if held.announcement.leaving or heard <= held.heard:
+            return False
+        if content_of(announcement) != held.content:
+            return False
+        held.heard = heard
+        held.expires = heard + lease_of(held.announcement)
+        self._enter(held)
+        return True
+
+    def _enter(self, held):
+        """Keep the digests of those that have not lapsed."""
+        announcement = held.announcement
+        name = announcement.backend_server
+        self.digest.put(name, held.content)
+        running = self.running.setdefault(
+            announcement.failure_domain, digests.TableDigest()
+        )
+        if announcement.leaving:
+            running.drop(name)
+        else:
+            running.put(name, held.content)
+
+    def _lapse(self, name):
+        domain = self.servers[name].announcement.failure_domain
+        self.digest.drop(name)
+        self.running[domain].drop(name)
+
     def _replace(self, held, announcement, heard):
         before = held.announcement
         if before.order() > announcement.order():
@@ -119,6 +177,11 @@
                 announcement, sequence=before.sequence
             )
             heard = held.heard
+        elif before.epoch == announcement.epoch:
+            # A relay may have vouched for it since that announcement.
+            heard = max(heard, held.heard)
+        if before.failure_domain != announcement.failure_domain:
+            self._lapse(announcement.backend_server)
         # The object is kept, since the directory's lists point to it.
         held.announcement = announcement
         held.heard = heard
@@ -145,10 +208,41 @@
         )
         held.heard = now - age
         held.expires = held.heard + lease_of(before)
-        self.digest.put(renewal.backend_server, held.content)
+        self._enter(held)
         _check_order(before, held.announcement)
         return True
 
+    def vouch(self, domain, now):
+        """Return the word for all running servers of a failure domain."""
+        running = self.running[domain]
+        ages = sorted(
+            (now - self.servers[name].heard, name) for name in running.keys()
+        )
+        late = {name: round(age, 2) for age, name in ages[-MOST_LATE:]}
+        others = ages[:-MOST_LATE]
+        age = round(others[-1][0] + 0.005, 2) if others else 0.0
+        late = {name: value for name, value in late.items() if value > age}
+        return Vouch(domain, running.root, max(0.0, age), late)
+
+    def vouched(self, vouch, delay, now):
+        """Renew all that a vouch covers; return whether it could be taken.
+
+        Where this instance knows of other servers in that failure domain
+        than the relay, or of other contents, nothing is renewed: the
+        difference is about to be repaired, and until then the servers'
+        leases run on.
+        """
+        running = self.running.get(vouch.failure_domain)
+        if running is None or running.root != vouch.root:
+            return False
+        for name in running.keys():
+            held = self.servers[name]
+            age = vouch.late.get(name, vouch.age) + delay
+            if now - age > held.heard:
+                held.heard = now - age
+                held.expires = held.heard + lease_of(held.announcement)
+        return True
+
     def renewal_of(self, name, now):
         """Return the renewal that tells others what is held."""
         held = self.servers[name]
@@ -187,7 +281,7 @@
         surplus = max(0, len(lapsed) - MOST_LAPSED)
         gone = []
         for rank, (expires, name) in enumerate(lapsed):
-            self.digest.drop(name)
+            self._lapse(name)
             if rank < surplus or expires + after < now:
                 del self.servers[name]
                 gone.append(name)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/usage.py
@@ -8,7 +8,7 @@
 import msgspec
 
 
-class Totals(msgspec.Struct):
+class Totals(msgspec.Struct, array_like=True):
     """Counts of finished requests and their tokens."""
 
     requests: int = 0
@@ -107,12 +107,14 @@
     """What the sender holds: publishers, and checkpoints by instance.
 
     ``ask`` tells that it would like to hear the same of the receiver,
-    where that is behind.
+    where that is behind; ``whole`` that it holds nothing else, so that what
+    is not named is wanted from the first row.
     """
 
     versions: list[PublisherVersion]
     checkpoints: dict[str, int]
     ask: bool = True
+    whole: bool = True
 
 
 class UsageCheckpoint(msgspec.Struct, tag="usage_checkpoint"):
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -11,6 +11,7 @@
 from .components import backend_servers
 from .components import configuration
 from .components import members
+from .components import renewals
 from .components import repair
 from .components import requests
 from .components import state as state_module
@@ -88,10 +89,12 @@
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
+    renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
         repair.Repair(state),
-        backend_servers.BackendServers(state, chosen),
+        renewing,
+        backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
