--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/members_costs.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/members_costs.py
@@ -10,7 +10,9 @@
 import dataclasses
 import random
 import resource
+import tracemalloc
 
+from dandeliontrail.coordination import membership
 from dandeliontrail.coordination import usage
 from dandeliontrail import events
 from dandeliontrail.resources import announcements
@@ -18,6 +20,7 @@
 from . import pure_nodes
 
 DAY = "2026-03-14"
+TICK = pure_nodes.STEPS_PER_TICK / pure_nodes.STEPS_PER_SECOND
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +74,8 @@
         self.net = pure_nodes.Network(seed, count_bytes=count_bytes)
         self._sequence = 0
         self._debt = 0.0
+        self._tenth = 0
+        self.silent = set()
         self._versions = {}
         self._weights = [1.0 / (rank + 1) for rank in range(mix.organisations)]
         for index in range(mix.nodes):
@@ -114,19 +119,19 @@
         node = self.rng.choice(self.domain_nodes(index))
         self.net.announce(node, self.announcement(index, **fields))
 
-    def run(self, seconds):
-        """Let whole seconds pass under the mix."""
-        tenth = 0
-        for _ in range(round(seconds / pure_nodes.TICK)):
-            for index in range(tenth, self.mix.servers, 10):
-                self.announce(index)
-            tenth = (tenth + 1) % 10
+    def run(self, seconds, watch=None):
+        """Let time pass under the mix; each server speaks every second."""
+        for _ in range(round(seconds / TICK)):
+            for index in range(self._tenth, self.mix.servers, 10):
+                if index not in self.silent:
+                    self.announce(index)
+            self._tenth = (self._tenth + 1) % 10
             self._use()
             self._change()
-            self.net.run(pure_nodes.TICK)
+            self.net.run(TICK, watch)
 
     def _use(self):
-        self._debt += self.mix.requests * pure_nodes.TICK
+        self._debt += self.mix.requests * TICK
         count = int(self._debt)
         self._debt -= count
         names = range(self.mix.organisations)
@@ -137,7 +142,7 @@
             node.state.usage.count(f"org{rank:04}", class_name, counted)
 
     def _change(self):
-        if self.rng.random() < self.mix.changes * pure_nodes.TICK:
+        if self.rng.random() < self.mix.changes * TICK:
             index = self.rng.randrange(self.mix.servers)
             self._versions[index] = self._versions.get(index, 1) + 1
             self.announce(index)
@@ -173,18 +178,24 @@
             {kind: size / count for kind, size in sorted(kinds.items())},
         )
 
-    def seconds_until(self, holds, limit=30.0, step=0.01):
-        """Return how long each node takes until ``holds(node)``."""
+    def seconds_until(self, holds, limit=20.0):
+        """Return how long each node takes until ``holds(node)``, sorted.
+
+        Nodes that do not get there within ``limit`` seconds are left out.
+        """
         began = self.net.now
-        left = set(range(len(self.nodes)))
-        took = {}
+        left = list(self.nodes)
+        took = []
+
+        def watch():
+            done = [node for node in left if holds(node)]
+            for node in done:
+                left.remove(node)
+                took.append(self.net.now - began)
+
         while left and self.net.now - began < limit:
-            self.net.run_fine(step)
-            for index in list(left):
-                if holds(self.nodes[index]):
-                    took[index] = self.net.now - began
-                    left.discard(index)
-        return sorted(took.values()), len(left)
+            self.run(TICK, watch)
+        return took
 
 
 def _is_relay(node):
@@ -202,6 +213,156 @@
     return made, made.spent(ordinary, seconds), made.spent(relays, seconds)
 
 
+def leave_seconds(made, index):
+    """Return how long each node takes to stop using a leaving server."""
+    name = f"e{index:04}"
+    made.silent.add(index)
+    made.announce(index, leaving=True)
+
+    def stopped(node):
+        server = node.state.registry.servers.get(name)
+        return not server or not server.serves(made.net.now)
+
+    return made.seconds_until(stopped)
+
+
+def join_seconds(made, index):
+    """Return how long each node takes to know a server that was new."""
+    name = f"e{index:04}"
+    made.announce(index)
+
+    def knows(node):
+        server = node.state.registry.servers.get(name)
+        return server is not None and server.serves(made.net.now)
+
+    return made.seconds_until(knows)
+
+
+def silence_seconds(made, index):
+    """Return how long each node goes on using a server that fell silent."""
+    made.silent.add(index)
+    name = f"e{index:04}"
+
+    def stopped(node):
+        return not node.state.registry.servers[name].serves(made.net.now)
+
+    return made.seconds_until(stopped)
+
+
+def fail_seconds(made, number):
+    """Return how long each other node takes to take one for failed."""
+    gone = made.nodes.pop(number)
+    gone.up = False
+
+    def failed(node):
+        return node.state.members.members[gone.name].gone()
+
+    return made.seconds_until(failed, 40.0)
+
+
+@dataclasses.dataclass(slots=True)
+class Slope:
+    """What one more of something costs a node a second."""
+
+    of: str
+    role: str
+    bytes: float
+    messages: float
+    busy_share: float
+
+
+# Between these sizes the links have relays, as they do at full size.
+BASE = Mix(40, 4, 2, 160, 160, 4, 400.0, 0.2)
+STEPS = (
+    ("nodes", 80),
+    ("servers", 480),
+    ("organisations", 480),
+    ("requests", 1200.0),
+    ("changes", 2.2),
+)
+
+
+def slopes(seconds=8.0):
+    """Return a :class:`Slope` for each step from ``BASE`` and each role.
+
+    ``requests`` and ``changes`` are those of the whole system a second; a
+    change is one of a backend server's record.
+    """
+    base = steady(BASE, seconds=seconds)[1:]
+    out = []
+    for name, value in STEPS:
+        mix = dataclasses.replace(BASE, **{name: value})
+        step = value - getattr(BASE, name)
+        found = steady(mix, seconds=seconds)[1:]
+        for role, before, after in zip(("ordinary", "relay"), base, found):
+            out.append(
+                Slope(
+                    name,
+                    role,
+                    (after.bytes - before.bytes) / step,
+                    (after.messages - before.messages) / step,
+                    (after.busy_share - before.busy_share) / step,
+                )
+            )
+    return out
+
+
+@dataclasses.dataclass(slots=True)
+class MemorySlope:
+    """Bytes of memory that one more of something takes in an instance."""
+
+    of: str
+    bytes: float
+
+
+def memory_slopes(count=2000):
+    """Return the memory of a member, a server and a usage row."""
+    return [
+        MemorySlope("member", _bytes_each(_fill_members, count)),
+        MemorySlope("backend server", _bytes_each(_fill_servers, count)),
+        MemorySlope("usage row", _bytes_each(_fill_usage, count)),
+    ]
+
+
+def _bytes_each(fill, count):
+    state = pure_nodes.Network().add("i0").state
+    fill(state, 10)
+    tracemalloc.start()
+    fill(state, count)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / count
+
+
+def _fill_members(state, count):
+    for number in range(count):
+        name = f"member{count}-{number}"
+        record = membership.MemberRecord(name, "10.0.0.1:8000", "fd1", "r1", 1)
+        state.members.learn(record, 0.0)
+
+
+def _fill_servers(state, count):
+    for number in range(count):
+        name = f"server{count}-{number}"
+        said = announcements.Announcement(
+            name,
+            1,
+            1,
+            "model_engine",
+            f"http://{name}:8000",
+            "fd1",
+            [announcements.Model(f"model{number % 16}")],
+        )
+        state.registry.learn(said, 0.0, 0.0)
+
+
+def _fill_usage(state, count):
+    state.usage.day = DAY
+    for number in range(count):
+        name = f"organisation{count}-{number}"
+        state.usage.count(name, "lookup", usage.Totals(1, 1, 1, 0))
+
+
 def peak_memory_mb():
     """Return the largest memory of this process so far, in MB."""
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/pure_nodes.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/pure_nodes.py
@@ -17,7 +17,8 @@
 from dandeliontrail import effects
 from dandeliontrail import events
 
-TICK = 0.1
+STEPS_PER_SECOND = 100
+STEPS_PER_TICK = 10
 # Head of a request and whole answer of one batch, as counted on
 # loopback; bodies are encoded and counted as they are.
 HTTP_BYTES = 219 + 109
@@ -53,6 +54,7 @@
         self.name = name
         self.domain = domain
         self.skew = skew
+        self.phase = rng.randrange(STEPS_PER_TICK)
         self.up = True
         self.cost = Cost()
         self.by_kind = collections.Counter()
@@ -80,7 +82,7 @@
         self._count_bytes = count_bytes
         self._queue = []
         self._order = 0
-        self._leaving = {}
+        self._steps = 0
 
     def add(self, name, domain="fd1", region="r1", seeds=None, skew=0.0):
         """Start a node that knows some of those already there."""
@@ -160,29 +162,26 @@
             node.by_kind[type(message).__name__] += whole - empty
         return size
 
-    def run(self, seconds):
-        """Let time pass: deliver what is due and tick every node."""
-        until = self.now + seconds
-        while self.now < until - TICK / 2:
-            self.step(TICK)
-            for node in list(self.nodes.values()):
-                if node.up:
-                    self._tick(node)
-
-    def step(self, seconds):
-        """Deliver what is due within ``seconds``, without any tick."""
-        until = self.now + seconds
+    def run(self, seconds, watch=None):
+        """Let time pass: deliver what is due and tick every node.
+
+        Each node ticks ten times a second at a phase of its own.  ``watch``
+        is called a hundred times a second, if it is given.
+        """
+        for _ in range(round(seconds * STEPS_PER_SECOND)):
+            self._step()
+            if watch:
+                watch()
+
+    def _step(self):
+        self._steps += 1
+        until = self._steps / STEPS_PER_SECOND
         self._deliver(until)
         self.now = until
-
-    def run_until(self, holds, limit=60.0, step=TICK):
-        """Let time pass until ``holds()``; return how long that took."""
-        began = self.now
-        while not holds():
-            if self.now - began > limit:
-                return None
-            self.run(step)
-        return self.now - began
+        phase = self._steps % STEPS_PER_TICK
+        for node in list(self.nodes.values()):
+            if node.up and node.phase == phase:
+                self._tick(node)
 
     def _tick(self, node):
         began = time.process_time()
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -157,9 +157,10 @@
         waited = now - member.probed
         if waited < probes.PROBE_WAIT * self._members.patience():
             return []
-        if not self._members.hears_anybody(now):
-            # Nobody is heard at all: the fault is with this instance, and
-            # to call everybody failed would only slow down its return.
+        if not self._members.heard_since(member.probed):
+            # Nobody at all was heard since: the fault is with this
+            # instance, and to call everybody failed would only slow down
+            # its return.
             return []
         return self._spread_standing(member, Standing.SUSPECT, now)
 
@@ -167,7 +168,7 @@
         allowed = membership.SUSPICION_SECONDS * self._members.patience()
         if now - member.since < allowed:
             return []
-        if not self._members.hears_anybody(now):
+        if not self._members.heard_since(member.since):
             return []
         return self._spread_standing(member, Standing.FAILED, now)
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -412,6 +412,10 @@
         """Tell whether any other instance was heard lately."""
         return self._heard_within(self._last_heard, now)
 
+    def heard_since(self, moment):
+        """Tell whether any other instance was heard after ``moment``."""
+        return any(heard > moment for heard in self._last_heard.values())
+
     def hears_other_domain(self, now):
         """Tell whether anybody outside this failure domain was heard."""
         domain = self._identity.failure_domain
