--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -13,6 +13,7 @@
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
+from . import orders_state
 from ..resources import store
 
 
@@ -39,7 +40,7 @@
     Owners: ``store`` and ``log`` the configuration component,
     ``registry`` the server component, ``members`` the membership
     component, ``usage`` the usage component, into which the request
-    component counts.
+    component counts, ``orders`` the orders component.
     """
 
     identity: Identity
@@ -50,6 +51,7 @@
     usage: ledger.UsageLedger
     directory: directory.Directory
     log: quorum_log.QuorumLog
+    orders: orders_state.OrdersState
     draining: bool = False
 
 
@@ -79,4 +81,5 @@
         ledger.UsageLedger(own),
         directory.Directory(registry, objects),
         log,
+        orders_state.new_orders_state(identity),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -7,6 +7,9 @@
 from .config import LogSynced
 from .config import StorageFailed
 from .config import WriteSubmitted
+from .orders import CacheChanged
+from .orders import OrderAnswer
+from .orders import OrderAnswered
 from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
@@ -26,12 +29,15 @@
     "AnswerFinished",
     "AttemptBegan",
     "AttemptFailed",
+    "CacheChanged",
     "CallerGone",
     "DayBegan",
     "FirstOutput",
     "Left",
     "LogSynced",
     "NotBegun",
+    "OrderAnswer",
+    "OrderAnswered",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -9,8 +9,10 @@
 
 from . import events
 from .components import backend_servers
+from .components import caches
 from .components import configuration
 from .components import members
+from .components import orders
 from .components import renewals
 from .components import repair
 from .components import requests
@@ -98,6 +100,8 @@
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
+        orders.Orders(state),
+        caches.Caches(state),
     ]
     # Every applier is registered by now, as the replay needs them all.
     state.log.open()
