Relays are replaced when they miss a heartbeat

Change: an instance takes a relay that was silent for 1.6 s for none, at every tick, and no longer returns to it at the next.

Renewals sent to the dead relay before it is missed are lost.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/members_costs.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/members_costs.py
@@ -143,9 +143,12 @@
 
     def _change(self):
         if self.rng.random() < self.mix.changes * TICK:
-            index = self.rng.randrange(self.mix.servers)
-            self._versions[index] = self._versions.get(index, 1) + 1
-            self.announce(index)
+            self.change(self.rng.randrange(self.mix.servers))
+
+    def change(self, index):
+        """Let a server load another version of its model."""
+        self._versions[index] = self._versions.get(index, 1) + 1
+        self.announce(index)
 
     def reset(self):
         """Begin to count costs afresh."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -46,6 +46,7 @@
         self._members.changes.clear()
         self._members.heartbeat_now = now >= self._next_heartbeat
         self._excuse_pause(now)
+        self._members.note_silent(now)
         out = self._judge(now)
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
@@ -97,7 +98,6 @@
     def _heartbeats(self, now):
         """Greet all links, and say farewell where a link has ended."""
         before = self._linked
-        self._members.note_silent(now)
         links = self._members.links()
         self._linked = {item.instance: item for item in links}
         message = self._heartbeat_message()
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -22,6 +22,8 @@
 # are asked whether they can reach it a second sooner.
 SILENT_AFTER = 3.5
 PROBE_AFTER = 2.5
+# Above a full mesh, relays that missed a heartbeat are replaced.
+RELAY_SILENT_AFTER = 1.6
 # How long a suspected instance has to refute.  News takes well under a
 # second, so this allows for a few lost messages.
 SUSPICION_SECONDS = 3.0
@@ -347,11 +349,17 @@
         ]
 
     def note_silent(self, now):
-        """Take silent members for no relays, sooner than for failed."""
+        """Take silent members for no relays, sooner than for failed.
+
+        A lease has 3 s, and 2.4 s of these may be used up by the way of a
+        renewal; to take on a relay too many for a moment costs little.
+        """
+        if self.full_mesh():
+            return
         silent = {
             name
             for name, item in self.members.items()
-            if item.linked and now - item.heard > PROBE_AFTER
+            if item.linked and now - item.heard > RELAY_SILENT_AFTER
         }
         if silent != self._silent:
             self._silent = silent
