--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -64,6 +64,7 @@
     address: str
     applied: int
     heard_ago: float
+    standing: str
 
 
 class UsageView(msgspec.Struct):
@@ -182,6 +183,7 @@
             own.address,
             host.state.store.version,
             0.0,
+            "alive",
         )
     ]
     for name, member in sorted(host.state.members.members.items()):
@@ -193,6 +195,7 @@
                 member.address,
                 member.applied,
                 round(now - member.heard, 3),
+                member.standing.value,
             )
         )
     return Listing("instances", host.state.store.version, items)
@@ -223,7 +226,11 @@
 
 
 class StatusView(msgspec.Struct):
-    """One instance at a glance."""
+    """One instance at a glance.
+
+    ``reach`` is ``majority``, ``minority``, ``own_failure_domain`` or
+    ``nobody``: whom of the other instances it hears.
+    """
 
     instance: str
     failure_domain: str
@@ -233,6 +240,7 @@
     serving_backend_servers: int
     backend_servers: int
     instances_heard: int
+    reach: str
 
 
 def _status(host):
@@ -247,6 +255,7 @@
         len(state.registry.serving(now)),
         len(state.registry.servers),
         len(state.members.alive(now)),
+        state.members.reach(now).value,
     )
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -12,6 +12,7 @@
 # two sides of a healed partition find each other.
 RETRY_INTERVAL = 2.0
 FORGET_INTERVAL = 10.0
+HEARS_OUTSIDE = (membership.Reach.ALL, membership.Reach.MINORITY)
 Standing = membership.Standing
 
 
@@ -29,6 +30,7 @@
         self._last_tick = None
         self._suspected = set()
         self._leaving = False
+        self._reach = membership.Reach.ALL
 
     def handlers(self):
         """Return the handlers of membership events and messages."""
@@ -43,15 +45,17 @@
 
     def tick(self, now):
         """Send what is due and judge who is silent."""
-        self._members.changes.clear()
+        self._members.turn_changes()
         self._members.heartbeat_now = now >= self._next_heartbeat
         self._excuse_pause(now)
         self._members.note_silent(now)
-        out = self._judge(now)
+        out = self._report_changes()
+        out.extend(self._judge(now))
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
             self._members.age_offsets(membership.HEARTBEAT_INTERVAL)
             self._recover_health(now)
+            out.extend(self._report_reach(now))
             out.extend(self._heartbeats(now))
         if now >= self._next_retry:
             self._next_retry = now + RETRY_INTERVAL
@@ -61,6 +65,25 @@
             self._members.forget(now)
         return out
 
+    def _report_changes(self):
+        return [
+            effects.Log(
+                "info",
+                "member",
+                {"member": item.instance, "change": item.change.value},
+            )
+            for item in self._members.changes
+        ]
+
+    def _report_reach(self, now):
+        """Log when it changes how far this instance hears."""
+        reach = self._members.reach(now)
+        if reach is self._reach:
+            return []
+        self._reach = reach
+        level = "info" if reach is membership.Reach.ALL else "warning"
+        return [effects.Log(level, "reach", {"reach": reach.value})]
+
     def _excuse_pause(self, now):
         """Do not blame the others for a pause of this process.
 
@@ -85,14 +108,15 @@
     def _heartbeat_message(self, last=False, ask=False):
         state = self._state
         return messages.Heartbeat(
-            state.store.version,
-            state.identity.refutations,
-            state.members.digest.root,
-            state.registry.digest.root,
-            state.usage.own_version(),
-            state.usage.finished_root(),
-            last,
-            ask,
+            applied=state.store.version,
+            refutations=state.identity.refutations,
+            members=state.members.digest.root,
+            servers=state.registry.digest.root,
+            usage_version=state.usage.own_version(),
+            usage_finished=state.usage.finished_root(),
+            outside=self._reach in HEARS_OUTSIDE,
+            last=last,
+            ask=ask,
         )
 
     def _heartbeats(self, now):
@@ -207,6 +231,7 @@
                 return self._tell(source, member.record)
             out.extend(self._take_back(source, message.refutations, now))
         member.applied = message.applied
+        member.outside = message.outside
         member.linked = not message.last
         if message.ask:
             answer = self._heartbeat_message(last=True)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -79,7 +79,8 @@
     """Another instance as it is seen from here.
 
     ``heard`` is when it was last heard directly, ``since`` when its
-    standing last changed, both on this instance's clock.  ``linked`` tells
+    standing last changed, both on this instance's clock.  ``outside`` is
+    whether it says that it hears other failure domains.  ``linked`` tells
     whether it sends heartbeats here.  ``offset`` is the least difference
     seen between this clock and its own.  ``agreed`` is when its table of
     finished usage was last the same as ours.
@@ -93,6 +94,7 @@
     probed: float | None = None
     offset: float | None = None
     agreed: float = float("-inf")
+    outside: bool = False
 
     @property
     def instance(self):
@@ -140,6 +142,15 @@
     RETURNED = "returned"
 
 
+class Reach(enum.Enum):
+    """How far an instance hears; the widest is not told apart further."""
+
+    NOBODY = "nobody"
+    OWN_DOMAIN = "own_failure_domain"
+    MINORITY = "minority"
+    ALL = "majority"
+
+
 @dataclasses.dataclass(slots=True)
 class MemberChange:
     """One change to the member table."""
@@ -151,14 +162,15 @@
 class Membership:
     """The members by name, and the seeds to start from.
 
-    ``changes`` holds the changes since the last tick but one and is cleared
-    by the membership component; others read it in their own tick.
+    ``changes`` holds what happened between the last two ticks, for the
+    other components to read in their own tick.
     """
 
     __slots__ = (
         "members",
         "seeds",
         "changes",
+        "_next_changes",
         "digest",
         "health",
         "heartbeat_now",
@@ -173,6 +185,7 @@
         self.members = {}
         self.seeds = set(seeds)
         self.changes = []
+        self._next_changes = []
         self.digest = digests.TableDigest()
         self.health = 0
         self.heartbeat_now = False
@@ -287,7 +300,12 @@
         self._note(record.instance, _change(before, record))
 
     def _note(self, instance, change):
-        self.changes.append(MemberChange(instance, change))
+        self._next_changes.append(MemberChange(instance, change))
+
+    def turn_changes(self):
+        """Let the changes since the last call be read in this tick."""
+        self.changes = self._next_changes
+        self._next_changes = []
 
     def mark(self, member, standing, now):
         """Give a member a new standing and return its record."""
@@ -425,8 +443,16 @@
         return any(heard > moment for heard in self._last_heard.values())
 
     def hears_other_domain(self, now):
-        """Tell whether anybody outside this failure domain was heard."""
+        """Tell whether anybody outside this failure domain was heard.
+
+        An instance that is linked to its relays alone goes by their word.
+        """
         domain = self._identity.failure_domain
+        if not self.full_mesh() and not self.is_relay():
+            return any(
+                item.outside and reached(item, now)
+                for item in self.relays_of(domain)
+            )
         return self._heard_within(
             [name for name in self._last_heard if name != domain], now
         )
@@ -451,6 +477,22 @@
         reachable = 1 + sum(1 for item in counted if reached(item, now))
         return 2 * reachable > len(counted) + 1
 
+    def reach(self, now):
+        """Return how far this instance hears."""
+        domain = self._identity.failure_domain
+        others = [
+            item
+            for item in self.members.values()
+            if item.standing is not Standing.LEFT
+        ]
+        if others and not self.hears_anybody(now):
+            return Reach.NOBODY
+        if all(item.failure_domain == domain for item in others):
+            return Reach.ALL
+        if not self.hears_other_domain(now):
+            return Reach.OWN_DOMAIN
+        return Reach.ALL if self.hears_majority(now) else Reach.MINORITY
+
     def shift(self, seconds):
         """Excuse all others for a time in which this process stood still."""
         for member in self.members.values():
--- a/tests/cover/test_members.py
+++ b/tests/cover/test_members.py
@@ -99,6 +99,7 @@
     members = made.nodes["i0"].state.members
     assert not members.hears_anybody(made.now)
     assert not members.hears_majority(made.now)
+    assert members.reach(made.now) is membership.Reach.NOBODY
     assert all(
         item.standing is Standing.ALIVE for item in members.members.values()
     )
@@ -119,7 +120,9 @@
     assert own.hears_anybody(made.now)
     assert not own.hears_other_domain(made.now)
     assert not own.hears_majority(made.now)
-    assert made.nodes["i5"].state.members.hears_majority(made.now)
+    assert own.reach(made.now) is membership.Reach.OWN_DOMAIN
+    other = made.nodes["i5"].state.members
+    assert other.reach(made.now) is membership.Reach.ALL
     made.heal()
     made.run(12.0)
     assert everyone_alive(made)
--- a/tests/cover/test_relays.py
+++ b/tests/cover/test_relays.py
@@ -1,5 +1,6 @@
 """Leases, news and usage above a full mesh, where domains have relays."""
 
+from dandeliontrail.coordination import membership
 from dandeliontrail.coordination import servers
 from dandeliontrail.resources import announcements
 from dandeliontrail_lab import members_costs as costs
@@ -98,6 +99,26 @@
         assert node.state.usage.used_by("one").requests == 24
 
 
+def test_domain_that_is_cut_off_knows_it_everywhere():
+    made = deployment()
+    inside = [node.name for node in made.nodes if node.domain == "fd1"]
+    outside = [node.name for node in made.nodes if node.domain != "fd1"]
+    made.net.separate(inside, outside)
+    made.run(20.0)
+    for node in made.nodes:
+        reach = node.state.members.reach(made.net.now)
+        if node.domain == "fd1":
+            assert reach is membership.Reach.OWN_DOMAIN
+        else:
+            assert reach is membership.Reach.ALL
+    made.net.heal()
+    made.run(15.0)
+    assert worst(made) == 12
+    for node in made.nodes:
+        reach = node.state.members.reach(made.net.now)
+        assert reach is membership.Reach.ALL
+
+
 def test_vouch_renews_nothing_where_the_relay_knows_of_another_state():
     # The relay heard that e1 leaves, this instance missed it.  The vouch
     # is for all that run at the relay, and e1 is not among them.
