--- a/packages/dandeliontrail/src/dandeliontrail/components/orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/orders.py
@@ -12,15 +12,13 @@
 cold loads at once (slots from :mod:`..coordination.downloads`).
 """
 
-import dataclasses
-
 from .. import effects
 from .. import events
 from .. import interfaces
 from .. import invariants
-from ..coordination import downloads
 from ..coordination import order_reports
 from ..decisions import model_orders
+from . import download_slots
 from . import orders_state
 from . import placements
 
@@ -31,8 +29,6 @@
 # An order without an answer is repeated after this long; engines answer
 # within a second, and a repetition does nothing if the first arrived.
 REPEAT_AFTER = 10.0
-# A slot or a place in the line is asked for again after this long.
-ASK_AGAIN = 5.0
 # A model counts as in use this long after the last request for it.
 USED_FOR = 600.0
 REPORT_INTERVAL = 10.0
@@ -40,28 +36,24 @@
 UNLOAD = model_orders.OrderKind.UNLOAD
 
 
-@dataclasses.dataclass(slots=True)
-class _Slot:
-    """A download slot that was asked for at ``asked_at``."""
-
-    asked_at: float
-    granted: bool = False
-
-
 class Orders(interfaces.Component):
     """Compares declared with reported and orders the difference."""
 
     def __init__(self, state, download_budget=DOWNLOADS):
         self._state = state
         self._log = state.log
-        self._budget = download_budget
         self._orders = state.orders
         self._lease = state.orders.lease
         self._proposals = 0
         orders_state.register(state.log, state.orders)
         self._awaited = {}
         self._refused_until = {}
-        self._slots = {}
+        self._slots = download_slots.DownloadSlots(
+            state.identity.failure_domain,
+            state.orders.downloads,
+            self._propose,
+            download_budget,
+        )
         self._used = {}
         self._conditions = {}
         self._next = 0.0
@@ -151,10 +143,18 @@
         by_name = {item.name: item for item in wanted}
         for placement, order in made.orders:
             out.extend(self._start(by_name[placement], order, view, now))
+        out.extend(self._drop_unplanned(made.orders, now))
         out.extend(self._repeat(engines, now))
         out.extend(self._report(now))
         return out
 
+    def _drop_unplanned(self, orders, now):
+        if self._lease.grant is None:
+            return []
+        planned = {order.key for _, order in orders} | set(self._awaited)
+        fencing = self._lease.grant.fencing
+        return self._slots.drop_unplanned(planned, fencing, now)
+
     def _renew(self, now):
         if self._lease.asking() or not self._lease.renewal_due(now):
             return []
@@ -195,46 +195,54 @@
 
     def _settle(self, engines, now):
         """End each order that is seen in a report, or given up."""
-        self._adopt(now)
-        out = []
+        self._adopt(engines, now)
+        out = self._slots.settle(engines, now)
         for key, item in list(self._awaited.items()):
-            if placements.is_seen(item.order, engines):
+            announcement = engines.get(item.order.server)
+            if announcement is None:
+                out.extend(self._lose(key, item, now))
+            elif placements.is_seen(item.order, engines):
                 out.extend(self._end(key, "done", now))
-            elif item.order.server not in engines:
-                out.extend(self._end(key, "backend_server_gone", now))
+            elif 0 <= item.epoch < announcement.epoch:
+                out.extend(self._end(key, "backend_server_restarted", now))
             elif now - item.given_at > model_orders.LONGEST_LOAD:
                 out.extend(self._end(key, "given_up", now))
         return out
 
-    def _adopt(self, now):
+    def _adopt(self, engines, now):
         """Await the loads that a lost predecessor has under way.
 
         Their slots are in the log.  Without this a successor would order
         the same copies again on other engines.
         """
-        domain = self._state.identity.failure_domain
-        for slot in self._orders.downloads.held_by(domain):
-            if slot.order in self._awaited or slot.order in self._slots:
+        for slot in self._slots.of_predecessors():
+            if slot.order in self._awaited:
                 continue
             order = model_orders.parse_key(slot.order)
+            announcement = engines.get(order.server)
             self._awaited[slot.order] = model_orders.Awaited(
-                order, "", now, slot.fencing
+                order,
+                "",
+                now,
+                slot.fencing,
+                announcement.epoch if announcement else -1,
             )
 
+    def _lose(self, key, item, now):
+        """Stop awaiting an engine that fell silent; others may do it."""
+        del self._awaited[key]
+        self._refused_until[key] = now + model_orders.RETRY_AFTER
+        if item.order.kind is LOAD:
+            self._slots.watch(item)
+        return [self._line(item.order, item.fencing, "backend_server_gone")]
+
     def _end(self, key, reason, now):
         item = self._awaited.pop(key)
-        self._slots.pop(key, None)
         if reason != "done":
             self._refused_until[key] = now + model_orders.RETRY_AFTER
         out = [self._line(item.order, item.fencing, reason)]
         if item.order.kind is LOAD:
-            entry = downloads.DownloadEntry(
-                downloads.DownloadStep.DONE,
-                self._state.identity.failure_domain,
-                item.fencing,
-                key,
-            )
-            out.extend(self._propose(entry, now, _ignore))
+            out.extend(self._slots.give_back(key, item.fencing, now))
         return out
 
     def _line(self, order, fencing, reason):
@@ -255,8 +263,10 @@
         if not self._lease.may_order(checks, now):
             self._conditions[item.name] = self._why_not(now)
             return []
-        if order.kind is LOAD and not self._has_slot(order):
-            return self._ask_slot(item, order, now)
+        if order.kind is LOAD and not self._slots.granted(order):
+            self._conditions[item.name] = "waiting for the weight store"
+            fencing = self._lease.grant.fencing
+            return self._slots.ask(order, fencing, item.protected, now)
         if order.kind is UNLOAD and item.in_use:
             # The plan looked at the same view; another order of this very
             # tick may have taken the other copy since.
@@ -271,40 +281,13 @@
         wait = grant.unchecked_from - now
         return f"waiting {wait:.0f} s for the former holder's last order"
 
-    def _has_slot(self, order):
-        slot = self._slots.get(order.key)
-        return slot is not None and slot.granted
-
-    def _ask_slot(self, item, order, now):
-        self._conditions[item.name] = "waiting for the weight store"
-        slot = self._slots.get(order.key)
-        if slot and now - slot.asked_at < ASK_AGAIN:
-            return []
-        slot = _Slot(now)
-        self._slots[order.key] = slot
-        entry = downloads.DownloadEntry(
-            downloads.DownloadStep.ASK,
-            self._state.identity.failure_domain,
-            self._lease.grant.fencing,
-            order.key,
-            self._budget,
-            item.protected,
-        )
-
-        def answered(settled, later):
-            result = settled.result
-            slot.granted = result is not None and result.granted
-            return []
-
-        return self._propose(entry, now, answered)
-
     def _give(self, placement, order, announcement, checks, now):
         key = order.key
         fencing = self._lease.grant.fencing
         held = self._awaited.get(key)
         if held is None:
             held = model_orders.Awaited(
-                order, placement, now, fencing, attempts=0
+                order, placement, now, fencing, announcement.epoch, attempts=0
             )
             self._awaited[key] = held
         held.attempts += 1
@@ -406,7 +389,3 @@
         (line.order, line.answered, line.attempts) for line in report.orders
     ]
     return (report.fencing, orders, report.placements)
-
-
-def _ignore(settled, now):
-    return []
--- a/tests/cover/test_model_orders.py
+++ b/tests/cover/test_model_orders.py
@@ -79,8 +79,8 @@
 
 
 def test_protected_models_are_loaded_first():
-    # All engines came back cold; one may be disturbed at a time.
-    engines = [announce(name) for name in NAMES]
+    # All engines are at work on other models; one may be disturbed.
+    engines = [announce(name, other="1") for name in NAMES]
     review = want()
     review.name = "a-review"
     lookup = want(protected=True)
@@ -89,6 +89,14 @@
     assert [name for name, _ in made.orders] == ["z-lookup"]
 
 
+def test_cold_engines_are_all_loaded_at_once():
+    # A failure domain comes back with nothing loaded: nobody is disturbed
+    # by a load, and the weight store sets the pace.
+    engines = [announce(name) for name in NAMES]
+    made = model_orders.plan([want(minimum=4)], view_of(*engines), 0.0)
+    assert len(made.orders) == 4
+
+
 @dataclasses.dataclass
 class Engine:
     """An engine that loads for a while and reports late."""
