--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -21,6 +21,7 @@
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
+    servers.Vouches,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
