--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -2,6 +2,7 @@
 
 from .config import AppendLog
 from .config import ReplaceLog
+from .config import VoterAnswered
 from .config import WriteAnswered
 from .orders import GiveOrder
 from .peers import SendPeer
@@ -27,5 +28,6 @@
     "ReplaceLog",
     "ReplaceUsage",
     "SendPeer",
+    "VoterAnswered",
     "WriteAnswered",
 ]
