--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -9,6 +9,7 @@
 from . import messages
 from . import order_reports
 from . import quorum_log_messages
+from . import quorum_log_voters
 from ..resources import announcements
 from . import servers
 from . import usage
@@ -30,6 +31,8 @@
     usage.UsageHave,
     usage.UsageCheckpoint,
     *quorum_log_messages.ALL,
+    quorum_log_voters.VoterRequest,
+    quorum_log_voters.VoterReply,
 )
 
 Message = typing.Union[ALL]
