--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -12,6 +12,8 @@
 # two sides of a healed partition find each other.
 RETRY_INTERVAL = 2.0
 FORGET_INTERVAL = 10.0
+# At 530 members a look at each costs a third of a millisecond.
+JUDGE_INTERVAL = 0.3
 HEARS_OUTSIDE = (membership.Reach.ALL, membership.Reach.MINORITY)
 Standing = membership.Standing
 
@@ -27,6 +29,7 @@
         self._next_heartbeat = 0.0
         self._next_retry = 0.0
         self._next_forget = 0.0
+        self._next_judgement = 0.0
         self._last_tick = None
         self._suspected = set()
         self._leaving = False
@@ -50,7 +53,9 @@
         self._excuse_pause(now)
         self._members.note_silent(now)
         out = self._report_changes()
-        out.extend(self._judge(now))
+        if now >= self._next_judgement:
+            self._next_judgement = now + JUDGE_INTERVAL
+            out.extend(self._judge(now))
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
             self._members.age_offsets(membership.HEARTBEAT_INTERVAL)
--- a/packages/dandeliontrail/src/dandeliontrail/components/renewals.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/renewals.py
@@ -17,6 +17,7 @@
 from .. import interfaces
 from ..coordination import dissemination
 from ..coordination import servers
+from ..coordination import vouches
 
 # How long an instance gathers renewals before it tells a relay, and a relay
 # before it tells the others.
@@ -40,7 +41,7 @@
         """Return the handlers of renewals from other instances."""
         return {
             servers.Renewals: self._renewals,
-            servers.Vouches: self._vouches,
+            vouches.Vouches: self._vouches,
         }
 
     def note(self, name, source=""):
@@ -131,13 +132,13 @@
     def _vouch_to_all(self, now):
         """Vouch for the own domain to all, for the others to the own."""
         domain = self._state.identity.failure_domain
-        vouches = {
+        given = {
             name: self._registry.vouch(name, now)
             for name, running in self._registry.running.items()
-            if len(running)
+            if running.servers
         }
-        whole = servers.Vouches(list(vouches.values()))
-        own = servers.Vouches([vouches[domain]] if domain in vouches else [])
+        whole = vouches.Vouches(list(given.values()))
+        own = vouches.Vouches([given[domain]] if domain in given else [])
         out = []
         for member in self._state.members.links():
             inside = member.failure_domain == domain
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -13,6 +13,7 @@
 from ..resources import announcements
 from . import servers
 from . import usage
+from . import vouches
 
 ALL = (
     messages.Heartbeat,
@@ -21,7 +22,7 @@
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
-    servers.Vouches,
+    vouches.Vouches,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -14,6 +14,7 @@
 from .. import invariants
 from . import digests
 from ..resources import announcements
+from . import vouches
 
 # A server that leaves or falls silent gets no new work after this long at
 # the most, whatever lease it asked for itself.
@@ -22,9 +23,6 @@
 # announcement that is still on its way cannot bring the server back.
 KEEP_LAPSED = 60.0
 MOST_LAPSED = 10_000
-# So many of the servers heard longest ago are named in a vouch with ages of
-# their own, so that one that has fallen silent does not age all the others.
-MOST_LATE = 8
 
 
 class ServerRecord(msgspec.Struct):
@@ -63,25 +61,6 @@
     renewals: list[Renewal]
 
 
-class Vouch(msgspec.Struct, array_like=True):
-    """A relay's word for all running servers of a failure domain at once.
-
-    They are those that ``root`` stands for, and each was heard ``age``
-    seconds ago at most, but for those in ``late``, which has their ages.
-    """
-
-    failure_domain: str
-    root: int
-    age: float
-    late: dict[str, float]
-
-
-class Vouches(msgspec.Struct, tag="vouches"):
-    """Renewed leases of whole failure domains."""
-
-    vouches: list[Vouch]
-
-
 @dataclasses.dataclass(slots=True)
 class Server:
     """One backend server as it is seen from here.
@@ -94,6 +73,7 @@
     heard: float
     expires: float
     content: int = 0
+    lease: float = LONGEST_LEASE
 
     def serves(self, now):
         """Tell whether new work may go to it."""
@@ -108,12 +88,14 @@
 class ServerRegistry:
     """All backend servers heard of, by name."""
 
-    __slots__ = ("servers", "digest", "running")
+    __slots__ = ("servers", "digest", "running", "_lapsed", "_next_lapse")
 
     def __init__(self):
         self.servers = {}
         self.digest = digests.TableDigest()
         self.running = {}
+        self._lapsed = {}
+        self._next_lapse = 0.0
 
     def learn(self, announcement, age, now):
         """Take in a record and return whether it was news."""
@@ -154,16 +136,19 @@
         """Keep the digests of those that have not lapsed."""
         announcement = held.announcement
         name = announcement.backend_server
+        held.lease = lease_of(announcement)
+        self._lapsed.pop(name, None)
+        self._next_lapse = min(self._next_lapse, held.expires)
         self.digest.put(name, held.content)
         running = self.running.setdefault(
-            announcement.failure_domain, digests.TableDigest()
+            announcement.failure_domain, vouches.RunningServers()
         )
         if announcement.leaving:
             running.drop(name)
         else:
-            running.put(name, held.content)
+            running.put(name, held)
 
-    def _lapse(self, name):
+    def _leave_digests(self, name):
         domain = self.servers[name].announcement.failure_domain
         self.digest.drop(name)
         self.running[domain].drop(name)
@@ -181,7 +166,7 @@
             # A relay may have vouched for it since that announcement.
             heard = max(heard, held.heard)
         if before.failure_domain != announcement.failure_domain:
-            self._lapse(announcement.backend_server)
+            self._leave_digests(announcement.backend_server)
         # The object is kept, since the directory's lists point to it.
         held.announcement = announcement
         held.heard = heard
@@ -214,34 +199,12 @@
 
     def vouch(self, domain, now):
         """Return the word for all running servers of a failure domain."""
-        running = self.running[domain]
-        ages = sorted(
-            (now - self.servers[name].heard, name) for name in running.keys()
-        )
-        late = {name: round(age, 2) for age, name in ages[-MOST_LATE:]}
-        others = ages[:-MOST_LATE]
-        age = round(others[-1][0] + 0.005, 2) if others else 0.0
-        late = {name: value for name, value in late.items() if value > age}
-        return Vouch(domain, running.root, max(0.0, age), late)
+        return self.running[domain].vouch(domain, now)
 
     def vouched(self, vouch, delay, now):
-        """Renew all that a vouch covers; return whether it could be taken.
-
-        Where this instance knows of other servers in that failure domain
-        than the relay, or of other contents, nothing is renewed: the
-        difference is about to be repaired, and until then the servers'
-        leases run on.
-        """
+        """Take in a relay's word; return whether it renewed anything."""
         running = self.running.get(vouch.failure_domain)
-        if running is None or running.root != vouch.root:
-            return False
-        for name in running.keys():
-            held = self.servers[name]
-            age = vouch.late.get(name, vouch.age) + delay
-            if now - age > held.heard:
-                held.heard = now - age
-                held.expires = held.heard + lease_of(held.announcement)
-        return True
+        return running is not None and running.renew(vouch, delay, now)
 
     def renewal_of(self, name, now):
         """Return the renewal that tells others what is held."""
@@ -270,21 +233,36 @@
     def forget(self, now, after=KEEP_LAPSED):
         """Drop servers that lapsed more than ``after`` seconds ago.
 
-        Lapsed servers leave the digest at once, since instances forget
-        them at different moments.
+        Lapsed servers leave the digests at once, since instances forget
+        them at different moments.  Leases only grow, so nothing can have
+        lapsed before the first end of a lease seen at the last look.
         """
-        lapsed = sorted(
-            (item.expires, name)
-            for name, item in self.servers.items()
-            if item.expires < now
-        )
-        surplus = max(0, len(lapsed) - MOST_LAPSED)
-        gone = []
-        for rank, (expires, name) in enumerate(lapsed):
-            self._lapse(name)
-            if rank < surplus or expires + after < now:
-                del self.servers[name]
-                gone.append(name)
+        if now < self._next_lapse:
+            return []
+        for name, held in self.servers.items():
+            if held.expires < now and name not in self._lapsed:
+                self._lapsed[name] = held.expires
+                self._leave_digests(name)
+        running = [
+            held.expires
+            for name, held in self.servers.items()
+            if name not in self._lapsed
+        ]
+        self._next_lapse = min(running, default=now + 1.0)
+        if self._lapsed:
+            self._next_lapse = min(self._next_lapse, now + 1.0)
+        return self._forget_lapsed(now - after)
+
+    def _forget_lapsed(self, before):
+        surplus = len(self._lapsed) - MOST_LAPSED
+        gone = [
+            name
+            for rank, (name, expires) in enumerate(self._lapsed.items())
+            if rank < surplus or expires < before
+        ]
+        for name in gone:
+            del self.servers[name]
+            del self._lapsed[name]
         return gone
 
 
