--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/members_costs.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/members_costs.py
@@ -12,7 +12,7 @@
 import resource
 import tracemalloc
 
-from dandeliontrail.coordination import membership
+from dandeliontrail.coordination import member_records
 from dandeliontrail.coordination import usage
 from dandeliontrail import events
 from dandeliontrail.resources import announcements
@@ -353,7 +353,9 @@
 def _fill_members(state, count):
     for number in range(count):
         name = f"member{count}-{number}"
-        record = membership.MemberRecord(name, "10.0.0.1:8000", "fd1", "r1", 1)
+        record = member_records.MemberRecord(
+            name, "10.0.0.1:8000", "fd1", "r1", 1
+        )
         state.members.learn(record, 0.0)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -4,6 +4,7 @@
 from .. import events
 from .. import interfaces
 from ..coordination import dissemination
+from ..coordination import member_records
 from ..coordination import membership
 from ..coordination import messages
 from . import probes
@@ -14,8 +15,8 @@
 FORGET_INTERVAL = 10.0
 # At 530 members a look at each costs a third of a millisecond.
 JUDGE_INTERVAL = 0.3
-HEARS_OUTSIDE = (membership.Reach.ALL, membership.Reach.MINORITY)
-Standing = membership.Standing
+HEARS_OUTSIDE = (member_records.Reach.ALL, member_records.Reach.MINORITY)
+Standing = member_records.Standing
 
 
 class Members(interfaces.Component):
@@ -33,7 +34,7 @@
         self._last_tick = None
         self._suspected = set()
         self._leaving = False
-        self._reach = membership.Reach.ALL
+        self._reach = member_records.Reach.ALL
 
     def handlers(self):
         """Return the handlers of membership events and messages."""
@@ -41,7 +42,7 @@
             events.Started: self._started,
             events.Left: self._left,
             messages.Heartbeat: self._heartbeat,
-            membership.MemberRecords: self._records,
+            member_records.MemberRecords: self._records,
             dissemination.Probe: self._probes.probe,
             dissemination.ProbeAnswer: self._probes.answer,
         }
@@ -86,7 +87,7 @@
         if reach is self._reach:
             return []
         self._reach = reach
-        level = "info" if reach is membership.Reach.ALL else "warning"
+        level = "info" if reach is member_records.Reach.ALL else "warning"
         return [effects.Log(level, "reach", {"reach": reach.value})]
 
     def _excuse_pause(self, now):
@@ -208,7 +209,7 @@
         return self._spread([record])
 
     def _spread(self, records, source=""):
-        message = membership.MemberRecords(records)
+        message = member_records.MemberRecords(records)
         return [
             effects.SendPeer(item.address, message)
             for item in self._members.spread_to(source)
@@ -244,11 +245,11 @@
         return out
 
     def _tell(self, source, record):
-        message = membership.MemberRecords([record])
+        message = member_records.MemberRecords([record])
         return [effects.SendPeer(source.address, message)]
 
     def _take_back(self, source, refutations, now):
-        record = membership.MemberRecord(
+        record = member_records.MemberRecord(
             source.instance,
             source.address,
             source.failure_domain,
--- a/packages/dandeliontrail/src/dandeliontrail/components/repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/repair.py
@@ -7,7 +7,7 @@
 from .. import interfaces
 from ..coordination import digests
 from ..coordination import dissemination
-from ..coordination import membership
+from ..coordination import member_records
 from ..coordination import messages
 from ..coordination import servers
 
@@ -114,7 +114,7 @@
 
     def _members(self, keys):
         found = [self._state.members.record_of(key) for key in keys]
-        return membership.MemberRecords([item for item in found if item])
+        return member_records.MemberRecords([item for item in found if item])
 
     def _servers(self, keys, now):
         registry = self._state.registry
--- a/packages/dandeliontrail/src/dandeliontrail/components/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage.py
@@ -4,6 +4,7 @@
 from .. import events
 from .. import interfaces
 from ..coordination import links
+from ..coordination import member_records
 from ..coordination import membership
 from ..coordination import messages
 from ..coordination import usage
@@ -22,7 +23,7 @@
 SAVE_INTERVAL = 1.0
 # After so many journal entries the disk gets a checkpoint in their place.
 JOURNAL_LENGTH = 600
-LEFT = membership.Standing.LEFT
+LEFT = member_records.Standing.LEFT
 
 
 class Usage(interfaces.Component):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from . import dissemination
-from . import membership
+from . import member_records
 from . import messages
 from . import order_reports
 from . import quorum_log_messages
@@ -17,7 +17,7 @@
 
 ALL = (
     messages.Heartbeat,
-    membership.MemberRecords,
+    member_records.MemberRecords,
     servers.ServerRecords,
     order_reports.OrdersReport,
     announcements.CacheEvents,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -7,15 +7,17 @@
 starts from a few seed addresses and learns the rest from other instances.
 """
 
-import dataclasses
-import enum
-
 import msgspec
 
 from .. import invariants
 from . import digests
 from . import links
+from . import member_records
 
+Change = member_records.Change
+MemberRecord = member_records.MemberRecord
+Reach = member_records.Reach
+Standing = member_records.Standing
 # Heartbeats go out once a second on each link.
 HEARTBEAT_INTERVAL = 1.0
 # Three missed heartbeats and a half make a linked instance silent; others
@@ -39,126 +41,6 @@
 DRIFT = 0.0002
 
 
-class Standing(enum.Enum):
-    """What is known of an instance, the stronger claim later."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    FAILED = "failed"
-    LEFT = "left"
-
-
-_RANK = {standing: rank for rank, standing in enumerate(Standing)}
-
-
-class MemberRecord(msgspec.Struct, array_like=True):
-    """What one instance tells others about an instance."""
-
-    instance: str
-    address: str
-    failure_domain: str
-    region: str
-    incarnation: int
-    refutations: int = 0
-    standing: Standing = Standing.ALIVE
-
-    def order(self):
-        """Return the key by which the greater record wins."""
-        rank = _RANK[self.standing]
-        return (self.incarnation, self.refutations, rank)
-
-
-class MemberRecords(msgspec.Struct, tag="members"):
-    """Records of instances that the sender holds."""
-
-    records: list[MemberRecord]
-
-
-@dataclasses.dataclass(slots=True)
-class Member:
-    """Another instance as it is seen from here.
-
-    ``heard`` is when it was last heard directly, ``since`` when its
-    standing last changed, both on this instance's clock.  ``outside`` is
-    whether it says that it hears other failure domains.  ``linked`` tells
-    whether it sends heartbeats here.  ``offset`` is the least difference
-    seen between this clock and its own.  ``agreed`` is when its table of
-    finished usage was last the same as ours.
-    """
-
-    record: MemberRecord
-    heard: float
-    since: float
-    applied: int = 0
-    linked: bool = False
-    probed: float | None = None
-    offset: float | None = None
-    agreed: float = float("-inf")
-    outside: bool = False
-
-    @property
-    def instance(self):
-        """The name of the instance."""
-        return self.record.instance
-
-    @property
-    def address(self):
-        """The address of its peer listener."""
-        return self.record.address
-
-    @property
-    def failure_domain(self):
-        """The failure domain it runs in."""
-        return self.record.failure_domain
-
-    @property
-    def region(self):
-        """The region it runs in."""
-        return self.record.region
-
-    @property
-    def incarnation(self):
-        """A number that grows with each of its starts."""
-        return self.record.incarnation
-
-    @property
-    def standing(self):
-        """What is known of it."""
-        return self.record.standing
-
-    def gone(self):
-        """Tell whether it has left or is taken for failed."""
-        return self.standing in (Standing.FAILED, Standing.LEFT)
-
-
-class Change(enum.Enum):
-    """What happened to a member, for other components to see."""
-
-    JOINED = "joined"
-    RESTARTED = "restarted"
-    SUSPECTED = "suspected"
-    FAILED = "failed"
-    LEFT = "left"
-    RETURNED = "returned"
-
-
-class Reach(enum.Enum):
-    """How far an instance hears; the widest is not told apart further."""
-
-    NOBODY = "nobody"
-    OWN_DOMAIN = "own_failure_domain"
-    MINORITY = "minority"
-    ALL = "majority"
-
-
-@dataclasses.dataclass(slots=True)
-class MemberChange:
-    """One change to the member table."""
-
-    instance: str
-    change: Change
-
-
 class Membership:
     """The members by name, and the seeds to start from.
 
@@ -274,7 +156,7 @@
         return True
 
     def _add(self, record, now):
-        member = Member(record, now, now)
+        member = member_records.Member(record, now, now)
         self.members[record.instance] = member
         self.digest.put(record.instance, record.order())
         self._links = None
@@ -300,7 +182,9 @@
         self._note(record.instance, _change(before, record))
 
     def _note(self, instance, change):
-        self._next_changes.append(MemberChange(instance, change))
+        self._next_changes.append(
+            member_records.MemberChange(instance, change)
+        )
 
     def turn_changes(self):
         """Let the changes since the last call be read in this tick."""
--- a/tests/cover/test_members.py
+++ b/tests/cover/test_members.py
@@ -1,10 +1,10 @@
 """Membership over pure reducers: failures, partitions, refutation."""
 
-from dandeliontrail.coordination import membership
+from dandeliontrail.coordination import member_records
 from dandeliontrail import events
 from dandeliontrail_lab import pure_nodes
 
-Standing = membership.Standing
+Standing = member_records.Standing
 
 
 def nine(**options):
@@ -99,7 +99,7 @@
     members = made.nodes["i0"].state.members
     assert not members.hears_anybody(made.now)
     assert not members.hears_majority(made.now)
-    assert members.reach(made.now) is membership.Reach.NOBODY
+    assert members.reach(made.now) is member_records.Reach.NOBODY
     assert all(
         item.standing is Standing.ALIVE for item in members.members.values()
     )
@@ -120,9 +120,9 @@
     assert own.hears_anybody(made.now)
     assert not own.hears_other_domain(made.now)
     assert not own.hears_majority(made.now)
-    assert own.reach(made.now) is membership.Reach.OWN_DOMAIN
+    assert own.reach(made.now) is member_records.Reach.OWN_DOMAIN
     other = made.nodes["i5"].state.members
-    assert other.reach(made.now) is membership.Reach.ALL
+    assert other.reach(made.now) is member_records.Reach.ALL
     made.heal()
     made.run(12.0)
     assert everyone_alive(made)
--- a/tests/cover/test_relays.py
+++ b/tests/cover/test_relays.py
@@ -1,6 +1,6 @@
 """Leases, news and usage above a full mesh, where domains have relays."""
 
-from dandeliontrail.coordination import membership
+from dandeliontrail.coordination import member_records
 from dandeliontrail.coordination import servers
 from dandeliontrail.resources import announcements
 from dandeliontrail_lab import members_costs as costs
@@ -108,15 +108,15 @@
     for node in made.nodes:
         reach = node.state.members.reach(made.net.now)
         if node.domain == "fd1":
-            assert reach is membership.Reach.OWN_DOMAIN
+            assert reach is member_records.Reach.OWN_DOMAIN
         else:
-            assert reach is membership.Reach.ALL
+            assert reach is member_records.Reach.ALL
     made.net.heal()
     made.run(15.0)
     assert worst(made) == 12
     for node in made.nodes:
         reach = node.state.members.reach(made.net.now)
-        assert reach is membership.Reach.ALL
+        assert reach is member_records.Reach.ALL
 
 
 def test_vouch_renews_nothing_where_the_relay_knows_of_another_state():
--- a/tests/cover/test_usage_ledger.py
+++ b/tests/cover/test_usage_ledger.py
@@ -6,7 +6,7 @@
 
 from dandeliontrail.coordination import codec
 from dandeliontrail.coordination import ledger
-from dandeliontrail.coordination import membership
+from dandeliontrail.coordination import member_records
 from dandeliontrail.coordination import usage
 from dandeliontrail import events
 from dandeliontrail_lab import pure_nodes
@@ -265,7 +265,7 @@
         made.nodes["i0"].state.usage.count("lab", "lookup", totals(1))
         made.run(1.0)
     failed = made.nodes["i1"].state.members.members["i0"].standing
-    assert failed is membership.Standing.FAILED
+    assert failed is member_records.Standing.FAILED
     made.heal()
     made.run(12.0)
     assert [used(made, name) for name in made.nodes] == [30] * 9
