--- a/packages/dandeliontrail/src/dandeliontrail/components/probes.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/probes.py
@@ -52,6 +52,9 @@
         if member:
             member.heard = now
             member.probed = None
+            if member not in self._state.members.links():
+                # It is well, and just sends this instance no heartbeats.
+                member.linked = False
         return []
 
     def _pass_on(self, instance, message):
