--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -5,12 +5,16 @@
 """
 
 import collections
+import time
 
 import gevent
+from gevent import event as gevent_event
 
 from dandeliontrail import effects
 from dandeliontrail import events
 
+from . import order_client
+
 # The reducer's timers are in tenths of a second and above.
 TICK = 0.1
 
@@ -28,17 +32,28 @@
         self._exchanges = {}
         self._writes = {}
         self._disk = None
+        self._order_client = order_client.OrderClient(
+            reducer.state.orders.lease, clock, self.submit
+        )
+        self._usage_disk = None
         self._queue = collections.deque()
         self._busy = False
+        self._day = ""
+        self._version = 0
+        self._version_changed = gevent_event.Event()
         self._carry_out = {
             effects.Dispatch: self._to_exchange,
             effects.Refuse: self._to_exchange,
             effects.Finish: self._to_exchange,
             effects.Cancel: self._cancel,
+            effects.GiveOrder: self._give_order,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
+            effects.VoterAnswered: self._answer_voter_change,
             effects.AppendLog: self._write_log,
             effects.ReplaceLog: self._write_log,
+            effects.AppendUsage: self._write_usage,
+            effects.ReplaceUsage: self._write_usage,
             effects.Log: self._log,
             effects.Measure: self._measure,
         }
@@ -52,11 +67,24 @@
         """Carry the log's writes to ``writer``."""
         self._disk = writer
 
+    def attach_usage_disk(self, keeping):
+        """Take in the usage on a disk and carry new usage to it."""
+        self._usage_disk = keeping
+        self.submit(keeping.load())
+
     def start(self, address):
         """Tell the reducer where this instance is reached and tick on."""
+        self._begin_day()
         self.submit(events.Started(address))
         return gevent.spawn(self._tick_forever)
 
+    def _begin_day(self):
+        """Tell the reducer the UTC date, by which usage is kept."""
+        day = time.strftime("%Y-%m-%d", time.gmtime())
+        if day != self._day:
+            self._day = day
+            self.submit(events.DayBegan(day))
+
     def submit(self, event):
         """Apply ``event`` and carry out all effects.
 
@@ -94,10 +122,22 @@
     def _run(self, out):
         for effect in out:
             self._carry_out[type(effect)](effect)
+        if self.state.store.version != self._version:
+            self._version = self.state.store.version
+            changed = self._version_changed
+            self._version_changed = gevent_event.Event()
+            changed.set()
+
+    def wait_version(self, seen, seconds):
+        """Wait until a version after ``seen`` is applied; tell if it is."""
+        if self.state.store.version <= seen:
+            self._version_changed.wait(seconds)
+        return self.state.store.version > seen
 
     def _tick_forever(self):
         while True:
             gevent.sleep(TICK)
+            self._begin_day()
             try:
                 self._run(self.reducer.tick(self.clock.now()))
             except Exception as exc:
@@ -135,6 +175,9 @@
     def _cancel(self, effect):
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
+    def _give_order(self, effect):
+        gevent.spawn(self._order_client.give, effect)
+
     def _send_peer(self, effect):
         self._peer_link.send(effect.address, effect.message)
 
@@ -143,9 +186,17 @@
         if waiting:
             waiting.set(effect.result)
 
+    def _answer_voter_change(self, effect):
+        waiting = self._writes.pop(effect.request_id, None)
+        if waiting:
+            waiting.set(effect)
+
     def _write_log(self, effect):
         self._disk.put(effect)
 
+    def _write_usage(self, effect):
+        self._usage_disk.put(effect)
+
     def _log(self, effect):
         level = effect.level.upper()
         self.logger.log(_LEVELS[level], effect.message, extra=effect.fields)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -4,9 +4,12 @@
 
 import msgspec
 
+from dandeliontrail.coordination import quorum_log
+from dandeliontrail import events
 from dandeliontrail.resources import checks
 
 from .. import wsgi
+from . import placement_status
 
 
 class InForce(msgspec.Struct):
@@ -66,8 +69,9 @@
 
 
 class UsageView(msgspec.Struct):
-    """What an organisation used in one class."""
+    """What an organisation used in one class on one UTC day."""
 
+    day: str
     organisation: str
     request_class: str
     requests: int
@@ -76,6 +80,15 @@
     wasted_tokens: int
 
 
+class HistoryView(msgspec.Struct):
+    """One accepted change; ``objects`` are those it touched."""
+
+    version: int
+    author: str
+    operation_id: str
+    objects: list[str]
+
+
 def get(host, words):
     """Return what ``/apis/v1/`` and ``words`` name."""
     reader = _READERS.get(words[0])
@@ -133,23 +146,67 @@
 
 def _object(host, resource):
     in_force = _in_force(host, resource.version)
+    found = placement_status.conditions(host.state, resource)
     return Object(
         resource.kind.value,
         resource.name,
         resource.version,
         resource.spec,
-        Status(["Accepted"], in_force),
+        Status(["Accepted", *found], in_force),
     )
 
 
+def after_write(host, words, result):
+    """Return the object that was written, or the bare result.
+
+    Someone else may have deleted it again by now, and a dry run may never
+    have made it.
+    """
+    found = host.state.store.get(checks.kind_of(words[0]), words[1])
+    return _object(host, found) if found else result
+
+
 def _in_force(host, version):
     now = host.clock.now()
     others = host.state.members.alive(now)
     reached = sum(1 for item in others if item.applied >= version)
     own = 1 if host.state.store.version >= version else 0
+    if reached < len(others):
+        # Heartbeats cross some links only; the others are asked, and the
+        # next look shows what they say.
+        host.submit(events.InForceAsked(version))
     return InForce(reached + own, len(others) + 1)
 
 
+def _history(host):
+    items = [
+        HistoryView(
+            item.version,
+            item.author,
+            item.operation_id,
+            [f"{step.kind.value}/{step.name}" for step in item.steps],
+        )
+        for item in host.state.store.history.items
+    ]
+    return Listing("history", host.state.store.version, items)
+
+
+def log_metrics(host):
+    """Return how the configuration stands, as Prometheus text."""
+    status = host.state.log.status(host.clock.now())
+    gauges = {
+        "applied": status.applied,
+        "stale": int(status.stale),
+        "ready": int(status.ready),
+        "leads": int(status.role == "leader"),
+        "confirmed_ago_seconds": status.confirmed_ago,
+    }
+    return "".join(
+        f"dandeliontrail_configuration_{name} {value}\n"
+        for name, value in gauges.items()
+    )
+
+
 def _servers(host):
     now = host.clock.now()
     items = [
@@ -196,20 +253,22 @@
 
 
 def _usage(host):
+    held = host.state.usage
     items = [
         UsageView(
-            organisation,
-            class_name,
-            held_totals.requests,
-            held_totals.prompt_tokens,
-            held_totals.output_tokens,
-            held_totals.wasted_tokens,
-        )
-        for (organisation, class_name), held_totals in sorted(
-            host.state.usage.totals.items()
+            key.day,
+            key.organisation,
+            key.class_name,
+            totals.requests,
+            totals.prompt_tokens,
+            totals.output_tokens,
+            totals.wasted_tokens,
         )
+        for key, totals in sorted(held.totals.daily.items())
     ]
-    return Listing("usage", host.state.store.version, items)
+    # Not the version of the log: two instances whose numbers are equal
+    # hold the same usage.
+    return Listing("usage", held.version(), items)
 
 
 def _histograms(host):
@@ -228,6 +287,7 @@
     serving_backend_servers: int
     backend_servers: int
     instances_heard: int
+    configuration: quorum_log.LogStatus
 
 
 def _status(host):
@@ -242,6 +302,7 @@
         len(state.registry.serving(now)),
         len(state.registry.servers),
         len(state.members.alive(now)),
+        state.log.status(now),
     )
 
 
@@ -250,4 +311,5 @@
     "instances": _instances,
     "usage": _usage,
     "histograms": _histograms,
+    "history": _history,
 }
--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -6,17 +6,19 @@
 from ..coordination import servers
 from ..decisions import directory
 
-# An expired record stays this long, so that an older announcement that is
-# still on its way cannot bring the server back.
-KEEP_EXPIRED = 60.0
-
 
 class BackendServers(interfaces.Component):
-    """Takes in announcements and passes them on to the other instances."""
+    """Takes in announcements and passes them on to the other instances.
+
+    What changes a server's record goes out as news; all other announcements
+    are handed to :class:`.renewals.Renewals`.
+    """
 
-    def __init__(self, state, policy):
+    def __init__(self, state, policy, renewals):
         self._state = state
         self._policy = policy
+        self._renewals = renewals
+        self._gathered = {}
 
     def handlers(self):
         """Return the handlers of server events and messages."""
@@ -26,26 +28,73 @@
         }
 
     def tick(self, now):
-        """Forget servers that have been gone for long."""
-        for name in self._state.registry.forget(now, KEEP_EXPIRED):
+        """Pass on what gathered and forget servers gone for long."""
+        for name in self._state.registry.forget(now):
             self._policy.forget_server(name)
             self._state.directory.invalidate()
-        return []
+        gathered = self._gathered
+        self._gathered = {}
+        out = []
+        for source, names in gathered.items():
+            out.extend(self._spread(names, now, source))
+        return out
 
     def _announced(self, event, now):
-        if not self._learn(event.announcement, 0.0, now):
+        announcement = event.announcement
+        name = announcement.backend_server
+        before = self._content(name)
+        if not self._learn(announcement, 0.0, now):
             return []
-        record = servers.ServerRecord(event.announcement)
-        message = servers.ServerRecords([record])
-        return [
-            effects.SendPeer(member.address, message)
-            for member in self._state.members.alive(now)
-        ]
+        if self._content(name) == before:
+            self._renewals.note(name)
+            return []
+        return self._pass_on([name], now)
 
     def _records(self, source, message, now):
+        delay = self._state.members.delay(source, now)
+        changed = []
         for record in message.records:
-            self._learn(record.announcement, record.age, now)
-        return []
+            name = record.announcement.backend_server
+            before = self._content(name)
+            if not self._learn(record.announcement, record.age + delay, now):
+                continue
+            if self._content(name) != before:
+                changed.append(name)
+        return self._pass_on(changed, now, source.instance)
+
+    def _content(self, name):
+        held = self._state.registry.servers.get(name)
+        return held.content if held else None
+
+    def _pass_on(self, names, now, source=""):
+        """Spread at once that servers leave, all else at the next tick.
+
+        After a full restart thousands of servers are news within a second;
+        gathered, they are a few messages in place of thousands.
+        """
+        registry = self._state.registry
+        leaving = [
+            name
+            for name in names
+            if registry.servers[name].announcement.leaving
+        ]
+        others = [name for name in names if name not in leaving]
+        if others:
+            self._gathered.setdefault(source, []).extend(others)
+        return self._spread(leaving, now, source) if leaving else []
+
+    def _spread(self, names, now, source=""):
+        registry = self._state.registry
+        records = [
+            registry.record_of(name, now)
+            for name in dict.fromkeys(names)
+            if name in registry.servers
+        ]
+        message = servers.ServerRecords(records)
+        return [
+            effects.SendPeer(member.address, message)
+            for member in self._state.members.spread_to(source)
+        ]
 
     def _learn(self, announcement, age, now):
         registry = self._state.registry
@@ -54,7 +103,7 @@
         if not registry.learn(announcement, age, now):
             return False
         server = registry.servers[announcement.backend_server]
-        if before != directory.signature(announcement):
+        if before != directory.signature(server.announcement):
             self._state.directory.invalidate()
         self._policy.observe(server, now)
         return True
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -4,9 +4,15 @@
 them: the reducer is handed the present time beside each event.
 """
 
+from .config import InForceAsked
 from .config import LogSynced
 from .config import StorageFailed
+from .config import VoterChangeAsked
 from .config import WriteSubmitted
+from .orders import CacheChanged
+from .orders import OrderAnswer
+from .orders import OrderAnswered
+from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
 from .requests import AnswerFinished
@@ -17,19 +23,29 @@
 from .requests import NotBegun
 from .requests import RequestReceived
 from .servers import Announced
+from .usage import DayBegan
+from .usage import UsageLoaded
 
 __all__ = [
     "Announced",
     "AnswerFinished",
     "AttemptBegan",
     "AttemptFailed",
+    "CacheChanged",
     "CallerGone",
+    "DayBegan",
     "FirstOutput",
+    "Left",
+    "InForceAsked",
     "LogSynced",
     "NotBegun",
+    "OrderAnswer",
+    "OrderAnswered",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
     "StorageFailed",
+    "UsageLoaded",
+    "VoterChangeAsked",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -9,10 +9,15 @@
 
 from . import events
 from .components import backend_servers
+from .components import caches
 from .components import configuration
 from .components import members
+from .components import orders
+from .components import renewals
+from .components import repair
 from .components import requests
 from .components import state as state_module
+from .components import usage
 from .decisions import baselines
 
 
@@ -67,7 +72,13 @@
 
 
 def new_reducer(
-    identity, rng, seeds=(), policy=None, keeper=None, bootstrap=()
+    identity,
+    rng,
+    seeds=(),
+    policy=None,
+    keeper=None,
+    bootstrap=(),
+    keeps_usage=False,
 ):
     """Return the reducer of an instance, put together from its parts.
 
@@ -75,15 +86,22 @@
     that a run can be repeated from its seed.  ``keeper`` is what the disk
     holds (``quorum_log_records.Keeper``) on an instance that has one, and
     ``bootstrap`` the names of the first keepers; without either, the
-    instance keeps a log of its own in memory.
+    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
+    there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
+    renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
-        backend_servers.BackendServers(state, chosen),
+        repair.Repair(state),
+        renewing,
+        backend_servers.BackendServers(state, chosen, renewing),
+        usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         requests.Requests(state, chosen),
+        orders.Orders(state),
+        caches.Caches(state),
     ]
     # Every applier is registered by now, as the replay needs them all.
     state.log.open()
