--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/live.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/live.py
@@ -16,7 +16,6 @@
 import gevent
 import geventhttpclient
 
-from .. import batch
 from .. import client
 from .. import demo
 from .. import engine
@@ -26,7 +25,7 @@
 from . import fits
 
 KEY = "capacity-key"
-IDLE_SECONDS = 4.0
+IDLE_SECONDS = 3.0
 SETTLE_SECONDS = 2.0
 LOAD_SECONDS = 3.0
 PER_SECOND = 20.0
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/pure.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/pure.py
@@ -12,8 +12,8 @@
 
 import dandeliontrail
 from dandeliontrail import effects
-from dandeliontrail import events
 from dandeliontrail.effects import reports
+from dandeliontrail import events
 from dandeliontrail.resources import store
 from dandeliontrail_node import metrics
 
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/processes.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/processes.py
@@ -77,9 +77,8 @@
 
     def __exit__(self, *exc_info):
         """Stop all at once, each with one signal: a second would hurry."""
-        for process in self._running:
-            if process.poll() is None:
-                process.terminate()
+        while self._running:
+            self._terminate(self._running.pop())
         return self._stack.__exit__(*exc_info)
 
     def start(self, index, ports=None):
@@ -120,8 +119,15 @@
         return [item.addresses[listener] for item in self.instances]
 
     def _stop(self, process):
+        if process in self._running:
+            self._running.remove(process)
+            self._terminate(process)
         self.exit_codes.append(wait(process))
 
+    def _terminate(self, process):
+        if process.poll() is None:
+            process.terminate()
+
     def _settings(self, index, ports):
         cfg = {
             "instance": self._names[index],
