Requests outlive their connections; keys are claimed before they run

A stream that broke was given up once the caller had a byte. An Idempotency-Key was read and not used.

Change: each request sees one connection only. The engine side of a request runs in a greenlet of its own, so that work that must not be repeated outlives its caller. A broken or silent stream is resumed from the same engine over a new connection, and only then on another one. Keys are claimed from a majority of voters before dispatch. UNKNOWN is entered through the table alone; 503 is no longer said of what may have begun.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
@@ -4,6 +4,8 @@
 
 from gevent import queue
 
+from . import channel as channel_module
+
 
 @dataclasses.dataclass(slots=True)
 class Fault:
@@ -13,12 +15,17 @@
 
 
 class Exchange:
-    """A mailbox of effects for the greenlet that serves one request."""
+    """A mailbox of effects for the greenlet that works on one request.
+
+    ``worker`` is that greenlet; ``channel`` leads on to the caller.
+    """
 
-    __slots__ = ("request_id", "_mailbox")
+    __slots__ = ("request_id", "channel", "worker", "_mailbox")
 
     def __init__(self, request_id):
         self.request_id = request_id
+        self.channel = channel_module.Channel()
+        self.worker = None
         self._mailbox = queue.SimpleQueue()
 
     def put(self, effect):
@@ -32,3 +39,8 @@
     def get(self):
         """Wait for the next effect."""
         return self._mailbox.get()
+
+    def abandon(self):
+        """Stop the greenlet: nobody waits for its answer any more."""
+        if self.worker is not None:
+            self.worker.kill(block=False)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -32,7 +32,8 @@
         self._carry_out = {
             effects.Dispatch: self._to_exchange,
             effects.Refuse: self._to_exchange,
-            effects.Finish: self._to_exchange,
+            effects.Replay: self._to_exchange,
+            effects.Abandon: self._abandon,
             effects.Cancel: self._cancel,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
@@ -104,6 +105,10 @@
         """Forget an exchange that has ended."""
         self._exchanges.pop(exchange.request_id, None)
 
+    def exchanges(self):
+        """Return the exchanges of the requests that are under way."""
+        return list(self._exchanges.values())
+
     def open_exchanges(self):
         """Return how many requests are under way."""
         return len(self._exchanges)
@@ -125,6 +130,11 @@
         if exchange:
             exchange.put(effect)
 
+    def _abandon(self, effect):
+        exchange = self._exchanges.get(effect.request_id)
+        if exchange:
+            exchange.abandon()
+
     def _cancel(self, effect):
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -8,12 +8,12 @@
 import gevent
 from gevent import event as gevent_event
 from gevent import pool
-from gevent import pywsgi
 
 import dandeliontrail
 from dandeliontrail.coordination import messages
 
 from . import clock
+from . import connections
 from . import drain
 from . import engine_client
 from . import host as host_module
@@ -78,7 +78,12 @@
             self._sender.incarnation,
         )
         self.host = host_module.Host(
-            dandeliontrail.new_reducer(identity, random.Random(), cfg.peers),
+            dandeliontrail.new_reducer(
+                identity,
+                random.Random(),
+                cfg.peers,
+                voters=cfg.bootstrap_keepers,
+            ),
             clock.MonotonicClock(),
             link,
             self._engines,
@@ -110,7 +115,7 @@
     def _listen(self):
         for name, app in self._apps().items():
             address = getattr(self._cfg.listen, name)
-            server = pywsgi.WSGIServer(
+            server = connections.Server(
                 address,
                 wsgi.guard(app, self._logger),
                 spawn=pool.Pool(self._cfg.limits.connections),
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -7,6 +7,7 @@
 
 from dandeliontrail import events
 
+from .. import calls
 from .. import relay
 from .. import tokens
 from .. import wsgi
@@ -107,8 +108,8 @@
             or fields.max_tokens
             or DEFAULT_OUTPUT_TOKENS
         )
-        call = relay.GenerationCall(path, raw, fields.stream)
-        return self._relay(event, call, start_response)
+        call = calls.GenerationCall(path, raw, fields.stream)
+        return self._relay(environ, event, call, start_response)
 
     def _service(self, environ, start_response, path):
         service, _, rest = path[len(SERVICES) :].partition("/")
@@ -118,13 +119,13 @@
         event.path = "/" + rest
         query = environ.get("QUERY_STRING", "")
         target = event.path + (f"?{query}" if query else "")
-        call = relay.ServiceCall(
+        call = calls.ServiceCall(
             environ["REQUEST_METHOD"],
             target,
             environ.get("CONTENT_TYPE", ""),
             body,
         )
-        return self._relay(event, call, start_response)
+        return self._relay(environ, event, call, start_response)
 
     def _event(self, environ, body):
         key = tokens.bearer(environ)
@@ -137,9 +138,17 @@
             body_digest=hashlib.sha256(body).hexdigest(),
         )
 
-    def _relay(self, event, call, start_response):
-        served = relay.Relay(self._host, self._engines, event, call)
-        return served.run(start_response)
+    def _relay(self, environ, event, call, start_response):
+        caller = environ.get(wsgi.SOCKET)
+        return relay.serve(
+            self._host,
+            self._engines,
+            self._limits,
+            event,
+            call,
+            caller,
+            start_response,
+        )
 
 
 def _decode(body):
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -0,0 +1,75 @@
+"""Tells a dead path from a slow server, by the pace that can be expected.
+
+Failure guarded against: something between the two ends loses track of a
+connection.  Nothing more arrives on it, for good, while new connections to
+the same address work.  A single long timeout would either cut streams that
+are only slow or leave callers waiting for minutes.
+"""
+
+import time
+
+from . import engine_client
+
+# Before the first byte an engine may queue and read a long prompt.
+FIRST_SECONDS = 5.0
+# Between outputs: this many times the longest gap seen, within bounds.  At
+# 29 ms between tokens a silence of 2 s is 70 of them.
+GAP_FACTOR = 20.0
+LEAST_GAP_SECONDS = 2.0
+# Each question that changed nothing doubles the time to the next one.
+MOST_SECONDS = 20.0
+FAILED_PROBES = 2
+
+
+class PathWatch(engine_client.Watch):
+    """Watches one attempt's connection; ``call`` tells what may be done.
+
+    When the server answers on a new connection and still holds the stream,
+    the stream goes on over that one, from the event after the last.  That
+    is right for a slow server too: nothing is cut, lost or doubled.
+    """
+
+    def __init__(self, engines, source, limit_seconds):
+        self._engines = engines
+        self._source = source
+        self._limit = limit_seconds
+        self._heard = time.monotonic()
+        self._longest = 0.0
+        self._begun = False
+        self._failed = 0
+        self._patience = 1.0
+
+    def heard(self):
+        """Take note of an output."""
+        now = time.monotonic()
+        if self._begun:
+            self._longest = max(self._longest, now - self._heard)
+        self._begun = True
+        self._heard = now
+        self._failed = 0
+        self._patience = 1.0
+
+    def seconds(self):
+        """Return the longest silence that needs no question."""
+        if not self._begun:
+            return min(FIRST_SECONDS * self._patience, MOST_SECONDS)
+        wanted = max(GAP_FACTOR * self._longest, LEAST_GAP_SECONDS)
+        return min(wanted * self._patience, MOST_SECONDS)
+
+    def silent(self):
+        """Probe; move the stream to a new path, wait on, or give up."""
+        url = self._source.url
+        self._patience *= 2.0
+        if not self._engines.probe(url):
+            self._failed += 1
+            if self._failed >= FAILED_PROBES:
+                raise TimeoutError("silent, and not reached anew")
+            return
+        self._failed = 0
+        answer = self._source.resumed()
+        if answer:
+            self._engines.retire(url)
+            raise engine_client.PathLost(answer)
+        if self._limit and time.monotonic() - self._heard > self._limit:
+            self._engines.retire(url)
+            raise TimeoutError(f"silent for {self._limit:g} s")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -6,6 +6,8 @@
 import msgspec
 
 JSON = ("Content-Type", "application/json")
+# Where the environment of a request has its caller's connection.
+SOCKET = "dandeliontrail.socket"
 
 
 class Problem(Exception):
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -53,6 +53,31 @@
         "come back after Retry-After seconds, or allow more time in"
         " X-Request-Timeout",
     ),
+    sentinels.Reason.NO_QUORUM: _Text(
+        503,
+        "no_quorum",
+        "No majority could be asked whether the Idempotency-Key has run.",
+        "come back after Retry-After seconds with the same key",
+    ),
+    sentinels.Reason.KEY_REUSED: _Text(
+        409,
+        "idempotency_key_reused",
+        "The Idempotency-Key was used for another request.",
+        "use a new key for a new request, and the first body for a resend",
+    ),
+    sentinels.Reason.ANSWER_GONE: _Text(
+        409,
+        "answer_gone",
+        "The request has run and its answer is no longer held.",
+        "look for its result where its work shows; do not send it again"
+        " with another key unless it may run twice",
+    ),
+    sentinels.Reason.HOLDER_LOST: _Text(
+        502,
+        "answer_lost",
+        "The request may have run; what came of it is not known here.",
+        "check what it did before sending it with another key",
+    ),
 }
 
 _NO_CAPACITY = _Text(
@@ -64,13 +89,24 @@
 
 
 def refusal(request_id, nothing, begun=False):
-    """Return the effect that tells a caller why there is no answer."""
+    """Return the effect that tells a caller why there is no answer.
+
+    ``begun`` tells that a backend server may have begun the request.
+    """
     text = _TEXTS.get(nothing.reason, _NO_CAPACITY)
+    if begun and text is _NO_CAPACITY:
+        # It was queued again after an attempt that may have begun: 503
+        # would promise that it did not run.
+        text = _TEXTS[sentinels.Reason.SERVER_FAILED]
+    if nothing.reason is sentinels.Reason.ANSWER_GONE:
+        outcome = "complete"
+    else:
+        outcome = "unknown" if begun else "not-run"
     return effects.Refuse(
         request_id,
         text.status,
         text.code,
-        "unknown" if begun else "not-run",
+        outcome,
         nothing,
         text.message,
         text.remedy,
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -16,6 +16,7 @@
     """Where a request is in its life."""
 
     RECEIVED = "received"
+    CLAIMING = "claiming"
     QUEUED = "queued"
     DISPATCHED = "dispatched"
     MAY_HAVE_BEGUN = "may_have_begun"
@@ -26,12 +27,22 @@
 
 
 _NEXT = {
-    Phase.RECEIVED: {Phase.QUEUED, Phase.NOT_RUN},
-    Phase.QUEUED: {Phase.DISPATCHED, Phase.NOT_RUN},
+    Phase.RECEIVED: {Phase.CLAIMING, Phase.QUEUED, Phase.NOT_RUN},
+    # Another claim on the key may turn out to hold it: then the request
+    # ends here, with that one's answer, or as unknown where it is lost.
+    Phase.CLAIMING: {
+        Phase.QUEUED,
+        Phase.NOT_RUN,
+        Phase.COMPLETE,
+        Phase.UNKNOWN,
+    },
+    # Unknown only after an attempt that may have begun; see ``move``.
+    Phase.QUEUED: {Phase.DISPATCHED, Phase.NOT_RUN, Phase.UNKNOWN},
     Phase.DISPATCHED: {
         Phase.MAY_HAVE_BEGUN,
         Phase.QUEUED,
         Phase.NOT_RUN,
+        Phase.UNKNOWN,
     },
     # Back to QUEUED only on the server's own word that it did not begin, or
     # for a repeatable request, whose earlier attempt then counts as begun.
@@ -48,6 +59,7 @@
 }
 
 ENDED = frozenset({Phase.COMPLETE, Phase.NOT_RUN, Phase.UNKNOWN})
+WAITING = frozenset({Phase.RECEIVED, Phase.CLAIMING, Phase.QUEUED})
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +68,7 @@
 
     ``begun`` counts the attempts that may have begun; it never falls but
     by the server's own word.  ``first_output`` is zero until there is one.
+    ``claimed`` tells that the right to run its idempotency key was granted.
     """
 
     work: work_module.Work
@@ -65,7 +78,7 @@
     server: str = ""
     dispatched: float = 0.0
     first_output: float = 0.0
-    relayed: int = 0
+    claimed: bool = False
 
     def move(self, phase):
         """Enter ``phase``, which the table must allow."""
@@ -80,6 +93,13 @@
             "not-run-is-true",
             f"{request_id} has {self.begun} attempts that may have begun",
         )
+        invariants.check(
+            phase is not Phase.UNKNOWN
+            or self.begun > 0
+            or self.phase is Phase.CLAIMING,
+            "unknown-only-where-something-may-have-begun",
+            f"{request_id} has no attempt that may have begun",
+        )
         self.phase = phase
 
     def begin(self):
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -1,30 +1,40 @@
 """The component that answers for the outcome of every request."""
 
+import heapq
+
 from .. import effects
 from .. import events
 from .. import interfaces
 from .. import sentinels
 from . import answers
+from . import claims
+from ..coordination import claim_entries
+from ..coordination import claims as claims_module
 from ..coordination import usage
 from ..decisions import work as work_module
 from ..effects import reports
+from . import intake
 from . import life
-from ..resources import specs
 
-# Without a class target or a caller's own limit a request may take this
-# long: the overnight reviews of the users wait for minutes, not for days.
-DEFAULT_TIMEOUT = 600.0
 # A repeatable request is tried on this many servers: with one in twenty
 # attempts lost, four failures in a row are one in 160,000.
 MOST_ATTEMPTS = 4
+# A server that says "not run" is busy.  Asked again at once, it would be
+# asked as fast as it can refuse.
+PAUSE_SECONDS = 0.25
+
+Stand = claim_entries.Stand
 
 
-class Requests(interfaces.Component):
+class Requests(claims.Listener, interfaces.Component):
     """Takes requests through their life with the help of a policy."""
 
-    def __init__(self, state, policy):
+    def __init__(self, state, policy, claimer):
         self._state = state
         self._policy = policy
+        self._claims = claimer
+        claimer.listener = self
+        self._paused = []
         self.lives = {}
 
     def handlers(self):
@@ -37,62 +47,73 @@
             events.AnswerFinished: self._finished,
             events.AttemptFailed: self._failed,
             events.CallerGone: self._caller_gone,
+            events.Overdue: self._overdue,
         }
 
     def tick(self, now):
         """Place what can be placed and refuse what is overdue."""
+        while self._paused and self._paused[0][0] <= now:
+            _, request_id = heapq.heappop(self._paused)
+            held = self.lives.get(request_id)
+            if held:
+                self._policy.requeue(held.work, now)
         return self._decide(now)
 
     def _received(self, event, now):
-        work = self._work_of(event, now)
+        work = intake.work_of(self._state, event, now)
         if not work:
             return [answers.refusal(event.request_id, work)]
         held = life.Life(work)
         self.lives[work.request_id] = held
-        offered = self._policy.offer(work, now)
+        if not event.idempotency_key:
+            return self._offer(held, now)
+        held.move(life.Phase.CLAIMING)
+        wanted = claims.Wanted(
+            work.request_id,
+            claims_module.key_of(work.organisation, event.idempotency_key),
+            event.body_digest,
+            work.repeatable,
+            work.deadline,
+        )
+        return self._claims.begin(wanted, now)
+
+    # What the claim of a request came to; see ``claims.Listener``.
+
+    def claim_granted(self, request_id, now):
+        """Queue a request that may run its key."""
+        held = self.lives[request_id]
+        held.claimed = True
+        return self._offer(held, now)
+
+    def claim_unneeded(self, request_id, now):
+        """Queue a repeatable request whose key cannot be claimed."""
+        return self._offer(self.lives[request_id], now)
+
+    def claim_answered(self, request_id, answer, now):
+        """Give the answer that the key has already."""
+        held = self.lives.pop(request_id)
+        held.move(life.Phase.COMPLETE)
+        return [
+            effects.Replay(request_id, answer),
+            answers.decision(held.work, "replayed", answer.backend_server),
+        ]
+
+    def claim_refused(self, request_id, nothing, ran, now):
+        """End a request whose key it may not run."""
+        held = self.lives.pop(request_id)
+        held.move(life.Phase.UNKNOWN if ran else life.Phase.NOT_RUN)
+        return [
+            answers.refusal(request_id, nothing, begun=ran),
+            answers.decision(held.work, nothing.reason.value, ""),
+        ]
+
+    def _offer(self, held, now):
+        offered = self._policy.offer(held.work, now)
         if not offered:
-            return self._refuse(held, offered)
+            return self._refuse(held, offered, now)
         held.move(life.Phase.QUEUED)
         return self._decide(now)
 
-    def _work_of(self, event, now):
-        store = self._state.store
-        organisation = store.organisation_of(event.key_hash)
-        if not organisation:
-            return sentinels.Nothing(sentinels.Reason.UNKNOWN_KEY)
-        spec = store.spec(specs.Kind.ORGANISATIONS, organisation)
-        class_name = event.class_name or spec.default_class
-        if class_name not in spec.classes and (
-            class_name != spec.default_class
-        ):
-            return sentinels.Nothing(sentinels.Reason.UNKNOWN_CLASS)
-        class_spec = store.spec(specs.Kind.REQUEST_CLASSES, class_name)
-        if class_spec is None:
-            return sentinels.Nothing(sentinels.Reason.UNKNOWN_CLASS)
-        directory = self._state.directory
-        if not directory.eligible(class_name, event.model, event.service):
-            return sentinels.Nothing(sentinels.Reason.UNKNOWN_TARGET)
-        timeout = event.timeout or DEFAULT_TIMEOUT
-        return work_module.Work(
-            request_id=event.request_id,
-            organisation=organisation,
-            class_name=class_name,
-            model=event.model,
-            service=event.service,
-            priority=class_spec.priority,
-            received=now,
-            deadline=now + timeout,
-            prompt_tokens=event.prompt_tokens,
-            max_output_tokens=event.max_output_tokens,
-            prefix_hash=event.prefix_hash,
-            sheddable=class_spec.sheddable,
-            repeatable=class_spec.repeatable,
-            minimum_share=class_spec.minimum_share,
-            weight=spec.weight,
-            first_token_ms=class_spec.targets.first_token_ms,
-            total_ms=class_spec.targets.total_ms,
-        )
-
     def _decide(self, now):
         decided = self._policy.next(now, self._state.directory)
         out = []
@@ -103,7 +124,7 @@
             if isinstance(item, work_module.Placement):
                 out.extend(self._dispatch(held, item.server, now))
             else:
-                out.extend(self._refuse(held, item.nothing))
+                out.extend(self._refuse(held, item.nothing, now))
         return out
 
     def _dispatch(self, held, server, now):
@@ -120,6 +141,7 @@
                 server,
                 announcement.url,
                 work.priority,
+                work.repeatable,
             ),
             answers.decision(work, "dispatched", server),
             effects.Measure(
@@ -130,27 +152,33 @@
             ),
         ]
 
-    def _refuse(self, held, nothing):
-        """End a request that no backend server can have begun."""
-        if held.begun:
-            return self._give_up(held, nothing)
-        held.move(life.Phase.NOT_RUN)
-        return self._end(held, nothing)
-
-    def _give_up(self, held, nothing):
-        """End a request of which an attempt may have begun."""
-        if held.phase is life.Phase.QUEUED:
-            held.phase = life.Phase.MAY_HAVE_BEGUN
-        held.move(life.Phase.UNKNOWN)
-        return self._end(held, nothing)
-
-    def _end(self, held, nothing):
+    def _refuse(self, held, nothing, now):
+        """End a request without an answer, as what may have begun says."""
+        begun = held.begun > 0
+        held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
         work = held.work
         self.lives.pop(work.request_id, None)
-        return [
-            answers.refusal(work.request_id, nothing, begun=held.begun > 0),
+        out = [
+            answers.refusal(work.request_id, nothing, begun=begun),
             answers.decision(work, nothing.reason.value, held.server),
         ]
+        return out + self._end_claim(held, now)
+
+    def _end_claim(self, held, now, answer=None):
+        """Tell the claim how the request ended, where it has one.
+
+        A key may be run anew where nothing ran, or where running again
+        does no harm.
+        """
+        if not held.claimed:
+            return []
+        if held.phase is life.Phase.COMPLETE:
+            stand = Stand.HELD
+        elif held.phase is life.Phase.UNKNOWN and not held.work.repeatable:
+            stand = Stand.UNKNOWN
+        else:
+            stand = Stand.NOT_RUN
+        return self._claims.ended(held.work.request_id, stand, answer, now)
 
     def _current(self, event):
         """Return the life that an event is about, if it still is.
@@ -175,20 +203,45 @@
             return []
         self._release(held, now, failed=True)
         held.unbegin()
+        if event.server_said:
+            pause = max(PAUSE_SECONDS, event.retry_after)
+            return self._pause(held, pause, now) + self._decide(now)
+        return self._try_again(held, now)
+
+    def _try_again(self, held, now):
+        """Queue a request for another server, or end it."""
         held.work.avoid.add(held.server)
         if held.attempt >= MOST_ATTEMPTS:
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
-            return self._refuse(held, nothing) + self._decide(now)
+            return self._refuse(held, nothing, now) + self._decide(now)
+        if self._all_avoided(held.work):
+            # One of them may have come back by then.
+            held.work.avoid.clear()
+            return self._pause(held, PAUSE_SECONDS, now) + self._decide(now)
         self._policy.requeue(held.work, now)
         return self._decide(now)
 
+    def _all_avoided(self, work):
+        servers = self._state.directory.eligible(
+            work.class_name, work.model, work.service
+        )
+        names = {item.announcement.backend_server for item in servers}
+        return names <= work.avoid
+
+    def _pause(self, held, seconds, now):
+        due = min(now + seconds, held.work.deadline)
+        heapq.heappush(self._paused, (due, held.work.request_id))
+        return []
+
     def _first_output(self, event, now):
         held = self._current(event)
         if held is None:
             return []
         held.move(life.Phase.STREAMING)
-        held.first_output = now
         self._policy.first_output(event.request_id, now)
+        if held.first_output:
+            return []
+        held.first_output = now
         return [self._measure(held, reports.Metric.FIRST_TOKEN, now)]
 
     def _measure(self, held, metric, now):
@@ -205,18 +258,15 @@
         held.move(life.Phase.COMPLETE)
         work = held.work
         del self.lives[work.request_id]
-        self._policy.ended(
-            work_module.Ended(
-                work.request_id,
-                held.server,
-                event.output_tokens,
-                gaps_ms=event.gaps_ms,
-            ),
-            now,
+        ended = work_module.Ended(
+            work.request_id,
+            held.server,
+            event.output_tokens,
+            gaps_ms=event.gaps_ms,
         )
+        self._policy.ended(ended, now)
         self._count(work, event.prompt_tokens, event.output_tokens)
         out = [
-            effects.Finish(work.request_id),
             answers.decision(work, "complete", held.server),
             self._measure(held, reports.Metric.TOTAL, now),
         ]
@@ -229,6 +279,7 @@
             )
             for gap in event.gaps_ms
         )
+        out.extend(self._end_claim(held, now, event.answer))
         return out + self._decide(now)
 
     def _count(self, work, prompt_tokens, output_tokens, wasted=0):
@@ -236,20 +287,30 @@
         self._state.usage.count(work.organisation, work.class_name, counted)
 
     def _failed(self, event, now):
+        """An attempt broke off, and its engine cannot go on with it.
+
+        A repeatable request goes to another server, which starts from what
+        the caller has already; the engine that failed is told to stop, in
+        case that only the path to it did.
+        """
         held = self._current(event)
         if held is None:
             return []
         self._release(held, now, failed=True)
-        held.relayed = event.relayed
         self._count(held.work, 0, 0, wasted=event.relayed)
-        again = held.work.repeatable and not event.relayed
-        if again and held.attempt < MOST_ATTEMPTS:
-            held.move(life.Phase.QUEUED)
-            held.work.avoid.add(held.server)
-            self._policy.requeue(held.work, now)
-            return self._decide(now)
-        nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
-        return self._give_up(held, nothing) + self._decide(now)
+        if not held.work.repeatable:
+            nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
+            return self._refuse(held, nothing, now) + self._decide(now)
+        out = self._cancel(held)
+        held.move(life.Phase.QUEUED)
+        return out + self._try_again(held, now)
+
+    def _cancel(self, held):
+        server = self._state.directory.server(held.server)
+        if server is None:
+            return []
+        url = server.announcement.url
+        return [effects.Cancel(held.work.request_id, url)]
 
     def _release(self, held, now, failed=False, wasted=False):
         ended = work_module.Ended(
@@ -258,16 +319,40 @@
         self._policy.ended(ended, now)
 
     def _caller_gone(self, event, now):
-        held = self.lives.pop(event.request_id, None)
+        """Stop what nobody waits for, where stopping does no harm."""
+        held = self.lives.get(event.request_id)
         if held is None:
             return []
+        if held.phase not in life.WAITING and not held.work.repeatable:
+            # It may have begun, and half a report or half an order is
+            # worse than a whole one that its caller asks for again.
+            return []
+        return self._stop(held, "caller_gone", now)
+
+    def _overdue(self, event, now):
+        held = self.lives.get(event.request_id)
+        if held is None or held.phase in life.WAITING:
+            return []
+        if not held.work.repeatable:
+            return []
+        return self._stop(held, "deadline", now)
+
+    def _stop(self, held, reason, now):
+        """Drop a request for which nobody waits any more."""
+        request_id = held.work.request_id
+        del self.lives[request_id]
+        out = [
+            effects.Abandon(request_id),
+            answers.decision(held.work, reason, held.server),
+        ]
+        if held.phase is life.Phase.CLAIMING:
+            return out + self._claims.forget(request_id, now)
         if held.phase is life.Phase.QUEUED:
-            self._policy.withdraw(event.request_id)
-            return [answers.decision(held.work, "caller_gone", "")]
-        self._release(held, now, wasted=True)
-        server = self._state.directory.server(held.server)
-        out = [answers.decision(held.work, "caller_gone", held.server)]
-        if server:
-            url = server.announcement.url
-            out.append(effects.Cancel(event.request_id, url))
+            self._policy.withdraw(request_id)
+        else:
+            self._release(held, now, wasted=True)
+            out.extend(self._cancel(held))
+        begun = held.begun > 0
+        held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
+        out.extend(self._end_claim(held, now))
         return out + self._decide(now)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
+from . import claims
 from . import messages
 from . import servers
 
 ALL = (
     messages.Hello,
     servers.ServerRecords,
+    *claims.MESSAGES,
 )
 
 Message = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
@@ -3,22 +3,34 @@
 import dataclasses
 
 from .. import sentinels
+from ..coordination import claims
 
 
 @dataclasses.dataclass(slots=True)
 class Dispatch:
-    """Send the request to a backend server, as attempt ``attempt``.
-
-    ``resume_from`` is the number of events that the caller already has
-    from the same server; zero starts afresh.
-    """
+    """Send the request to a backend server, as attempt ``attempt``."""
 
     request_id: str
     attempt: int
     backend_server: str
     url: str
     priority: int
-    resume_from: int = 0
+    repeatable: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Replay:
+    """Give the caller the stored answer of its idempotency key."""
+
+    request_id: str
+    answer: claims.StoredAnswer
+
+
+@dataclasses.dataclass(slots=True)
+class Abandon:
+    """Stop working on a request: nobody waits for it any more."""
+
+    request_id: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,13 +50,6 @@
     remedy: str
 
 
-@dataclasses.dataclass(slots=True)
-class Finish:
-    """The caller has the whole answer; the exchange may end."""
-
-    request_id: str
-
-
 @dataclasses.dataclass(slots=True)
 class Cancel:
     """Stop the work of ``request_id`` at the server at ``url``."""
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -13,6 +13,7 @@
 from .requests import CallerGone
 from .requests import FirstOutput
 from .requests import NotBegun
+from .requests import Overdue
 from .requests import RequestReceived
 from .servers import Announced
 
@@ -24,6 +25,7 @@
     "CallerGone",
     "FirstOutput",
     "NotBegun",
+    "Overdue",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from ..coordination import claims
+
 
 @dataclasses.dataclass(slots=True)
 class RequestReceived:
@@ -61,7 +63,8 @@
 class AnswerFinished:
     """The answer came in whole.
 
-    ``gaps_ms`` samples the time between two outputs.
+    ``gaps_ms`` samples the time between two outputs; ``answer`` is what to
+    hold for resends, where the request has an idempotency key.
     """
 
     request_id: str
@@ -69,6 +72,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     gaps_ms: list = dataclasses.field(default_factory=list)
+    answer: claims.StoredAnswer | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,3 +93,10 @@
     """The caller closed its connection before the answer was whole."""
 
     request_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class Overdue:
+    """The caller's own time limit passed while an attempt was running."""
+
+    request_id: str
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -9,6 +9,7 @@
 
 from . import events
 from .components import backend_servers
+from .components import claims
 from .components import configuration
 from .components import members
 from .components import requests
@@ -66,18 +67,22 @@
         return out
 
 
-def new_reducer(identity, rng, seeds=(), policy=None):
+def new_reducer(identity, rng, seeds=(), policy=None, voters=()):
     """Return the reducer of an instance, put together from its parts.
 
     ``rng`` is a ``random.Random``: the only source of chance in here, so
-    that a run can be repeated from its seed.
+    that a run can be repeated from its seed.  ``voters`` names the
+    instances that grant claims on idempotency keys, the same everywhere;
+    without any, this instance grants its own.
     """
     state = state_module.new_state(identity, rng, seeds)
     chosen = policy or baselines.PriorityLeastOutstanding()
+    claimer = claims.Claims(state, voters)
     parts = [
         members.Members(state),
         backend_servers.BackendServers(state, chosen),
         configuration.Configuration(state),
-        requests.Requests(state, chosen),
+        claimer,
+        requests.Requests(state, chosen, claimer),
     ]
     return Reducer(state, chosen, parts)
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -28,6 +28,7 @@
     NO_QUORUM = "no_quorum"
     KEY_REUSED = "idempotency_key_reused"
     ANSWER_GONE = "answer_no_longer_held"
+    HOLDER_LOST = "holder_of_idempotency_key_lost"
     CALLER_GONE = "caller_gone"
 
 
--- /dev/null
+++ b/tests/cover/test_engine_client.py
@@ -0,0 +1,79 @@
+"""What the client of backend servers may do by itself, and what not."""
+
+import pytest
+
+from dandeliontrail_node import engine_client
+
+from tests.common import sockets
+
+
+class Attempt:
+    def __init__(self, url):
+        self.url = url
+        self.watch = engine_client.Watch()
+        self.begun = 0
+
+    def began(self):
+        self.begun += 1
+
+
+def make_client():
+    return engine_client.PooledEngineClient(1.0, 5.0)
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "GET"])
+def test_does_not_resend_over_a_connection_that_was_closed(method):
+    # A dock order goes out twice.  The service closed the kept connection
+    # just as the second call was on its way, and the HTTP library sent a
+    # PUT again over a new one, up to 513 times, all by itself.
+    seen = []
+
+    def handle(sock, address):
+        seen.append(sockets.read_request(sock))
+        if len(seen) == 1:
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            seen.append(sockets.read_request(sock))
+        sock.close()
+
+    with sockets.raw_server(handle) as url:
+        client = make_client()
+        outgoing = engine_client.Outgoing(method, "/order", {}, b"x")
+        attempt = Attempt(url)
+        assert client.open(attempt, outgoing).read_all() == b"ok"
+        with pytest.raises(engine_client.Broken):
+            client.open(attempt, outgoing)
+        assert len(seen) == 2
+        assert attempt.begun == 2
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+    ],
+)
+def test_cut_answer_is_not_taken_for_whole(reply):
+    # A certificate lookup shows half a certificate: the server died while
+    # it sent the answer.
+    def handle(sock, address):
+        sockets.read_request(sock)
+        sock.sendall(reply)
+        sock.close()
+
+    with sockets.raw_server(handle) as url:
+        client = make_client()
+        outgoing = engine_client.Outgoing("GET", "/", {})
+        with pytest.raises(engine_client.Broken):
+            client.open(Attempt(url), outgoing).read_all()
+
+
+def test_refused_connection_is_told_from_one_that_broke():
+    with sockets.raw_server(lambda sock, address: sock.close()) as url:
+        closed = url
+    attempt = Attempt(closed)
+    outgoing = engine_client.Outgoing("POST", "/", {}, b"x")
+    with pytest.raises(engine_client.NotBegun):
+        make_client().open(attempt, outgoing)
+    assert attempt.begun == 0
