--- a/packages/dandeliontrail/src/dandeliontrail/components/claims.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/claims.py
@@ -231,7 +231,7 @@
 
     def _count(self, round_, now):
         group = claims.group_of(round_.wanted.key, self._voters)
-        needed = claims.majority(group)
+        needed = claims.majority(len(group))
         held_by = [vote.holder for vote in round_.votes.values()]
         granted = held_by.count(round_.claim)
         if granted >= needed:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/claims.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/claims.py
@@ -156,6 +156,6 @@
     return tuple(sorted(chosen))
 
 
-def majority(group):
-    """Return how many of a group are more than half of it."""
-    return len(group) // 2 + 1
+def majority(size):
+    """Return how many are more than half of ``size``."""
+    return size // 2 + 1
