--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -16,6 +16,16 @@
 JSON = ("Content-Type", "application/json")
 BYTES_PER_TOKEN = 4
 DEFAULT_TOKENS = 16
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+# A closed connection cancels, unless the stream is resumed by then.
+ORPHAN_SECONDS = 0.5
+
+
+class Message(msgspec.Struct):
+    """One message of a chat."""
+
+    role: str
+    content: str
 
 
 class Ask(msgspec.Struct):
@@ -25,6 +35,8 @@
     stream: bool = False
     priority: int = 1
     max_tokens: int = DEFAULT_TOKENS
+    messages: list[Message] = []
+    continue_final_message: bool = False
 
 
 class Engine:
@@ -38,6 +50,8 @@
         self.leaving = False
         self.epoch = 1
         self.ran = []
+        # Whether two runs of a request give different texts.
+        self.sampled = False
         self._server = None
         self._stepper = None
 
@@ -92,6 +106,10 @@
         stream = batch.Stream(
             request_id, ask.priority, prompt_tokens, ask.max_tokens
         )
+        if self.sampled:
+            stream.mark = f"{self.name}-{len(self.ran)}-"
+        if ask.continue_final_message:
+            stream.start = len(ask.messages[-1].content.split())
         self.ran.append(request_id)
         self.batch.submit(stream)
         if ask.stream:
@@ -110,7 +128,9 @@
         return self._events(start_response, stream, start)
 
     def _events(self, start_response, stream, start):
-        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        write = start_response("200 OK", [EVENT_STREAM])
+        # The headers go out at once, as engines send them.
+        write(b"")
         return self._event_bytes(stream, start)
 
     def _event_bytes(self, stream, start):
@@ -122,7 +142,7 @@
                 yield b"data: [DONE]\n\n"
         finally:
             if not stream.finished:
-                stream.cancel()
+                gevent.spawn_later(ORPHAN_SECONDS, _cancel_orphan, stream)
 
     def announcement(self, sequence):
         """Return what the engine says of itself."""
@@ -156,6 +176,12 @@
             gevent.sleep(ANNOUNCE_SECONDS)
 
 
+def _cancel_orphan(stream):
+    """Stop a stream whose reader left, unless another one came."""
+    if not stream.watched():
+        stream.cancel()
+
+
 def _post(address, body, headers):
     host, port = address.rsplit(":", 1)
     client = geventhttpclient.HTTPClient(
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -1,32 +1,41 @@
 """Puts one instance together and owns all that must be closed."""
 
 import contextlib
+import pathlib
 import random
 import signal
 import time
 
 import gevent
 from gevent import event as gevent_event
-from gevent import pool
 
 import dandeliontrail
-from dandeliontrail.coordination import messages
+from dandeliontrail.coordination import quorum_log_records
+from dandeliontrail import events
 
 from . import clock
-from . import connections
+from . import disk
+from . import disk_writer
 from . import drain
 from . import engine_client
 from . import host as host_module
+from . import http_server
 from . import metrics
 from . import peer_link
 from . import tokens
+from . import usage_disk
 from . import wsgi
 from .listeners import backend_servers
 from .listeners import callers
+from .listeners import drain_request
 from .listeners import operators
 from .listeners import peers
 
 
+# The last messages go out over connections that are already open.
+LEAVE_SECONDS = 0.1
+
+
 class Instance:
     """One running instance; use it as a context manager."""
 
@@ -57,39 +66,74 @@
     def _build(self):
         cfg = self._cfg
         limits = cfg.limits
-        self._sender = messages.Sender(
+        self._key = tokens.PeerKey(cfg.credentials.peer_key_file)
+        identity = dandeliontrail.Identity(
             cfg.instance,
-            "",
             cfg.failure_domain,
             cfg.region,
             time.time_ns(),
         )
-        self._key = tokens.PeerKey(cfg.credentials.peer_key_file)
-        link = peer_link.HttpPeerLink(self._sender, self._key)
+        ticking = clock.MonotonicClock()
+        measured = metrics.Metrics()
+        link = peer_link.HttpPeerLink(
+            identity,
+            self._key,
+            ticking,
+            measured.counters,
+            limits.peer_bytes_per_second,
+        )
         self._stack.callback(link.close)
         self._engines = engine_client.PooledEngineClient(
             limits.connect_seconds, limits.backend_silent_seconds
         )
         self._stack.callback(self._engines.close)
-        identity = dandeliontrail.Identity(
-            cfg.instance,
-            cfg.failure_domain,
-            cfg.region,
-            self._sender.incarnation,
-        )
+        storage = self._open_storage()
+        usage_storage = self._open_storage("usage")
         self.host = host_module.Host(
-            dandeliontrail.new_reducer(
-                identity,
-                random.Random(),
-                cfg.peers,
-                voters=cfg.bootstrap_keepers,
-            ),
-            clock.MonotonicClock(),
+            self._new_reducer(identity, storage),
+            ticking,
             link,
             self._engines,
-            metrics.Metrics(),
+            measured,
             self._logger,
         )
+        if storage:
+            writer = disk_writer.DiskWriter(storage, self.host.submit)
+            self._stack.callback(writer.close)
+            self.host.attach_disk(writer)
+        if usage_storage:
+            keeping = usage_disk.UsageDisk(usage_storage, self._logger)
+            self._stack.callback(keeping.close)
+            self.host.attach_usage_disk(keeping)
+
+    def _open_storage(self, folder=""):
+        """Return the storage in a part of the data folder, if any."""
+        keeper = self._cfg.keeper
+        if keeper is None:
+            return None
+        path = pathlib.Path(keeper.data_dir) / folder
+        storage = disk.FileStorage(path)
+        self._stack.callback(storage.close)
+        return storage
+
+    def _new_reducer(self, identity, storage):
+        cfg = self._cfg
+        keeper = None
+        if storage:
+            keeper = quorum_log_records.Keeper(storage.folder, *storage.load())
+        elif not cfg.bootstrap_keepers:
+            self._logger.warning(
+                "no bootstrap_keepers: the configuration is kept in memory"
+                " by this instance alone"
+            )
+        return dandeliontrail.new_reducer(
+            identity,
+            random.Random(),
+            cfg.peers,
+            keeper=keeper,
+            bootstrap=cfg.bootstrap_keepers,
+            keeps_usage=storage is not None,
+        )
 
     def _apps(self):
         cfg = self._cfg
@@ -106,8 +150,10 @@
             "backend_servers": backend_servers.BackendServersApp(
                 self.host, self._doors["backend_servers"]
             ),
-            "operators": operators.OperatorsApp(
-                self.host, self._doors["operators"]
+            "operators": drain_request.DrainRequests(
+                operators.OperatorsApp(self.host, self._doors["operators"]),
+                self._doors["operators"],
+                self._on_term,
             ),
             "peers": peers.PeersApp(self.host, self._key, cfg.limits),
         }
@@ -115,12 +161,11 @@
     def _listen(self):
         for name, app in self._apps().items():
             address = getattr(self._cfg.listen, name)
-            server = connections.Server(
+            server = http_server.Server(
                 address,
                 wsgi.guard(app, self._logger),
-                spawn=pool.Pool(self._cfg.limits.connections),
-                log=None,
-                error_log=self._logger,
+                self._cfg.limits,
+                self._logger,
                 **self._tls(name),
             )
             server.start()
@@ -143,7 +188,6 @@
             for name, server in self._servers.items()
         }
         self.addresses = addresses
-        self._sender.address = addresses["peers"]
         ticker = self.host.start(addresses["peers"])
         self._stack.callback(ticker.kill)
         self._logger.info("listening", extra=addresses)
@@ -156,8 +200,14 @@
         self._stopping.wait()
         self._logger.info("draining")
         self._drain.wait(self.host)
+        self._leave()
         self._logger.info("drained")
 
+    def _leave(self):
+        """Tell the others, and give the message time to go out."""
+        self.host.submit(events.Left())
+        gevent.sleep(LEAVE_SECONDS)
+
     def _on_term(self):
         self._drain.begin()
         self.host.state.draining = True
--- a/packages/dandeliontrail/src/dandeliontrail/components/claims.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/claims.py
@@ -133,7 +133,7 @@
         """
         name = self._state.identity.instance
         if self._table is None and name in self._voters:
-            blank = self._state.store.version == 0
+            blank = not self._state.log.resumed
             self._table = claim_votes.VoterTable(
                 name, self._voters, now, blank
             )
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -6,7 +6,10 @@
 import dataclasses
 import random
 
+from ..coordination import ledger
 from ..coordination import membership
+from ..coordination import quorum_log
+from ..coordination import quorum_log_neighbours as neighbours
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
@@ -15,22 +18,28 @@
 
 @dataclasses.dataclass(slots=True)
 class Identity:
-    """Who this instance is; ``address`` is that of its peer listener."""
+    """Who this instance is; ``address`` is that of its peer listener.
+
+    ``refutations`` grows whenever this instance proves wrong another that
+    took it for failed, ``incarnation`` with each start.
+    """
 
     instance: str
     failure_domain: str
     region: str
     incarnation: int
     address: str = ""
+    refutations: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class State:
     """Shared state of one instance.
 
-    Owners: ``store`` the configuration component, ``registry`` the server
-    component, ``members`` the membership component, ``usage`` the request
-    component.
+    Owners: ``store`` and ``log`` the configuration component,
+    ``registry`` the server component, ``members`` the membership
+    component, ``usage`` the usage component, into which the request
+    component counts.
     """
 
     identity: Identity
@@ -38,21 +47,36 @@
     store: store.ResourceStore
     registry: servers.ServerRegistry
     members: membership.Membership
-    usage: usage.UsageLedger
+    usage: ledger.UsageLedger
     directory: directory.Directory
+    log: quorum_log.QuorumLog
     draining: bool = False
 
 
-def new_state(identity, rng, seeds=()):
-    """Return the state of an instance that knows only its seeds."""
+def new_state(identity, rng, seeds=(), keeper=None, bootstrap=()):
+    """Return the state of an instance that knows only its seeds.
+
+    ``keeper`` is what its disk has (``quorum_log_records.Keeper``), where it
+    has one; ``bootstrap`` names the first keepers.
+    """
     objects = store.ResourceStore()
     registry = servers.ServerRegistry()
+    own = usage.Publisher(identity.instance, identity.incarnation)
+    members = membership.Membership(identity, seeds)
+    log = quorum_log.QuorumLog(
+        identity.instance,
+        rng,
+        neighbours.KnownMembers(identity, members),
+        keeper,
+        bootstrap,
+    )
     return State(
         identity,
         rng,
         objects,
         registry,
-        membership.Membership(seeds),
-        usage.UsageLedger(),
+        members,
+        ledger.UsageLedger(own),
         directory.Directory(registry, objects),
+        log,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/claim_votes.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/claim_votes.py
@@ -66,8 +66,7 @@
         self._told = {}
         self._telling = {}
         self._pages = {}
-        # Alone there is nobody to learn from, and nobody else to count.
-        self._ready_at = started if len(self.voters) == 1 else None
+        self._ready_at = None
 
     def __len__(self):
         return len(self._held)
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -1,5 +1,7 @@
 """Everything that the reducer may ask of the outside, as data."""
 
+from .config import AppendLog
+from .config import ReplaceLog
 from .config import WriteAnswered
 from .peers import SendPeer
 from .reports import Log
@@ -9,14 +11,20 @@
 from .requests import Dispatch
 from .requests import Refuse
 from .requests import Replay
+from .usage import AppendUsage
+from .usage import ReplaceUsage
 
 __all__ = [
     "Abandon",
+    "AppendLog",
+    "AppendUsage",
     "Cancel",
     "Dispatch",
     "Log",
     "Measure",
     "Refuse",
+    "ReplaceLog",
+    "ReplaceUsage",
     "Replay",
     "SendPeer",
     "WriteAnswered",
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -4,7 +4,10 @@
 them: the reducer is handed the present time beside each event.
 """
 
+from .config import LogSynced
+from .config import StorageFailed
 from .config import WriteSubmitted
+from .peers import Left
 from .peers import PeerMessageReceived
 from .peers import Started
 from .requests import AnswerFinished
@@ -16,6 +19,8 @@
 from .requests import Overdue
 from .requests import RequestReceived
 from .servers import Announced
+from .usage import DayBegan
+from .usage import UsageLoaded
 
 __all__ = [
     "Announced",
@@ -23,11 +28,16 @@
     "AttemptBegan",
     "AttemptFailed",
     "CallerGone",
+    "DayBegan",
     "FirstOutput",
+    "Left",
+    "LogSynced",
     "NotBegun",
     "Overdue",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
+    "StorageFailed",
+    "UsageLoaded",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -12,8 +12,10 @@
 from .components import claims
 from .components import configuration
 from .components import members
+from .components import repair
 from .components import requests
 from .components import state as state_module
+from .components import usage
 from .decisions import baselines
 
 
@@ -67,22 +69,37 @@
         return out
 
 
-def new_reducer(identity, rng, seeds=(), policy=None, voters=()):
+def new_reducer(
+    identity,
+    rng,
+    seeds=(),
+    policy=None,
+    keeper=None,
+    bootstrap=(),
+    keeps_usage=False,
+):
     """Return the reducer of an instance, put together from its parts.
 
     ``rng`` is a ``random.Random``: the only source of chance in here, so
-    that a run can be repeated from its seed.  ``voters`` names the
-    instances that grant claims on idempotency keys, the same everywhere;
-    without any, this instance grants its own.
+    that a run can be repeated from its seed.  ``keeper`` is what the disk
+    holds (``quorum_log_records.Keeper``) on an instance that has one, and
+    ``bootstrap`` the names of the first keepers, which also grant claims on
+    idempotency keys; without either, the
+    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
+    there is a disk for usage.
     """
-    state = state_module.new_state(identity, rng, seeds)
+    state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
-    claimer = claims.Claims(state, voters)
+    claimer = claims.Claims(state, bootstrap)
     parts = [
         members.Members(state),
+        repair.Repair(state),
         backend_servers.BackendServers(state, chosen),
+        usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         claimer,
         requests.Requests(state, chosen, claimer),
     ]
+    # Every applier is registered by now, as the replay needs them all.
+    state.log.open()
     return Reducer(state, chosen, parts)
--- a/tests/common/claim_world.py
+++ b/tests/common/claim_world.py
@@ -38,12 +38,12 @@
 class Peer:
     """One instance: its claims, which a crash takes."""
 
-    def __init__(self, name, voters, incarnation, version):
+    def __init__(self, name, voters, incarnation):
         identity = state_module.Identity(
             name, "fd", "r", incarnation, f"{name}:1"
         )
         self.state = state_module.new_state(identity, random.Random(name))
-        self.state.store.version = version
+        self.state.log.resumed = incarnation > 1
         self.claims = claims_component.Claims(self.state, voters)
         self.recorder = Recorder()
         self.claims.listener = self.recorder
@@ -69,12 +69,14 @@
         self.running = {}
         self.peers = {}
         for name in self.names:
-            self._start(name, 1, 0)
+            self._start(name, 1)
 
-    def _start(self, name, incarnation, version):
-        peer = Peer(name, self.voters, incarnation, version)
+    def _start(self, name, incarnation):
+        peer = Peer(name, self.voters, incarnation)
         self.peers[name] = peer
         for other in self.peers.values():
+            if other is peer:
+                continue
             other.state.members.hear(peer.claims._self(), self.now)
             peer.state.members.hear(other.claims._self(), self.now)
 
@@ -84,7 +86,7 @@
         for request_id, held in list(self.running.items()):
             if held == name:
                 del self.running[request_id]
-        self._start(name, incarnation, 1)
+        self._start(name, incarnation)
 
     def request(self, name, key, digest="d"):
         """Have a caller send ``key`` to an instance; return its number."""
