--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -5,6 +5,7 @@
 import re
 
 import gevent
+from gevent import pool
 from gevent import pywsgi
 import geventhttpclient
 import msgspec
@@ -52,6 +53,8 @@
         self.ran = []
         # Whether two runs of a request give different texts.
         self.sampled = False
+        # What it announces as its URL, where something stands before it.
+        self.announced_url = ""
         self._server = None
         self._stepper = None
 
@@ -63,7 +66,11 @@
     def start(self, port=0):
         """Listen and start to step."""
         self._server = pywsgi.WSGIServer(
-            ("127.0.0.1", port), self, log=None, error_log=None
+            ("127.0.0.1", port),
+            self,
+            spawn=pool.Pool(),
+            log=None,
+            error_log=None,
         )
         self._server.start()
         self._stepper = gevent.spawn(self.batch.run)
@@ -152,7 +159,7 @@
             "epoch": self.epoch,
             "sequence": sequence,
             "kind": "model_engine",
-            "url": self.url,
+            "url": self.announced_url or self.url,
             "failure_domain": self.failure_domain,
             "models": models,
             "slots": self.batch.slots,
@@ -172,7 +179,7 @@
             address = addresses[sequence % len(addresses)]
             sequence += 1
             body = msgspec.json.encode(self.announcement(sequence))
-            _post(address, body, headers)
+            post_announcement(address, body, headers)
             gevent.sleep(ANNOUNCE_SECONDS)
 
 
@@ -182,7 +189,8 @@
         stream.cancel()
 
 
-def _post(address, body, headers):
+def post_announcement(address, body, headers):
+    """Send one announcement; best effort, since the next one follows."""
     host, port = address.rsplit(":", 1)
     client = geventhttpclient.HTTPClient(
         host, int(port), network_timeout=ANNOUNCE_TIMEOUT
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -6,6 +6,7 @@
 """
 
 import copy
+import enum
 import socket
 
 import gevent
@@ -28,6 +29,17 @@
 FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
 
 
+class Probe(enum.Enum):
+    """What a probe over a new connection found.
+
+    ``REFUSES`` means that nothing listens there any more.
+    """
+
+    ANSWERS = "answers"
+    REFUSES = "refuses"
+    SILENT = "silent"
+
+
 class NotBegun(Exception):
     """The server certainly did not begin; ``server_said`` tells how."""
 
@@ -246,15 +258,16 @@
         return answer
 
     def probe(self, url):
-        """Tell whether a server answers over a new connection."""
+        """Return what a server says over a new connection."""
         client = self._new_client(url)
         try:
             with gevent.Timeout(PROBE_SECONDS):
-                response = client.get("/health")
-                response.read()
-                return response.status_code < 500
+                client.get("/health").read()
+                return Probe.ANSWERS
+        except ConnectionRefusedError:
+            return Probe.REFUSES
         except FAILURES:
-            return False
+            return Probe.SILENT
         finally:
             client.close()
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -59,13 +59,16 @@
     def silent(self):
         """Probe; move the stream to a new path, wait on, or give up."""
         url = self._source.url
-        self._patience *= 2.0
-        if not self._engines.probe(url):
+        found = self._engines.probe(url)
+        if found is engine_client.Probe.REFUSES:
+            raise TimeoutError("silent, and refuses new connections")
+        if found is engine_client.Probe.SILENT:
             self._failed += 1
             if self._failed >= FAILED_PROBES:
-                raise TimeoutError("silent, and not reached anew")
+                raise TimeoutError("silent, also on new connections")
             return
         self._failed = 0
+        self._patience *= 2.0
         answer = self._source.resumed()
         if answer:
             self._engines.retire(url)
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -10,6 +10,7 @@
 import time
 
 import gevent
+import msgspec
 
 from dandeliontrail_ctl import api
 from dandeliontrail_lab import batch
@@ -17,6 +18,9 @@
 from dandeliontrail_node import instance
 from dandeliontrail_node import settings
 
+from tests.common import paths
+from tests.common import sockets
+
 KEY = "test-key"
 # The first instance of each world is its one keeper.
 FIRST = "i1"
@@ -78,13 +82,28 @@
         self.instances.append(started)
         return started
 
-    def engine(self, name, domain="fd1", slots=8, step=0.002, announce=True):
-        """Start an engine that announces itself to all instances in turn."""
+    def engine(
+        self,
+        name,
+        domain="fd1",
+        slots=8,
+        step=0.002,
+        announce=True,
+        fragile=False,
+    ):
+        """Start an engine that announces itself to all instances in turn.
+
+        A ``fragile`` one stands behind a path that can lose track of its
+        connections: ``engine.path`` then is a :class:`paths.Path`.
+        """
         pace = batch.Pace(step=step, step_per_stream=0.0, prefill=0.0)
         served = engine.Engine(name, domain, ["small"], slots, pace)
         served.start()
         self._stack.callback(served.stop)
         self.engines.append(served)
+        if fragile:
+            served.path = self._stack.enter_context(paths.Path(served.url))
+            served.announced_url = served.path.url
         if announce:
             addresses = [
                 item.addresses["backend_servers"] for item in self.instances
@@ -94,6 +113,37 @@
             wait_until(lambda: self.knows(name))
         return served
 
+    def raw_server(self, name, url, **fields):
+        """Announce a server of the test's own, once and for a while."""
+        made = {
+            "backend_server": name,
+            "epoch": 1,
+            "sequence": 1,
+            "kind": "model_engine",
+            "url": url,
+            "models": [{"name": "small"}],
+            "slots": 8,
+            "lease": 3,
+            **fields,
+        }
+        announcer = gevent.spawn(self._announce_raw, made)
+        self._stack.callback(announcer.kill)
+        wait_until(lambda: self.knows(name))
+
+    def hung_engine(self, name):
+        """Announce an engine that takes connections and says nothing."""
+        hung = sockets.raw_server(lambda sock, address: gevent.sleep(1000.0))
+        self.raw_server(name, self._stack.enter_context(hung))
+
+    def _announce_raw(self, made):
+        while True:
+            body = msgspec.json.encode(made)
+            for item in self.instances:
+                address = item.addresses["backend_servers"]
+                engine.post_announcement(address, body, {})
+            made["sequence"] += 1
+            gevent.sleep(1.0)
+
     def knows(self, server):
         """Tell whether every instance gives work to a backend server."""
         return all(
