--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -12,6 +12,8 @@
 from dandeliontrail import effects
 from dandeliontrail import events
 
+from . import order_client
+
 # The reducer's timers are in tenths of a second and above.
 TICK = 0.1
 
@@ -29,6 +31,9 @@
         self._exchanges = {}
         self._writes = {}
         self._disk = None
+        self._order_client = order_client.OrderClient(
+            reducer.state.orders.lease, clock, self.submit
+        )
         self._usage_disk = None
         self._queue = collections.deque()
         self._busy = False
@@ -39,6 +44,7 @@
             effects.Replay: self._to_exchange,
             effects.Abandon: self._abandon,
             effects.Cancel: self._cancel,
+            effects.GiveOrder: self._give_order,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
             effects.AppendLog: self._write_log,
@@ -164,6 +170,9 @@
     def _cancel(self, effect):
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
+    def _give_order(self, effect):
+        gevent.spawn(self._order_client.give, effect)
+
     def _send_peer(self, effect):
         self._peer_link.send(effect.address, effect.message)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
@@ -40,15 +40,19 @@
                 "The token is not in backend_tokens_file.",
                 "send Authorization: Bearer with a registered token",
             )
-        if environ["PATH_INFO"] != "/v1/announcements":
-            raise wsgi.not_found(environ["PATH_INFO"])
-        return self._announce(environ, start_response)
+        if environ["PATH_INFO"] == "/v1/announcements":
+            return self._announce(environ, start_response)
+        if environ["PATH_INFO"] == "/v1/cache-events":
+            return self._cache_events(environ, start_response)
+        raise wsgi.not_found(environ["PATH_INFO"])
+
+    def _cache_events(self, environ, start_response):
+        batch = _read(environ, announcements.CacheEvents)
+        self._host.submit(events.CacheChanged(batch))
+        return wsgi.reply_json(start_response, {"accepted": True})
 
     def _announce(self, environ, start_response):
-        body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
-        announcement = wsgi.decode(
-            body, announcements.Announcement, "correct the field named"
-        )
+        announcement = _read(environ, announcements.Announcement)
         try:
             announcement_checks.check(announcement)
         except dandeliontrail.ResourceInvalid as exc:
@@ -58,3 +62,8 @@
         self._host.submit(events.Announced(announcement))
         lease = min(announcement.lease, servers.LONGEST_LEASE)
         return wsgi.reply_json(start_response, Accepted(lease))
+
+
+def _read(environ, kind):
+    body = wsgi.read_body(environ, BODY_BYTES, BODY_SECONDS)
+    return wsgi.decode(body, kind, "correct the field named")
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -8,7 +8,9 @@
 from . import dissemination
 from . import membership
 from . import messages
+from . import order_reports
 from . import quorum_log_messages
+from ..resources import announcements
 from . import servers
 from . import usage
 
@@ -17,6 +19,8 @@
     membership.MemberRecords,
     servers.ServerRecords,
     *claims.MESSAGES,
+    order_reports.OrdersReport,
+    announcements.CacheEvents,
     servers.Renewals,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -9,9 +9,11 @@
 
 from . import events
 from .components import backend_servers
+from .components import caches
 from .components import claims
 from .components import configuration
 from .components import members
+from .components import orders
 from .components import repair
 from .components import requests
 from .components import state as state_module
@@ -84,9 +86,8 @@
     that a run can be repeated from its seed.  ``keeper`` is what the disk
     holds (``quorum_log_records.Keeper``) on an instance that has one, and
     ``bootstrap`` the names of the first keepers, which also grant claims on
-    idempotency keys; without either, the
-    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
-    there is a disk for usage.
+    idempotency keys; without either, the instance keeps a log of its own in
+    memory.  ``keeps_usage`` tells that there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
@@ -99,6 +100,8 @@
         configuration.Configuration(state),
         claimer,
         requests.Requests(state, chosen, claimer),
+        orders.Orders(state),
+        caches.Caches(state),
     ]
     # Every applier is registered by now, as the replay needs them all.
     state.log.open()
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -89,6 +89,7 @@
         slots=8,
         step=0.002,
         announce=True,
+        desk=None,
         fragile=False,
     ):
         """Start an engine that announces itself to all instances in turn.
@@ -97,7 +98,7 @@
         connections: ``engine.path`` then is a :class:`paths.Path`.
         """
         pace = batch.Pace(step=step, step_per_stream=0.0, prefill=0.0)
-        served = engine.Engine(name, domain, ["small"], slots, pace)
+        served = engine.Engine(name, domain, ["small"], slots, pace, desk)
         served.start()
         self._stack.callback(served.stop)
         self.engines.append(served)
