Callers that leave, resends, drain and certificates

Cause: a drain ended when the engines' answers were in, with the last bytes to slow callers still unwritten, and cut what was left without a word. A caller that left while it waited went unnoticed. Kept connections brought new requests to a draining instance. SIGHUP read token files only.

Change: a request is open until both its engine side and its caller side are done. After the notice new work is refused as not run; at the limit or the second signal each caller is told what is true of its request. An instance that has not caught up with the configuration refuses with 503 "starting" instead of 401. SIGHUP reloads certificates, the peer key and the log level. An empty peer key file, which let every peer in, is a settings error.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
@@ -7,6 +7,11 @@
 
 NETWORK_SECONDS = 120.0
 DONE = b"data: [DONE]"
+FAILURES = (
+    OSError,
+    geventhttpclient.response.HTTPParseError,
+    msgspec.DecodeError,
+)
 
 
 class Ask(msgspec.Struct):
@@ -81,7 +86,7 @@
             "/v1/chat/completions", body_of(ask), headers_of(ask)
         )
         answer = _read(response, ask.stream, started)
-    except (OSError, geventhttpclient.response.HTTPParseError) as exc:
+    except FAILURES as exc:
         answer = Answer(0, error=f"{type(exc).__name__}: {exc}")
     finally:
         client.close()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
@@ -17,15 +17,17 @@
 class Exchange:
     """A mailbox of effects for the greenlet that works on one request.
 
-    ``worker`` is that greenlet; ``channel`` leads on to the caller.
+    ``worker`` is that greenlet; ``channel`` leads on to the caller.  The
+    exchange is open until both of its sides have left.
     """
 
-    __slots__ = ("request_id", "channel", "worker", "_mailbox")
+    __slots__ = ("request_id", "channel", "worker", "sides", "_mailbox")
 
     def __init__(self, request_id):
         self.request_id = request_id
         self.channel = channel_module.Channel()
         self.worker = None
+        self.sides = {"worker", "caller"}
         self._mailbox = queue.SimpleQueue()
 
     def put(self, effect):
@@ -44,3 +46,8 @@
         """Stop the greenlet: nobody waits for its answer any more."""
         if self.worker is not None:
             self.worker.kill(block=False)
+
+    def end_with(self, problem):
+        """Tell the caller ``problem`` now, whatever is going on."""
+        self.channel.end_with(channel_module.Failure(problem))
+        self.abandon()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -13,6 +13,7 @@
 from dandeliontrail import events
 
 from . import order_client
+from . import problems
 
 # The reducer's timers are in tenths of a second and above.
 TICK = 0.1
@@ -43,6 +44,7 @@
             effects.Refuse: self._to_exchange,
             effects.Replay: self._to_exchange,
             effects.Abandon: self._abandon,
+            effects.CutOff: self._cut_off,
             effects.Cancel: self._cancel,
             effects.GiveOrder: self._give_order,
             effects.SendPeer: self._send_peer,
@@ -133,9 +135,11 @@
         """Route effects for a request to its exchange."""
         self._exchanges[exchange.request_id] = exchange
 
-    def detach(self, exchange):
-        """Forget an exchange that has ended."""
-        self._exchanges.pop(exchange.request_id, None)
+    def detach(self, exchange, side):
+        """Take note that one side left; forget it when both have."""
+        exchange.sides.discard(side)
+        if not exchange.sides:
+            self._exchanges.pop(exchange.request_id, None)
 
     def exchanges(self):
         """Return the exchanges of the requests that are under way."""
@@ -167,6 +171,11 @@
         if exchange:
             exchange.abandon()
 
+    def _cut_off(self, effect):
+        exchange = self._exchanges.get(effect.refusal.request_id)
+        if exchange:
+            exchange.end_with(problems.problem_of(effect.refusal))
+
     def _cancel(self, effect):
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -20,8 +20,10 @@
 from . import engine_client
 from . import host as host_module
 from . import http_server
+from . import listener_tls
 from . import metrics
 from . import peer_link
+from . import settings
 from . import tokens
 from . import usage_disk
 from . import wsgi
@@ -39,14 +41,16 @@
 class Instance:
     """One running instance; use it as a context manager."""
 
-    def __init__(self, cfg, logger):
+    def __init__(self, cfg, logger, settings_path=None):
         self._cfg = cfg
+        self._settings_path = settings_path
         self._logger = logger
         self._stack = contextlib.ExitStack()
         self._servers = {}
         self._stopping = gevent_event.Event()
         self._drain = drain.Drain(cfg.limits)
         self._doors = {}
+        self._tls = listener_tls.ListenerTls(cfg.tls)
         self.host = None
         self.addresses = {}
 
@@ -153,7 +157,7 @@
             "operators": drain_request.DrainRequests(
                 operators.OperatorsApp(self.host, self._doors["operators"]),
                 self._doors["operators"],
-                self._on_term,
+                self.on_term,
             ),
             "peers": peers.PeersApp(self.host, self._key, cfg.limits),
         }
@@ -163,25 +167,15 @@
             address = getattr(self._cfg.listen, name)
             server = http_server.Server(
                 address,
-                wsgi.guard(app, self._logger),
+                self._drain.closing(wsgi.guard(app, self._logger)),
                 self._cfg.limits,
                 self._logger,
-                **self._tls(name),
+                **self._tls.options(name),
             )
             server.start()
             self._stack.callback(server.stop, 0.1)
             self._servers[name] = server
 
-    def _tls(self, name):
-        tls = self._cfg.tls.get(name)
-        if tls is None:
-            return {}
-        options = {"certfile": tls.certificate, "keyfile": tls.key}
-        if tls.client_ca:
-            options["ca_certs"] = tls.client_ca
-            options["cert_reqs"] = 2
-        return options
-
     def _start(self):
         addresses = {
             name: f"{server.server_host}:{server.server_port}"
@@ -194,29 +188,54 @@
 
     def run(self):
         """Serve until SIGTERM, then drain."""
-        gevent.signal_handler(signal.SIGTERM, self._on_term)
-        gevent.signal_handler(signal.SIGINT, self._on_term)
-        gevent.signal_handler(signal.SIGHUP, self._on_hup)
+        gevent.signal_handler(signal.SIGTERM, self.on_term)
+        gevent.signal_handler(signal.SIGINT, self.on_term)
+        gevent.signal_handler(signal.SIGHUP, self.reload)
         self._stopping.wait()
         self._logger.info("draining")
+        self.drain()
+        self._logger.info("drained")
+
+    def drain(self):
+        """Finish what was taken in, then leave the others."""
+        self.begin_drain()
         self._drain.wait(self.host)
         self._leave()
-        self._logger.info("drained")
 
     def _leave(self):
         """Tell the others, and give the message time to go out."""
         self.host.submit(events.Left())
         gevent.sleep(LEAVE_SECONDS)
 
-    def _on_term(self):
+    def begin_drain(self):
+        """Be no longer ready, from this moment on."""
+        if not self._drain.draining:
+            self._drain.begin()
+            self.host.state.draining = True
+
+    def on_term(self):
+        """Start to drain; the second time, end at once."""
         self._drain.begin()
         self.host.state.draining = True
         self._stopping.set()
 
-    def _on_hup(self):
-        for door in self._doors.values():
-            try:
-                door.reload()
-            except dandeliontrail.SettingsError as exc:
-                self._logger.error("reload failed", extra={"error": str(exc)})
+    def reload(self):
+        """Read keys, tokens, certificates and the log level again.
+
+        What cannot be read stays as it was, and the rest is reloaded.
+        """
+        for part in (*self._doors.values(), self._key, self._tls):
+            self._reload_part(part.reload)
+        if self._settings_path:
+            self._reload_part(self._reload_log_level)
         self._logger.info("reloaded")
+
+    def _reload_part(self, reload):
+        try:
+            reload()
+        except dandeliontrail.SettingsError as exc:
+            self._logger.error("reload failed", extra={"error": str(exc)})
+
+    def _reload_log_level(self):
+        cfg = settings.load(self._settings_path)
+        self._logger.setLevel(cfg.log.level.upper())
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listener_tls.py
@@ -0,0 +1,52 @@
+"""TLS of the listeners, with certificates that can be replaced."""
+
+import ssl
+
+import dandeliontrail
+
+
+class ListenerTls:
+    """The contexts of the listeners that speak TLS, by listener name."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._contexts = {
+            name: _context(name, tls) for name, tls in settings.items()
+        }
+
+    def options(self, name):
+        """Return what a listener's server needs to be told."""
+        context = self._contexts.get(name)
+        return {"ssl_context": context} if context else {}
+
+    def reload(self):
+        """Read every certificate again; connections that stand keep theirs.
+
+        A file that cannot be used leaves its listener as it was: it is
+        tried on a context of its own first, since a failed load may leave
+        half of a pair behind.
+        """
+        for name, tls in self._settings.items():
+            _context(name, tls)
+            _load(self._contexts[name], tls)
+
+
+def _context(name, tls):
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        _load(context, tls)
+    except (OSError, ValueError) as exc:
+        raise dandeliontrail.SettingsError(
+            f"tls.{name} cannot be used: {exc}.",
+            "name a certificate, its key and client_ca as PEM files that"
+            " this user may read",
+        )
+    return context
+
+
+def _load(context, tls):
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.client_ca:
+        context.load_verify_locations(tls.client_ca)
+        context.verify_mode = ssl.CERT_REQUIRED
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -78,6 +78,13 @@
             raise wsgi.Problem(
                 503, "draining", "It is draining.", "use another instance"
             )
+        if not self._host.state.log.ready:
+            raise wsgi.Problem(
+                503,
+                "starting",
+                "It has not caught up with the configuration yet.",
+                "use another instance until this one is ready",
+            )
         return wsgi.reply_json(start_response, {"ready": True})
 
     def _models(self, start_response):
@@ -144,6 +151,16 @@
         )
 
     def _relay(self, environ, event, call, start_response):
+        if self._drain.refusing:
+            raise wsgi.Problem(
+                503,
+                "draining",
+                "This instance is on its way out.",
+                "send it again; the balancer will choose another instance",
+                outcome="not-run",
+                request_id=event.request_id,
+                retry_after=1.0,
+            )
         caller = environ.get(wsgi.SOCKET)
         return relay.serve(
             self._host,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/main.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/main.py
@@ -42,7 +42,7 @@
             print(f"{settings}: good")
             return EXIT_DONE
         logger = jsonlog.make_logger("dandeliond", cfg.log.level, cfg.instance)
-        with instance.Instance(cfg, logger) as running:
+        with instance.Instance(cfg, logger, settings) as running:
             running.run()
     except dandeliontrail.SettingsError as exc:
         logger.error("settings", extra={"error": str(exc)})
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -17,6 +17,7 @@
 
 from . import channel as channel_module
 from . import exchange as exchange_module
+from . import problems
 from . import worker as worker_module
 from . import wsgi
 
@@ -61,9 +62,10 @@
         self._begun = True
         if head.body is not None:
             self._channel.leave()
-            return wsgi.reply(
+            body = wsgi.reply(
                 start_response, head.status, head.body, head.headers
             )
+            return _Written(body, self._close)
         start_response(wsgi.status_line(head.status), head.headers)
         return self._stream()
 
@@ -83,7 +85,7 @@
         finally:
             if not ended:
                 self._leave()
-            self._channel.leave()
+            self._close()
 
     def _next(self):
         """Return the next item; a failure is raised as its problem."""
@@ -124,13 +126,33 @@
     def _deadline_problem(self):
         nothing = sentinels.Nothing(sentinels.Reason.DEADLINE, RETRY_AFTER)
         refusal = answers.refusal(self._event.request_id, nothing, begun=True)
-        return worker_module.problem_of(refusal)
+        return problems.problem_of(refusal)
 
     def _leave(self):
         """Say that this caller waits no more; the reducer knows the rest."""
-        self._channel.leave()
+        self._close()
         self._host.submit(events.CallerGone(self._event.request_id))
 
+    def _close(self):
+        """End the caller's side: all that it was to get is written."""
+        self._channel.leave()
+        self._host.detach(self._exchange, "caller")
+
+
+class _Written:
+    """A reply's body that says when it has been written, or given up.
+
+    Until then the request is in flight: a drain that ended sooner would
+    cut the last bytes of a slow caller's answer.
+    """
+
+    def __init__(self, body, on_close):
+        self._body = body
+        self.close = on_close
+
+    def __iter__(self):
+        return iter(self._body)
+
 
 def serve(host, engines, limits, event, call, caller, start_response):
     """Serve one request of a caller and return the reply's iterable."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/tokens.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/tokens.py
@@ -88,7 +88,22 @@
     """Signs what instances send one another (HMAC-SHA-256, RFC 2104)."""
 
     def __init__(self, path):
-        self._key = _read(path).strip().encode() if path else b""
+        self._path = path
+        self._key = b""
+        self.reload()
+
+    def reload(self):
+        """Read the file again; an unreadable one leaves the key as it was."""
+        if not self._path:
+            return
+        key = _read(self._path).strip().encode()
+        if not key:
+            # An empty key would let every peer in.
+            raise dandeliontrail.SettingsError(
+                f"{self._path} is empty.",
+                "write one secret into it, the same for every instance",
+            )
+        self._key = key
 
     def sign(self, body):
         """Return the signature of ``body``."""
@@ -98,7 +113,8 @@
         """Tell whether ``signature`` is that of ``body``."""
         if not self._key:
             return True
-        return hmac.compare_digest(self.sign(body), signature)
+        given = signature.encode("latin-1", "replace")
+        return hmac.compare_digest(self.sign(body).encode(), given)
 
 
 def _read(path):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
@@ -15,6 +15,7 @@
 
 from . import channel as channel_module
 from . import engine_client
+from . import problems
 from . import source as source_module
 from . import transcript
 from . import wsgi
@@ -69,12 +70,12 @@
             raise
         except Exception as exc:
             self._host.logger.error("request failed", exc_info=exc)
-            fault = internal_problem(self._event.request_id)
+            fault = problems.internal_problem(self._event.request_id)
             self._channel.put(channel_module.Failure(fault))
         finally:
             if self._source:
                 self._source.close()
-            self._host.detach(self._exchange)
+            self._host.detach(self._exchange, "worker")
 
     def _attempt(self):
         """Serve one dispatch; tell whether the answer is whole."""
@@ -83,7 +84,7 @@
             self._replay(effect.answer)
             return True
         if not isinstance(effect, effects.Dispatch):
-            raise problem_of(effect)
+            raise problems.problem_of(effect)
         if self._source:
             self._source.close()
         self._source = source_module.Source(
@@ -212,9 +213,14 @@
                 self._pass_on(dispatch, new)
             event = self._next(dispatch)
         splice.pass_on(event)
-        self._pass_on(dispatch, event)
+        if self._keep:
+            self._kept += event
         usage = Usage(self._event.prompt_tokens, self._held.tokens)
+        # First this, so that whoever has the whole answer can see it
+        # counted.
         self._finished(dispatch, 200, usage)
+        self._begin_reply(dispatch)
+        self._channel.put(event)
         self._channel.put(channel_module.END)
 
     def _next(self, dispatch):
@@ -230,14 +236,15 @@
         self._last = now
         return event
 
-    def _pass_on(self, dispatch, event):
+    def _begin_reply(self, dispatch):
         if self._head is None:
             headers = self._headers(dispatch)
             self._head = channel_module.Head(200, headers)
             self._channel.put(self._head)
-        done = event.startswith(transcript.DONE)
-        if not done:
-            self._held.take(event)
+
+    def _pass_on(self, dispatch, event):
+        self._begin_reply(dispatch)
+        self._held.take(event)
         if self._keep:
             self._kept += event
         self._channel.put(event)
@@ -275,30 +282,3 @@
         return msgspec.json.decode(body, type=WholeAnswer).usage
     except (msgspec.DecodeError, UnicodeDecodeError):
         return Usage()
-
-
-def internal_problem(request_id):
-    """Return what a caller is told when this instance itself failed."""
-    return wsgi.Problem(
-        500,
-        "internal",
-        "The instance failed on this request.",
-        "send it again if it may be repeated; see the instance's log",
-        outcome="unknown",
-        request_id=request_id,
-    )
-
-
-def problem_of(effect):
-    """Return the problem that a refusal tells its caller."""
-    if not isinstance(effect, effects.Refuse):
-        return internal_problem(effect.request_id)
-    return wsgi.Problem(
-        effect.status,
-        effect.code,
-        effect.message,
-        effect.remedy,
-        outcome=effect.outcome,
-        request_id=effect.request_id,
-        retry_after=effect.nothing.retry_after,
-    )
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -48,6 +48,7 @@
             events.AttemptFailed: self._failed,
             events.CallerGone: self._caller_gone,
             events.Overdue: self._overdue,
+            events.CutShort: self._cut_short,
         }
 
     def tick(self, now):
@@ -60,6 +61,11 @@
         return self._decide(now)
 
     def _received(self, event, now):
+        if not self._state.log.ready:
+            # What it holds may be older than what was in force before: a
+            # key that it does not know yet is no wrong key.
+            nothing = sentinels.Nothing(sentinels.Reason.STARTING, 1.0)
+            return [answers.refusal(event.request_id, nothing)]
         work = intake.work_of(self._state, event, now)
         if not work:
             return [answers.refusal(event.request_id, work)]
@@ -337,6 +343,21 @@
             return []
         return self._stop(held, "deadline", now)
 
+    def _cut_short(self, event, now):
+        """Tell a caller the truth, since this instance ends now.
+
+        Where a key is being claimed or another request followed, that one
+        may have run.
+        """
+        held = self.lives.get(event.request_id)
+        if held is None:
+            return []
+        begun = held.begun > 0 or held.phase is life.Phase.CLAIMING
+        nothing = sentinels.Nothing(sentinels.Reason.DRAINING, 1.0)
+        refusal = answers.refusal(event.request_id, nothing, begun=begun)
+        out = self._stop(held, "cut_short", now)
+        return [effects.CutOff(refusal)] + out
+
     def _stop(self, held, reason, now):
         """Drop a request for which nobody waits any more."""
         request_id = held.work.request_id
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -9,6 +9,7 @@
 from .reports import Measure
 from .requests import Abandon
 from .requests import Cancel
+from .requests import CutOff
 from .requests import Dispatch
 from .requests import Refuse
 from .requests import Replay
@@ -20,6 +21,7 @@
     "AppendLog",
     "AppendUsage",
     "Cancel",
+    "CutOff",
     "Dispatch",
     "GiveOrder",
     "Log",
--- a/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
@@ -50,6 +50,13 @@
     remedy: str
 
 
+@dataclasses.dataclass(slots=True)
+class CutOff:
+    """Tell the caller ``refusal`` now and stop, whatever is going on."""
+
+    refusal: Refuse
+
+
 @dataclasses.dataclass(slots=True)
 class Cancel:
     """Stop the work of ``request_id`` at the server at ``url``."""
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -17,6 +17,7 @@
 from .requests import AttemptBegan
 from .requests import AttemptFailed
 from .requests import CallerGone
+from .requests import CutShort
 from .requests import FirstOutput
 from .requests import NotBegun
 from .requests import Overdue
@@ -33,6 +34,7 @@
     "CacheChanged",
     "CallerGone",
     "DayBegan",
+    "CutShort",
     "FirstOutput",
     "Left",
     "LogSynced",
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -100,3 +100,10 @@
     """The caller's own time limit passed while an attempt was running."""
 
     request_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class CutShort:
+    """The instance ends now, before this request has."""
+
+    request_id: str
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -24,6 +24,7 @@
     NO_SERVER = "no_backend_server"
     ALL_BUSY = "all_backend_servers_busy"
     DRAINING = "instance_draining"
+    STARTING = "instance_starting"
     SERVER_FAILED = "backend_server_failed"
     NO_QUORUM = "no_quorum"
     KEY_REUSED = "idempotency_key_reused"
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -171,7 +171,9 @@
         wait_until(lambda: self.in_force(written["version"]))
 
     def in_force(self, version):
-        """Tell whether every instance has applied ``version``."""
+        """Tell whether every instance has applied ``version`` and serves."""
         return all(
-            item.host.state.store.version >= version for item in self.instances
+            item.host.state.store.version >= version
+            and item.host.state.log.ready
+            for item in self.instances
         )
