The machine over lives of requests finds what it was said to find

Change: each rule chooses among requests in the phase that it is about, and time passes with the servers announcing themselves or without.

--- a/tests/cover/test_request_life_machine.py
+++ b/tests/cover/test_request_life_machine.py
@@ -40,6 +40,10 @@
 ]
 
 
+def choose(items, number):
+    return items[number % len(items)]
+
+
 class Seen:
     """What a request's caller and its engines know of it."""
 
@@ -125,25 +129,9 @@
             )
         )
 
-    def pick(self, number):
-        """Return a request that has an attempt, ended or not."""
-        known = [name for name, seen in self.seen.items() if seen.attempt]
-        return known[number % len(known)]
-
-    def has_attempt(self):
-        return any(seen.attempt for seen in self.seen.values())
-
-    @stateful.precondition(has_attempt)
-    @stateful.rule(number=NUMBERS, late=st.booleans())
-    def began(self, number, late):
-        request_id = self.pick(number)
-        seen = self.seen[request_id]
-        attempt = seen.attempt - late
-        if not late and not seen.outcome and self.phase(request_id) == 0:
-            seen.begun.add(attempt)
-            self.apply(events.AttemptBegan(request_id, attempt))
-        elif late:
-            self.apply(events.AttemptBegan(request_id, attempt))
+    def among(self, *phases):
+        """Return the requests that are in one of ``phases``."""
+        return [name for name in self.seen if self.phase(name) in phases]
 
     def phase(self, request_id):
         """Return 0 while dispatched, 1 once begun, 2 once streaming."""
@@ -154,40 +142,55 @@
         names = {"dispatched": 0, "may_have_begun": 1, "streaming": 2}
         return names.get(held.phase.value) if held else None
 
-    @stateful.precondition(has_attempt)
-    @stateful.rule(number=NUMBERS, said=st.booleans())
-    def not_begun(self, number, said):
-        request_id = self.pick(number)
+    @stateful.precondition(lambda self: self.among(0))
+    @stateful.rule(number=NUMBERS)
+    def began(self, number):
+        request_id = choose(self.among(0), number)
+        seen = self.seen[request_id]
+        seen.begun.add(seen.attempt)
+        self.apply(events.AttemptBegan(request_id, seen.attempt))
+
+    @stateful.precondition(lambda self: self.among(0, 1))
+    @stateful.rule(number=NUMBERS)
+    def not_begun(self, number):
+        request_id = choose(self.among(0, 1), number)
         seen = self.seen[request_id]
-        if self.phase(request_id) != (1 if said else 0):
-            return
+        said = self.phase(request_id) == 1
         seen.begun.discard(seen.attempt)
         self.apply(events.NotBegun(request_id, seen.attempt, said))
 
-    @stateful.precondition(has_attempt)
+    @stateful.precondition(lambda self: self.among(1))
     @stateful.rule(number=NUMBERS)
     def first_output(self, number):
-        request_id = self.pick(number)
-        if self.phase(request_id) == 1:
-            attempt = self.seen[request_id].attempt
-            self.apply(events.FirstOutput(request_id, attempt))
-
-    @stateful.precondition(has_attempt)
-    @stateful.rule(number=NUMBERS, whole=st.booleans(), late=st.booleans())
-    def end_attempt(self, number, whole, late):
-        request_id = self.pick(number)
+        request_id = choose(self.among(1), number)
+        attempt = self.seen[request_id].attempt
+        self.apply(events.FirstOutput(request_id, attempt))
+
+    @stateful.precondition(lambda self: self.among(1, 2))
+    @stateful.rule(number=NUMBERS, whole=st.booleans())
+    def end_attempt(self, number, whole):
+        request_id = choose(self.among(1, 2), number)
         seen = self.seen[request_id]
-        if not late and self.phase(request_id) not in (1, 2):
-            return
-        attempt = seen.attempt - late
-        if not whole:
-            failed = events.AttemptFailed(request_id, attempt, 0, "cut")
-            self.apply(failed)
-            return
-        self.apply(events.AnswerFinished(request_id, attempt))
-        if not late:
+        if whole:
+            self.apply(events.AnswerFinished(request_id, seen.attempt))
             assert not seen.outcome
             seen.outcome = "complete"
+        else:
+            failed = events.AttemptFailed(request_id, seen.attempt, 0, "cut")
+            self.apply(failed)
+
+    @stateful.precondition(lambda self: self.seen)
+    @stateful.rule(number=NUMBERS, kind=st.integers(0, 3))
+    def late_event(self, number, kind):
+        request_id = choose(sorted(self.seen), number)
+        attempt = self.seen[request_id].attempt - 1
+        late = (
+            events.AttemptBegan(request_id, attempt),
+            events.FirstOutput(request_id, attempt),
+            events.AnswerFinished(request_id, attempt),
+            events.AttemptFailed(request_id, attempt, 0, "late"),
+        )
+        assert self.reducer.apply(late[kind], self.now) == []
 
     @stateful.precondition(lambda self: self.seen)
     @stateful.rule(
@@ -204,9 +207,15 @@
         if before is not None and self.phase(request_id) is None:
             seen.outcome = seen.outcome or "nobody waits"
 
-    @stateful.rule(seconds=st.sampled_from([0.1, 0.3, 2.0, 40.0]))
-    def pass_time(self, seconds):
+    @stateful.rule(
+        seconds=st.sampled_from([0.1, 0.3, 2.0, 40.0]),
+        announcing=st.booleans(),
+    )
+    def pass_time(self, seconds, announcing):
         self.now += seconds
+        if announcing:
+            for name in ("e1", "e2", "e3"):
+                self.announce(name, name in self.leaving)
         self.carry(self.reducer.tick(self.now))
 
     @stateful.rule(
@@ -220,5 +229,5 @@
     """Every outcome is true, and what must not run twice does not."""
 
     settings = hypothesis.settings(
-        max_examples=60, stateful_step_count=40, deadline=None
+        max_examples=100, stateful_step_count=40, deadline=None
     )
