--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -81,9 +81,9 @@
         if not self._host.state.log.ready:
             raise wsgi.Problem(
                 503,
-                "starting",
-                "It has not caught up with the configuration yet.",
-                "use another instance until this one is ready",
+                "no_configuration",
+                "It has not yet caught up with the configuration.",
+                "use another instance; see the log where it lasts",
             )
         return wsgi.reply_json(start_response, {"ready": True})
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -11,6 +11,10 @@
 
 def work_of(state, event, now):
     """Return the work of a request, or why there can be none."""
+    if not state.log.ready:
+        # A valid key would be called unknown, or a class that is gone be
+        # served, by a state older than the failure domain had.
+        return sentinels.Nothing(sentinels.Reason.NO_CONFIGURATION, 1.0)
     store = state.store
     organisation = store.organisation_of(event.key_hash)
     if not organisation:
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -61,11 +61,6 @@
         return self._decide(now)
 
     def _received(self, event, now):
-        if not self._state.log.ready:
-            # What it holds may be older than what was in force before: a
-            # key that it does not know yet is no wrong key.
-            nothing = sentinels.Nothing(sentinels.Reason.STARTING, 1.0)
-            return [answers.refusal(event.request_id, nothing)]
         work = intake.work_of(self._state, event, now)
         if not work:
             return [answers.refusal(event.request_id, work)]
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -10,6 +10,7 @@
 from . import messages
 from . import order_reports
 from . import quorum_log_messages
+from . import quorum_log_voters
 from ..resources import announcements
 from . import servers
 from . import usage
@@ -22,6 +23,7 @@
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
+    servers.Vouches,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
@@ -31,6 +33,8 @@
     usage.UsageHave,
     usage.UsageCheckpoint,
     *quorum_log_messages.ALL,
+    quorum_log_voters.VoterRequest,
+    quorum_log_voters.VoterReply,
 )
 
 Message = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -2,6 +2,7 @@
 
 from .config import AppendLog
 from .config import ReplaceLog
+from .config import VoterAnswered
 from .config import WriteAnswered
 from .orders import GiveOrder
 from .peers import SendPeer
@@ -31,5 +32,6 @@
     "ReplaceUsage",
     "Replay",
     "SendPeer",
+    "VoterAnswered",
     "WriteAnswered",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -4,8 +4,10 @@
 them: the reducer is handed the present time beside each event.
 """
 
+from .config import InForceAsked
 from .config import LogSynced
 from .config import StorageFailed
+from .config import VoterChangeAsked
 from .config import WriteSubmitted
 from .orders import CacheChanged
 from .orders import OrderAnswer
@@ -37,6 +39,7 @@
     "CutShort",
     "FirstOutput",
     "Left",
+    "InForceAsked",
     "LogSynced",
     "NotBegun",
     "OrderAnswer",
@@ -47,5 +50,6 @@
     "Started",
     "StorageFailed",
     "UsageLoaded",
+    "VoterChangeAsked",
     "WriteSubmitted",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -14,6 +14,7 @@
 from .components import configuration
 from .components import members
 from .components import orders
+from .components import renewals
 from .components import repair
 from .components import requests
 from .components import state as state_module
@@ -92,10 +93,12 @@
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
     claimer = claims.Claims(state, bootstrap)
+    renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
         repair.Repair(state),
-        backend_servers.BackendServers(state, chosen),
+        renewing,
+        backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         claimer,
