--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from . import claims
 from . import dissemination
 from . import membership
 from . import messages
@@ -18,6 +19,7 @@
     messages.Heartbeat,
     membership.MemberRecords,
     servers.ServerRecords,
+    *claims.MESSAGES,
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
