--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -14,6 +14,7 @@
 from dandeliontrail import events
 
 from . import order_client
+from . import problems
 
 # The reducer's timers are in tenths of a second and above.
 TICK = 0.1
@@ -44,7 +45,9 @@
         self._carry_out = {
             effects.Dispatch: self._to_exchange,
             effects.Refuse: self._to_exchange,
-            effects.Finish: self._to_exchange,
+            effects.Replay: self._to_exchange,
+            effects.Abandon: self._abandon,
+            effects.CutOff: self._cut_off,
             effects.Cancel: self._cancel,
             effects.GiveOrder: self._give_order,
             effects.SendPeer: self._send_peer,
@@ -147,9 +150,15 @@
         """Route effects for a request to its exchange."""
         self._exchanges[exchange.request_id] = exchange
 
-    def detach(self, exchange):
-        """Forget an exchange that has ended."""
-        self._exchanges.pop(exchange.request_id, None)
+    def detach(self, exchange, side):
+        """Take note that one side left; forget it when both have."""
+        exchange.sides.discard(side)
+        if not exchange.sides:
+            self._exchanges.pop(exchange.request_id, None)
+
+    def exchanges(self):
+        """Return the exchanges of the requests that are under way."""
+        return list(self._exchanges.values())
 
     def open_exchanges(self):
         """Return how many requests are under way."""
@@ -172,6 +181,16 @@
         if exchange:
             exchange.put(effect)
 
+    def _abandon(self, effect):
+        exchange = self._exchanges.get(effect.request_id)
+        if exchange:
+            exchange.abandon()
+
+    def _cut_off(self, effect):
+        exchange = self._exchanges.get(effect.refusal.request_id)
+        if exchange:
+            exchange.end_with(problems.problem_of(effect.refusal))
+
     def _cancel(self, effect):
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from . import claims
 from . import dissemination
 from . import member_records
 from . import messages
@@ -19,6 +20,7 @@
     messages.Heartbeat,
     member_records.MemberRecords,
     servers.ServerRecords,
+    *claims.MESSAGES,
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -10,6 +10,7 @@
 from . import events
 from .components import backend_servers
 from .components import caches
+from .components import claims
 from .components import configuration
 from .components import members
 from .components import orders
@@ -85,12 +86,13 @@
     ``rng`` is a ``random.Random``: the only source of chance in here, so
     that a run can be repeated from its seed.  ``keeper`` is what the disk
     holds (``quorum_log_records.Keeper``) on an instance that has one, and
-    ``bootstrap`` the names of the first keepers; without either, the
-    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
-    there is a disk for usage.
+    ``bootstrap`` the names of the first keepers, which also grant claims on
+    idempotency keys; without either, the instance keeps a log of its own in
+    memory.  ``keeps_usage`` tells that there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
+    claimer = claims.Claims(state, bootstrap)
     renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
@@ -99,7 +101,8 @@
         backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
-        requests.Requests(state, chosen),
+        claimer,
+        requests.Requests(state, chosen, claimer),
         orders.Orders(state),
         caches.Caches(state),
     ]
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -29,6 +29,7 @@
     NO_CONFIGURATION = "no_configuration"
     KEY_REUSED = "idempotency_key_reused"
     ANSWER_GONE = "answer_no_longer_held"
+    HOLDER_LOST = "holder_of_idempotency_key_lost"
     CALLER_GONE = "caller_gone"
 
 
