Peer link: TLS where its listener has it, unknown messages left out

With tls.peers set, the link spoke plain HTTP to a listener that spoke TLS, and no two instances could reach each other. It now shows the listener's certificate and checks that client_ca signed the other's. A message of a newer release no longer takes the heartbeat of its batch along: it alone is left out and counted.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -85,6 +85,7 @@
             ticking,
             measured.counters,
             limits.peer_bytes_per_second,
+            lambda: self._tls.client_context("peers"),
         )
         self._stack.callback(link.close)
         self._engines = engine_client.PooledEngineClient(
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listener_tls.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listener_tls.py
@@ -19,6 +19,25 @@
         context = self._contexts.get(name)
         return {"ssl_context": context} if context else {}
 
+    def client_context(self, name):
+        """Return the context to connect to the same listener elsewhere.
+
+        ``None`` where it speaks no TLS.  Instances show each other the
+        certificate of their listener.  Who they are is told by addresses
+        and by the key that signs each batch, so what is checked here is
+        that ``client_ca`` signed it; without that, TLS only keeps others
+        from reading along.
+        """
+        tls = self._settings.get(name)
+        if tls is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        _load(context, tls)
+        return context
+
     def reload(self):
         """Read every certificate again; connections that stand keep theirs.
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
@@ -33,20 +33,21 @@
                 "give every instance the same peer_key_file",
             )
         try:
-            envelope = codec.decode(body)
+            envelope, left_out = codec.decode(body)
         except msgspec.DecodeError as exc:
             raise wsgi.Problem(
                 400, "malformed", f"{exc}.", "run one release everywhere"
             )
-        self._count(len(body), len(envelope.messages))
+        self._count(len(body), len(envelope.messages), left_out)
         for message in envelope.messages:
             self._host.submit(
                 events.PeerMessageReceived(envelope.sender, message)
             )
         return wsgi.reply(start_response, 200, b"{}", [wsgi.JSON])
 
-    def _count(self, size, messages):
+    def _count(self, size, messages, left_out):
         counters = self._host.metrics.counters
         counters["peer_received_bytes_total"] += size
         counters["peer_received_messages_total"] += messages
         counters["peer_received_batches_total"] += 1
+        counters["peer_unknown_messages_total"] += left_out
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
@@ -64,14 +64,24 @@
     """Sends to any number of addresses without ever blocking the sender.
 
     ``counters`` takes ``peer_*`` counts; ``bytes_per_second`` is the budget
-    over all addresses, above which :mod:`.outbox` sheds.
+    over all addresses, above which :mod:`.outbox` sheds.  ``new_context``
+    returns the TLS context of a new connection, or ``None`` for none.
     """
 
-    def __init__(self, identity, key, clock, counters, bytes_per_second):
+    def __init__(
+        self,
+        identity,
+        key,
+        clock,
+        counters,
+        bytes_per_second,
+        new_context=lambda: None,
+    ):
         self._identity = identity
         self._key = key
         self.clock = clock
         self.counters = counters
+        self.new_context = new_context
         self.budget = ByteBudget(bytes_per_second, clock.now())
         self._lines = {}
 
@@ -189,12 +199,16 @@
     def _connected(self):
         if self._client is None:
             host, port = self.address.rsplit(":", 1)
+            context = self._link.new_context()
             self._client = geventhttpclient.HTTPClient(
                 host.strip("[]"),
                 int(port),
                 headers={"User-Agent": "dandeliond"},
                 connection_timeout=CONNECT_SECONDS,
                 network_timeout=LONGEST_SILENCE,
+                ssl=context is not None,
+                ssl_context_factory=lambda **options: context,
+                insecure=True,
             )
         return self._client
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -48,8 +48,14 @@
     messages: list[Message]
 
 
+class _RawEnvelope(msgspec.Struct):
+    sender: messages.Sender
+    messages: list[msgspec.Raw]
+
+
 _ENCODER = msgspec.json.Encoder()
-_DECODER = msgspec.json.Decoder(Envelope)
+_ENVELOPES = msgspec.json.Decoder(_RawEnvelope)
+_MESSAGES = msgspec.json.Decoder(Message)
 
 
 def encode(envelope):
@@ -58,8 +64,19 @@
 
 
 def decode(body):
-    """Return the envelope in ``body``.
+    """Return the envelope in ``body`` and how many messages it left out.
 
-    Raises ``msgspec.DecodeError`` or its kin where it is not one.
+    While releases are mixed, an instance may send what another does not
+    know.  Only that message is left out: with it would otherwise go the
+    heartbeat in the same batch, and the two would take each other for
+    failed.  Raises ``msgspec.DecodeError`` where it is no envelope at all.
     """
-    return _DECODER.decode(body)
+    raw = _ENVELOPES.decode(body)
+    known = []
+    for item in raw.messages:
+        try:
+            known.append(_MESSAGES.decode(item))
+        except msgspec.ValidationError:
+            continue
+    left_out = len(raw.messages) - len(known)
+    return Envelope(raw.sender, known), left_out
--- a/tests/common/quorum_world.py
+++ b/tests/common/quorum_world.py
@@ -270,7 +270,7 @@
                 continue
             if chance < 2 * self.loss:
                 self.flying.append((source, target, body))
-            envelope = codec.decode(body)
+            envelope, _ = codec.decode(body)
             log = self.nodes[target].log
             for message in envelope.messages:
                 handler = log.handlers()[type(message)]
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -74,16 +74,18 @@
     def __exit__(self, *exc_info):
         return self._stack.__exit__(*exc_info)
 
-    def instance(self, name, domain="fd1", **limits):
+    def instance(self, name, domain="fd1", tls=None, **limits):
         """Start an instance that knows those started before.
 
-        One that was stopped starts again from its folder.
+        One that was stopped starts again from its folder.  ``tls`` has the
+        settings of listeners that speak TLS.
         """
         limits.setdefault("drain_notice_seconds", 0.0)
         peers = [item.addresses["peers"] for item in self.instances]
         cfg = make_settings(
             name, domain, peers, self._folder(name), self._keepers, **limits
         )
+        cfg.tls.update(tls or {})
         logger = logging.getLogger(f"test.{name}")
         started = instance.Instance(cfg, logger)
         closer = self._stack.enter_context(contextlib.ExitStack())
--- a/tests/cover/test_usage_ledger.py
+++ b/tests/cover/test_usage_ledger.py
@@ -46,7 +46,7 @@
     def through_codec(self, message):
         sender = codec.messages.Sender("i0", "", "", "", 1)
         body = codec.encode(codec.Envelope(sender, [message]))
-        return codec.decode(body).messages[0]
+        return codec.decode(body)[0].messages[0]
 
     @stateful.rule(
         place=PLACES, organisation=ORGANISATION, count=st.integers(0, 9)
