--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
@@ -5,6 +5,7 @@
 from . import batch
 from . import demo as demo_module
 from . import engine as engine_module
+from .soak import run as soak_run
 
 app = cyclopts.App(name="lab", help="Stand-ins, load and experiments.")
 
@@ -60,3 +61,19 @@
     Example: dandelionctl lab demo
     """
     return demo_module.run()
+
+
+@app.command
+def soak(*, seconds: float = 60.0, seed: int = 1):
+    """Kill, freeze and drain nine instances under load; check promises.
+
+    Example: dandelionctl lab soak --seconds 120 --seed 7
+
+    Parameters
+    ----------
+    seconds
+        How long faults are caused.
+    seed
+        Draws the faults and the requests.
+    """
+    return soak_run.run(seconds, seed)
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/processes.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/processes.py
@@ -65,7 +65,7 @@
     def __enter__(self):
         """Start the first instance, then all others at once."""
         with self._stack:
-            self._folder = pathlib.Path(
+            self.folder = pathlib.Path(
                 self._stack.enter_context(tempfile.TemporaryDirectory())
             )
             self.start(0)
@@ -92,9 +92,9 @@
 
     def _launch(self, index, ports=None):
         name = self._names[index]
-        path = self._folder / f"{name}.yaml"
+        path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self._settings(index, ports)))
-        log_path = self._folder / f"{name}.log"
+        log_path = self.folder / f"{name}.log"
         log = self._stack.enter_context(log_path.open("a"))
         before = log_path.stat().st_size
         process = subprocess.Popen(
@@ -112,7 +112,7 @@
 
     def log_text(self, index):
         """Return what instance ``index`` has logged."""
-        return (self._folder / f"{self._names[index]}.log").read_text()
+        return (self.folder / f"{self._names[index]}.log").read_text()
 
     def addresses(self, listener):
         """Return the addresses of one listener over all instances."""
@@ -145,7 +145,7 @@
         }
         name = self._names[index]
         if name in self._keepers:
-            cfg["keeper"] = {"data_dir": str(self._folder / name)}
+            cfg["keeper"] = {"data_dir": str(self.folder / name)}
         cfg.update(self._extra)
         return cfg
 
