--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -18,6 +18,7 @@
 from gevent import pool
 from gevent import pywsgi
 
+from . import engine_client
 from . import wsgi
 
 LINGER_BYTES = 1024 * 1024
@@ -116,6 +117,7 @@
         bounded.handler = self
         self.wsgi_input = bounded
         environ["wsgi.input"] = bounded
+        environ[wsgi.SOCKET] = self.socket
         return environ
 
     def handle_one_response(self):
@@ -162,6 +164,15 @@
             **options,
         )
 
+    def handle(self, client_socket, address):
+        """Serve one connection, with the kernel watching its path."""
+        try:
+            engine_client.watch_path(client_socket)
+        except OSError:
+            # The caller is gone already; serving it finds that out.
+            pass
+        super().handle(client_socket, address)
+
 
 def _problem_of(exc):
     if isinstance(exc, Rejected):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from . import claims
 from . import dissemination
-from . import membership
+from . import member_records
 from . import messages
 from . import order_reports
 from . import quorum_log_messages
@@ -13,15 +14,17 @@
 from ..resources import announcements
 from . import servers
 from . import usage
+from . import vouches
 
 ALL = (
     messages.Heartbeat,
-    membership.MemberRecords,
+    member_records.MemberRecords,
     servers.ServerRecords,
+    *claims.MESSAGES,
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
-    servers.Vouches,
+    vouches.Vouches,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -8,25 +8,29 @@
 from .peers import SendPeer
 from .reports import Log
 from .reports import Measure
+from .requests import Abandon
 from .requests import Cancel
+from .requests import CutOff
 from .requests import Dispatch
-from .requests import Finish
 from .requests import Refuse
+from .requests import Replay
 from .usage import AppendUsage
 from .usage import ReplaceUsage
 
 __all__ = [
+    "Abandon",
     "AppendLog",
     "AppendUsage",
     "Cancel",
+    "CutOff",
     "Dispatch",
-    "Finish",
     "GiveOrder",
     "Log",
     "Measure",
     "Refuse",
     "ReplaceLog",
     "ReplaceUsage",
+    "Replay",
     "SendPeer",
     "VoterAnswered",
     "WriteAnswered",
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -19,8 +19,10 @@
 from .requests import AttemptBegan
 from .requests import AttemptFailed
 from .requests import CallerGone
+from .requests import CutShort
 from .requests import FirstOutput
 from .requests import NotBegun
+from .requests import Overdue
 from .requests import RequestReceived
 from .servers import Announced
 from .usage import DayBegan
@@ -34,6 +36,7 @@
     "CacheChanged",
     "CallerGone",
     "DayBegan",
+    "CutShort",
     "FirstOutput",
     "Left",
     "InForceAsked",
@@ -41,6 +44,7 @@
     "NotBegun",
     "OrderAnswer",
     "OrderAnswered",
+    "Overdue",
     "PeerMessageReceived",
     "RequestReceived",
     "Started",
