--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/changing.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/changing.py
@@ -1,10 +1,13 @@
 """Commands that change what is declared, or check a change beforehand."""
 
 import pathlib
+import typing
 import uuid
 
+import cyclopts
 import gevent
 import msgspec
+import yaml
 
 from .. import api
 from .. import documents
@@ -16,10 +19,15 @@
 PAUSE_SECONDS = 1.0
 TRY_AGAIN = (0, 503, 504)
 
+# A YAML file, or a folder of such files.
+File = typing.Annotated[
+    pathlib.Path, cyclopts.Parameter(name=["-f", "--file"])
+]
+
 
 def apply(
     *,
-    f: pathlib.Path,
+    f: File,
     operation_id: str = "",
     target: options.Target = options.Target(),
 ):
@@ -39,7 +47,7 @@
     print(f"{len(found)} objects applied at version {result['version']}")
 
 
-def check(*, f: pathlib.Path, target: options.Target = options.Target()):
+def check(*, f: File, target: options.Target = options.Target()):
     """Check the objects in a file or a folder, and change nothing.
 
     Example: dandelionctl check -f examples/derwent/resources
@@ -50,6 +58,20 @@
     print(f"{len(found)} objects are good")
 
 
+def export(*, target: options.Target = options.Target()):
+    """Print all declared objects as a file that ``apply -f`` takes.
+
+    Example: dandelionctl export > backup.yaml
+    """
+    server = target.api()
+    found = [
+        {"kind": kind, "name": item["name"], "spec": item["spec"]}
+        for kind in documents.KINDS
+        for item in server.get(kind)["items"]
+    ]
+    print(yaml.safe_dump_all(found, sort_keys=False), end="")
+
+
 def rollback(
     *,
     to: int,
@@ -101,5 +123,5 @@
 
 def register(app):
     """Add the commands of this module."""
-    for command in (apply, check, rollback):
+    for command in (apply, check, export, rollback):
         app.command(command)
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -5,6 +5,7 @@
 import re
 
 import gevent
+from gevent import pool
 from gevent import pywsgi
 import geventhttpclient
 import msgspec
@@ -17,6 +18,16 @@
 JSON = ("Content-Type", "application/json")
 BYTES_PER_TOKEN = 4
 DEFAULT_TOKENS = 16
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+# A closed connection cancels, unless the stream is resumed by then.
+ORPHAN_SECONDS = 0.5
+
+
+class Message(msgspec.Struct):
+    """One message of a chat."""
+
+    role: str
+    content: str
 
 
 class Ask(msgspec.Struct):
@@ -26,6 +37,8 @@
     stream: bool = False
     priority: int = 1
     max_tokens: int = DEFAULT_TOKENS
+    messages: list[Message] = []
+    continue_final_message: bool = False
 
 
 class Engine:
@@ -39,6 +52,10 @@
         self.leaving = False
         self.epoch = 1
         self.ran = []
+        # Whether two runs of a request give different texts.
+        self.sampled = False
+        # What it announces as its URL, where something stands before it.
+        self.announced_url = ""
         self._server = None
         self._stepper = None
 
@@ -50,7 +67,11 @@
     def start(self, port=0):
         """Listen and start to step."""
         self._server = pywsgi.WSGIServer(
-            ("127.0.0.1", port), self, log=None, error_log=None
+            ("127.0.0.1", port),
+            self,
+            spawn=pool.Pool(),
+            log=None,
+            error_log=None,
         )
         self._server.start()
         self._stepper = gevent.spawn(self.batch.run)
@@ -96,6 +117,10 @@
         stream = batch.Stream(
             request_id, ask.priority, prompt_tokens, ask.max_tokens
         )
+        if self.sampled:
+            stream.mark = f"{self.name}-{len(self.ran)}-"
+        if ask.continue_final_message:
+            stream.start = len(ask.messages[-1].content.split())
         self.ran.append(request_id)
         self.batch.submit(stream)
         if ask.stream:
@@ -114,7 +139,9 @@
         return self._events(start_response, stream, start)
 
     def _events(self, start_response, stream, start):
-        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        write = start_response("200 OK", [EVENT_STREAM])
+        # The headers go out at once, as engines send them.
+        write(b"")
         return self._event_bytes(stream, start)
 
     def _event_bytes(self, stream, start):
@@ -126,7 +153,7 @@
                 yield b"data: [DONE]\n\n"
         finally:
             if not stream.finished:
-                stream.cancel()
+                gevent.spawn_later(ORPHAN_SECONDS, _cancel_orphan, stream)
 
     def announcement(self, sequence):
         """Return what the engine says of itself."""
@@ -135,7 +162,7 @@
             "epoch": self.epoch,
             "sequence": sequence,
             "kind": "model_engine",
-            "url": self.url,
+            "url": self.announced_url or self.url,
             "failure_domain": self.failure_domain,
             "models": self.desk.models,
             "role": self.desk.role,
@@ -157,11 +184,18 @@
             address = addresses[sequence % len(addresses)]
             sequence += 1
             body = msgspec.json.encode(self.announcement(sequence))
-            _post(address, body, headers)
+            post_announcement(address, body, headers)
             gevent.sleep(ANNOUNCE_SECONDS)
 
 
-def _post(address, body, headers):
+def _cancel_orphan(stream):
+    """Stop a stream whose reader left, unless another one came."""
+    if not stream.watched():
+        stream.cancel()
+
+
+def post_announcement(address, body, headers):
+    """Send one announcement; best effort, since the next one follows."""
     host, port = address.rsplit(":", 1)
     client = geventhttpclient.HTTPClient(
         host, int(port), network_timeout=ANNOUNCE_TIMEOUT
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -108,6 +108,8 @@
         )
         self._spreading = spreading_module.Spreading(core, neighbours)
         self._settled = 0
+        # Whether the disk held a log when this process started.
+        self.resumed = False
         self._was_stale = False
 
     # -- the seam ---------------------------------------------------------
@@ -209,6 +211,7 @@
         restored = records.restore(self._keeper) if self._keeper else None
         if restored:
             self._core.restore(restored)
+        self.resumed = bool(self._core.log_id)
         if self._in_memory:
             self._founding.alone()
             self._election.tick(now)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -14,6 +14,7 @@
 from .. import invariants
 from . import digests
 from ..resources import announcements
+from . import vouches
 
 # A server that leaves or falls silent gets no new work after this long at
 # the most, whatever lease it asked for itself.
@@ -72,6 +73,7 @@
     heard: float
     expires: float
     content: int = 0
+    lease: float = LONGEST_LEASE
 
     def serves(self, now):
         """Tell whether new work may go to it."""
@@ -86,11 +88,14 @@
 class ServerRegistry:
     """All backend servers heard of, by name."""
 
-    __slots__ = ("servers", "digest")
+    __slots__ = ("servers", "digest", "running", "_lapsed", "_next_lapse")
 
     def __init__(self):
         self.servers = {}
         self.digest = digests.TableDigest()
+        self.running = {}
+        self._lapsed = {}
+        self._next_lapse = 0.0
 
     def learn(self, announcement, age, now):
         """Take in a record and return whether it was news."""
@@ -105,11 +110,49 @@
         elif newer(announcement, held.announcement):
             self._replace(held, announcement, now - age)
         else:
-            return False
+            return self._hear_again(held, announcement, now - age)
         held.content = content_of(held.announcement)
-        self.digest.put(name, held.content)
+        self._enter(held)
+        return True
+
+    def _hear_again(self, held, announcement, heard):
+        """Renew a lease by a record that is no newer but was heard later.
+
+        Relays vouch for servers without their sequences, so that two
+        instances may hold one announcement with different ages.
+        """
+        if announcement.epoch != held.announcement.epoch:
+            return False
+        if held.announcement.leaving or heard <= held.heard:
+            return False
+        if content_of(announcement) != held.content:
+            return False
+        held.heard = heard
+        held.expires = heard + lease_of(held.announcement)
+        self._enter(held)
         return True
 
+    def _enter(self, held):
+        """Keep the digests of those that have not lapsed."""
+        announcement = held.announcement
+        name = announcement.backend_server
+        held.lease = lease_of(announcement)
+        self._lapsed.pop(name, None)
+        self._next_lapse = min(self._next_lapse, held.expires)
+        self.digest.put(name, held.content)
+        running = self.running.setdefault(
+            announcement.failure_domain, vouches.RunningServers()
+        )
+        if announcement.leaving:
+            running.drop(name)
+        else:
+            running.put(name, held)
+
+    def _leave_digests(self, name):
+        domain = self.servers[name].announcement.failure_domain
+        self.digest.drop(name)
+        self.running[domain].drop(name)
+
     def _replace(self, held, announcement, heard):
         before = held.announcement
         if before.order() > announcement.order():
@@ -119,6 +162,11 @@
                 announcement, sequence=before.sequence
             )
             heard = held.heard
+        elif before.epoch == announcement.epoch:
+            # A relay may have vouched for it since that announcement.
+            heard = max(heard, held.heard)
+        if before.failure_domain != announcement.failure_domain:
+            self._leave_digests(announcement.backend_server)
         # The object is kept, since the directory's lists point to it.
         held.announcement = announcement
         held.heard = heard
@@ -145,10 +193,19 @@
         )
         held.heard = now - age
         held.expires = held.heard + lease_of(before)
-        self.digest.put(renewal.backend_server, held.content)
+        self._enter(held)
         _check_order(before, held.announcement)
         return True
 
+    def vouch(self, domain, now):
+        """Return the word for all running servers of a failure domain."""
+        return self.running[domain].vouch(domain, now)
+
+    def vouched(self, vouch, delay, now):
+        """Take in a relay's word; return whether it renewed anything."""
+        running = self.running.get(vouch.failure_domain)
+        return running is not None and running.renew(vouch, delay, now)
+
     def renewal_of(self, name, now):
         """Return the renewal that tells others what is held."""
         held = self.servers[name]
@@ -176,21 +233,36 @@
     def forget(self, now, after=KEEP_LAPSED):
         """Drop servers that lapsed more than ``after`` seconds ago.
 
-        Lapsed servers leave the digest at once, since instances forget
-        them at different moments.
+        Lapsed servers leave the digests at once, since instances forget
+        them at different moments.  Leases only grow, so nothing can have
+        lapsed before the first end of a lease seen at the last look.
         """
-        lapsed = sorted(
-            (item.expires, name)
-            for name, item in self.servers.items()
-            if item.expires < now
-        )
-        surplus = max(0, len(lapsed) - MOST_LAPSED)
-        gone = []
-        for rank, (expires, name) in enumerate(lapsed):
-            self.digest.drop(name)
-            if rank < surplus or expires + after < now:
-                del self.servers[name]
-                gone.append(name)
+        if now < self._next_lapse:
+            return []
+        for name, held in self.servers.items():
+            if held.expires < now and name not in self._lapsed:
+                self._lapsed[name] = held.expires
+                self._leave_digests(name)
+        running = [
+            held.expires
+            for name, held in self.servers.items()
+            if name not in self._lapsed
+        ]
+        self._next_lapse = min(running, default=now + 1.0)
+        if self._lapsed:
+            self._next_lapse = min(self._next_lapse, now + 1.0)
+        return self._forget_lapsed(now - after)
+
+    def _forget_lapsed(self, before):
+        surplus = len(self._lapsed) - MOST_LAPSED
+        gone = [
+            name
+            for rank, (name, expires) in enumerate(self._lapsed.items())
+            if rank < surplus or expires < before
+        ]
+        for name in gone:
+            del self.servers[name]
+            del self._lapsed[name]
         return gone
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -20,8 +20,10 @@
 from .requests import AttemptBegan
 from .requests import AttemptFailed
 from .requests import CallerGone
+from .requests import CutShort
 from .requests import FirstOutput
 from .requests import NotBegun
+from .requests import Overdue
 from .requests import RequestReceived
 from .servers import Announced
 from .usage import DayBegan
@@ -35,6 +37,7 @@
     "CacheChanged",
     "CallerGone",
     "DayBegan",
+    "CutShort",
     "FirstOutput",
     "Left",
     "InForceAsked",
@@ -42,6 +45,7 @@
     "NotBegun",
     "OrderAnswer",
     "OrderAnswered",
+    "Overdue",
     "PeerMessageReceived",
     "ReadSubmitted",
     "RequestReceived",
