Late binding, reserves, shares and fairness, with a bench to judge them

Cause: the baseline policy fills engines by configured slots, protects high classes by the engines' order only and starves low ones.

Change: decisions.adaptive, now the default of new_reducer: work waits in the instance; each instance holds to a share of every engine that late reports move slowly; slots kept for protected classes follow bursts and missed first tokens; a batch is filled over the time of one answer; minimum shares; token fairness over organisations; memory planned by even share; slow engines found by pace; early refusal of sheddable work. dandelionctl lab policy runs it against an engine model in virtual time.

--- /dev/null
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The policy bench: the real decision code against a small engine model."""
--- /dev/null
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/report.py
@@ -0,0 +1,99 @@
+"""The measures of many runs as a table."""
+
+import collections
+import dataclasses
+import statistics
+
+
+@dataclasses.dataclass(slots=True)
+class Row:
+    """Means over the seeds of one scenario and policy.
+
+    ``protected_least`` and ``least_share`` are the worst of all seeds.
+    """
+
+    scenario: str
+    policy: str
+    protected: float
+    protected_least: float
+    goodput: float
+    waste: float
+    jain: float | None
+    least_share: float | None
+    attainment: dict
+    wait: dict
+
+
+COLUMNS = (
+    "scenario",
+    "policy",
+    "protected",
+    "worst seed",
+    "goodput",
+    "waste",
+    "Jain",
+    "least share",
+    "attainment by class",
+    "longest wait, s",
+)
+
+
+def rows(measured):
+    """Return one row for each scenario and policy, in order of runs."""
+    grouped = collections.defaultdict(list)
+    for run, measures in measured:
+        grouped[(run.scenario, run.policy)].append(measures)
+    return [_row(*key, items) for key, items in grouped.items()]
+
+
+def _row(scenario, policy, items):
+    jain = [item.jain for item in items if item.jain is not None]
+    shares = [i.least_share for i in items if i.least_share is not None]
+    return Row(
+        scenario,
+        policy,
+        statistics.mean(item.protected for item in items),
+        min(item.protected for item in items),
+        statistics.mean(item.goodput for item in items),
+        statistics.mean(item.waste for item in items),
+        statistics.mean(jain) if jain else None,
+        min(shares) if shares else None,
+        {
+            name: statistics.mean(item.attainment[name] for item in items)
+            for name in items[0].attainment
+        },
+        {
+            name: max(item.wait.get(name, 0.0) for item in items)
+            for name in items[0].wait
+        },
+    )
+
+
+def cells(row):
+    """Return the texts of a row, in the order of ``COLUMNS``."""
+    return (
+        row.scenario,
+        row.policy,
+        f"{row.protected:.4f}",
+        f"{row.protected_least:.4f}",
+        f"{row.goodput:.3f}",
+        f"{row.waste:.4f}",
+        _number(row.jain),
+        _number(row.least_share),
+        ", ".join(f"{k} {v:.3f}" for k, v in row.attainment.items()),
+        ", ".join(f"{k} {v:.1f}" for k, v in row.wait.items()),
+    )
+
+
+def markdown(table):
+    """Return the rows as a table for a page."""
+    lines = [
+        "| " + " | ".join(COLUMNS) + " |",
+        "| " + " | ".join("---" for _ in COLUMNS) + " |",
+    ]
+    lines += ["| " + " | ".join(cells(row)) + " |" for row in table]
+    return "\n".join(lines) + "\n"
+
+
+def _number(value):
+    return "" if value is None else f"{value:.2f}"
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
@@ -0,0 +1,19 @@
+"""What the policy sees of the other instances, read from the state."""
+
+from ..decisions import view
+
+
+class StateView(view.ClusterView):
+    """Reads the membership and the usage ledger of this instance."""
+
+    def __init__(self, state):
+        self._state = state
+
+    def instances(self, now):
+        """Return how many instances are alive, this one included."""
+        return 1 + len(self._state.members.alive(now))
+
+    def elsewhere(self, organisation, class_name):
+        """Return what the ledger holds of the other instances."""
+        used = self._state.usage.used_elsewhere(organisation, class_name)
+        return view.Tokens(used.prompt_tokens, used.output_tokens)
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -95,6 +95,7 @@
             weight=spec.weight,
             first_token_ms=class_spec.targets.first_token_ms,
             total_ms=class_spec.targets.total_ms,
+            between_tokens_ms=class_spec.targets.between_tokens_ms,
         )
 
     def _decide(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -97,6 +97,7 @@
         "late",
         "finished",
         "totals",
+        "own_totals",
         "_publishers",
         "_checkpoints",
         "_changed_checkpoints",
@@ -108,6 +109,7 @@
         self.late = 0
         self.finished = set()
         self.totals = usage_totals.UsageTotals()
+        self.own_totals = usage_totals.UsageTotals()
         self._publishers = {own: _Held()}
         self._checkpoints = {}
         self._changed_checkpoints = set()
@@ -123,6 +125,12 @@
         held.put_last(key, row)
         held.unsaved.add(key)
         self.totals.add(key, counted)
+        self.own_totals.add(key, counted)
+
+    def used_elsewhere(self, organisation, class_name):
+        """Return the totals that other instances or starts counted."""
+        total = self.totals.of_class(organisation, class_name)
+        return total.less(self.own_totals.of_class(organisation, class_name))
 
     def used(self, organisation, class_name):
         """Return the totals of an organisation in a class, all days."""
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -0,0 +1,349 @@
+"""The policy in use: late binding, reserves, shares, fairness, refusal."""
+
+import random
+
+from .. import invariants
+from .. import sentinels
+from . import fairness
+from . import fleet as fleet_module
+from . import lengths
+from . import options as options_module
+from . import placing
+from . import policy
+from . import refusal
+from . import reserve
+from . import shares
+from . import view as view_module
+from . import work as work_module
+
+# Usage of the other instances is taken in this often; the ledger itself
+# moves about once a second.
+MERGE_INTERVAL = 1.0
+
+
+class Adaptive(policy.Policy):
+    """Decides for one instance, from its own counts and late reports.
+
+    >>> Adaptive().waiting()
+    {}
+    """
+
+    def __init__(self, rng=None, view=None, identity=("", ""), options=None):
+        self._options = options or options_module.Options()
+        self._rng = rng or random.Random(0)
+        self._view = view or view_module.FixedView()
+        self._fleet = fleet_module.Fleet(self._rng, self._options)
+        self._placing = placing.Placing(self._rng, identity, self._options)
+        self._lengths = lengths.Lengths()
+        self._reserve = reserve.Reserve()
+        self._shares = shares.Shares()
+        self._lanes = {}
+        self._next_merge = 0.0
+        self._instances = 1
+        self._top_protected = None
+        self._full = set()
+
+    # Admitting
+
+    def offer(self, work, now):
+        """Queue the work, or refuse what cannot be served in time."""
+        lane = self._lane(work)
+        lane.weights[work.organisation] = work.weight
+        work.predicted_tokens = int(self._lengths.upper(work))
+        if _protected(work):
+            self._reserve.arrived(now)
+            self._note_protected(work)
+        if self._options.early_refusal:
+            own, organisations = lane.queue.ahead(work.organisation)
+            ahead = refusal.Ahead(
+                len(lane.queue), own, organisations, lane.rate.per_second(now)
+            )
+            seconds = self._service_seconds(work)
+            admitted = refusal.admit(work, ahead, seconds, now)
+            if not admitted:
+                self._check_shed(work)
+                return admitted
+        elif len(lane.queue) >= refusal.LONGEST_QUEUE:
+            return sentinels.Nothing(sentinels.Reason.QUEUE_FULL, 1.0)
+        lane.queue.push(work, self._fresh_until(work))
+        self._full.discard(lane.key)
+        return work
+
+    def _note_protected(self, work):
+        top = self._top_protected
+        if top is None or work.priority > top:
+            self._top_protected = work.priority
+
+    def _check_shed(self, work):
+        lane = self._lanes[_lane_key(work)]
+        invariants.check(
+            work.sheddable or len(lane.queue) >= refusal.LONGEST_QUEUE,
+            "only-sheddable-work-is-shed",
+            f"{work.request_id} of class {work.class_name}",
+        )
+
+    def _service_seconds(self, work):
+        return self._fleet.service_seconds(work, self._lengths.mean(work))
+
+    def _fresh_until(self, work):
+        if not self._options.fresh_first:
+            return work.deadline
+        return refusal.fresh_until(work, self._service_seconds(work))
+
+    def _tokens(self, work):
+        prompt = work.prompt_tokens * fairness.PROMPT_PART
+        return prompt + self._lengths.mean(work)
+
+    def _lane(self, work):
+        key = _lane_key(work)
+        held = self._lanes.get(key)
+        if held is None:
+            held = self._lanes[key] = _Lane(work, self._options)
+        return held
+
+    # Placing
+
+    def next(self, now, directory):
+        """Return all placements and refusals that are due."""
+        decided = []
+        self._refresh(now)
+        for lane in self._order(now):
+            self._expire(lane, now, decided)
+            if lane.key not in self._full:
+                self._serve(lane, now, directory, decided)
+        return decided
+
+    def _refresh(self, now):
+        if now < self._next_merge:
+            return
+        self._next_merge = now + MERGE_INTERVAL
+        self._reserve.roll(now)
+        self._shares.fade(now)
+        self._instances = self._view.instances(now)
+        burst = self._reserve.burst(self._instances)
+        if not self._options.reserve:
+            burst = 0.0
+        self._fleet.refresh(now, burst, self._reserve.extra)
+        self._full.clear()
+        for lane in self._lanes.values():
+            lane.merge(self._view)
+
+    def _order(self, now):
+        """Return the lanes with work: claims of shares first, then by rank.
+
+        Made for higher classes that fill every engine by themselves.
+        """
+        busy = [lane for lane in self._lanes.values() if len(lane.queue)]
+        for lane in busy:
+            lane.claims = self._claims(lane, now)
+        busy.sort(key=_rank)
+        return busy
+
+    def _claims(self, lane, now):
+        if not self._options.minimum_shares:
+            return False
+        if not self._shares.below(lane.class_name, lane.minimum_share):
+            return False
+        return lane.queue.oldest_wait(now) > shares.PATIENCE
+
+    def _expire(self, lane, now, decided):
+        for work in lane.queue.pop_expired(now):
+            nothing = sentinels.Nothing(sentinels.Reason.DEADLINE, 1.0)
+            decided.append(work_module.Refusal(work, nothing))
+
+    def _serve(self, lane, now, directory, decided):
+        while True:
+            work = lane.queue.head(now)
+            if work is None:
+                return
+            servers = directory.eligible(
+                work.class_name, work.model, work.service
+            )
+            nothing = self._reason_against(lane, work, servers, now)
+            if nothing is not None:
+                lane.queue.remove(work.request_id)
+                decided.append(work_module.Refusal(work, nothing))
+                continue
+            subset = self._subset(work, servers, now)
+            need = self._need(lane, work, now)
+            server = self._placing.pick(need, subset, self._fleet, now)
+            if not server:
+                self._full.add(lane.key)
+                return
+            self._place(lane, need, server, now, decided)
+            if lane.claims and not self._claims(lane, now):
+                return
+
+    def _reason_against(self, lane, work, servers, now):
+        """Return why queued work is to be refused now, or ``None``.
+
+        Work that has failed on every server gets its answer at once and not
+        near its deadline, and so does sheddable work that can no longer
+        meet its target: its caller can still do something else.
+        """
+        if _all_avoided(work, servers):
+            return sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
+        if not self._options.early_refusal:
+            return None
+        if not refusal.hopeless(work, self._service_seconds(work), now):
+            return None
+        invariants.check(
+            work.sheddable,
+            "only-sheddable-work-is-shed",
+            f"{work.request_id} of class {work.class_name}",
+        )
+        rate = lane.rate.per_second(now)
+        return refusal.busy(len(lane.queue) / rate if rate else 1.0)
+
+    def _need(self, lane, work, now):
+        seconds = self._service_seconds(work)
+        slack = refusal.start_by(work, seconds) - now
+        return placing.Need(
+            work,
+            _protected(work),
+            lane.claims,
+            work.prompt_tokens + self._lengths.mean(work),
+            slack / seconds,
+            self._fleet.open_to_lower(now),
+        )
+
+    def _subset(self, work, servers, now):
+        subset = self._placing.subset(servers, work, self._instances)
+        part = len(subset.members) / max(1, len(servers))
+        self._fleet.sharing.instances = max(1.0, self._instances * part)
+        if subset.fresh:
+            for server in subset.members:
+                self._fleet.engine(server, now)
+        return subset
+
+    def _place(self, lane, need, server, now, decided):
+        work = need.work
+        lane.queue.take(work)
+        tokens = self._tokens(work)
+        lane.rate.placed(now)
+        lane.counters.charge(work.organisation, work.weight, tokens)
+        self._shares.placed(work.class_name, tokens)
+        self._fleet.place(work, server, need.footprint, now)
+        self._placing.placed(work, server)
+        decided.append(work_module.Placement(work, server))
+
+    # Feedback
+
+    def first_output(self, request_id, now):
+        """Learn how soon the server gave its first output."""
+        held = self._fleet.first_output(request_id, now)
+        if held is not None and _protected(held.work):
+            self._reserve.answered(held.work, now)
+
+    def ended(self, ended, now):
+        """Learn from the attempt, and count the server as less busy."""
+        held = self._fleet.ended(ended, now)
+        self._full.clear()
+        if held is None:
+            return
+        self._placing.freed(held.server)
+        work = held.work
+        lane = self._lane(work)
+        if ended.failed:
+            lane.counters.charge(
+                work.organisation, work.weight, -self._tokens(work)
+            )
+            return
+        if ended.wasted:
+            return
+        excess = ended.output_tokens - self._lengths.mean(work)
+        lane.counters.charge(work.organisation, work.weight, excess)
+        self._lengths.learn(work, ended.output_tokens)
+
+    def requeue(self, work, now):
+        """Put the work at the front of its organisation's queue."""
+        lane = self._lane(work)
+        lane.queue.push(work, self._fresh_until(work), front=True)
+        self._full.discard(lane.key)
+
+    def withdraw(self, request_id):
+        """Take the work out of its queue, if it waits in one."""
+        for lane in self._lanes.values():
+            work = lane.queue.remove(request_id)
+            if work is not None:
+                return work
+        return None
+
+    def waiting(self):
+        """Count the queued work by class."""
+        counted = {}
+        for lane in self._lanes.values():
+            if len(lane.queue):
+                held = counted.get(lane.class_name, 0)
+                counted[lane.class_name] = held + len(lane.queue)
+        return counted
+
+    def observe(self, server, now):
+        """Take in a load report."""
+        self._fleet.observe(server, now)
+        self._full.clear()
+
+    def forget_server(self, name):
+        """Drop what is held about a server that is gone."""
+        self._fleet.forget(name)
+
+
+class _Lane:
+    """The queue of one class for one target, with its rates."""
+
+    __slots__ = (
+        "key",
+        "class_name",
+        "priority",
+        "minimum_share",
+        "counters",
+        "queue",
+        "rate",
+        "claims",
+        "weights",
+    )
+
+    def __init__(self, work, options):
+        self.key = _lane_key(work)
+        self.class_name = work.class_name
+        self.priority = work.priority
+        self.minimum_share = work.minimum_share
+        self.counters = fairness.Counters()
+        self.queue = fairness.Lane(
+            self.counters, by_arrival=not options.fairness
+        )
+        self.rate = refusal.ServedRate()
+        self.claims = False
+        self.weights = {}
+
+    def merge(self, view):
+        """Take in what other instances served of this class."""
+        for name, weight in self.weights.items():
+            used = view.elsewhere(name, self.class_name)
+            total = used.prompt * fairness.PROMPT_PART + used.output
+            self.counters.merge(name, weight, total)
+
+
+def _lane_key(work):
+    return (work.class_name, work.model, work.service)
+
+
+def _rank(lane):
+    return (not lane.claims, lane.priority)
+
+
+def _protected(work):
+    """Tell whether a class is one that has to be answered at once."""
+    return work.first_token_ms is not None and not work.sheddable
+
+
+def _all_avoided(work, servers):
+    """Tell whether every server has failed this work already.
+
+    Such work gets its answer at once instead of near its deadline.
+    """
+    if not work.avoid:
+        return False
+    return all(
+        server.announcement.backend_server in work.avoid for server in servers
+    )
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -0,0 +1,205 @@
+"""Which backend server takes a piece of work.
+
+An engine gets only enough to keep its batch full; all else waits in the
+instance, where it can still be reordered, refused or moved at no cost.
+"""
+
+import collections
+import dataclasses
+import hashlib
+
+from .. import sentinels
+
+RETRY_AFTER = 1.0
+# A decision looks at this many servers: two are enough against herding
+# (Mitzenmacher, "The Power of Two Choices", 2001); more of them find the
+# last free slots of a busy fleet, at about a microsecond each.
+SAMPLE = 12
+# Servers on which work ended lately are looked at first: they have room.
+REMEMBERED = 4
+# An instance works with this many servers for each model, or with so many
+# that each server is some few instances' choice, whichever is more.
+LEAST_SUBSET = 32
+INSTANCES_PER_SERVER = 6
+# A protected request goes to a full engine that is short of this many
+# slots: the engine's own queue honours priority and gives it the next slot
+# sooner than this instance would hear of one.
+OVERCOMMIT = 2
+# A slow server gets work whose target is this many times away, beyond its
+# own slowness.
+PLENTY = 5.0
+# In parts of a full batch: the price of the trip to another failure
+# domain, and what a held prefix is worth for each thousand tokens.
+OTHER_DOMAIN = 0.03
+PREFIX_PER_THOUSAND = 0.5
+# Prefixes remembered, each with the server that got it last.
+MOST_PREFIXES = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class Need:
+    """What one placement has to respect."""
+
+    work: object
+    protected: bool
+    claims_share: bool
+    footprint: float
+    slack_ratio: float
+    open: bool
+
+
+class Subset:
+    """The servers of one target that this instance works with.
+
+    Chosen by rendezvous hashing, so that a server more or less changes one
+    member only, with the instance's own failure domain first.
+    """
+
+    __slots__ = ("_source", "members", "names", "wanted", "fresh")
+
+    def __init__(self):
+        self._source = None
+        self.members = []
+        self.names = frozenset()
+        self.wanted = 0
+        self.fresh = False
+
+    def of(self, servers, instances, identity):
+        """Return this, chosen anew only when the list changed."""
+        wanted = max(
+            LEAST_SUBSET,
+            len(servers) * INSTANCES_PER_SERVER // max(1, instances),
+        )
+        self.fresh = servers is not self._source or wanted != self.wanted
+        if self.fresh:
+            self._source = servers
+            self.wanted = wanted
+            self.members = _choose(servers, wanted, identity)
+            self.names = frozenset(
+                server.announcement.backend_server for server in self.members
+            )
+        return self
+
+
+def _choose(servers, wanted, identity):
+    if len(servers) <= wanted:
+        return servers
+    own, domain = identity
+
+    def rank(server):
+        name = server.announcement.backend_server
+        digest = hashlib.blake2b(f"{own} {name}".encode(), digest_size=8)
+        return digest.digest()
+
+    ranked = sorted(servers, key=rank)
+    near = [s for s in ranked if s.announcement.failure_domain == domain]
+    far = [s for s in ranked if s.announcement.failure_domain != domain]
+    # Half are kept in other domains, so that losing its own leaves an
+    # instance with servers that it already knows the pace of.
+    chosen = near[: max(wanted // 2, wanted - len(far))]
+    return chosen + far[: wanted - len(chosen)]
+
+
+class Placing:
+    """Picks servers from the views in ``engines``."""
+
+    def __init__(self, rng, identity, options):
+        self._rng = rng
+        self._domain = identity[1]
+        self._identity = identity
+        self._options = options
+        self._subsets = {}
+        self._prefixes = collections.OrderedDict()
+        self._freed = collections.deque(maxlen=REMEMBERED)
+
+    def freed(self, server):
+        """Remember that a server has room again."""
+        if server not in self._freed:
+            self._freed.append(server)
+
+    def placed(self, work, server):
+        """Remember where a prefix went."""
+        if work.prefix_hash:
+            self._prefixes[work.prefix_hash] = server
+            self._prefixes.move_to_end(work.prefix_hash)
+            if len(self._prefixes) > MOST_PREFIXES:
+                self._prefixes.popitem(last=False)
+
+    def subset(self, servers, work, instances):
+        """Return the servers to choose from for the target of ``work``."""
+        key = (work.class_name, work.model, work.service)
+        held = self._subsets.get(key)
+        if held is None:
+            held = self._subsets[key] = Subset()
+        return held.of(servers, instances, self._identity)
+
+    def pick(self, need, subset, fleet, now):
+        """Return the name of the best server, or a ``Nothing``."""
+        best = sentinels.Nothing(sentinels.Reason.ALL_BUSY, RETRY_AFTER)
+        least = None
+        holder = self._prefixes.get(need.work.prefix_hash)
+        for server in self._sample(subset, holder, fleet):
+            engine = fleet.engine(server, now)
+            if not self._may_take(need, server, engine, fleet, now):
+                continue
+            score = self._score(need, server, engine, fleet, holder)
+            if least is None or score < least:
+                best, least = engine.name, score
+        return best
+
+    def _sample(self, subset, holder, fleet):
+        members = subset.members
+        if len(members) <= SAMPLE:
+            return members
+        chosen = self._rng.sample(members, SAMPLE)
+        names = list(self._freed)
+        if holder:
+            names.append(holder)
+        for name in names:
+            if name in subset.names and name in fleet.known:
+                chosen.append(fleet.known[name])
+        return chosen
+
+    def _may_take(self, need, server, engine, fleet, now):
+        if not server.serves(now) or engine.name in need.work.avoid:
+            return False
+        if engine.slow and self._options.slow_servers:
+            if not self._bears_slow(need, engine, now):
+                return False
+        kv_tokens = server.announcement.kv_tokens
+        instances = fleet.sharing.instances
+        if not engine.fits(need.footprint, kv_tokens, instances):
+            return False
+        if need.protected:
+            return engine.own < engine.allowed + OVERCOMMIT
+        if need.claims_share:
+            return engine.own <= engine.allowed
+        return need.open and engine.own < engine.allowed
+
+    def _bears_slow(self, need, engine, now):
+        """Tell whether work may go to a slow server.
+
+        Backlog work does, as long as its target leaves plenty of time: a
+        slow server still serves some.  Else there is one probe at a time,
+        of work that may be repeated elsewhere.
+        """
+        if need.slack_ratio > PLENTY * engine.gap.value:
+            return True
+        return need.work.repeatable and engine.may_probe(now)
+
+    def _score(self, need, server, engine, fleet, holder):
+        """Return the cost of a server; the least is taken.
+
+        An instance that spreads its own work evenly needs no report to do
+        its part for an even fleet.  The load is weighed by the pace, so
+        that a slower server gets less without being drained.  The draw at
+        the end breaks ties: instances that saw the same report would else
+        all pick the same server.
+        """
+        own = (engine.own + 1) / max(1.0, engine.quota)
+        score = own * fleet.medians.relative(engine)
+        if server.announcement.failure_domain != self._domain:
+            score += OTHER_DOMAIN
+        if holder == engine.name and self._options.prefix_affinity:
+            score -= PREFIX_PER_THOUSAND * need.work.prompt_tokens / 1000.0
+        return score + self._rng.random() * 0.02
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
@@ -0,0 +1,43 @@
+"""What a policy may read of the other instances.
+
+The figures come from the membership and from the usage ledger; both lag by
+about a second, and stop moving in a partition.
+"""
+
+import abc
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Tokens:
+    """Tokens used so far."""
+
+    prompt: int = 0
+    output: int = 0
+
+
+class ClusterView(abc.ABC):
+    """A read-only view of all instances."""
+
+    @abc.abstractmethod
+    def instances(self, now):
+        """Return how many instances take requests, this one included."""
+
+    def elsewhere(self, organisation, class_name):
+        """Return the tokens that the other instances counted so far."""
+        return Tokens()
+
+
+class FixedView(ClusterView):
+    """A known number of instances whose usage is not shared.
+
+    >>> FixedView(9).instances(0.0)
+    9
+    """
+
+    def __init__(self, count=1):
+        self._count = count
+
+    def instances(self, now):
+        """Return the given number."""
+        return self._count
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -30,6 +30,7 @@
     weight: float = 1.0
     first_token_ms: float | None = None
     total_ms: float | None = None
+    between_tokens_ms: float | None = None
     avoid: set = dataclasses.field(default_factory=set)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -10,6 +10,7 @@
 from . import events
 from .components import backend_servers
 from .components import caches
+from .components import cluster_view
 from .components import configuration
 from .components import members
 from .components import orders
@@ -18,7 +19,7 @@
 from .components import requests
 from .components import state as state_module
 from .components import usage
-from .decisions import baselines
+from .decisions import adaptive
 
 
 class Reducer:
@@ -90,7 +91,11 @@
     there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
-    chosen = policy or baselines.PriorityLeastOutstanding()
+    chosen = policy or adaptive.Adaptive(
+        rng,
+        cluster_view.StateView(state),
+        (identity.instance, identity.failure_domain),
+    )
     renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
--- a/tests/cover/test_request_life.py
+++ b/tests/cover/test_request_life.py
@@ -68,8 +68,8 @@
     out = reducer.apply(events.NotBegun("r1", 1, False), 0.2)
     (second,) = only(out, effects.Dispatch)
     assert {first.backend_server, second.backend_server} == {"e1", "e2"}
-    reducer.apply(events.NotBegun("r1", 2, False), 0.3)
-    (refusal,) = only(reducer.tick(10_000.0), effects.Refuse)
+    out = reducer.apply(events.NotBegun("r1", 2, False), 0.3)
+    (refusal,) = only(out, effects.Refuse)
     assert refusal.outcome == "not-run"
 
 
