--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/batch.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/batch.py
@@ -25,13 +25,20 @@
 
 
 class Stream:
-    """One request in an engine: all its tokens so far, kept for resuming."""
+    """One request in an engine: all its tokens so far, kept for resuming.
+
+    It starts at token ``start`` where it continues another engine's text.
+    ``mark`` is in every token of a stream that is sampled, so that no two
+    runs of it are alike.
+    """
 
     def __init__(self, request_id, priority, prompt_tokens, wanted):
         self.request_id = request_id
         self.priority = priority
         self.prompt_tokens = prompt_tokens
         self.wanted = wanted
+        self.start = 0
+        self.mark = ""
         self.tokens = []
         self.finished = False
         self.cancelled = False
@@ -43,11 +50,19 @@
         self.finished = len(self.tokens) >= self.wanted
         self._wake()
 
+    def next_token(self):
+        """Return the token that comes next."""
+        return f"{self.mark}w{self.start + len(self.tokens)} "
+
     def cancel(self):
         """Stop; a reader sees the stream break off."""
         self.cancelled = True
         self._wake()
 
+    def watched(self):
+        """Tell whether anyone reads the stream."""
+        return bool(self._readers)
+
     def _wake(self):
         for reader in self._readers:
             reader.put(True)
@@ -57,13 +72,16 @@
         reader = queue.SimpleQueue()
         self._readers.append(reader)
         position = start
-        while True:
-            while position < len(self.tokens):
-                yield self.tokens[position]
-                position += 1
-            if self.finished or self.cancelled:
-                return
-            reader.get()
+        try:
+            while True:
+                while position < len(self.tokens):
+                    yield self.tokens[position]
+                    position += 1
+                if self.finished or self.cancelled:
+                    return
+                reader.get()
+        finally:
+            self._readers.remove(reader)
 
 
 class Batch:
@@ -114,7 +132,7 @@
     def _step(self):
         for stream in self.running:
             if not stream.cancelled:
-                stream.add(f"w{len(stream.tokens)} ")
+                stream.add(stream.next_token())
         self.running = [
             item
             for item in self.running
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -10,6 +10,7 @@
 from . import events
 from .components import backend_servers
 from .components import caches
+from .components import claims
 from .components import cluster_view
 from .components import configuration
 from .components import members
@@ -86,9 +87,9 @@
     ``rng`` is a ``random.Random``: the only source of chance in here, so
     that a run can be repeated from its seed.  ``keeper`` is what the disk
     holds (``quorum_log_records.Keeper``) on an instance that has one, and
-    ``bootstrap`` the names of the first keepers; without either, the
-    instance keeps a log of its own in memory.  ``keeps_usage`` tells that
-    there is a disk for usage.
+    ``bootstrap`` the names of the first keepers, which also grant claims on
+    idempotency keys; without either, the instance keeps a log of its own in
+    memory.  ``keeps_usage`` tells that there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or adaptive.Adaptive(
@@ -96,6 +97,7 @@
         cluster_view.StateView(state),
         (identity.instance, identity.failure_domain),
     )
+    claimer = claims.Claims(state, bootstrap)
     renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
@@ -104,7 +106,8 @@
         backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
-        requests.Requests(state, chosen),
+        claimer,
+        requests.Requests(state, chosen, claimer),
         orders.Orders(state),
         caches.Caches(state),
     ]
