--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -190,7 +190,9 @@
                 lane.queue.remove(work.request_id)
                 self._refuse(work, nothing, now, decided)
                 continue
-            subset = self._subset(work, servers, now)
+            subset = self._placing.subset(
+                servers, work, self._fleet, self._instances, now
+            )
             need = self._need(lane, work, now)
             server = self._placing.pick(need, subset, self._fleet, now)
             if not server:
@@ -237,15 +239,6 @@
             self._top_protected is None or self._fleet.open_to_lower(now),
         )
 
-    def _subset(self, work, servers, now):
-        subset = self._placing.subset(servers, work, self._instances)
-        part = len(subset.members) / max(1, len(servers))
-        self._fleet.sharing.instances = max(1.0, self._instances * part)
-        if subset.fresh:
-            for server in subset.members:
-                self._fleet.engine(server, now)
-        return subset
-
     def _place(self, lane, need, server, now, decided):
         work = need.work
         lane.queue.take(work)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/concurrency.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/concurrency.py
@@ -8,7 +8,7 @@
 
 # A limit below this would leave an engine all but idle on one bad sample.
 LEAST = 2.0
-FALL = 0.97
+FALL = 0.93
 RISE = 0.05
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -75,7 +75,10 @@
         return self.ramp.open(own)
 
     def _count_free(self, engine):
-        free = max(0, engine.allowed - engine.own)
+        # The slots of a server that takes no work are not free: what is
+        # kept for protected work would be kept where it cannot run.
+        usable = 0 if engine.slow else engine.allowed
+        free = max(0, usable - engine.own)
         self.free += free - engine.free
         engine.free = free
 
@@ -91,6 +94,9 @@
         for engine in self._engines.values():
             engine.reserve = reserve.of_server(engine, burst, extra, count)
             kept += engine.reserve
+            if not self.known[engine.name].serves(now):
+                engine.allowed = 0
+            self._count_free(engine)
         self.kept = kept / self.sharing.instances
 
     def forget(self, name):
@@ -152,12 +158,12 @@
             return held
         engine.change_own(-1, now)
         engine.kv_own -= held.footprint
-        self._count_free(engine)
         self._end_probe(held, engine, now)
         if ended.failed:
             engine.fail(now)
         elif not ended.wasted:
             self._learn(held, engine, ended, now)
+        self._count_free(engine)
         return held
 
     def _learn(self, held, engine, ended, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -11,10 +11,11 @@
 from .. import sentinels
 
 RETRY_AFTER = 1.0
-# A decision looks at this many servers: two are enough against herding
-# (Mitzenmacher, "The Power of Two Choices", 2001); more of them find the
-# last free slots of a busy fleet, at about a microsecond each.
-SAMPLE = 12
+# Of a few servers a decision looks at all, of more at a sample: two are
+# enough against herding (Mitzenmacher, "The Power of Two Choices", 2001);
+# more find the last free slots of a busy fleet, at some microseconds each.
+FEW = 16
+SAMPLE = 8
 # Servers on which work ended lately are looked at first: they have room.
 REMEMBERED = 4
 # An instance works with this many servers for each model, or with so many
@@ -55,30 +56,37 @@
     member only, with the instance's own failure domain first.
     """
 
-    __slots__ = ("_source", "members", "names", "wanted", "fresh")
+    __slots__ = ("_source", "members", "wanted", "pairs", "_by_name")
 
     def __init__(self):
         self._source = None
         self.members = []
-        self.names = frozenset()
         self.wanted = 0
-        self.fresh = False
+        self.pairs = []
+        self._by_name = {}
 
-    def of(self, servers, instances, identity):
-        """Return this, chosen anew only when the list changed."""
+    def follow(self, servers, instances, identity):
+        """Choose anew where the list changed; return whether it did."""
         wanted = max(
             LEAST_SUBSET,
             len(servers) * INSTANCES_PER_SERVER // max(1, instances),
         )
-        self.fresh = servers is not self._source or wanted != self.wanted
-        if self.fresh:
-            self._source = servers
-            self.wanted = wanted
-            self.members = _choose(servers, wanted, identity)
-            self.names = frozenset(
-                server.announcement.backend_server for server in self.members
-            )
-        return self
+        if servers is self._source and wanted == self.wanted:
+            return False
+        self._source = servers
+        self.wanted = wanted
+        self.members = _choose(servers, wanted, identity)
+        return True
+
+    def look_up(self, fleet, now):
+        """Take the views of the members from ``fleet``."""
+        self.pairs = [(item, fleet.engine(item, now)) for item in self.members]
+        self._by_name = {pair[1].name: pair for pair in self.pairs}
+
+    def named(self, names):
+        """Return the pairs of those names that are members."""
+        found = [self._by_name.get(name) for name in names]
+        return [pair for pair in found if pair is not None]
 
 
 def _choose(servers, wanted, identity):
@@ -125,21 +133,25 @@
             if len(self._prefixes) > MOST_PREFIXES:
                 self._prefixes.popitem(last=False)
 
-    def subset(self, servers, work, instances):
+    def subset(self, servers, work, fleet, instances, now):
         """Return the servers to choose from for the target of ``work``."""
         key = (work.class_name, work.model, work.service)
         held = self._subsets.get(key)
         if held is None:
             held = self._subsets[key] = Subset()
-        return held.of(servers, instances, self._identity)
+        changed = held.follow(servers, instances, self._identity)
+        part = len(held.members) / max(1, len(servers))
+        fleet.sharing.instances = max(1.0, instances * part)
+        if changed:
+            held.look_up(fleet, now)
+        return held
 
     def pick(self, need, subset, fleet, now):
         """Return the name of the best server, or a ``Nothing``."""
         best = sentinels.Nothing(sentinels.Reason.ALL_BUSY, RETRY_AFTER)
         least = None
         holder = self._prefixes.get(need.work.prefix_hash)
-        for server in self._sample(subset, holder, fleet):
-            engine = fleet.engine(server, now)
+        for server, engine in self._sample(subset, holder):
             if not self._may_take(need, server, engine, fleet, now):
                 continue
             score = self._score(need, server, engine, fleet, holder)
@@ -147,18 +159,11 @@
                 best, least = engine.name, score
         return best
 
-    def _sample(self, subset, holder, fleet):
-        members = subset.members
-        if len(members) <= SAMPLE:
-            return members
-        chosen = self._rng.sample(members, SAMPLE)
-        names = list(self._freed)
-        if holder:
-            names.append(holder)
-        for name in names:
-            if name in subset.names and name in fleet.known:
-                chosen.append(fleet.known[name])
-        return chosen
+    def _sample(self, subset, holder):
+        if len(subset.pairs) <= FEW:
+            return subset.pairs
+        chosen = self._rng.sample(subset.pairs, SAMPLE)
+        return chosen + subset.named([*self._freed, holder])
 
     def _may_take(self, need, server, engine, fleet, now):
         if not server.serves(now) or engine.name in need.work.avoid:
@@ -168,12 +173,14 @@
                 return False
         kv_tokens = server.announcement.kv_tokens
         instances = fleet.sharing.instances
+        if need.claims_share:
+            # A prompt larger than what is ever free would else never run;
+            # the engine's own queue keeps room for it.
+            return engine.own <= engine.allowed
         if not engine.fits(need.footprint, kv_tokens, instances):
             return False
         if need.protected:
             return engine.own < engine.allowed + OVERCOMMIT
-        if need.claims_share:
-            return engine.own <= engine.allowed
         return need.open and engine.own < engine.allowed
 
     def _bears_slow(self, need, engine, now):
