--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -209,8 +209,11 @@
             return self._pause(held, pause, now) + self._decide(now)
         return self._try_again(held, now)
 
-    def _try_again(self, held, now):
-        """Queue a request for another server, or end it."""
+    def _try_again(self, held, now, begun=False):
+        """Queue a request for another server, or end it.
+
+        Where an attempt has ``begun``, the policy has a budget for more.
+        """
         held.work.avoid.add(held.server)
         if held.attempt >= MOST_ATTEMPTS:
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
@@ -219,7 +222,11 @@
             # One of them may have come back by then.
             held.work.avoid.clear()
             return self._pause(held, PAUSE_SECONDS, now) + self._decide(now)
-        self._policy.requeue(held.work, now)
+        if not begun:
+            self._policy.requeue(held.work, now)
+        elif not self._policy.retry(held.work, now):
+            nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED, 1.0)
+            return self._refuse(held, nothing, now) + self._decide(now)
         return self._decide(now)
 
     def _all_avoided(self, work):
@@ -304,7 +311,7 @@
             return self._refuse(held, nothing, now) + self._decide(now)
         out = self._cancel(held)
         held.move(life.Phase.QUEUED)
-        return out + self._try_again(held, now)
+        return out + self._try_again(held, now, begun=True)
 
     def _cancel(self, held):
         server = self._state.directory.server(held.server)
