--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/samples.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/samples.py
@@ -15,7 +15,7 @@
 REGIONS = 5
 
 
-def change_of(objects):
+def change_of(objects, operation_id=""):
     """Return one change that puts (kind, name, spec) objects."""
     operations = [
         changes.Operation(
@@ -26,7 +26,7 @@
         )
         for kind, name, spec in objects
     ]
-    return changes.Change("", operations)
+    return changes.Change(operation_id, operations)
 
 
 def classes(count=CLASSES):
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
@@ -5,8 +5,10 @@
 from . import batch
 from . import demo as demo_module
 from . import engine as engine_module
+from .capacity import command as capacity
 
 app = cyclopts.App(name="lab", help="Stand-ins, load and experiments.")
+app.command(capacity.app)
 
 
 @app.command
