--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -14,6 +14,7 @@
 from dandeliontrail import events
 
 from . import order_client
+from . import request_log
 
 # The reducer's timers are in tenths of a second and above.
 TICK = 0.1
@@ -27,6 +28,7 @@
         self.clock = clock
         self.metrics = metrics
         self.logger = logger
+        self._requests = request_log.RequestLog(logger)
         self._peer_link = peer_link
         self._engines = engines
         self._exchanges = {}
@@ -102,8 +104,10 @@
             self._busy = False
 
     def _apply(self, event):
+        now = self.clock.now()
+        self._requests.event(event, now)
         try:
-            out = self.reducer.apply(event, self.clock.now())
+            out = self.reducer.apply(event, now)
         except Exception as exc:
             self._fault(event, exc)
             return
@@ -122,6 +126,8 @@
     def _run(self, out):
         for effect in out:
             self._carry_out[type(effect)](effect)
+        if out:
+            self._requests.effects(out, self.clock.now())
         if self.state.store.version != self._version:
             self._version = self.state.store.version
             changed = self._version_changed
--- /dev/null
+++ b/tests/cover/test_logs.py
@@ -0,0 +1,69 @@
+"""A request can be followed through the log by its id."""
+
+import json
+import logging
+
+from dandeliontrail_lab import client
+from dandeliontrail_node import jsonlog
+import pytest
+
+from tests.common import world
+
+PROMPT = "a prompt that nobody else may read"
+
+
+@pytest.fixture
+def lines(caplog):
+    """Return a function that gives the lines about one request."""
+    caplog.set_level(logging.INFO, "test.i1")
+    logging.getLogger("test.i1").propagate = True
+
+    def about(request_id):
+        return [
+            record
+            for record in caplog.records
+            if getattr(record, "request_id", "") == request_id
+        ]
+
+    return about
+
+
+def test_can_follow_a_request_by_its_id(lines, caplog):
+    with world.World() as made:
+        one = made.instance("i1")
+        made.engine("e1")
+        made.apply({"lookup": {"priority": 0}})
+        ask = client.Ask(one.addresses["callers"], world.KEY, "", PROMPT)
+        found = lines(client.send(ask).request_id)
+    assert [item.message for item in found] == [
+        "request",
+        "decision",
+        "decision",
+        "request ended",
+    ]
+    last = found[-1]
+    assert (last.outcome, last.attempts, last.output_tokens) == (
+        "complete",
+        1,
+        16,
+    )
+    assert getattr(last, "class") == "lookup"
+    assert (last.organisation, last.backend_server) == ("lab", "e1")
+    assert last.total_ms >= last.first_output_ms > 0
+    formatter = jsonlog.make_logger("x", "info", "i1").handlers[0].formatter
+    for record in caplog.records:
+        line = formatter.format(record)
+        assert json.loads(line)["instance"] == "i1"
+        assert PROMPT not in line and world.KEY not in line
+
+
+def test_refusal_is_logged_with_reason_and_status(lines):
+    with world.World() as made:
+        one = made.instance("i1")
+        made.engine("e1")
+        made.apply({"lookup": {"priority": 0}})
+        ask = client.Ask(one.addresses["callers"], "wrong", "", PROMPT)
+        found = lines(client.send(ask).request_id)
+    assert found[-1].message == "request ended"
+    assert (found[-1].status, found[-1].outcome) == (401, "not-run")
+    assert found[-1].reason == "unknown_key"
