--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/model.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/model.py
@@ -73,7 +73,8 @@
         Line(
             "Python, libraries and an idle instance",
             "`dandeliontrail_node.instance`",
-            data.fit("idle_memory").start / MB,
+            data.fit("idle_memory").start / MB
+            - slope("prefix_bytes", PREFIX_ENTRIES),
         ),
         Line(
             "other instances",
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
@@ -130,7 +130,8 @@
             held.output_tokens = event.output_tokens
 
     def _caller_gone(self, event, now):
-        self._line("caller gone", event.request_id)
+        if event.request_id in self._open:
+            self._line("caller gone", event.request_id)
 
     def _note_decision(self, effect):
         if effect.message != DECISION:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -107,6 +107,8 @@
         self._start = start_module.Start(
             core, self._freshness, self._catch_up, neighbours
         )
+        # Whether the disk held a log when this process started.
+        self.resumed = False
         self._told = 0
         self._next_notice = float("-inf")
         self._was_stale = False
@@ -210,6 +212,7 @@
         restored = records.restore(self._keeper) if self._keeper else None
         if restored:
             self._core.restore(restored)
+        self.resumed = bool(self._core.log_id)
         if self._in_memory:
             self._founding.alone()
             self._election.tick(now)
