Bounds on what a backend server can have gathered; capacity by parts

Cause: a server that never ends its headers, an event or an answer had all of it gathered in memory; one that breaks off after each event was resumed without end, by a worker that nobody waited for.

Change: a connection to a server takes in at most 1 MiB before an event ends and 64 MiB for an answer; at most 64 resumes in all. Capacity is measured by parts, with the worst hours.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/command.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/command.py
@@ -1,12 +1,12 @@
 """``dandelionctl lab capacity``: measure, and make the page's tables."""
 
+import enum
 import os
 import pathlib
 import platform
 import sys
 
 import cyclopts
-import rich.console
 
 from . import data as data_module
 from . import fits
@@ -18,19 +18,31 @@
 COMMAND = "dandelionctl lab capacity"
 DATA = pathlib.Path("docs/capacity.json")
 PAGE = pathlib.Path("docs/CAPACITY.md")
-# One more run with another seed shows how much chance there is in it.
-FLOWS = (("9", 0), ("9", 1), ("53", 0), ("53", 1), ("159", 0), ("530", 0))
+# Two seeds at the smaller sizes show how much chance there is in a run.
+FLOWS = (("9", 0), ("9", 1), ("53", 0), ("53", 1), ("159", 0))
+LARGEST = (("530", 0),)
+WORST = "80"
 
 app = cyclopts.App(
     name="capacity", help="Measure slopes and make docs/CAPACITY.md."
 )
 
 
+class Part(enum.Enum):
+    """What may be measured by itself."""
+
+    PURE = "pure"
+    LIVE = "live"
+    FLOWS = "flows"
+    LARGEST = "largest"
+    WORST = "worst"
+
+
 @app.default
 def capacity(*, data: pathlib.Path = DATA, page: pathlib.Path = PAGE):
     """Measure everything, write the data file and remake the page.
 
-    Takes some minutes and, for the largest size, some 5 GB of memory.
+    Takes half an hour and, for the largest size, some 6 GB of memory.
 
     Example: dandelionctl lab capacity
     """
@@ -39,34 +51,76 @@
 
 
 @app.command
-def measure(*, data: pathlib.Path = DATA):
-    """Measure everything and write the data file.
+def measure(*parts: Part, data: pathlib.Path = DATA):
+    """Measure all parts, or those named, and write the data file.
 
-    Example: dandelionctl lab capacity measure --data /tmp/capacity.json
+    Example: dandelionctl lab capacity measure pure live
+
+    Parameters
+    ----------
+    data
+        The file; what it holds of other parts is kept.
     """
-    console = rich.console.Console(file=sys.stderr)
-    found = []
-    for probe in pure.PROBES:
-        console.print(f"measuring {probe.what}")
-        found.append(fits.run(probe, COMMAND))
-    console.print("measuring running instances")
+    for part in parts or list(Part):
+        _say(f"measuring {part.value}")
+        found = _MEASURES[part]()
+        held = data_module.read(data)
+        found(held)
+        held.command = COMMAND
+        held.python = platform.python_version()
+        held.cores = os.cpu_count()
+        held.load_average = round(os.getloadavg()[0], 1)
+        data_module.write(data, held)
+    _say(f"wrote {data}")
+
+
+def _say(text):
+    print(text, file=sys.stderr, flush=True)
+
+
+def _pure():
+    found = [fits.run(probe, COMMAND) for probe in pure.PROBES]
+    return lambda held: held.replace_fits(found)
+
+
+def _live():
     layers = [data_module.Layer(*item) for item in live.layers()]
-    found.extend(live.run(COMMAND))
-    flowed = []
-    for size, seed in FLOWS:
-        console.print(f"measuring {size} nodes")
-        flowed.extend(flows.measure(size, seed))
-    measured = data_module.Data(
-        COMMAND,
-        platform.python_version(),
-        os.cpu_count(),
-        round(os.getloadavg()[0], 1),
-        layers,
-        found,
-        flowed,
-    )
-    data_module.write(data, measured)
-    console.print(f"wrote {data}")
+    found = live.run(COMMAND)
+
+    def put(held):
+        held.layers = layers
+        held.replace_fits(found)
+
+    return put
+
+
+def _flows(runs):
+    def measure_flows():
+        found = []
+        for size, seed in runs:
+            _say(f"  {size} nodes")
+            found.extend(flows.measure(size, seed))
+        return lambda held: held.replace_flows(found)
+
+    return measure_flows
+
+
+def _worst():
+    found = flows.worst(WORST)
+
+    def put(held):
+        held.worst = found
+
+    return put
+
+
+_MEASURES = {
+    Part.PURE: _pure,
+    Part.LIVE: _live,
+    Part.FLOWS: _flows(FLOWS),
+    Part.LARGEST: _flows(LARGEST),
+    Part.WORST: _worst,
+}
 
 
 @app.command
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/flows.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/flows.py
@@ -17,9 +17,10 @@
     "159": costs.Mix(159, 10, 5, 750, 480, 4, 3_000.0, 0.5),
     "530": costs.FULL,
 }
-WARM_UP = 10.0
-SECONDS = 6.0
-RELAYS_IN_A_DOMAIN = 2
+# All nodes start at once and learn of everything; what they do after that
+# is the steady state.
+WARM_UP = 24.0
+SECONDS = 5.0
 
 
 class Flow(msgspec.Struct):
@@ -148,9 +149,7 @@
         )
 
     found = _watch(made, others, struck, settled)
-    return _result(
-        "two sides joined again", size, made, struck, steady, found
-    )
+    return _result("two sides joined again", size, made, struck, steady, found)
 
 
 def _rack_back(made, size, steady):
@@ -172,7 +171,7 @@
     return _result("a rack back at once", size, made, struck, steady, found)
 
 
-WATCHED_SECONDS = 15
+WATCHED_SECONDS = 20
 
 
 def _watch(made, others, struck, settled):
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
@@ -159,6 +159,7 @@
             answer.error = body.error.code
             answer.outcome = body.error.outcome
             break
-        parts.append(body.choices[0].delta.content)
+        if body.choices:
+            parts.append(body.choices[0].delta.content)
     answer.text = "".join(parts)
     answer.tokens = len(parts)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -26,6 +26,10 @@
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_MS = 10_000
 EVENT_END = b"\n\n"
+# A server that never ends its headers, an event or an answer would have all
+# of it gathered here.  Real events are below 1 KB, real answers below 1 MB.
+MOST_EVENT_BYTES = 1024 * 1024
+MOST_ANSWER_BYTES = 64 * 1024 * 1024
 FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
 
 
@@ -116,6 +120,10 @@
         self._pool.release_socket(paced.sock)
 
 
+class _TooLarge(OSError):
+    """The server sent more than is gathered of one thing."""
+
+
 class Watch:
     """Says how long a connection may be silent, and what is done then."""
 
@@ -133,20 +141,32 @@
 
     The library closes a connection that times out.  Here a time without
     bytes is no error yet: the stream may be slow, and is then read on.
+    ``allow`` says how many bytes more may come before an end of something
+    must have been found in them.
     """
 
     def __init__(self, sock, watch):
         self.sock = sock
         self.watch = watch
+        self.allow(MOST_EVENT_BYTES)
+
+    def allow(self, size):
+        """Take in up to ``size`` bytes from now on."""
+        self._left = size
 
     def recv(self, size):
         """Return the next bytes, for as long as the watch waits."""
         while True:
             self.sock.settimeout(self.watch.seconds())
             try:
-                return self.sock.recv(size)
+                data = self.sock.recv(size)
             except TimeoutError:
                 self._ask()
+                continue
+            self._left -= len(data)
+            if self._left < 0:
+                raise _TooLarge("the server sent too much without an end")
+            return data
 
     def _ask(self):
         try:
@@ -168,8 +188,9 @@
 class Answer:
     """A server's answer: its status and headers, the body still to come."""
 
-    def __init__(self, response):
+    def __init__(self, response, paced):
         self._response = response
+        self._paced = paced
         self.status = response.status_code
 
     def get(self, name):
@@ -196,6 +217,7 @@
         did: the parser takes the end of a connection for the end of an
         answer only where the answer had no length of its own.
         """
+        self._paced.allow(MOST_EVENT_BYTES)
         try:
             return self._response.readline(EVENT_END)
         except FAILURES as exc:
@@ -203,6 +225,7 @@
 
     def read_all(self):
         """Return the whole body; raises as :meth:`read_event` does."""
+        self._paced.allow(MOST_ANSWER_BYTES)
         try:
             return self._response.read()
         except FAILURES as exc:
@@ -231,7 +254,8 @@
         pool = self._connect(client, dispatch.watch)
         dispatch.began()
         try:
-            answer = Answer(self._send(client, pool, exchange))
+            response = self._send(client, pool, exchange)
+            answer = Answer(response, pool.paced)
         except FAILURES as exc:
             raise Broken(f"{type(exc).__name__}: {exc}")
         _check_not_run(answer)
@@ -248,7 +272,8 @@
         try:
             pool = _OneConnection(client._connection_pool, Watch())
             outgoing = Outgoing("GET", path, {})
-            answer = Answer(self._send(client, pool, outgoing))
+            response = self._send(client, pool, outgoing)
+            answer = Answer(response, pool.paced)
             pool.paced.watch = watch
         except FAILURES as exc:
             raise Broken(f"{type(exc).__name__}: {exc}")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -127,7 +127,7 @@
 
     def handle_error(self, kind, exc, trace):
         """Log a fault; a caller that is too slow or gone is none."""
-        if isinstance(exc, OSError):
+        if isinstance(exc, (OSError, gevent.GreenletExit)):
             self.close_connection = True
             return
         self.server.logger.error("connection failed", exc_info=exc)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
@@ -17,6 +17,10 @@
 
 # Reconnecting without one more event in between is given up after this.
 MOST_RESUMES = 3
+# A server that breaks off after each event would be asked for ever, by a
+# worker that nobody waits for any more.  A stream of minutes that loses a
+# connection every few seconds stays below this.
+MOST_RESUMES_IN_ALL = 64
 
 
 class Source:
@@ -36,6 +40,7 @@
         self._answer = None
         self._received = 0
         self._resumes = 0
+        self._resumes_in_all = 0
         self._assembled = False
         self._began = False
         self._left = contextlib.ExitStack()
@@ -94,8 +99,12 @@
     def _recover(self, exc):
         """Go on after a break, or raise it again."""
         self._resumes += 1
+        self._resumes_in_all += 1
         answer = None
-        if self._resumes <= MOST_RESUMES:
+        if (
+            self._resumes <= MOST_RESUMES
+            and self._resumes_in_all <= MOST_RESUMES_IN_ALL
+        ):
             answer = self.resumed()
         if answer is None:
             raise exc
