--- /dev/null
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/breaks.py
@@ -0,0 +1,156 @@
+"""The lines that break a limit at size, and what would carry them.
+
+Each remedy is a mechanism that is not there yet, with its cost worked out
+from the same slopes.
+"""
+
+from dandeliontrail.coordination import leases
+
+from . import model
+
+ROUND_TRIP_BYTES = 730.0
+DAY = 86_400.0
+LEASE_ENTRY_BYTES = 250.0
+NARROW_HISTOGRAMS = 0.5
+
+
+def rows(data):
+    """Yield (role, resource, amount, limit, biggest, mechanism, cost)."""
+    size = model.AT_SIZE
+    for role in ("entry", "relay"):
+        for resource, lines_of, limit, unit in RESOURCES:
+            lines = lines_of(size, data, role)
+            amount = model.total(lines)
+            if amount <= limit:
+                continue
+            biggest = max(lines, key=_amount)
+            mechanism, cost = REMEDIES[role, resource](size, data)
+            yield (
+                role,
+                resource,
+                f"{amount:,.3g} {unit}",
+                f"{limit:g}",
+                f"{biggest.what} ({biggest.amount:,.3g})",
+                mechanism,
+                cost,
+            )
+
+
+def _amount(line):
+    return line.amount
+
+
+RESOURCES = (
+    ("memory", model.memory, model.MEMORY_LIMIT, "MB"),
+    ("processor", model.processor, model.PROCESSOR_LIMIT, "% of a core"),
+    ("bytes", model.network, model.BYTES_LIMIT, "B/s"),
+)
+
+
+def _entry_memory(size, data):
+    per = data.fit("histogram_bytes").slope * size.organisations / model.MB
+    index = data.fit("prefix_bytes").slope * model.PREFIX_ENTRIES / model.MB
+    saved = per * (1 - NARROW_HISTOGRAMS) + index / 2
+    left = model.total(model.memory(size, data, "entry")) - saved
+    return (
+        "of an organisation only first token and total, the other two by"
+        " class alone; prefixes only of the engines of the own region, half"
+        " the table",
+        f"{saved:.1f} MB less: {left:.1f} MB",
+    )
+
+
+def _relay_memory(size, data):
+    rows_mb = (
+        data.fit("usage_row_bytes").slope
+        * size.organisations
+        * model.CLASSES_OF_AN_ORGANISATION
+        / model.MB
+    )
+    left = model.total(model.memory(size, data, "relay"))
+    without = left - data.fit("histogram_bytes").slope * (
+        size.organisations / model.MB
+    )
+    without -= data.fit("prefix_bytes").slope * model.PREFIX_ENTRIES / model.MB
+    return (
+        "set aside for control: no callers, so neither histograms nor the"
+        f" prefix table; it keeps all usage rows ({rows_mb:.1f} MB)",
+        f"{without:.1f} MB",
+    )
+
+
+def _entry_processor(size, data):
+    lines = model.processor(size, data, "entry")
+    per_tick = data.fit("tick_us").slope * size.servers
+    ticks = per_tick * model.TICKS_A_SECOND / model.MICROSECONDS * 100.0
+    left = model.total(lines) - ticks
+    return (
+        "a queue of lease ends in place of a look at every server in each"
+        " tick, and counts that are kept up to date",
+        f"{ticks:.2f} % less: {left:.2f} %",
+    )
+
+
+def _relay_processor(size, data):
+    spent = model.total(model.processor(size, data, "relay"))
+    return (
+        "set aside for control: its whole core may go to it",
+        f"{spent:.0f} % of one core on {size.relays} of"
+        f" {model.SET_ASIDE_LIMIT} instances",
+    )
+
+
+def _entry_bytes(size, data):
+    flow = data.flow(size.flow, "entry")
+    rows_sent = flow.by_kind.get("UsageRows", 0.0)
+    saved = rows_sent * 0.75
+    return (
+        "usage rows every 2 s in place of 0.5 s: rows of one organisation"
+        " and class are merged; a crash then loses up to 2 s of counts",
+        f"{saved:.0f} B/s less: {flow.sent_bytes - saved:,.0f} B/s",
+    )
+
+
+def _relay_bytes(size, data):
+    flow = data.flow(size.flow, "relay")
+    rows_sent = flow.by_kind.get("UsageRows", 0.0)
+    share = rows_sent / flow.sent_bytes
+    left = flow.sent_bytes - rows_sent * 0.9
+    return (
+        "set aside for control, and usage summed up by failure domain:"
+        " relays pass on one row for an organisation and class of their"
+        " domain, not one for each of 53 publishers",
+        f"rows are {share:.0%} of {flow.sent_bytes / 1000:,.0f} KB/s; a"
+        f" tenth of them leaves {left / 1000:,.0f} KB/s",
+    )
+
+
+REMEDIES = {
+    ("entry", "memory"): _entry_memory,
+    ("entry", "processor"): _entry_processor,
+    ("entry", "bytes"): _entry_bytes,
+    ("relay", "memory"): _relay_memory,
+    ("relay", "processor"): _relay_processor,
+    ("relay", "bytes"): _relay_bytes,
+}
+
+
+def holder(data):
+    """Return what giving orders adds, as (what, amount) rows."""
+    size = model.AT_SIZE
+    renewals = 1.0 / (leases.LEASE * leases.RENEW_BELOW)
+    entry = data.fit("change_us").at(size.organisations)
+    orders = 2.0 * size.starts_a_day
+    return [
+        ("renewals of the lease, a second", renewals),
+        (
+            "bytes a second to each instance for them",
+            renewals * LEASE_ENTRY_BYTES,
+        ),
+        (
+            "% of a core everywhere for them",
+            renewals * entry / model.MICROSECONDS * 100.0,
+        ),
+        ("orders a day, two for each restarted worker", orders),
+        ("orders a second in the worst minute (a domain back)", 250 / 60.0),
+    ]
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/fits.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/fits.py
@@ -1,6 +1,7 @@
 """Straight lines through measurements, with how well they fit."""
 
 import statistics
+import sys
 import typing
 
 import msgspec
@@ -52,6 +53,7 @@
 
 def run(probe, command):
     """Measure a probe and return its :class:`Fit`."""
+    print(f"  {probe.name}", file=sys.stderr, flush=True)
     rounds = [
         [probe.measure(size) for size in probe.sizes]
         for _ in range(probe.repeats)
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/page.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/page.py
@@ -6,6 +6,7 @@
 
 import re
 
+from . import breaks
 from . import model
 
 PLACE = re.compile(
@@ -186,7 +187,91 @@
     return _table(headings, rows)
 
 
+def breaking(data):
+    """Return the lines that break a limit at size, with their remedies."""
+    headings = [
+        "Role",
+        "What",
+        "At size",
+        "Limit",
+        "Largest line",
+        "Mechanism that would carry it",
+        "Its cost",
+    ]
+    return _table(headings, breaks.rows(data))
+
+
+def holder(data):
+    """Return what giving orders adds to an instance."""
+    rows = [[what, _number(amount)] for what, amount in breaks.holder(data)]
+    return _table(["What", "Amount"], rows)
+
+
+def worst(data):
+    """Return the worst hours, as measured."""
+    rows = [
+        [
+            item.name,
+            f"{item.struck} of {item.nodes}",
+            _number(item.mean_bytes),
+            _number(item.peak_bytes),
+            _number(item.received_by_struck / model.MB),
+            f"{item.settled_s:g} s"
+            if item.settled_s >= 0
+            else f"not within {item.seconds:g} s",
+        ]
+        for item in data.worst
+    ]
+    headings = [
+        "What",
+        "Struck",
+        "Mean sent, B/s",
+        "Most sent in a second, B",
+        "Received by one struck, MB",
+        "Settled after",
+    ]
+    return _table(headings, rows)
+
+
+def latency(data):
+    """Return where the time to the first token goes, in ms."""
+    request = data.fit("relay_us").start / 1000.0
+    decision = data.fit("decision_us").at(model.AT_SIZE.servers) / 1000.0
+    busy = sum(
+        amount
+        for _, amount, unit in model.traffic(model.AT_SIZE, data)
+        if unit == "% of a core"
+    )
+    share = min(0.95, busy / 100.0)
+    waits = share / (1.0 - share) * request
+    ours = request + waits
+    rows = [
+        ["caller to instance and back", "3", "3", "the users' figure"],
+        ["work on the request", _number(request), _number(request), "ours"],
+        ["of it decisions", _number(decision), _number(decision), "ours"],
+        [
+            f"waiting for the one core, {share:.0%} busy",
+            _number(waits),
+            _number(waits),
+            "ours, M/M/1 mean",
+        ],
+        ["instance to engine and back", "2", "80", "assumed"],
+        [
+            "left for the engine's queue and prompt",
+            _number(310 - 5 - ours),
+            _number(310 - 83 - ours),
+            "the rest of 310",
+        ],
+    ]
+    headings = ["Part", "In region, ms", "Across regions, ms", "Whose"]
+    return _table(headings, rows)
+
+
 TABLES = {
+    "breaks": breaking,
+    "holder": holder,
+    "worst": worst,
+    "latency": latency,
     "measured": measured,
     "slopes": slopes,
     "layers": layers,
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/pure.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/pure.py
@@ -151,7 +151,7 @@
         objects = samples.classes() + samples.organisations(50)
         held.apply(1, samples.change_of(objects))
         for version in range(2, count + 2):
-            objects = samples.organisations(version % 50 + 1)[-1:]
+            objects = _changed(version % 50, version)
             change = samples.change_of(objects, f"operation-{version}")
             held.apply(version, change)
         return held
@@ -159,6 +159,13 @@
     return traced(make)
 
 
+def _changed(number, version):
+    """Return an organisation with a weight that it did not have."""
+    objects = samples.organisations(number + 1)[-1:]
+    objects[0][2]["weight"] = float(version)
+    return objects
+
+
 def prefix_bytes(count):
     """Return the memory of a prefix index for so many entries."""
     return float(prefix_index.PrefixIndex(count).memory_bytes())
@@ -231,7 +238,7 @@
 
     def one():
         version = next(versions)
-        objects = samples.organisations(version % organisations + 1)[-1:]
+        objects = _changed(version % organisations, version)
         held.apply(version, samples.change_of(objects))
 
     return busy(one, 30)
--- /dev/null
+++ b/tests/cover/test_capacity.py
@@ -0,0 +1,50 @@
+"""The capacity page says what its data file holds."""
+
+import pathlib
+
+from dandeliontrail_lab.capacity import data as data_module
+from dandeliontrail_lab.capacity import fits
+from dandeliontrail_lab.capacity import model
+from dandeliontrail_lab.capacity import page
+import pytest
+
+DOCS = pathlib.Path(__file__).parents[2] / "docs"
+DATA = data_module.read(DOCS / "capacity.json")
+
+
+def test_tables_of_the_page_are_those_of_the_data_file():
+    text = (DOCS / "CAPACITY.md").read_text()
+    assert page.remade(text, DATA) == text
+    places = {found["name"] for found in page.PLACE.finditer(text)}
+    assert places == set(page.TABLES)
+
+
+def test_every_slope_has_three_sizes_and_repeats():
+    for item in DATA.fits:
+        assert len(item.sizes) >= 3
+        assert item.repeats >= 2
+
+
+def test_fit_of_a_straight_line_is_exact():
+    probe = fits.Probe("x", "", "", "", [1, 2, 5], lambda size: 3 + 2 * size)
+    found = fits.run(probe, "")
+    assert (found.start, found.slope) == pytest.approx((3.0, 2.0))
+    assert found.spread == pytest.approx(0.0)
+    assert found.residual == pytest.approx(0.0)
+    assert found.at(100) == pytest.approx(203.0)
+
+
+def test_noise_shows_in_spread_and_residual():
+    probe = fits.Probe("x", "", "", "", [1, 2, 3], None)
+    found = fits.fit(probe, [[1.0, 5.0, 3.0], [2.0, 5.0, 9.0]], "")
+    assert found.spread > 0.5
+    assert found.residual > 0.1
+
+
+@pytest.mark.parametrize("role", ["entry", "relay"])
+def test_sums_grow_with_the_deployment(role):
+    for lines_of in (model.memory, model.processor):
+        today, later = [
+            model.total(lines_of(size, DATA, role)) for size in model.SIZES
+        ]
+        assert 0 < today < later
