The soak loses keepers' disks and repairs them

Cause: lost disks, and a second keeper lost right after a repair, were not among the faults.

Change: a keeper is killed with its folder, comes back empty, is taken out and put in again by the operators' procedure, and another keeper is killed at once.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/soak/cluster.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/soak/cluster.py
@@ -22,9 +22,10 @@
 class Cluster:
     """A deployment whose instances come and go."""
 
-    def __init__(self, deployment, names):
+    def __init__(self, deployment, names, keepers):
         self._deployment = deployment
         self.names = names
+        self.keepers = names[:keepers]
         self.ready = set()
         self.frozen = set()
         self.killed_at = {}
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/soak/faults.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/soak/faults.py
@@ -2,6 +2,8 @@
 
 import gevent
 
+from . import repair
+
 SHORTEST_PAUSE = 1.0
 LONGEST_PAUSE = 4.0
 LONGEST_FREEZE = 8.0
@@ -20,10 +22,12 @@
         self.counted = {}
         self.log = []
         self.stopping = False
+        self._repairing = False
         self._kinds = (
             self._kill,
             self._freeze,
             self._drain,
+            self._lose_disk,
             self._engine_crash,
             self._engine_freeze,
             self._engine_leave,
@@ -70,6 +74,30 @@
         self._cluster.freeze(name, self._rng.random() * LONGEST_FREEZE)
         self._troubled.discard(name)
 
+    def _lose_disk(self):
+        """Lose a keeper's disk, repair it, and lose the next one at once.
+
+        The keeper comes back with an empty folder, which must not vote.
+        An operator takes it out and puts it in again; then a second keeper
+        is killed right after the repair.
+        """
+        keepers = sorted(set(self._cluster.keepers) - self._troubled)
+        if self._repairing or len(keepers) < len(self._cluster.keepers):
+            return
+        self._repairing = True
+        lost, second = self._rng.sample(keepers, 2)
+        self._troubled.update((lost, second))
+        self._note("keeper's disk lost and repaired", lost)
+        self._cluster.kill(lost, lose_disk=True)
+        self._cluster.restart(lost)
+        if repair.replace_keeper(self._cluster, lost):
+            self._cluster.kill(second)
+            self._cluster.restart(second)
+        else:
+            self.log.append(("repair failed", lost))
+        self._troubled.difference_update((lost, second))
+        self._repairing = False
+
     def _drain(self):
         name = self._take()
         if name is None:
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/soak/run.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/soak/run.py
@@ -42,7 +42,7 @@
         deployment = stack.enter_context(
             cluster_module.new_deployment(names, domains, KEEPERS)
         )
-        cluster = cluster_module.Cluster(deployment, names)
+        cluster = cluster_module.Cluster(deployment, names, KEEPERS)
         soak = _Soak(stack, deployment, cluster, rng)
         soak.prepare()
         soak.run(seconds)
@@ -139,6 +139,8 @@
             self.operators,
             self.watcher,
         )
+        repairs = [item for item in self.faults.log if "failed" in item[0]]
+        found.append(verdict.Finding("a keeper can be replaced", repairs))
         found.append(verdict.Finding("all agree in the end", self._apart()))
         unanswered = [self.callers.under_way] if self.callers.under_way else []
         found.append(verdict.Finding("every caller is answered", unanswered))
