--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/breaks.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/breaks.py
@@ -4,12 +4,12 @@
 from the same slopes.
 """
 
+import dataclasses
+
 from dandeliontrail.coordination import leases
 
 from . import model
 
-ROUND_TRIP_BYTES = 730.0
-DAY = 86_400.0
 LEASE_ENTRY_BYTES = 250.0
 NARROW_HISTOGRAMS = 0.5
 
@@ -34,6 +34,39 @@
                 mechanism,
                 cost,
             )
+    yield from _keeper(size, data)
+
+
+def _keeper(size, data):
+    """Yield what the log adds to the keepers' leader."""
+    share = model.keeper_processor(size, data)
+    sent = model.keeper_bytes(size, data)
+    fetchers = size.relays + 5
+    shorter = size.__class__(**{**dataclasses.asdict(size), "nodes": fetchers})
+    mechanism = (
+        "instances fetch the log from a relay of their domain, relays from"
+        " the keepers; keepers are set aside"
+    )
+    if share > model.PROCESSOR_LIMIT:
+        yield (
+            "keeper, leading",
+            "processor",
+            f"{share:.3g} % of a core",
+            f"{model.PROCESSOR_LIMIT:g}",
+            "learners that ask for entries",
+            mechanism,
+            f"{model.keeper_processor(shorter, data):.2g} % of a core",
+        )
+    if sent > model.BYTES_LIMIT:
+        yield (
+            "keeper, leading",
+            "bytes",
+            f"{sent:,.0f} B/s",
+            f"{model.BYTES_LIMIT:g}",
+            "answers to learners, heartbeats five times a second",
+            mechanism,
+            f"{model.keeper_bytes(shorter, data):,.0f} B/s",
+        )
 
 
 def _amount(line):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/channel.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/channel.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import gevent
 from gevent import queue
 
 
@@ -22,6 +23,7 @@
 
 
 END = object()
+_LOOK = object()
 
 
 class Channel:
@@ -29,14 +31,18 @@
 
     Once the caller side has left, what is put vanishes: a request that
     must run to its end does so without a reader.
+
+    The reader looks up from time to time.  One repeating timer tells it to:
+    a timer for each item would add a quarter to what passing it costs.
     """
 
-    __slots__ = ("_queue", "_left", "_override")
+    __slots__ = ("_queue", "_left", "_override", "_timer")
 
     def __init__(self):
         self._queue = queue.Queue(1)
         self._left = False
         self._override = None
+        self._timer = None
 
     def put(self, item):
         """Hand over an item, as soon as the one before was taken."""
@@ -44,11 +50,26 @@
             self._queue.put(item)
 
     def get(self, seconds):
-        """Return the next item; raises ``queue.Empty`` after ``seconds``."""
+        """Return the next item.
+
+        Raises ``queue.Empty`` every ``seconds`` while there is none; those
+        of the first call hold until :meth:`leave`.
+        """
+        if self._override is not None:
+            return self._override
+        if self._timer is None:
+            self._timer = gevent.get_hub().loop.timer(seconds, seconds)
+            self._timer.start(self._tell_to_look)
+        item = self._queue.get()
         if self._override is not None:
             return self._override
-        item = self._queue.get(timeout=seconds)
-        return self._override or item
+        if item is _LOOK:
+            raise queue.Empty()
+        return item
+
+    def _tell_to_look(self):
+        if self._queue.empty():
+            self._queue.put_nowait(_LOOK)
 
     def end_with(self, failure):
         """Have the reader see ``failure`` next, whatever is waiting."""
@@ -59,5 +80,8 @@
     def leave(self):
         """Say that nobody reads any more."""
         self._left = True
+        if self._timer is not None:
+            self._timer.close()
+            self._timer = None
         while not self._queue.empty():
             self._queue.get_nowait()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/main.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/main.py
@@ -55,4 +55,15 @@
 
 def run():
     """Run the command line and exit with its code."""
-    sys.exit(app(result_action="return_value"))
+    try:
+        code = app(
+            result_action="return_value",
+            exit_on_error=False,
+            print_error=False,
+        )
+    except cyclopts.CycloptsError as exc:
+        logger = jsonlog.make_logger("dandeliond", "info", "")
+        text = " ".join(str(exc).split())
+        logger.error("usage", extra={"error": text, "remedy": "see --help"})
+        code = EXIT_SETTINGS
+    sys.exit(code)
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -94,11 +94,19 @@
 def test_check_exits_with_zero_or_two(tmp_path):
     bad = tmp_path / "bad.yaml"
     bad.write_text(broken("log.level", "loud"))
-    for file, code in ((GOOD, 0), (bad, 2), (tmp_path / "none.yaml", 2)):
-        command = [processes.program("dandeliond"), "--check", "--settings"]
-        ended = subprocess.run([*command, str(file)], capture_output=True)
+    cases = (
+        (["--check", "--settings", GOOD], 0, b""),
+        (["--check", "--settings", bad], 2, b"Remedy"),
+        (["--check", "--settings", tmp_path / "none.yaml"], 2, b"Remedy"),
+        (["--no-such-option"], 2, b"remedy"),
+    )
+    for words, code, told in cases:
+        command = [processes.program("dandeliond"), *map(str, words)]
+        ended = subprocess.run(command, capture_output=True)
         assert ended.returncode == code
-        assert not (code and b"Remedy" not in ended.stderr)
+        assert told in ended.stderr
+        for line in ended.stderr.splitlines():
+            assert msgspec.json.decode(line)["level"] == "ERROR"
 
 
 def test_every_settings_key_is_on_the_operators_page():
