--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -11,6 +11,7 @@
 from .components import backend_servers
 from .components import caches
 from .components import claims
+from .components import cluster_view
 from .components import configuration
 from .components import members
 from .components import orders
@@ -19,7 +20,7 @@
 from .components import requests
 from .components import state as state_module
 from .components import usage
-from .decisions import baselines
+from .decisions import adaptive
 
 
 class Reducer:
@@ -91,7 +92,11 @@
     memory.  ``keeps_usage`` tells that there is a disk for usage.
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
-    chosen = policy or baselines.PriorityLeastOutstanding()
+    chosen = policy or adaptive.Adaptive(
+        rng,
+        cluster_view.StateView(state),
+        (identity.instance, identity.failure_domain),
+    )
     claimer = claims.Claims(state, bootstrap)
     renewing = renewals.Renewals(state, chosen)
     parts = [
