--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -47,4 +47,7 @@
         weight=spec.weight,
         first_token_ms=class_spec.targets.first_token_ms,
         total_ms=class_spec.targets.total_ms,
+        between_tokens_ms=class_spec.targets.between_tokens_ms,
+        limits=spec.limits,
+        class_limits=class_spec.limits,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -106,10 +106,10 @@
         self._start = start_module.Start(
             core, self._freshness, self._catch_up, neighbours
         )
-        self._spreading = spreading_module.Spreading(core, neighbours)
-        self._settled = 0
         # Whether the disk held a log when this process started.
         self.resumed = False
+        self._spreading = spreading_module.Spreading(core, neighbours)
+        self._settled = 0
         self._was_stale = False
 
     # -- the seam ---------------------------------------------------------
