Smaller modules for the log's follower, voters and status

Change: the follower's side, the change of voters and the status have modules of their own; no behaviour changes. A test changes keepers through an instance without a disk.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from dandeliontrail.coordination import quorum_log
+from dandeliontrail.coordination import quorum_log_status
 from dandeliontrail import events
 from dandeliontrail.resources import checks
 
@@ -316,7 +316,7 @@
     backend_servers: int
     instances_heard: int
     reach: str
-    configuration: quorum_log.LogStatus
+    configuration: quorum_log_status.LogStatus
 
 
 def _status(host):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -36,13 +36,11 @@
 of its own, in memory: for embedding and tests.
 """
 
-import msgspec
-
 from .. import effects
 from . import quorum_log_catch_up as catch_up_module
 from . import quorum_log_core as core_module
 from . import quorum_log_election as election_module
-from . import quorum_log_entries as entries
+from . import quorum_log_follower as follower_module
 from . import quorum_log_founding as founding_module
 from . import quorum_log_freshness as freshness_module
 from . import quorum_log_leader as leader_module
@@ -52,6 +50,7 @@
 from . import quorum_log_records as records
 from . import quorum_log_spreading as spreading_module
 from . import quorum_log_start as start_module
+from . import quorum_log_status as status_module
 from . import quorum_log_voters as voters_module
 
 Settled = proposals_module.Settled
@@ -61,22 +60,6 @@
 ASKED_AT_ONCE = 32
 
 
-class LogStatus(msgspec.Struct):
-    """How a replica stands; ages in seconds, -1 for never."""
-
-    role: str
-    term: int
-    leader: str
-    applied: int
-    confirmed_ago: float
-    stale: bool
-    ready: bool
-    in_memory: bool
-    disk_failed: bool
-    voters: list[entries.Voter]
-    missing_founders: list[str]
-
-
 class QuorumLog:
     """The replica of one instance.  ``open`` it before all else."""
 
@@ -92,7 +75,7 @@
         self._freshness = freshness_module.Freshness(self._machine)
         self._leadership = leader_module.Leadership(core, self._freshness)
         self._election = election_module.Election(core, self._leadership.begin)
-        self._following = leader_module.Following(
+        self._following = follower_module.Following(
             core, self._election, self._freshness
         )
         self._founding = founding_module.Founding(core, bootstrap)
@@ -133,38 +116,10 @@
 
         The leader's answer comes as an ``effects.VoterAnswered``.
         """
-        request = voters_module.VoterRequest(
-            self._core.log_id, request_id, action, name
-        )
-        if self._core.role is core_module.Role.LEADER:
-            reply = self._voter_reply(request, now)
-            return [_answered(reply), *self._finish(now)]
         leader = self.leader(now)
-        if leader:
-            self._core.send(leader, request)
-            return self._finish(now)
-        reply = voters_module.VoterReply(
-            self._core.log_id,
-            request_id,
-            "No leader of the keepers is known here.",
-            "send it again later, or to another instance",
-        )
-        return [_answered(reply)]
-
-    def _voter_reply(self, request, now):
-        refusal = self._voters.start(request.action, request.name, now)
-        if refusal:
-            text, remedy = refusal.message, refusal.remedy
-        else:
-            text, remedy = "accepted; list the keepers to see it done", ""
-        return voters_module.VoterReply(
-            self._core.log_id, request.request_id, text, remedy
-        )
-
-    def _voter_requested(self, source, message, now):
-        if self._core.role is core_module.Role.LEADER:
-            reply = self._voter_reply(message, now)
-            self._core.send(source.instance, reply)
+        reply = self._voters.ask(action, name, request_id, leader, now)
+        out = [_answered(reply)] if reply else []
+        return out + self._finish(now)
 
     def _voter_answered(self, source, message, now):
         return [_answered(message)]
@@ -190,7 +145,7 @@
     def status(self, now):
         """Return how this replica stands."""
         core = self._core
-        return LogStatus(
+        return status_module.LogStatus(
             core.role.value,
             core.term,
             self.leader(now),
@@ -271,7 +226,7 @@
             messages.Committed: self._guard(self._catch_up.committed),
             messages.CheckpointSent: self._guard(self._catch_up.checkpoint),
             messages.Propose: self._guard(self._proposed),
-            voters_module.VoterRequest: self._guard(self._voter_requested),
+            voters_module.VoterRequest: self._guard(self._voters.requested),
             voters_module.VoterReply: self._voter_answered,
             messages.Progress: self._progress_heard,
             messages.KeeperHello: self._keeper_hello,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voters.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voters.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from . import quorum_log_core as core_module
 from . import quorum_log_entries as entries
 
 
@@ -52,6 +53,38 @@
         self._leadership = leadership
         self._founding = founding
 
+    def ask(self, action, name, request_id, leader, now):
+        """Start a change here, or ask the leader to.
+
+        Returns the reply, or ``None`` where it is to come from ``leader``.
+        """
+        log_id = self._core.log_id
+        request = VoterRequest(log_id, request_id, action, name)
+        if self._core.role is core_module.Role.LEADER:
+            return self._reply(request, now)
+        if leader:
+            self._core.send(leader, request)
+            return None
+        return VoterReply(
+            log_id,
+            request_id,
+            "No leader of the keepers is known here.",
+            "send it again later, or to another instance",
+        )
+
+    def requested(self, source, message, now):
+        """Answer another instance that asks for a change."""
+        if self._core.role is core_module.Role.LEADER:
+            self._core.send(source.instance, self._reply(message, now))
+
+    def _reply(self, request, now):
+        refusal = self.start(request.action, request.name, now)
+        if refusal:
+            text, remedy = refusal.message, refusal.remedy
+        else:
+            text, remedy = "accepted; list the keepers to see it done", ""
+        return VoterReply(self._core.log_id, request.request_id, text, remedy)
+
     def start(self, action, name, now):
         """Start a change and return ``None``, or a :class:`Refusal`."""
         if not self._leadership.can_change_voters():
--- a/tests/cover/test_resource_api.py
+++ b/tests/cover/test_resource_api.py
@@ -168,6 +168,15 @@
     assert spared["version"] == kept["version"]
 
 
+def test_keepers_are_changed_by_the_leader_through_any_instance(shared):
+    server = api_of(shared.instances[3])
+    listed = server.get("keepers")["items"]
+    assert [item["name"] for item in listed] == list(NAMES)
+    exc = refused(server.post, "keepers", "i4")
+    assert exc.status == 409
+    assert "has not shown itself as an instance with a disk" in exc.message
+
+
 def test_without_a_majority_a_write_says_not_run_and_that_is_true(
     monkeypatch,
 ):
