Roll-outs see attainment; the prefix table grows with the engines

Cause: nothing counted attainment by version, so that a roll-out could never halt outside a test; and the prefix table took 8 MiB on every instance, which docs/CAPACITY.md counts against 64 MB.

Change: finished requests with targets are counted by model and version, from the dispatch on, with old ones fading; the table starts at 0.5 MiB and doubles with the engines it follows.

Before: 8.4 MB of prefix table today; after: 0.5 MB up to 16 engines.

Conclusion: the memory line of today's entry instance falls by 8 MB; at size it stays for instances that follow 250 engines and more.

--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -7,6 +7,7 @@
 from .. import interfaces
 from .. import sentinels
 from . import answers
+from . import attainment
 from . import claims
 from ..coordination import claim_entries
 from ..coordination import claims as claims_module
@@ -273,6 +274,7 @@
             gaps_ms=event.gaps_ms,
         )
         self._policy.ended(ended, now)
+        attainment.count(self._state, held, now)
         self._count(work, event.prompt_tokens, event.output_tokens)
         out = [
             answers.decision(work, "complete", held.server),
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefix_index.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefix_index.py
@@ -18,7 +18,11 @@
 # Entries of a set share one place in the table; eight keep the chance low
 # that one hot set loses entries while others stand empty.
 WAYS = 8
+# The table starts small and doubles as engines come, up to a limit: ten
+# engines of today take half a megabyte, 250 take eight.
+FIRST_ENTRIES = 1 << 15
 DEFAULT_ENTRIES = 1 << 19
+ENTRIES_PER_ENGINE = 2048
 KEY_BITS = 64
 KEY_MASK = (1 << KEY_BITS) - 1
 # Multiplier of Fibonacci hashing (Knuth, TAOCP 3, 6.4): spreads the keys of
@@ -76,20 +80,44 @@
         "_tokens",
         "_stamps",
         "_sets",
+        "_most",
         "_feeds",
         "_stamp",
         "_salts",
     )
 
     def __init__(self, entries=DEFAULT_ENTRIES):
+        self._most = entries
+        self._feeds = {}
+        self._stamp = 0
+        self._salts = 0
+        self._make(min(entries, FIRST_ENTRIES))
+
+    def _make(self, entries):
         self._sets = entries // WAYS
         size = self._sets * WAYS
         self._keys = array.array("Q", bytes(8 * size))
         self._tokens = array.array("I", bytes(4 * size))
         self._stamps = array.array("I", bytes(4 * size))
-        self._feeds = {}
-        self._stamp = 0
-        self._salts = 0
+
+    def _follow(self, server, feed):
+        """Follow another engine, in a larger table where it takes one."""
+        self._feeds[server] = feed
+        size = self._sets * WAYS
+        wanted = len(self._feeds) * ENTRIES_PER_ENGINE
+        if size < wanted and size < self._most:
+            self._grow(min(size * 2, self._most))
+
+    def _grow(self, entries):
+        held = zip(self._keys, self._tokens, self._stamps, strict=True)
+        self._make(entries)
+        for key, tokens, stamp in held:
+            if not key:
+                continue
+            slot = self._oldest(key)
+            self._keys[slot] = key
+            self._tokens[slot] = tokens
+            self._stamps[slot] = stamp
 
     def memory_bytes(self):
         """Return the bytes that the table takes."""
@@ -120,7 +148,7 @@
         feed = self._feeds.get(server)
         if feed is None:
             feed = _Feed(epoch, self._new_salt())
-            self._feeds[server] = feed
+            self._follow(server, feed)
         elif epoch < feed.epoch:
             return None
         elif epoch > feed.epoch:
@@ -173,7 +201,7 @@
         feed = self._feeds.get(server)
         if feed is None:
             feed = _Feed(0, self._new_salt())
-            self._feeds[server] = feed
+            self._follow(server, feed)
         feed.held += self._put(_key(feed, prefix_hash), tokens)
 
     def expected(self, server, prefix_hash):
--- a/tests/cover/test_orders_component.py
+++ b/tests/cover/test_orders_component.py
@@ -5,6 +5,9 @@
 import msgspec
 
 import dandeliontrail
+from dandeliontrail.components import attainment
+from dandeliontrail.components import life
+from dandeliontrail.decisions import work
 from dandeliontrail import effects
 from dandeliontrail import events
 from dandeliontrail.resources import announcements
@@ -114,3 +117,27 @@
     holder.answer(events.OrderAnswer.STALE_FENCING)
     lease = holder.reducer.state.orders.lease
     assert not lease.may_order(True, holder.now)
+
+
+def test_versions_are_judged_by_the_targets_of_their_requests():
+    # Version 2 of a model answers too late.  Without these counts a
+    # roll-out would go on to the last engine.
+    state = dandeliontrail.new_reducer(
+        dandeliontrail.Identity("i1", "fd1", "r1", 1), random.Random(0)
+    ).state
+    put_class(state, {"targets": {"first_token_ms": 100.0}})
+    made = announcements.Announcement("e1", 1, 1, "model_engine", "http://x")
+    made.models = [announcements.Model("small", "2")]
+    state.registry.learn(made, 0.0, 0.0)
+    item = work.Work("r", "lab", "lookup", "small", "", 0, 0.0, 9.0)
+    held = life.Life(item, server="e1", dispatched=1.0)
+    for first_output in (1.05, 1.2):
+        held.first_output = first_output
+        attainment.count(state, held, 2.0)
+    assert state.orders.attainment["small", "2"].share == 0.5
+
+
+def put_class(state, spec):
+    raw = msgspec.Raw(msgspec.json.encode(spec))
+    put = changes.Operation(changes.Verb.PUT, "requestclasses", "lookup", raw)
+    state.store.apply(1, changes.Change("op", [put]))
--- a/tests/cover/test_prefix_index.py
+++ b/tests/cover/test_prefix_index.py
@@ -50,3 +50,13 @@
         index.dispatched("e1", f"p{number}", 10)
     assert index.memory_bytes() == before
     assert index.expected("e1", "p4999").tokens == 10
+
+
+def test_table_grows_with_the_engines_and_keeps_what_it_holds():
+    index = prefix_index.PrefixIndex()
+    first = index.memory_bytes()
+    for number in range(64):
+        index.dispatched(f"e{number}", "shared", 100 + number)
+    assert first < index.memory_bytes() <= 4 * first
+    kept = [index.expected(f"e{n}", "shared").tokens for n in range(64)]
+    assert kept == [100 + number for number in range(64)]
