Classes keep their order beside claims; large prompts and tight memory

Cause: a class whose claim was met lost its turn until the next event; a large prompt of a class below its share had no way in.

Change: claims go first, then all classes in order, both asserted; a prompt larger than an even share of memory goes by the engine's queue; memory is borrowed up to 0.4 in place of 0.6.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -132,12 +132,29 @@
         self._refresh(now)
         for work in self._retries.due(now):
             self.requeue(work, now)
-        for lane in self._order(now):
+        busy = self._busy(now)
+        for lane in busy:
             self._expire(lane, now, decided)
+            if lane.claims:
+                self._serve(lane, now, directory, decided)
+        for number, lane in enumerate(busy):
+            lane.claims = False
             if lane.key not in self._full:
+                self._check_order(busy[:number], lane)
                 self._serve(lane, now, directory, decided)
         return decided
 
+    def _check_order(self, higher, lane):
+        """Assert that no class is passed over for a lower one."""
+        for other in higher:
+            invariants.check(
+                other.priority == lane.priority
+                or other.key in self._full
+                or not len(other.queue),
+                "higher-class-goes-first",
+                f"{lane.class_name} before {other.class_name}",
+            )
+
     def _refresh(self, now):
         if now < self._next_merge:
             return
@@ -154,10 +171,10 @@
         for lane in self._lanes.values():
             lane.merge(self._view)
 
-    def _order(self, now):
-        """Return the lanes with work: claims of shares first, then by rank.
+    def _busy(self, now):
+        """Return the lanes with work, the highest class first.
 
-        Made for higher classes that fill every engine by themselves.
+        Of these some claim their minimum share, and go before all others.
         """
         busy = [lane for lane in self._lanes.values() if len(lane.queue)]
         for lane in busy:
@@ -166,7 +183,7 @@
         return busy
 
     def _claims(self, lane, now):
-        if not self._options.minimum_shares:
+        if not self._options.minimum_shares or lane.key in self._full:
             return False
         if not self._shares.below(lane.class_name, lane.minimum_share):
             return False
@@ -200,6 +217,7 @@
                 return
             self._place(lane, need, server, now, decided)
             if lane.claims and not self._claims(lane, now):
+                # It goes on in its own order.
                 return
 
     def _refuse(self, work, nothing, now, decided):
@@ -247,9 +265,22 @@
         lane.counters.charge(work.organisation, work.weight, tokens)
         self._shares.placed(work.class_name, tokens)
         self._fleet.place(work, server, need.footprint, now)
+        self._check_share(need, server)
         self._placing.placed(work, server)
         decided.append(work_module.Placement(work, server))
 
+    def _check_share(self, need, server):
+        """Assert that work which can wait left the reserve alone."""
+        engine = self._fleet.engine_of(server)
+        invariants.check(
+            need.protected
+            or need.claims_share
+            or engine.slow
+            or engine.own <= engine.allowed,
+            "lower-class-leaves-the-reserve",
+            f"{need.work.request_id} on {server}",
+        )
+
     # Feedback
 
     def first_output(self, request_id, now):
@@ -369,7 +400,7 @@
 
 
 def _rank(lane):
-    return (not lane.claims, lane.priority)
+    return lane.priority
 
 
 def _protected(work):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
@@ -19,7 +19,7 @@
 KV_PART = 0.9
 # Beyond its even share an instance goes only up to this part: reports count
 # a prompt as it is read, so that what was just placed is missing there.
-KV_BORROWED_PART = 0.6
+KV_BORROWED_PART = 0.4
 # Failures in a row after which a server is drained and probed back.
 FEW_FAILURES = 2
 # A slow server gets one probe in this many seconds.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -46,6 +46,10 @@
             self.observe(server, now)
         return held
 
+    def engine_of(self, name):
+        """Return the view of a server that is known here."""
+        return self._engines[name]
+
     def observe(self, server, now):
         """Take in a load report."""
         announcement = server.announcement
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -173,14 +173,16 @@
                 return False
         kv_tokens = server.announcement.kv_tokens
         instances = fleet.sharing.instances
-        if need.claims_share:
-            # A prompt larger than what is ever free would else never run;
-            # the engine's own queue keeps room for it.
-            return engine.own <= engine.allowed
         if not engine.fits(need.footprint, kv_tokens, instances):
-            return False
+            # A prompt larger than any share would else never run; the
+            # engine's own queue keeps room for it.
+            large = need.footprint * instances > kv_tokens
+            if not (need.claims_share and large):
+                return False
         if need.protected:
             return engine.own < engine.allowed + OVERCOMMIT
+        if need.claims_share:
+            return engine.own <= engine.allowed
         return need.open and engine.own < engine.allowed
 
     def _bears_slow(self, need, engine, now):
--- a/tests/cover/test_policy_limits.py
+++ b/tests/cover/test_policy_limits.py
@@ -2,12 +2,14 @@
 
 import random
 
+from dandeliontrail.coordination import servers
 from dandeliontrail.decisions import adaptive
 from dandeliontrail.decisions import limits
 from dandeliontrail.decisions import retries
 from dandeliontrail.decisions import view
 from dandeliontrail.decisions import work as work_module
 from dandeliontrail import Reason
+from dandeliontrail.resources import announcements
 from dandeliontrail.resources import specs
 
 SECONDS = 60
@@ -171,3 +173,92 @@
         return False
     held.delay(work, 0.0)
     return True
+
+
+class Listed:
+    """A directory of the given servers."""
+
+    def __init__(self, *listed):
+        self.listed = list(listed)
+
+    def eligible(self, class_name, model, service):
+        return self.listed
+
+
+def make_server(name, slots=8, expires=1e9):
+    announcement = announcements.Announcement(
+        name, 1, 1, "model_engine", "", slots=slots
+    )
+    return servers.Server(announcement, 0.0, expires)
+
+
+def placed(policy, directory, now):
+    return [
+        item.server
+        for item in policy.next(now, directory)
+        if isinstance(item, work_module.Placement)
+    ]
+
+
+def test_slots_of_a_dead_server_do_not_stand_for_the_reserve():
+    # An engine crashes in a burst.  Its idle slots were taken for the
+    # reserve, so that drafts filled the engine that was left, and lookups
+    # waited for them.
+    policy = adaptive.Adaptive(random.Random(0))
+    directory = Listed(make_server("e1"), make_server("e2", expires=5.0))
+    lookup = make_work("lookup", first_token_ms=300.0)
+    lookup.class_name, lookup.priority = "lookup", 0
+    policy.offer(lookup, 0.0)
+    assert placed(policy, directory, 0.0)
+    drafts = 0
+    for step in range(100, 400):
+        policy.offer(make_work(step), step / 10.0)
+        drafts += len(placed(policy, directory, step / 10.0))
+    assert 1 <= drafts < 7
+
+
+def test_a_lookup_is_placed_before_drafts_that_came_earlier():
+    # A backlog of drafts stands in the queue when a lookup arrives.
+    policy = adaptive.Adaptive(random.Random(0))
+    directory = Listed(make_server("e1"))
+    for number in range(50):
+        policy.offer(make_work(number), 0.0)
+    lookup = make_work("lookup", first_token_ms=300.0)
+    lookup.class_name, lookup.priority = "lookup", 0
+    policy.offer(lookup, 0.0)
+    first = policy.next(0.0, directory)[0]
+    assert first.work is lookup
+
+
+def test_a_plain_service_with_one_slot_serves_every_instance():
+    # Nine instances share a service that announces one slot: the even share
+    # of each is a ninth, and calls waited for a lucky draw.
+    policy = adaptive.Adaptive(random.Random(0), view.FixedView(9))
+    directory = Listed(make_server("app", slots=1))
+    policy.offer(make_work(1), 0.0)
+    assert placed(policy, directory, 0.0) == ["app"]
+
+
+def test_sheddable_work_is_refused_early_and_says_when_to_come_back():
+    # Drafts wait for half a minute and are then told that it was in vain.
+    policy = adaptive.Adaptive(random.Random(0))
+    directory = Listed(make_server("e1", slots=1))
+    refused = []
+    for number in range(100):
+        work = make_work(number, sheddable=True, total_ms=10_000.0)
+        offered = policy.offer(work, 0.0)
+        policy.next(0.0, directory)
+        if not offered:
+            refused.append(offered)
+    assert len(refused) > 50
+    assert all(item.retry_after > 0.0 for item in refused)
+
+
+def test_work_that_may_not_be_shed_is_kept():
+    # The closing backlog is refused because engines are busy.
+    policy = adaptive.Adaptive(random.Random(0))
+    directory = Listed(make_server("e1", slots=1))
+    for number in range(2_000):
+        assert policy.offer(make_work(number), 0.0)
+    policy.next(0.0, directory)
+    assert policy.waiting()["draft"] >= 1_990
