--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -6,6 +6,7 @@
 from .. import sentinels
 from . import fairness
 from . import fleet as fleet_module
+from . import lanes
 from . import lengths
 from . import limits
 from . import options as options_module
@@ -58,7 +59,7 @@
         within = self._limiter.admit(work, now)
         if not within:
             return within
-        if _protected(work):
+        if reserve.protected(work):
             self._reserve.arrived(now)
             self._note_protected(work)
         if self._options.early_refusal:
@@ -97,7 +98,7 @@
         return work.prompt_tokens + self._lengths.mean(work)
 
     def _check_shed(self, work):
-        lane = self._lanes[_lane_key(work)]
+        lane = self._lanes[lanes.key_of(work)]
         invariants.check(
             work.sheddable or len(lane.queue) >= refusal.LONGEST_QUEUE,
             "only-sheddable-work-is-shed",
@@ -117,10 +118,10 @@
         return prompt + self._lengths.mean(work)
 
     def _lane(self, work):
-        key = _lane_key(work)
+        key = lanes.key_of(work)
         held = self._lanes.get(key)
         if held is None:
-            held = self._lanes[key] = _Lane(work, self._options)
+            held = self._lanes[key] = lanes.Lane(work, self._options)
         held.declare(work)
         return held
 
@@ -179,7 +180,7 @@
         busy = [lane for lane in self._lanes.values() if len(lane.queue)]
         for lane in busy:
             lane.claims = self._claims(lane, now)
-        busy.sort(key=_rank)
+        busy.sort(key=lanes.rank)
         return busy
 
     def _claims(self, lane, now):
@@ -231,7 +232,7 @@
         near its deadline, and so does sheddable work that can no longer
         meet its target: its caller can still do something else.
         """
-        if _all_avoided(work, servers):
+        if placing.all_avoided(work, servers):
             return sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
         if not self._options.early_refusal:
             return None
@@ -286,7 +287,7 @@
     def first_output(self, request_id, now):
         """Learn how soon the server gave its first output."""
         held = self._fleet.first_output(request_id, now)
-        if held is not None and _protected(held.work):
+        if held is not None and reserve.protected(held.work):
             self._reserve.answered(held.work, now)
 
     def ended(self, ended, now):
@@ -353,68 +354,3 @@
     def forget_server(self, name):
         """Drop what is held about a server that is gone."""
         self._fleet.forget(name)
-
-
-class _Lane:
-    """The queue of one class for one target, with its rates."""
-
-    __slots__ = (
-        "key",
-        "class_name",
-        "priority",
-        "minimum_share",
-        "counters",
-        "queue",
-        "rate",
-        "claims",
-        "weights",
-    )
-
-    def __init__(self, work, options):
-        self.key = _lane_key(work)
-        self.class_name = work.class_name
-        self.declare(work)
-        self.counters = fairness.Counters()
-        self.queue = fairness.Lane(
-            self.counters, by_arrival=not options.fairness
-        )
-        self.rate = refusal.ServedRate()
-        self.claims = False
-        self.weights = {}
-
-    def declare(self, work):
-        """Follow what operators changed in the class."""
-        self.priority = work.priority
-        self.minimum_share = work.minimum_share
-
-    def merge(self, view):
-        """Take in what other instances served of this class."""
-        for name, weight in self.weights.items():
-            used = view.elsewhere(name, self.class_name)
-            total = used.prompt * fairness.PROMPT_PART + used.output
-            self.counters.merge(name, weight, total)
-
-
-def _lane_key(work):
-    return (work.class_name, work.model, work.service)
-
-
-def _rank(lane):
-    return lane.priority
-
-
-def _protected(work):
-    """Tell whether a class is one that has to be answered at once."""
-    return work.first_token_ms is not None and not work.sheddable
-
-
-def _all_avoided(work, servers):
-    """Tell whether every server has failed this work already.
-
-    Such work gets its answer at once instead of near its deadline.
-    """
-    if not work.avoid:
-        return False
-    return all(
-        server.announcement.backend_server in work.avoid for server in servers
-    )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
@@ -22,6 +22,9 @@
 KV_BORROWED_PART = 0.4
 # Failures in a row after which a server is drained and probed back.
 FEW_FAILURES = 2
+# While it still runs own work it may just be full and refuse more, which is
+# no reason to drain it; only when nothing else comes of it is it.
+MANY_FAILURES = 6
 # A slow server gets one probe in this many seconds.
 PROBE_INTERVAL = 3.0
 
@@ -152,7 +155,8 @@
     def fail(self, now):
         """Take in an attempt that broke off or could not connect."""
         self.failures += 1
-        if self.failures >= FEW_FAILURES:
+        enough = FEW_FAILURES if not self.own else MANY_FAILURES
+        if self.failures >= enough:
             self.drain(now)
 
     def drain(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -148,17 +148,36 @@
 
     def pick(self, need, subset, fleet, now):
         """Return the name of the best server, or a ``Nothing``."""
-        best = sentinels.Nothing(sentinels.Reason.ALL_BUSY, RETRY_AFTER)
-        least = None
         holder = self._prefixes.get(need.work.prefix_hash)
-        for server, engine in self._sample(subset, holder):
+        sample = self._sample(subset, holder)
+        best = None
+        least = None
+        for server, engine in sample:
             if not self._may_take(need, server, engine, fleet, now):
                 continue
             score = self._score(need, server, engine, fleet, holder)
             if least is None or score < least:
                 best, least = engine.name, score
+        best = best or self._only_slow(need, sample, now)
+        if best is None:
+            return sentinels.Nothing(sentinels.Reason.ALL_BUSY, RETRY_AFTER)
         return best
 
+    def _only_slow(self, need, sample, now):
+        """Return a server to probe where all are drained, or ``None``.
+
+        Made for a fault that hit all servers at once, in a class whose work
+        may not be repeated: with nothing to probe them with, they would
+        stay drained for ever.
+        """
+        if not all(engine.slow for _, engine in sample):
+            return None
+        for server, engine in sample:
+            wanted = engine.name not in need.work.avoid
+            if wanted and server.serves(now) and engine.may_probe(now):
+                return engine.name
+        return None
+
     def _sample(self, subset, holder):
         if len(subset.pairs) <= FEW:
             return subset.pairs
@@ -212,3 +231,15 @@
         if holder == engine.name and self._options.prefix_affinity:
             score -= PREFIX_PER_THOUSAND * need.work.prompt_tokens / 1000.0
         return score + self._rng.random() * 0.02
+
+
+def all_avoided(work, servers):
+    """Tell whether every server has failed this work already.
+
+    Such work gets its answer at once instead of near its deadline.
+    """
+    if not work.avoid:
+        return False
+    return all(
+        server.announcement.backend_server in work.avoid for server in servers
+    )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/reserve.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/reserve.py
@@ -122,3 +122,8 @@
     given_back = engine.limit / engine.service_seconds * WINDOW
     wanted = max(0.0, burst / max(1, servers) - given_back) + extra
     return min(wanted, engine.limit * MOST_PART)
+
+
+def protected(work):
+    """Tell whether a class is one that has to be answered at once."""
+    return work.first_token_ms is not None and not work.sheddable
--- a/tests/cover/test_policy_limits.py
+++ b/tests/cover/test_policy_limits.py
@@ -175,6 +175,10 @@
     return True
 
 
+def make_intake(number):
+    return make_work(number, repeatable=False, first_token_ms=500.0)
+
+
 class Listed:
     """A directory of the given servers."""
 
@@ -262,3 +266,20 @@
         assert policy.offer(make_work(number), 0.0)
     policy.next(0.0, directory)
     assert policy.waiting()["draft"] >= 1_990
+
+
+def test_servers_that_all_failed_come_back_for_work_that_may_not_repeat():
+    # A switch was down for a moment and both engines refused connections.
+    # Intakes may not be repeated; no other class is in use.
+    policy = adaptive.Adaptive(random.Random(0))
+    directory = Listed(make_server("e1"), make_server("e2"))
+    for number in range(8):
+        now = number / 10.0
+        policy.offer(make_intake(number), now)
+        for item in policy.next(now, directory):
+            ended = work_module.Ended(
+                item.work.request_id, item.server, failed=True
+            )
+            policy.ended(ended, now)
+    assert not placed(policy, directory, 1.0)
+    assert sorted(placed(policy, directory, 10.0)) == ["e1", "e2"]
