--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -50,17 +50,15 @@
 from . import quorum_log_messages as messages
 from . import quorum_log_proposals as proposals_module
 from . import quorum_log_records as records
+from . import quorum_log_spreading as spreading_module
 from . import quorum_log_start as start_module
 from . import quorum_log_voters as voters_module
 
 Settled = proposals_module.Settled
 SettledKind = proposals_module.SettledKind
 
-# How many instances are told at once that the applied version grew.  Each
-# tells as many in turn, so that 530 are reached in four rounds even where
-# a quarter of the notices is lost.
-NOTICES = 8
-NOTICE_INTERVAL = 1.0
+# A starting instance asks so many others at once how far they are.
+ASKED_AT_ONCE = 32
 
 
 class LogStatus(msgspec.Struct):
@@ -85,6 +83,7 @@
     def __init__(self, name, rng, neighbours, keeper=None, bootstrap=()):
         self._keeper = keeper
         self._neighbours = neighbours
+        self._bootstrap = set(bootstrap)
         self._in_memory = keeper is None and not bootstrap
         folder = keeper.folder if keeper else ""
         self._machine = machine_module.Machine()
@@ -109,8 +108,8 @@
         )
         # Whether the disk held a log when this process started.
         self.resumed = False
-        self._told = 0
-        self._next_notice = float("-inf")
+        self._spreading = spreading_module.Spreading(core, neighbours)
+        self._settled = 0
         self._was_stale = False
 
     # -- the seam ---------------------------------------------------------
@@ -196,7 +195,7 @@
             core.term,
             self.leader(now),
             core.commit,
-            round(self._freshness.confirmed_ago(now), 3),
+            round(self._freshness.heard.ago(now), 3),
             self.stale(now),
             self.ready,
             self._in_memory,
@@ -227,8 +226,10 @@
             return self._finish(now)
         greeting = self._founding.tick(now)
         out = self._broadcast(greeting) if greeting else []
-        if self._start.asks(now):
-            out.extend(self._broadcast(self._progress(now, asks=True)))
+        ask = self._start.asks(now)
+        if ask:
+            question = self._progress(now, asks=True, ask=ask)
+            out.extend(self._broadcast(question))
         self._election.tick(now)
         self._leadership.tick(now)
         self._catch_up.tick(now)
@@ -310,20 +311,20 @@
             if not message.asks or message.applied:
                 self._catch_up.hear(name, message.applied)
             if not message.asks:
-                self._start.hear(name)
+                self._start.hear(name, message)
             self._freshness.hear(message.confirmed_ago, message.applied, now)
             self._catch_up.tick(now)
             if self._proposals.wants_leader():
                 self._proposals.tick(now)
         if message.asks:
-            core.send(name, self._progress(now))
+            core.send(name, self._progress(now, ask=message.ask))
         return self._finish(now)
 
     def question(self, now):
         """Return the message that asks an instance how far it is."""
         return self._progress(now, asks=True)
 
-    def _progress(self, now, asks=False):
+    def _progress(self, now, asks=False, ask=0):
         """Return how far this instance is.
 
         Only a keeper that hears the leader itself names it.  Were hearsay
@@ -335,9 +336,11 @@
         return messages.Progress(
             core.log_id,
             core.commit,
-            self._freshness.confirmed_ago(now),
+            self._freshness.heard.ago(now),
+            self._freshness.proven.ago(now),
             core.leader if core.is_voter() else "",
             asks,
+            ask,
         )
 
     # -- effects ----------------------------------------------------------
@@ -346,14 +349,15 @@
         """Turn what the parts put out into effects."""
         core = self._core
         out = []
-        before = core.commit
         core.maybe_checkpoint()
         core.flush()
         while core.out:
             out.extend(self._carry(core.out.popleft(), now))
             core.flush()
         self._freshness.applied()
-        if self._told < core.commit or before < core.commit:
+        if self._settled < core.commit:
+            # A checkpoint brings results without the entries themselves.
+            self._settled = core.commit
             for settled in self._proposals.take_known():
                 out.extend(_call(settled, now))
         out.extend(self._notify(now))
@@ -379,25 +383,26 @@
         return _call(known, now) if known else []
 
     def _notify(self, now):
-        """Tell some others when the applied version grew, or it is time."""
-        core = self._core
-        if self._in_memory or not core.log_id:
-            return []
-        if core.commit <= self._told and now < self._next_notice:
+        """Pass on what is new here, or how far it is where that is due."""
+        if self._in_memory or not self._core.log_id:
             return []
-        self._told = core.commit
-        self._next_notice = now + NOTICE_INTERVAL
-        names = sorted(self._neighbours.alive(now))
-        if len(names) > NOTICES:
-            names = core.rng.sample(names, NOTICES)
-        notice = self._progress(now)
-        addresses = [self._neighbours.address_of(name) for name in names]
-        return [effects.SendPeer(item, notice) for item in addresses if item]
+        out = []
+        for name, message in self._spreading.due(self._progress(now), now):
+            address = self._neighbours.address_of(name)
+            if address:
+                out.append(effects.SendPeer(address, message))
+        return out
 
     def _broadcast(self, message):
+        """Send to everyone or, of many, to the keepers and some others."""
         addresses = self._neighbours.addresses()
-        if len(addresses) > 4 * NOTICES:
-            addresses = self._core.rng.sample(addresses, 4 * NOTICES)
+        if len(addresses) > ASKED_AT_ONCE:
+            addresses = self._core.rng.sample(addresses, ASKED_AT_ONCE)
+            names = {item.name for item in self._core.log.voters}
+            for name in sorted(names | self._bootstrap):
+                address = self._neighbours.address_of(name)
+                if address and address not in addresses:
+                    addresses.append(address)
         return [effects.SendPeer(item, message) for item in addresses]
 
     def _tell_stale(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
@@ -53,6 +53,7 @@
         "own",
         "free",
         "others",
+        "slots",
         "limit",
         "quota",
         "allowed",
@@ -70,12 +71,13 @@
         "_history",
     )
 
-    def __init__(self, name, limit):
+    def __init__(self, name, slots):
         self.name = name
         self.own = 0
         self.free = 0
         self.others = 0
-        self.limit = float(limit)
+        self.slots = slots
+        self.limit = float(slots)
         self.quota = None
         self.allowed = 0
         self.reserve = 0
@@ -91,6 +93,12 @@
         self.service_seconds = 4.0
         self._history = collections.deque()
 
+    def announce(self, slots):
+        """Take in the announced slots; new ones are learned from anew."""
+        if slots != self.slots:
+            self.slots = slots
+            self.limit = float(slots)
+
     def change_own(self, by, now):
         """Count own work and remember since when."""
         self._history.append((now, self.own))
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -57,7 +57,7 @@
         if held is None:
             return
         self.known[announcement.backend_server] = server
-        held.limit = min(held.limit, float(announcement.slots))
+        held.announce(announcement.slots)
         load = announcement.load
         measured = server.heard - load.measured_ms_ago / 1000.0
         if self._options.aged_reports:
