--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fairness.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fairness.py
@@ -44,7 +44,11 @@
             self.charge(organisation, weight, total - before)
 
     def wake(self, organisation, active):
-        """Take away credit saved up while idle."""
+        """Take away credit saved up while idle.
+
+        What was used elsewhere in that time does not count either.
+        """
+        self._elsewhere.pop(organisation, None)
         if not active:
             return
         floor = min(self.served[name] for name in active) - MOST_CREDIT
@@ -87,6 +91,10 @@
         own = self._counts.get(organisation, 0)
         return own, busy + (not own)
 
+    def organisations(self):
+        """Return those with work waiting."""
+        return list(self._counts)
+
     def __len__(self):
         return len(self._held)
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -148,17 +148,36 @@
 
     def pick(self, need, subset, fleet, now):
         """Return the name of the best server, or a ``Nothing``."""
-        best = sentinels.Nothing(sentinels.Reason.ALL_BUSY, RETRY_AFTER)
-        least = None
         holder = self._prefixes.get(need.work.prefix_hash)
-        for server, engine in self._sample(subset, holder):
+        sample = self._sample(subset, holder)
+        best = None
+        least = None
+        for server, engine in sample:
             if not self._may_take(need, server, engine, fleet, now):
                 continue
             score = self._score(need, server, engine, fleet, holder)
             if least is None or score < least:
                 best, least = engine.name, score
+        best = best or self._only_slow(need, sample, now)
+        if best is None:
+            return sentinels.Nothing(sentinels.Reason.ALL_BUSY, RETRY_AFTER)
         return best
 
+    def _only_slow(self, need, sample, now):
+        """Return a server to probe where all are drained, or ``None``.
+
+        Made for a fault that hit all servers at once, in a class whose work
+        may not be repeated: with nothing to probe them with, they would
+        stay drained for ever.
+        """
+        if not all(engine.slow for _, engine in sample):
+            return None
+        for server, engine in sample:
+            wanted = engine.name not in need.work.avoid
+            if wanted and server.serves(now) and engine.may_probe(now):
+                return engine.name
+        return None
+
     def _sample(self, subset, holder):
         if len(subset.pairs) <= FEW:
             return subset.pairs
@@ -173,14 +192,16 @@
                 return False
         kv_tokens = server.announcement.kv_tokens
         instances = fleet.sharing.instances
-        if need.claims_share:
-            # A prompt larger than what is ever free would else never run;
-            # the engine's own queue keeps room for it.
-            return engine.own <= engine.allowed
         if not engine.fits(need.footprint, kv_tokens, instances):
-            return False
+            # A prompt larger than any share would else never run; the
+            # engine's own queue keeps room for it.
+            large = need.footprint * instances > kv_tokens
+            if not (need.claims_share and large):
+                return False
         if need.protected:
             return engine.own < engine.allowed + OVERCOMMIT
+        if need.claims_share:
+            return engine.own <= engine.allowed
         return need.open and engine.own < engine.allowed
 
     def _bears_slow(self, need, engine, now):
@@ -210,3 +231,15 @@
         if holder == engine.name and self._options.prefix_affinity:
             score -= PREFIX_PER_THOUSAND * need.work.prompt_tokens / 1000.0
         return score + self._rng.random() * 0.02
+
+
+def all_avoided(work, servers):
+    """Tell whether every server has failed this work already.
+
+    Such work gets its answer at once instead of near its deadline.
+    """
+    if not work.avoid:
+        return False
+    return all(
+        server.announcement.backend_server in work.avoid for server in servers
+    )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/reserve.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/reserve.py
@@ -16,15 +16,17 @@
 # leave out 1 window in 200, as the goal of 99.5 in 100 allows.
 DEVIATIONS = 2.6
 # What the burst's size leaves out (uneven load, late reports) is learned
-# from outcomes: extra slots on each server, raised by this step when a first
-# token comes later than this part of its target.
-FIRST_EXTRA = 2.0
+# from outcomes: extra slots on each server, raised by a step when a first
+# token comes later than this part of its target, and lowered by the allowed
+# part of a step when it does not.
+NEAR_TARGET = 0.9
 EXTRA_STEP = 0.25
+MISSES_ALLOWED = 0.004
 # What was reserved shows when running work has ended: misses of one such
 # time count as one.
 RISE_INTERVAL = 2.0
-NEAR_TARGET = 0.9
-MISSES_ALLOWED = 0.004
+# An instance that starts into full load has no time to learn by missing.
+FIRST_EXTRA = 2.0
 MOST_EXTRA = 4.0
 # No more than this part of a server stands by, or lower classes would pay
 # for a burst that no reserve can hold.
@@ -122,3 +124,8 @@
     given_back = engine.limit / engine.service_seconds * WINDOW
     wanted = max(0.0, burst / max(1, servers) - given_back) + extra
     return min(wanted, engine.limit * MOST_PART)
+
+
+def protected(work):
+    """Tell whether a class is one that has to be answered at once."""
+    return work.first_token_ms is not None and not work.sheddable
