--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/simulation.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/simulation.py
@@ -11,11 +11,11 @@
 import itertools
 import random
 
-from dandeliontrail.coordination import servers
 from dandeliontrail.decisions import work as work_module
 from dandeliontrail.resources import announcements
 
 from . import engine_model
+from . import sides
 
 TRIP = 0.001
 TICK = 0.1
@@ -43,38 +43,6 @@
     begun: int = 0
 
 
-class _Directory:
-    """One instance's view of the engines, kept by late reports."""
-
-    def __init__(self):
-        self.servers = {}
-        self._list = []
-
-    def eligible(self, class_name, model, service):
-        return self._list
-
-    def server(self, name):
-        return self.servers.get(name)
-
-    def learn(self, announcement, heard, lease):
-        name = announcement.backend_server
-        held = self.servers.get(name)
-        if held is None:
-            held = servers.Server(announcement, heard, heard + lease)
-            self.servers[name] = held
-            self._list = list(self.servers.values())
-        held.announcement = announcement
-        held.heard = heard
-        held.expires = heard + lease
-        return held
-
-
-@dataclasses.dataclass(slots=True)
-class _Instance:
-    policy: object
-    directory: _Directory
-
-
 class Simulation:
     """One run of one scenario under one policy."""
 
@@ -90,7 +58,7 @@
         ]
         self._by_name = {item.name: item for item in self.engines}
         self.instances = [
-            _Instance(make_policy(number, instances), _Directory())
+            sides.Instance(make_policy(number, instances), sides.Directory())
             for number in range(instances)
         ]
         self._ranked = getattr(self.instances[0].policy, "ranked", True)
@@ -137,7 +105,7 @@
     def _arrive(self, number):
         request = self.results[number].request
         home = self.rng.randrange(len(self.instances))
-        item = _work_of(request)
+        item = sides.work_of(request)
         self._works[item.request_id] = number
         self._homes[number] = home
         self._waiting[request.shape.name].append(self.results[number])
@@ -305,7 +273,7 @@
             work_module.Ended(str(number), engine.name, failed=True),
             self.now,
         )
-        item = _work_of(result.request)
+        item = sides.work_of(result.request)
         item.avoid.add(engine.name)
         repeats = result.request.shape.repeatable and not stream.tokens
         if repeats and result.attempts < MOST_ATTEMPTS:
@@ -361,30 +329,3 @@
 
 def _answered(result):
     return result.first is not None or result.outcome != "open"
-
-
-def _work_of(request):
-    shape = request.shape
-    return work_module.Work(
-        str(request.number),
-        request.organisation.name,
-        shape.name,
-        "small",
-        "",
-        shape.priority,
-        request.arrives,
-        request.arrives + shape.timeout,
-        prompt_tokens=request.prompt,
-        prefix_hash=request.prefix,
-        sheddable=shape.sheddable,
-        repeatable=shape.repeatable,
-        minimum_share=shape.minimum_share,
-        weight=request.organisation.weight,
-        first_token_ms=_ms(shape.first_token),
-        total_ms=_ms(shape.total),
-        between_tokens_ms=_ms(shape.between_tokens),
-    )
-
-
-def _ms(seconds):
-    return None if seconds is None else seconds * 1000.0
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -46,6 +46,10 @@
             self.observe(server, now)
         return held
 
+    def engine_of(self, name):
+        """Return the view of a server that is known here."""
+        return self._engines[name]
+
     def observe(self, server, now):
         """Take in a load report."""
         announcement = server.announcement
@@ -53,7 +57,7 @@
         if held is None:
             return
         self.known[announcement.backend_server] = server
-        held.limit = min(held.limit, float(announcement.slots))
+        held.announce(announcement.slots)
         load = announcement.load
         measured = server.heard - load.measured_ms_ago / 1000.0
         if self._options.aged_reports:
