An audit of outcomes, and requests that never arrived

Cause: a request sent into a kept connection that its path had lost track of while idle was awaited for its whole deadline: the health check, over a new connection, said that all was well.

Change: a stream that its engine, asked over a new connection, twice does not know is given up: repeatable ones go elsewhere. `dandelionctl lab audit` compares what callers got with what engines ran; engines make faults on purpose.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
@@ -2,6 +2,7 @@
 
 import cyclopts
 
+from . import audit_command
 from . import batch
 from . import demo as demo_module
 from . import engine as engine_module
@@ -60,3 +61,6 @@
     Example: dandelionctl lab demo
     """
     return demo_module.run()
+
+
+app.command(audit_command.audit)
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from . import batch
+from . import faults
 from . import loading
 
 ANNOUNCE_SECONDS = 1.0
@@ -54,6 +55,7 @@
         self.ran = []
         # Whether two runs of a request give different texts.
         self.sampled = False
+        self.faults = None
         # What it announces as its URL, where something stands before it.
         self.announced_url = ""
         self._server = None
@@ -121,15 +123,49 @@
             stream.mark = f"{self.name}-{len(self.ran)}-"
         if ask.continue_final_message:
             stream.start = len(ask.messages[-1].content.split())
-        self.ran.append(request_id)
+        fault = self.faults.draw() if self.faults else faults.Fault.NONE
+        if fault is faults.Fault.REFUSE:
+            return _refuse(start_response)
+        if fault is faults.Fault.CLOSE:
+            raise faults.reset()
+        self.begin(stream, ask)
+        if fault is faults.Fault.ERROR:
+            return _json(start_response, "500 Internal Server Error", {})
+        return self._answer(start_response, stream, ask, fault)
+
+    def begin(self, stream, ask):
+        """Start to run a request."""
+        self.ran.append(stream.request_id)
         self.batch.submit(stream)
+
+    def _answer(self, start_response, stream, ask, fault):
+        breaks = fault in (faults.Fault.BREAK, faults.Fault.CRASH)
         if ask.stream:
-            return self._events(start_response, stream, 0)
+            events = self._events(start_response, stream, 0)
+            return self._broken(events, stream, fault) if breaks else events
         text = "".join(stream.read())
+        if breaks:
+            self._break(stream, fault)
         if not stream.finished:
             return _json(start_response, "500 Internal Server Error", {})
         return _json(start_response, "200 OK", _whole(stream, ask, text))
 
+    def _broken(self, events, stream, fault):
+        """Pass events on until the connection breaks."""
+        position = self.faults.position(stream.wanted)
+        for event in events:
+            if not position:
+                events.close()
+                self._break(stream, fault)
+            position -= 1
+            yield event
+
+    def _break(self, stream, fault):
+        if fault is faults.Fault.CRASH:
+            stream.cancel()
+            self.batch.streams.pop(stream.request_id, None)
+        raise faults.reset()
+
     def _resume(self, environ, start_response, request_id):
         stream = self.batch.streams.get(request_id)
         if stream is None:
@@ -188,6 +224,17 @@
             gevent.sleep(ANNOUNCE_SECONDS)
 
 
+def _refuse(start_response):
+    body = b"{}"
+    headers = [
+        JSON,
+        ("X-Outcome", "not-run"),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response("503 Service Unavailable", headers)
+    return [body]
+
+
 def _cancel_orphan(stream):
     """Stop a stream whose reader left, unless another one came."""
     if not stream.watched():
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -53,6 +53,10 @@
     """The exchange broke off after the server may have begun."""
 
 
+class NotHeld(Broken):
+    """The server says that it does not know the stream."""
+
+
 class PathLost(Exception):
     """The old connection is dead; ``answer`` goes on over a new one.
 
@@ -252,9 +256,12 @@
             pool.paced.watch = watch
         except FAILURES as exc:
             raise Broken(f"{type(exc).__name__}: {exc}")
+        if answer.status == 404:
+            answer.close()
+            raise NotHeld("the server does not know the stream")
         if answer.status != 200:
             answer.close()
-            raise Broken(f"the stream is not held: status {answer.status}")
+            raise Broken(f"it is not resumed: status {answer.status}")
         return answer
 
     def probe(self, url):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -10,8 +10,9 @@
 
 from . import engine_client
 
-# Before the first byte an engine may queue and read a long prompt.
-FIRST_SECONDS = 5.0
+# Before the first byte an engine may queue and read a long prompt; asking
+# costs two small requests, and each doubles the time to the next.
+FIRST_SECONDS = 2.0
 # Between outputs: this many times the longest gap seen, within bounds.  At
 # 29 ms between tokens a silence of 2 s is 70 of them.
 GAP_FACTOR = 20.0
@@ -19,6 +20,9 @@
 # Each question that changed nothing doubles the time to the next one.
 MOST_SECONDS = 20.0
 FAILED_PROBES = 2
+# A stream that its engine twice does not know never arrived there, or is
+# lost: a request on its way would have come in between.
+NOT_HELD = 2
 
 
 class PathWatch(engine_client.Watch):
@@ -37,6 +41,7 @@
         self._longest = 0.0
         self._begun = False
         self._failed = 0
+        self._not_held = 0
         self._patience = 1.0
 
     def heard(self):
@@ -68,11 +73,23 @@
                 raise TimeoutError("silent, also on new connections")
             return
         self._failed = 0
+        self._ask_for_stream()
+        if time.monotonic() - self._heard > self._limit:
+            self._give_up(f"silent for {self._limit:g} s")
+
+    def _ask_for_stream(self):
+        try:
+            answer = self._source.resumed()
+        except engine_client.NotHeld:
+            self._not_held += 1
+            if self._source.streamed and self._not_held >= NOT_HELD:
+                self._give_up("unknown to its engine, and silent")
+            return
         self._patience *= 2.0
-        answer = self._source.resumed()
         if answer:
-            self._engines.retire(url)
+            self._engines.retire(self._source.url)
             raise engine_client.PathLost(answer)
-        if self._limit and time.monotonic() - self._heard > self._limit:
-            self._engines.retire(url)
-            raise TimeoutError(f"silent for {self._limit:g} s")
+
+    def _give_up(self, why):
+        self._engines.retire(self._source.url)
+        raise TimeoutError(why)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
@@ -28,11 +28,9 @@
         self._call = call
         self.dispatch = dispatch
         self.url = dispatch.url
-        # A repeatable stream is better tried elsewhere than awaited here;
-        # all else may be silent until its caller's deadline.
-        streams = call.streamed and dispatch.repeatable
-        limit = limits.backend_silent_seconds if streams else 0.0
-        self.watch = silence.PathWatch(engines, self, limit)
+        self.watch = silence.PathWatch(
+            engines, self, limits.backend_silent_seconds
+        )
         self._answer = None
         self._received = 0
         self._resumes = 0
@@ -77,8 +75,16 @@
         # A whole answer goes on as the stream that it was made from.
         self._assembled = not self._call.streamed
 
+    @property
+    def streamed(self):
+        """Tell whether its engine is bound to know it as a stream."""
+        return self._call.streamed
+
     def resumed(self):
-        """Return the rest of the stream over a new connection, or None."""
+        """Return the rest of the stream over a new connection, or None.
+
+        Raises ``NotHeld`` where the server does not know the stream.
+        """
         if not self._call.generation:
             return None
         try:
@@ -88,6 +94,8 @@
                 self._received,
                 self.watch,
             )
+        except engine_client.NotHeld:
+            raise
         except engine_client.Broken:
             return None
 
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -15,10 +15,10 @@
 from dandeliontrail_ctl import api
 from dandeliontrail_lab import batch
 from dandeliontrail_lab import engine
+from dandeliontrail_lab import paths
 from dandeliontrail_node import instance
 from dandeliontrail_node import settings
 
-from tests.common import paths
 from tests.common import sockets
 
 KEY = "test-key"
--- a/tests/cover/test_streams_resume.py
+++ b/tests/cover/test_streams_resume.py
@@ -144,3 +144,20 @@
         answer = job.get()
         assert answer.complete
         assert answer.backend_server == "e2"
+
+
+def test_request_sent_into_a_lost_connection_is_served_elsewhere(quick):
+    # A kept connection was lost track of while it was idle.  The request
+    # went into it and never arrived; a health check, over a new connection,
+    # says that all is well.
+    with world.World() as made:
+        made.instance("i1")
+        served = made.engine("e1", fragile=True)
+        made.apply(LOOKUP)
+        assert client.send(ask(made)).complete
+        served.path.lose()
+        made.engine("e2")
+        answer = client.send(ask(made))
+        assert answer.complete
+        assert answer.text == expected()
+        assert sum(len(item.ran) for item in made.engines) == 2
