--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -4,6 +4,7 @@
 from .. import events
 from .. import interfaces
 from ..coordination import dissemination
+from ..coordination import member_records
 from ..coordination import membership
 from ..coordination import messages
 from . import probes
@@ -12,7 +13,10 @@
 # two sides of a healed partition find each other.
 RETRY_INTERVAL = 2.0
 FORGET_INTERVAL = 10.0
-Standing = membership.Standing
+# At 530 members a look at each costs a third of a millisecond.
+JUDGE_INTERVAL = 0.3
+HEARS_OUTSIDE = (member_records.Reach.ALL, member_records.Reach.MINORITY)
+Standing = member_records.Standing
 
 
 class Members(interfaces.Component):
@@ -26,9 +30,11 @@
         self._next_heartbeat = 0.0
         self._next_retry = 0.0
         self._next_forget = 0.0
+        self._next_judgement = 0.0
         self._last_tick = None
         self._suspected = set()
         self._leaving = False
+        self._reach = member_records.Reach.ALL
 
     def handlers(self):
         """Return the handlers of membership events and messages."""
@@ -36,21 +42,26 @@
             events.Started: self._started,
             events.Left: self._left,
             messages.Heartbeat: self._heartbeat,
-            membership.MemberRecords: self._records,
+            member_records.MemberRecords: self._records,
             dissemination.Probe: self._probes.probe,
             dissemination.ProbeAnswer: self._probes.answer,
         }
 
     def tick(self, now):
         """Send what is due and judge who is silent."""
-        self._members.changes.clear()
+        self._members.turn_changes()
         self._members.heartbeat_now = now >= self._next_heartbeat
         self._excuse_pause(now)
-        out = self._judge(now)
+        self._members.note_silent(now)
+        out = self._report_changes()
+        if now >= self._next_judgement:
+            self._next_judgement = now + JUDGE_INTERVAL
+            out.extend(self._judge(now))
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
             self._members.age_offsets(membership.HEARTBEAT_INTERVAL)
             self._recover_health(now)
+            out.extend(self._report_reach(now))
             out.extend(self._heartbeats(now))
         if now >= self._next_retry:
             self._next_retry = now + RETRY_INTERVAL
@@ -60,6 +71,25 @@
             self._members.forget(now)
         return out
 
+    def _report_changes(self):
+        return [
+            effects.Log(
+                "info",
+                "member",
+                {"member": item.instance, "change": item.change.value},
+            )
+            for item in self._members.changes
+        ]
+
+    def _report_reach(self, now):
+        """Log when it changes how far this instance hears."""
+        reach = self._members.reach(now)
+        if reach is self._reach:
+            return []
+        self._reach = reach
+        level = "info" if reach is member_records.Reach.ALL else "warning"
+        return [effects.Log(level, "reach", {"reach": reach.value})]
+
     def _excuse_pause(self, now):
         """Do not blame the others for a pause of this process.
 
@@ -84,20 +114,20 @@
     def _heartbeat_message(self, last=False, ask=False):
         state = self._state
         return messages.Heartbeat(
-            state.store.version,
-            state.identity.refutations,
-            state.members.digest.root,
-            state.registry.digest.root,
-            state.usage.own_version(),
-            state.usage.finished_root(),
-            last,
-            ask,
+            applied=state.store.version,
+            refutations=state.identity.refutations,
+            members=state.members.digest.root,
+            servers=state.registry.digest.root,
+            usage_version=state.usage.own_version(),
+            usage_finished=state.usage.finished_root(),
+            outside=self._reach in HEARS_OUTSIDE,
+            last=last,
+            ask=ask,
         )
 
     def _heartbeats(self, now):
         """Greet all links, and say farewell where a link has ended."""
         before = self._linked
-        self._members.note_silent(now)
         links = self._members.links()
         self._linked = {item.instance: item for item in links}
         message = self._heartbeat_message()
@@ -179,7 +209,7 @@
         return self._spread([record])
 
     def _spread(self, records, source=""):
-        message = membership.MemberRecords(records)
+        message = member_records.MemberRecords(records)
         return [
             effects.SendPeer(item.address, message)
             for item in self._members.spread_to(source)
@@ -207,6 +237,7 @@
                 return self._tell(source, member.record)
             out.extend(self._take_back(source, message.refutations, now))
         member.applied = message.applied
+        member.outside = message.outside
         member.linked = not message.last
         if message.ask:
             answer = self._heartbeat_message(last=True)
@@ -214,11 +245,11 @@
         return out
 
     def _tell(self, source, record):
-        message = membership.MemberRecords([record])
+        message = member_records.MemberRecords([record])
         return [effects.SendPeer(source.address, message)]
 
     def _take_back(self, source, refutations, now):
-        record = membership.MemberRecord(
+        record = member_records.MemberRecord(
             source.instance,
             source.address,
             source.failure_domain,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -6,7 +6,7 @@
 
 from . import claims
 from . import dissemination
-from . import membership
+from . import member_records
 from . import messages
 from . import order_reports
 from . import quorum_log_messages
@@ -14,16 +14,17 @@
 from ..resources import announcements
 from . import servers
 from . import usage
+from . import vouches
 
 ALL = (
     messages.Heartbeat,
-    membership.MemberRecords,
+    member_records.MemberRecords,
     servers.ServerRecords,
     *claims.MESSAGES,
     order_reports.OrdersReport,
     announcements.CacheEvents,
     servers.Renewals,
-    servers.Vouches,
+    vouches.Vouches,
     dissemination.SyncBuckets,
     dissemination.SyncKeys,
     dissemination.SyncWant,
@@ -47,8 +48,14 @@
     messages: list[Message]
 
 
+class _RawEnvelope(msgspec.Struct):
+    sender: messages.Sender
+    messages: list[msgspec.Raw]
+
+
 _ENCODER = msgspec.json.Encoder()
-_DECODER = msgspec.json.Decoder(Envelope)
+_ENVELOPES = msgspec.json.Decoder(_RawEnvelope)
+_MESSAGES = msgspec.json.Decoder(Message)
 
 
 def encode(envelope):
@@ -57,8 +64,19 @@
 
 
 def decode(body):
-    """Return the envelope in ``body``.
+    """Return the envelope in ``body`` and how many messages it left out.
 
-    Raises ``msgspec.DecodeError`` or its kin where it is not one.
+    While releases are mixed, an instance may send what another does not
+    know.  Only that message is left out: with it would otherwise go the
+    heartbeat in the same batch, and the two would take each other for
+    failed.  Raises ``msgspec.DecodeError`` where it is no envelope at all.
     """
-    return _DECODER.decode(body)
+    raw = _ENVELOPES.decode(body)
+    known = []
+    for item in raw.messages:
+        try:
+            known.append(_MESSAGES.decode(item))
+        except msgspec.ValidationError:
+            continue
+    left_out = len(raw.messages) - len(known)
+    return Envelope(raw.sender, known), left_out
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -7,21 +7,25 @@
 starts from a few seed addresses and learns the rest from other instances.
 """
 
-import dataclasses
-import enum
-
 import msgspec
 
 from .. import invariants
 from . import digests
 from . import links
+from . import member_records
 
+Change = member_records.Change
+MemberRecord = member_records.MemberRecord
+Reach = member_records.Reach
+Standing = member_records.Standing
 # Heartbeats go out once a second on each link.
 HEARTBEAT_INTERVAL = 1.0
 # Three missed heartbeats and a half make a linked instance silent; others
 # are asked whether they can reach it a second sooner.
 SILENT_AFTER = 3.5
 PROBE_AFTER = 2.5
+# Above a full mesh, relays that missed a heartbeat are replaced.
+RELAY_SILENT_AFTER = 1.6
 # How long a suspected instance has to refute.  News takes well under a
 # second, so this allows for a few lost messages.
 SUSPICION_SECONDS = 3.0
@@ -37,126 +41,18 @@
 DRIFT = 0.0002
 
 
-class Standing(enum.Enum):
-    """What is known of an instance, the stronger claim later."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    FAILED = "failed"
-    LEFT = "left"
-
-
-_RANK = {standing: rank for rank, standing in enumerate(Standing)}
-
-
-class MemberRecord(msgspec.Struct, array_like=True):
-    """What one instance tells others about an instance."""
-
-    instance: str
-    address: str
-    failure_domain: str
-    region: str
-    incarnation: int
-    refutations: int = 0
-    standing: Standing = Standing.ALIVE
-
-    def order(self):
-        """Return the key by which the greater record wins."""
-        rank = _RANK[self.standing]
-        return (self.incarnation, self.refutations, rank)
-
-
-class MemberRecords(msgspec.Struct, tag="members"):
-    """Records of instances that the sender holds."""
-
-    records: list[MemberRecord]
-
-
-@dataclasses.dataclass(slots=True)
-class Member:
-    """Another instance as it is seen from here.
-
-    ``heard`` is when it was last heard directly, ``since`` when its
-    standing last changed, both on this instance's clock.  ``linked`` tells
-    whether it sends heartbeats here.  ``offset`` is the least difference
-    seen between this clock and its own.  ``agreed`` is when its table of
-    finished usage was last the same as ours.
-    """
-
-    record: MemberRecord
-    heard: float
-    since: float
-    applied: int = 0
-    linked: bool = False
-    probed: float | None = None
-    offset: float | None = None
-    agreed: float = float("-inf")
-
-    @property
-    def instance(self):
-        """The name of the instance."""
-        return self.record.instance
-
-    @property
-    def address(self):
-        """The address of its peer listener."""
-        return self.record.address
-
-    @property
-    def failure_domain(self):
-        """The failure domain it runs in."""
-        return self.record.failure_domain
-
-    @property
-    def region(self):
-        """The region it runs in."""
-        return self.record.region
-
-    @property
-    def incarnation(self):
-        """A number that grows with each of its starts."""
-        return self.record.incarnation
-
-    @property
-    def standing(self):
-        """What is known of it."""
-        return self.record.standing
-
-    def gone(self):
-        """Tell whether it has left or is taken for failed."""
-        return self.standing in (Standing.FAILED, Standing.LEFT)
-
-
-class Change(enum.Enum):
-    """What happened to a member, for other components to see."""
-
-    JOINED = "joined"
-    RESTARTED = "restarted"
-    SUSPECTED = "suspected"
-    FAILED = "failed"
-    LEFT = "left"
-    RETURNED = "returned"
-
-
-@dataclasses.dataclass(slots=True)
-class MemberChange:
-    """One change to the member table."""
-
-    instance: str
-    change: Change
-
-
 class Membership:
     """The members by name, and the seeds to start from.
 
-    ``changes`` holds the changes since the last tick but one and is cleared
-    by the membership component; others read it in their own tick.
+    ``changes`` holds what happened between the last two ticks, for the
+    other components to read in their own tick.
     """
 
     __slots__ = (
         "members",
         "seeds",
         "changes",
+        "_next_changes",
         "digest",
         "health",
         "heartbeat_now",
@@ -171,6 +67,7 @@
         self.members = {}
         self.seeds = set(seeds)
         self.changes = []
+        self._next_changes = []
         self.digest = digests.TableDigest()
         self.health = 0
         self.heartbeat_now = False
@@ -259,7 +156,7 @@
         return True
 
     def _add(self, record, now):
-        member = Member(record, now, now)
+        member = member_records.Member(record, now, now)
         self.members[record.instance] = member
         self.digest.put(record.instance, record.order())
         self._links = None
@@ -285,7 +182,14 @@
         self._note(record.instance, _change(before, record))
 
     def _note(self, instance, change):
-        self.changes.append(MemberChange(instance, change))
+        self._next_changes.append(
+            member_records.MemberChange(instance, change)
+        )
+
+    def turn_changes(self):
+        """Let the changes since the last call be read in this tick."""
+        self.changes = self._next_changes
+        self._next_changes = []
 
     def mark(self, member, standing, now):
         """Give a member a new standing and return its record."""
@@ -347,11 +251,17 @@
         ]
 
     def note_silent(self, now):
-        """Take silent members for no relays, sooner than for failed."""
+        """Take silent members for no relays, sooner than for failed.
+
+        A lease has 3 s, and 2.4 s of these may be used up by the way of a
+        renewal; to take on a relay too many for a moment costs little.
+        """
+        if self.full_mesh():
+            return
         silent = {
             name
             for name, item in self.members.items()
-            if item.linked and now - item.heard > PROBE_AFTER
+            if item.linked and now - item.heard > RELAY_SILENT_AFTER
         }
         if silent != self._silent:
             self._silent = silent
@@ -417,8 +327,16 @@
         return any(heard > moment for heard in self._last_heard.values())
 
     def hears_other_domain(self, now):
-        """Tell whether anybody outside this failure domain was heard."""
+        """Tell whether anybody outside this failure domain was heard.
+
+        An instance that is linked to its relays alone goes by their word.
+        """
         domain = self._identity.failure_domain
+        if not self.full_mesh() and not self.is_relay():
+            return any(
+                item.outside and reached(item, now)
+                for item in self.relays_of(domain)
+            )
         return self._heard_within(
             [name for name in self._last_heard if name != domain], now
         )
@@ -443,6 +361,22 @@
         reachable = 1 + sum(1 for item in counted if reached(item, now))
         return 2 * reachable > len(counted) + 1
 
+    def reach(self, now):
+        """Return how far this instance hears."""
+        domain = self._identity.failure_domain
+        others = [
+            item
+            for item in self.members.values()
+            if item.standing is not Standing.LEFT
+        ]
+        if others and not self.hears_anybody(now):
+            return Reach.NOBODY
+        if all(item.failure_domain == domain for item in others):
+            return Reach.ALL
+        if not self.hears_other_domain(now):
+            return Reach.OWN_DOMAIN
+        return Reach.ALL if self.hears_majority(now) else Reach.MINORITY
+
     def shift(self, seconds):
         """Excuse all others for a time in which this process stood still."""
         for member in self.members.values():
