Claims: the voter's side, the rounds and the measures apart

Change: components/claim_voting.py, claim_rounds.py and measures.py, and the node's connection.py; no behaviour changes.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -18,7 +18,7 @@
 from gevent import pool
 from gevent import pywsgi
 
-from . import engine_client
+from . import connection
 from . import wsgi
 
 LINGER_BYTES = 1024 * 1024
@@ -167,7 +167,7 @@
     def handle(self, client_socket, address):
         """Serve one connection, with the kernel watching its path."""
         try:
-            engine_client.watch_path(client_socket)
+            connection.watch_path(client_socket)
         except OSError:
             # The caller is gone already; serving it finds that out.
             pass
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -8,6 +8,7 @@
 
 import time
 
+from . import connection
 from . import engine_client
 
 # Before the first byte an engine may queue and read a long prompt; asking
@@ -25,7 +26,7 @@
 NOT_HELD = 2
 
 
-class PathWatch(engine_client.Watch):
+class PathWatch(connection.Watch):
     """Watches one attempt's connection; ``call`` tells what may be done.
 
     When the server answers on a new connection and still holds the stream,
@@ -88,7 +89,7 @@
         self._patience *= 2.0
         if answer:
             self._engines.retire(self._source.url)
-            raise engine_client.PathLost(answer)
+            raise connection.PathLost(answer)
 
     def _give_up(self, why):
         self._engines.retire(self._source.url)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
@@ -11,6 +11,7 @@
 
 from dandeliontrail import events
 
+from . import connection
 from . import engine_client
 from . import silence
 from . import transcript
@@ -53,7 +54,7 @@
         """Send the request; return the status of the answer."""
         try:
             self._answer = self._engines.open(self, outgoing)
-        except engine_client.PathLost as exc:
+        except connection.PathLost as exc:
             self._leave_path(exc)
         except engine_client.Broken as exc:
             self._recover(exc)
@@ -121,7 +122,7 @@
                 if event:
                     return self._count(event)
                 raise engine_client.Broken("it ended without [DONE]")
-            except engine_client.PathLost as exc:
+            except connection.PathLost as exc:
                 self._leave_path(exc)
             except engine_client.Broken as exc:
                 self._recover(exc)
@@ -141,7 +142,7 @@
                 body = self._answer.read_all()
                 self._check_whole(body)
                 return body
-            except engine_client.PathLost as exc:
+            except connection.PathLost as exc:
                 self._leave_path(exc)
             except engine_client.Broken as exc:
                 self._recover(exc)
--- a/packages/dandeliontrail/src/dandeliontrail/components/claims.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/claims.py
@@ -1,18 +1,15 @@
-"""The component that gets and gives claims on idempotency keys.
+"""The component that gets claims on idempotency keys for requests.
 
-It is both sides: a voter, where this instance is one, and the holder or
-reader of claims for the requests that this instance took in.  What it finds
-out about a request goes to its ``listener``, the request component.
+It is the holder of the claims of this instance's requests, and the reader
+of answers that others hold.  What it finds out about a request goes to its
+``listener``, the request component.
 """
 
-import abc
-import dataclasses
-
 from .. import effects
 from .. import interfaces
 from .. import sentinels
+from . import claim_rounds
 from ..coordination import claim_entries
-from ..coordination import claim_votes
 from ..coordination import claims
 from ..coordination import messages
 
@@ -28,90 +25,31 @@
 RETRY_AFTER = 2.0
 
 
-class Listener(abc.ABC):
-    """Learns what came of a request's claim; each returns effects."""
-
-    @abc.abstractmethod
-    def claim_granted(self, request_id, now):
-        """The request, and no other, may run its key."""
-
-    @abc.abstractmethod
-    def claim_unneeded(self, request_id, now):
-        """No claim can be had, and the request may be repeated anyway."""
-
-    @abc.abstractmethod
-    def claim_answered(self, request_id, answer, now):
-        """Another request with the key has the whole answer."""
-
-    @abc.abstractmethod
-    def claim_refused(self, request_id, nothing, ran, now):
-        """There is no answer; ``ran`` where the key may have been run."""
-
-
-@dataclasses.dataclass(slots=True)
-class Wanted:
-    """A request that asks for its key; ``deadline`` as its work has it."""
-
-    request_id: str
-    key: str
-    digest: str
-    repeatable: bool
-    deadline: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Round:
-    """How far a request is in getting its key.
-
-    ``claim`` is its own while it counts votes, and that of another request
-    (at ``holder``) while it follows that one.
-    """
-
-    wanted: Wanted
-    tries: int = 0
-    claim: str = ""
-    following: bool = False
-    holder: str = ""
-    holder_address: str = ""
-    holder_digest: str = ""
-    votes: dict = dataclasses.field(default_factory=dict)
-    until: float = 0.0
-    next_send: float = 0.0
-    heard: float = 0.0
-
-
 class Claims(interfaces.Component):
-    """Claims, votes and the answers held for resends."""
+    """Claims under way, and the answers held for resends."""
 
-    def __init__(self, state, voters=()):
+    def __init__(self, state, voting):
         self._state = state
-        self._voters = tuple(voters) or (state.identity.instance,)
-        self._digest = claims.voters_digest(self._voters)
-        self._table = None
+        self._voting = voting
         self.entries = claim_entries.Entries()
         self._rounds = {}
         self._asking = {}
         self._running = {}
         self._next_renewal = 0.0
-        self._next_recovery = 0.0
         self.listener = None
 
     def handlers(self):
         """Return the handlers of the messages about claims."""
         return {
-            claims.ClaimAsk: self._asked,
             claims.ClaimVote: self._voted,
-            claims.ClaimRelease: self._released,
             claims.AnswerAsk: self._answer_asked,
             claims.AnswerTold: self._answer_told,
-            claims.RecoveryAsk: self._recovery_asked,
-            claims.RecoveryTold: self._recovery_told,
         }
 
     def tick(self, now):
-        """Ask again, give up, prolong and recover, each when due."""
+        """Ask again, give up and prolong, each when due."""
         self.entries.expire(now)
-        out = self._recover(now)
+        out = []
         for round_ in list(self._rounds.values()):
             if round_.wanted.request_id in self._rounds:
                 out.extend(self._tick_round(round_, now))
@@ -121,24 +59,6 @@
                 out.extend(self._to_group(entry.key, _ask(self, entry), now))
         return out
 
-    def voting(self, now):
-        """Tell whether this instance is a voter and grants claims."""
-        table = self.table(now)
-        return table is not None and table.ready(now)
-
-    def table(self, now):
-        """Return this instance's memory as a voter, ``None`` if it is none.
-
-        It is made on the first event, when what a disk held is loaded.
-        """
-        name = self._state.identity.instance
-        if self._table is None and name in self._voters:
-            blank = not self._state.log.resumed
-            self._table = claim_votes.VoterTable(
-                name, self._voters, now, blank
-            )
-        return self._table
-
     # The holder's side.
 
     def begin(self, wanted, now):
@@ -150,7 +70,7 @@
             return self.listener.claim_refused(
                 wanted.request_id, nothing, False, now
             )
-        round_ = _Round(wanted)
+        round_ = claim_rounds.Round(wanted)
         self._rounds[wanted.request_id] = round_
         return self._try(round_, now)
 
@@ -176,23 +96,31 @@
         round_.next_send = now + ASK_AGAIN_SECONDS
         wanted = round_.wanted
         ask = claims.ClaimAsk(
-            wanted.key, round_.claim, wanted.digest, self._digest
+            wanted.key, round_.claim, wanted.digest, self._voting.digest
         )
         return self._to_group(wanted.key, ask, now)
 
     def _to_group(self, key, message, now):
         out = []
-        for name in claims.group_of(key, self._voters):
+        for name in claims.group_of(key, self._voting.voters):
             out.extend(self._to_voter(name, message, now))
         return out
 
     def _to_voter(self, name, message, now):
         if name == self._state.identity.instance:
-            handler = self.handlers()[type(message)]
-            return handler(self._self(), message, now)
+            return self._to_self(message, now)
         address = self._state.members.address_of(name)
         return [effects.SendPeer(address, message)] if address else []
 
+    def _to_self(self, message, now):
+        """Deal with this instance as a voter, without the network."""
+        if isinstance(message, claims.ClaimRelease):
+            self._voting.release(message, now)
+            return []
+        source = self._self()
+        vote = self._voting.vote(source, message, now)
+        return self._voted(source, vote, now)
+
     def _self(self):
         own = self._state.identity
         return messages.Sender(
@@ -203,18 +131,13 @@
             own.incarnation,
         )
 
-    def _reply(self, source, message, now):
-        """Answer a message, without the network where it is one's own."""
-        if source.instance == self._state.identity.instance:
-            handler = self.handlers()[type(message)]
-            return handler(source, message, now)
-        return [effects.SendPeer(source.address, message)]
-
     def _voted(self, source, message, now):
         round_ = self._asking.get(message.claim)
         if round_ is None or now > round_.until:
             return self._late_vote(source, message, now)
-        if source.instance not in claims.group_of(message.key, self._voters):
+        if source.instance not in claims.group_of(
+            message.key, self._voting.voters
+        ):
             return []
         if message.holder:
             round_.votes[source.instance] = message
@@ -227,10 +150,10 @@
         if not dead or message.holder != message.claim:
             return []
         release = claims.ClaimRelease(message.key, message.claim)
-        return self._reply(source, release, now)
+        return self._to_voter(source.instance, release, now)
 
     def _count(self, round_, now):
-        group = claims.group_of(round_.wanted.key, self._voters)
+        group = claims.group_of(round_.wanted.key, self._voting.voters)
         needed = claims.majority(len(group))
         held_by = [vote.holder for vote in round_.votes.values()]
         granted = held_by.count(round_.claim)
@@ -425,58 +348,18 @@
             address = "" if own else source.address
             entry.readers.add((address, message.reader))
         told = self._told(message.claim, message.reader)
-        out = self._reply(source, told, now)
+        if source.instance == self._state.identity.instance:
+            out = self._answer_told(source, told, now)
+        else:
+            out = [effects.SendPeer(source.address, told)]
         if entry and entry.stand is Stand.NOT_RUN:
             # The voters may not have heard of it; the reader waits on them.
             release = claims.ClaimRelease(entry.key, entry.claim)
             out.extend(self._to_group(entry.key, release, now))
         return out
 
-    # The voter's side.
-
-    def _asked(self, source, message, now):
-        table = self.table(now)
-        if table is None:
-            return []
-        return self._reply(source, table.vote(message, source, now), now)
-
-    def _released(self, source, message, now):
-        table = self.table(now)
-        if table is not None:
-            table.release(message)
-        return []
-
-    def _recover(self, now):
-        table = self.table(now)
-        if table is None or now < self._next_recovery:
-            return []
-        self._next_recovery = now + ASK_AGAIN_SECONDS
-        out = []
-        for name in table.to_ask(now):
-            ask = claims.RecoveryAsk(
-                self._state.identity.incarnation,
-                self._digest,
-                table.page_after(name),
-            )
-            out.extend(self._to_voter(name, ask, now))
-        return out
-
-    def _recovery_asked(self, source, message, now):
-        table = self.table(now)
-        if table is None or message.voters != self._digest:
-            return []
-        told = table.tell(message, now)
-        return [effects.SendPeer(source.address, told)]
-
-    def _recovery_told(self, source, message, now):
-        table = self.table(now)
-        own = self._state.identity.incarnation
-        if table is not None and message.incarnation == own:
-            table.learn(source.instance, message, now)
-        return []
-
 
 def _ask(component, entry):
     return claims.ClaimAsk(
-        entry.key, entry.claim, entry.digest, component._digest
+        entry.key, entry.claim, entry.digest, component._voting.digest
     )
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -7,7 +7,7 @@
 from .. import interfaces
 from .. import sentinels
 from . import answers
-from . import claims
+from . import claim_rounds
 from ..coordination import claim_entries
 from ..coordination import claims as claims_module
 from ..coordination import usage
@@ -15,6 +15,7 @@
 from ..effects import reports
 from . import intake
 from . import life
+from . import measures
 
 # A repeatable request is tried on this many servers: with one in twenty
 # attempts lost, four failures in a row are one in 160,000.
@@ -26,7 +27,7 @@
 Stand = claim_entries.Stand
 
 
-class Requests(claims.Listener, interfaces.Component):
+class Requests(claim_rounds.Listener, interfaces.Component):
     """Takes requests through their life with the help of a policy."""
 
     def __init__(self, state, policy, claimer):
@@ -69,7 +70,7 @@
         if not event.idempotency_key:
             return self._offer(held, now)
         held.move(life.Phase.CLAIMING)
-        wanted = claims.Wanted(
+        wanted = claim_rounds.Wanted(
             work.request_id,
             claims_module.key_of(work.organisation, event.idempotency_key),
             event.body_digest[: claims_module.NAME_LENGTH],
@@ -78,7 +79,7 @@
         )
         return self._claims.begin(wanted, now)
 
-    # What the claim of a request came to; see ``claims.Listener``.
+    # What the claim of a request came to; see ``claim_rounds.Listener``.
 
     def claim_granted(self, request_id, now):
         """Queue a request that may run its key."""
@@ -145,12 +146,7 @@
                 work.repeatable,
             ),
             answers.decision(work, "dispatched", server),
-            effects.Measure(
-                reports.Metric.QUEUE_WAIT,
-                work.class_name,
-                work.organisation,
-                (now - work.received) * 1000.0,
-            ),
+            measures.since_received(work, reports.Metric.QUEUE_WAIT, now),
         ]
 
     def _refuse(self, held, nothing, now):
@@ -243,14 +239,9 @@
         if held.first_output:
             return []
         held.first_output = now
-        return [self._measure(held, reports.Metric.FIRST_TOKEN, now)]
-
-    def _measure(self, held, metric, now):
-        work = held.work
-        passed = (now - work.received) * 1000.0
-        return effects.Measure(
-            metric, work.class_name, work.organisation, passed
-        )
+        return [
+            measures.since_received(held.work, reports.Metric.FIRST_TOKEN, now)
+        ]
 
     def _finished(self, event, now):
         held = self._current(event)
@@ -269,17 +260,9 @@
         self._count(work, event.prompt_tokens, event.output_tokens)
         out = [
             answers.decision(work, "complete", held.server),
-            self._measure(held, reports.Metric.TOTAL, now),
+            measures.since_received(work, reports.Metric.TOTAL, now),
         ]
-        out.extend(
-            effects.Measure(
-                reports.Metric.BETWEEN_TOKENS,
-                work.class_name,
-                work.organisation,
-                gap,
-            )
-            for gap in event.gaps_ms
-        )
+        out.extend(measures.gaps(work, event.gaps_ms))
         out.extend(self._end_claim(held, now, event.answer))
         return out + self._decide(now)
 
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -10,6 +10,7 @@
 from . import events
 from .components import backend_servers
 from .components import caches
+from .components import claim_voting
 from .components import claims
 from .components import configuration
 from .components import members
@@ -92,7 +93,8 @@
     """
     state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
     chosen = policy or baselines.PriorityLeastOutstanding()
-    claimer = claims.Claims(state, bootstrap)
+    voting = claim_voting.ClaimVoting(state, bootstrap)
+    claimer = claims.Claims(state, voting)
     renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
@@ -101,6 +103,7 @@
         backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
+        voting,
         claimer,
         requests.Requests(state, chosen, claimer),
         orders.Orders(state),
--- a/tests/common/claim_world.py
+++ b/tests/common/claim_world.py
@@ -2,6 +2,8 @@
 
 import random
 
+from dandeliontrail.components import claim_rounds
+from dandeliontrail.components import claim_voting
 from dandeliontrail.components import claims as claims_component
 from dandeliontrail.components import state as state_module
 from dandeliontrail.coordination import claim_entries
@@ -11,7 +13,7 @@
 Stand = claim_entries.Stand
 
 
-class Recorder(claims_component.Listener):
+class Recorder(claim_rounds.Listener):
     """Takes down what came of each request's claim."""
 
     def __init__(self):
@@ -44,7 +46,8 @@
         )
         self.state = state_module.new_state(identity, random.Random(name))
         self.state.log.resumed = incarnation > 1
-        self.claims = claims_component.Claims(self.state, voters)
+        self.voting = claim_voting.ClaimVoting(self.state, voters)
+        self.claims = claims_component.Claims(self.state, self.voting)
         self.recorder = Recorder()
         self.claims.listener = self.recorder
 
@@ -93,7 +96,7 @@
         self.requests += 1
         request_id = f"q{self.requests}"
         self.keys[request_id] = key
-        wanted = claims_component.Wanted(
+        wanted = claim_rounds.Wanted(
             request_id, key, digest, False, self.now + 600.0
         )
         self.carry(name, self.peers[name].claims.begin(wanted, self.now))
@@ -138,7 +141,8 @@
             return
         sender = self.peers[source].claims._self()
         peer = self.peers[target]
-        handler = peer.claims.handlers()[type(message)]
+        handlers = peer.voting.handlers() | peer.claims.handlers()
+        handler = handlers[type(message)]
         self.carry(target, handler(sender, message, self.now))
 
     def pass_time(self, seconds, stalled=()):
@@ -147,6 +151,7 @@
         for name, peer in self.peers.items():
             if name in stalled:
                 continue
+            self.carry(name, peer.voting.tick(self.now))
             self.carry(name, peer.claims.tick(self.now))
 
     def settle(self, seconds=3.0):
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -70,7 +70,7 @@
     made.end(first, Stand.HELD)
     made.crash("v1")
     made.settle(8.0)
-    assert made.peers["v1"].claims.voting(made.now)
+    assert made.peers["v1"].voting.ready(made.now)
     for name in ("v0", "v1", "i0"):
         made.separate(name, "v2")
     second = made.request("i0", "other")
@@ -191,5 +191,5 @@
     made.settle(1.2)
     made.join("v0", "v1")
     made.settle(5.0)
-    assert made.peers["v1"].claims.voting(made.now)
+    assert made.peers["v1"].voting.ready(made.now)
     assert second not in made.running
--- a/tests/cover/test_engine_client.py
+++ b/tests/cover/test_engine_client.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dandeliontrail_node import connection
 from dandeliontrail_node import engine_client
 
 from tests.common import sockets
@@ -10,7 +11,7 @@
 class Attempt:
     def __init__(self, url):
         self.url = url
-        self.watch = engine_client.Watch()
+        self.watch = connection.Watch()
         self.begun = 0
 
     def began(self):
