--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -10,6 +10,9 @@
 KEEPALIVE_INTERVAL_SECONDS = 2
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_MS = 10_000
+# A server that never ends its headers or an event would have all of it
+# gathered here.  Real events are below 1 KB.
+MOST_EVENT_BYTES = 1024 * 1024
 
 
 class PathLost(Exception):
@@ -63,6 +66,10 @@
         self._pool.release_socket(paced.sock)
 
 
+class _TooLarge(OSError):
+    """The server sent more than is gathered of one thing."""
+
+
 class Watch:
     """Says how long a connection may be silent, and what is done then."""
 
@@ -80,20 +87,32 @@
 
     The library closes a connection that times out.  Here a time without
     bytes is no error yet: the stream may be slow, and is then read on.
+    ``allow`` says how many bytes more may come before an end of something
+    must have been found in them.
     """
 
     def __init__(self, sock, watch):
         self.sock = sock
         self.watch = watch
+        self.allow(MOST_EVENT_BYTES)
+
+    def allow(self, size):
+        """Take in up to ``size`` bytes from now on."""
+        self._left = size
 
     def recv(self, size):
         """Return the next bytes, for as long as the watch waits."""
         while True:
             self.sock.settimeout(self.watch.seconds())
             try:
-                return self.sock.recv(size)
+                data = self.sock.recv(size)
             except TimeoutError:
                 self._ask()
+                continue
+            self._left -= len(data)
+            if self._left < 0:
+                raise _TooLarge("the server sent too much without an end")
+            return data
 
     def _ask(self):
         try:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -21,6 +21,8 @@
 CANCEL_SECONDS = 2.0
 PROBE_SECONDS = 2.0
 EVENT_END = b"\n\n"
+# Real answers are below 1 MB.
+MOST_ANSWER_BYTES = 64 * 1024 * 1024
 FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
 
 
@@ -67,8 +69,9 @@
 class Answer:
     """A server's answer: its status and headers, the body still to come."""
 
-    def __init__(self, response):
+    def __init__(self, response, paced):
         self._response = response
+        self._paced = paced
         self.status = response.status_code
 
     def get(self, name):
@@ -95,6 +98,7 @@
         did: the parser takes the end of a connection for the end of an
         answer only where the answer had no length of its own.
         """
+        self._paced.allow(connection.MOST_EVENT_BYTES)
         try:
             return self._response.readline(EVENT_END)
         except FAILURES as exc:
@@ -102,6 +106,7 @@
 
     def read_all(self):
         """Return the whole body; raises as :meth:`read_event` does."""
+        self._paced.allow(MOST_ANSWER_BYTES)
         try:
             return self._response.read()
         except FAILURES as exc:
@@ -130,7 +135,8 @@
         pool = self._connect(client, dispatch.watch)
         dispatch.began()
         try:
-            answer = Answer(self._send(client, pool, exchange))
+            response = self._send(client, pool, exchange)
+            answer = Answer(response, pool.paced)
         except FAILURES as exc:
             raise Broken(f"{type(exc).__name__}: {exc}")
         _check_not_run(answer)
@@ -149,7 +155,8 @@
                 client._connection_pool, connection.Watch()
             )
             outgoing = Outgoing("GET", path, {})
-            answer = Answer(self._send(client, pool, outgoing))
+            response = self._send(client, pool, outgoing)
+            answer = Answer(response, pool.paced)
             pool.paced.watch = watch
         except FAILURES as exc:
             raise Broken(f"{type(exc).__name__}: {exc}")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/paged_counts.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/paged_counts.py
@@ -19,9 +19,10 @@
 # only the upper half of them is in use.
 SUB_BUCKET_BITS = 8
 SUB_BUCKETS = 1 << SUB_BUCKET_BITS
-# The narrow counter is replaced by the wide one when it overflows.
-NARROW = "H"
-WIDE = "Q"
+# A page starts with one byte a counter, enough for most organisations, and
+# becomes wider when one overflows.
+NARROWEST = "B"
+WIDER = {"B": "H", "H": "Q"}
 
 
 class PagedCounts:
@@ -49,15 +50,15 @@
         cell = value >> octave
         page = self._pages.get(octave)
         if page is None:
-            page = array.array(NARROW, bytes(2 * SUB_BUCKETS))
-            page = page if octave == 0 else page[: SUB_BUCKETS // 2]
+            length = SUB_BUCKETS // 2 if octave else SUB_BUCKETS
+            page = array.array(NARROWEST, bytes(length))
             self._pages[octave] = page
         if octave:
             cell -= SUB_BUCKETS // 2
         try:
             page[cell] += 1
         except OverflowError:
-            page = array.array(WIDE, page)
+            page = array.array(WIDER[page.typecode], page)
             page[cell] += 1
             self._pages[octave] = page
         self.total += 1
