Believe "unknown stream" only of engines that know their streams

Cause: an engine without resuming answers 404 also for a stream that it is working on. Twice in 4 s of silence, and a slow but living stream was cut.

Change: after its first answer each engine is asked once for the stream that has just ended. Only where it knew that one is a later 404 taken for a request that never arrived; else the silence limit decides.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -55,6 +55,7 @@
         self.ran = []
         # Whether two runs of a request give different texts.
         self.sampled = False
+        self.resumes = True
         self.faults = None
         # What it announces as its URL, where something stands before it.
         self.announced_url = ""
@@ -168,7 +169,7 @@
 
     def _resume(self, environ, start_response, request_id):
         stream = self.batch.streams.get(request_id)
-        if stream is None:
+        if stream is None or not self.resumes:
             return _json(start_response, "404 Not Found", {})
         found = re.search(r"from=(\d+)", environ.get("QUERY_STRING", ""))
         start = int(found[1]) if found else 0
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -124,6 +124,8 @@
         self._connect_seconds = connect_seconds
         self._silent_seconds = silent_seconds
         self._clients = {}
+        self._learnt = set()
+        self._resumable = set()
 
     def open(self, dispatch, exchange):
         """Send ``exchange`` (an :class:`Outgoing`) and return the answer.
@@ -168,6 +170,28 @@
             raise Broken(f"it is not resumed: status {answer.status}")
         return answer
 
+    def learn(self, url, request_id, streamed):
+        """Find out, once, whether a server knows its streams by name.
+
+        It is asked for one that has just ended, which asking cannot harm.
+        ``streamed`` tells those from answers that were given whole.
+        """
+        if (url, streamed) in self._learnt:
+            return
+        self._learnt.add((url, streamed))
+        gevent.spawn(self._learn, url, request_id, streamed)
+
+    def _learn(self, url, request_id, streamed):
+        try:
+            self.resume(url, request_id, 0, connection.Watch()).close()
+        except Broken:
+            return
+        self._resumable.add((url, streamed))
+
+    def resumable(self, url, streamed):
+        """Tell whether a server is known to know its streams by name."""
+        return (url, streamed) in self._resumable
+
     def probe(self, url):
         """Return what a server says over a new connection."""
         client = self._new_client(url)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -27,7 +27,7 @@
 
 
 class PathWatch(connection.Watch):
-    """Watches one attempt's connection; ``call`` tells what may be done.
+    """Watches the connection of one attempt, that of ``source``.
 
     When the server answers on a new connection and still holds the stream,
     the stream goes on over that one, from the event after the last.  That
@@ -83,7 +83,10 @@
             answer = self._source.resumed()
         except engine_client.NotHeld:
             self._not_held += 1
-            if self._source.streamed and self._not_held >= NOT_HELD:
+            if not self._source.resumable():
+                # Such an engine says so of streams that it is working on.
+                self._patience *= 2.0
+            elif self._not_held >= NOT_HELD:
                 self._give_up("unknown to its engine, and silent")
             return
         self._patience *= 2.0
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
@@ -81,10 +81,16 @@
         # A whole answer goes on as the stream that it was made from.
         self._assembled = not self._call.streamed
 
-    @property
-    def streamed(self):
-        """Tell whether its engine is bound to know it as a stream."""
-        return self._call.streamed
+    def resumable(self):
+        """Tell whether its engine would know the stream if it had it."""
+        return self._engines.resumable(self.url, self._call.streamed)
+
+    def learn(self):
+        """Find out for later whether the engine knew this stream."""
+        if self._call.generation:
+            self._engines.learn(
+                self.url, self.dispatch.request_id, self._call.streamed
+            )
 
     def resumed(self):
         """Return the rest of the stream over a new connection, or None.
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
@@ -255,6 +255,8 @@
         )
 
     def _finished(self, dispatch, status, usage):
+        if status == 200:
+            self._source.learn()
         self._host.submit(
             events.AnswerFinished(
                 dispatch.request_id,
--- a/tests/cover/test_streams_resume.py
+++ b/tests/cover/test_streams_resume.py
@@ -155,9 +155,27 @@
         served = made.engine("e1", fragile=True)
         made.apply(LOOKUP)
         assert client.send(ask(made)).complete
+        engines = made.instances[0]._engines
+        world.wait_until(lambda: engines.resumable(served.path.url, True))
         served.path.lose()
         made.engine("e2")
         answer = client.send(ask(made))
         assert answer.complete
         assert answer.text == expected()
         assert sum(len(item.ran) for item in made.engines) == 2
+
+
+def test_slow_engine_that_cannot_resume_is_not_cut(quick):
+    # An engine without resuming answers 404 also for streams that it is
+    # working on.  That must not be taken for a request that never arrived.
+    with world.World() as made:
+        made.instance("i1")
+        served = made.engine("e1", step=0.01)
+        served.resumes = False
+        made.apply(SUMMARY)
+        served.batch.pace.step = 0.7
+        job = gevent.spawn(client.send, ask(made, max_tokens=4))
+        answer = job.get()
+        assert answer.complete
+        assert answer.text == expected(4)
+        assert len(served.ran) == 1
