The probe of waiting requests spreads them over organisations

Cause: limits are enforced now, so that a burst of one organisation was refused and nothing waited; the slope came out as zero.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/pure.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/pure.py
@@ -173,16 +173,19 @@
 
 def queued_bytes(count):
     """Return the memory of so many requests that wait."""
-    reducer = new_reducer(0, 1)
-    # One server without a free slot, so that all wait.
+    reducer = new_reducer(0, 100)
+    # One server with one slot, so that all but the first few wait.
     said = samples.decoded(samples.announcement(0))
-    said.slots = 0
+    said.slots = 1
     reducer.apply(events.Announced(said), 0.0)
 
     def make():
         for number in range(count):
-            event = samples.request(number * samples.MODELS)
+            event = samples.request(number * samples.MODELS, number % 100)
             reducer.apply(event, 0.0)
+        waiting = sum(reducer.waiting().values())
+        if waiting < 0.9 * count:
+            raise RuntimeError(f"only {waiting} of {count} wait")
         return reducer
 
     return traced(make)
