--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
@@ -78,11 +78,15 @@
         core.send(name, messages.Fetch(core.log_id, core.commit))
 
     def fetch(self, source, message, now):
-        """Serve a fetch, by entries or, for one far behind, a checkpoint."""
+        """Serve a fetch, by entries or, for one far behind, a checkpoint.
+
+        One that has nothing yet gets a checkpoint in any case: it also
+        tells who the voters were at the beginning, which no entry does.
+        """
         core = self._core
         if message.after >= core.commit:
             return
-        if message.after < core.log.base:
+        if message.after < core.log.base or message.after == 0:
             data = records.encode(core.checkpoint())
             reply = messages.CheckpointSent(
                 core.log_id, records.msgspec.Raw(data)
@@ -96,12 +100,17 @@
     def committed(self, source, message, now):
         """Take in committed entries.
 
-        An own entry of another term at the same place was never committed
-        and gives way, together with all that follows it.
+        Without the founders, which come with the first checkpoint, nobody
+        could be told later who the voters are.  An own entry of another
+        term at the same place was never committed and gives way, together
+        with all that follows it.
         """
         core = self._core
+        if not core.founders:
+            return
         for entry in message.entries:
             if entry.index <= core.commit:
+                core.check_committed(entry.index, entry.term)
                 continue
             if entry.index > core.commit + 1:
                 break
