--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/breaks.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/breaks.py
@@ -12,6 +12,8 @@
 
 LEASE_ENTRY_BYTES = 250.0
 NARROW_HISTOGRAMS = 0.5
+UNACKNOWLEDGED = 0.1
+DOMAINS = 10
 
 
 def rows(data):
@@ -80,35 +82,37 @@
 )
 
 
+def _usage_mb(size, data):
+    """Return the memory of one publisher's rows, in MB."""
+    rows_held = size.organisations * model.CLASSES_OF_AN_ORGANISATION
+    return data.fit("usage_row_bytes").slope * rows_held / model.MB
+
+
 def _entry_memory(size, data):
-    per = data.fit("histogram_bytes").slope * size.organisations / model.MB
-    index = data.fit("prefix_bytes").slope * model.PREFIX_ENTRIES / model.MB
-    saved = per * (1 - NARROW_HISTOGRAMS) + index / 2
+    saved = data.fit("histogram_bytes").slope * size.organisations / model.MB
+    saved *= 1 - NARROW_HISTOGRAMS
+    saved += data.fit("prefix_bytes").slope * model.PREFIX_ENTRIES / 2e6
+    saved += _usage_mb(size, data) * (1 - UNACKNOWLEDGED)
     left = model.total(model.memory(size, data, "entry")) - saved
     return (
-        "of an organisation only first token and total, the other two by"
-        " class alone; prefixes only of the engines of the own region, half"
-        " the table",
+        "own usage rows dropped once a relay has folded them; of an"
+        " organisation only first token and total, the other two by class"
+        " alone; prefixes only of the engines of the own region, half the"
+        " table",
         f"{saved:.1f} MB less: {left:.1f} MB",
     )
 
 
 def _relay_memory(size, data):
-    rows_mb = (
-        data.fit("usage_row_bytes").slope
-        * size.organisations
-        * model.CLASSES_OF_AN_ORGANISATION
-        / model.MB
-    )
-    left = model.total(model.memory(size, data, "relay"))
-    without = left - data.fit("histogram_bytes").slope * (
-        size.organisations / model.MB
-    )
-    without -= data.fit("prefix_bytes").slope * model.PREFIX_ENTRIES / model.MB
+    lines = model.memory(size, data, "relay")
+    dropped = ("histograms", "usage", "prompt prefixes")
+    kept = sum(line.amount for line in lines if line.what not in dropped)
+    sums = 2 * _usage_mb(size, data)
     return (
-        "set aside for control: no callers, so neither histograms nor the"
-        f" prefix table; it keeps all usage rows ({rows_mb:.1f} MB)",
-        f"{without:.1f} MB",
+        "set aside for control, hence without histograms and prefixes; each"
+        " relay folds the rows of its domain into one publisher's sums, held"
+        " by the two relays of the domain, and a query asks all ten domains",
+        f"{sums:.1f} MB for the sums of both: {kept + sums:.1f} MB",
     )
 
 
@@ -146,15 +150,15 @@
 
 def _relay_bytes(size, data):
     flow = data.flow(size.flow, "relay")
+    entry = data.flow(size.flow, "entry")
     rows_sent = flow.by_kind.get("UsageRows", 0.0)
-    share = rows_sent / flow.sent_bytes
-    left = flow.sent_bytes - rows_sent * 0.9
+    domain = size.nodes / DOMAINS * entry.by_kind.get("UsageRows", 0.0)
+    left = flow.sent_bytes - rows_sent + domain / 2
     return (
-        "set aside for control, and usage summed up by failure domain:"
-        " relays pass on one row for an organisation and class of their"
-        " domain, not one for each of 53 publishers",
-        f"rows are {share:.0%} of {flow.sent_bytes / 1000:,.0f} KB/s; a"
-        f" tenth of them leaves {left / 1000:,.0f} KB/s",
+        "set aside for control; and the same sums: what comes in from half a"
+        " domain goes to its other relay only, not to nineteen",
+        f"rows are {rows_sent / flow.sent_bytes:.0%} of"
+        f" {flow.sent_bytes / 1000:,.0f} KB/s: {left / 1000:,.0f} KB/s left",
     )
 
 
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/model.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/model.py
@@ -67,8 +67,11 @@
     def slope(name, count):
         return data.fit(name).slope * count / MB
 
+    # In a day every node serves every organisation and class.  A relay, and
+    # each instance of a full mesh, holds the rows of every publisher.
     rows = size.organisations * CLASSES_OF_AN_ORGANISATION
-    held_rows = rows if role == "relay" or size.relays == 0 else rows / 4
+    holds_all = role == "relay" or size.relays == 0
+    held_rows = rows * size.nodes if holds_all else rows
     lines = [
         Line(
             "Python, libraries and an idle instance",
@@ -103,7 +106,7 @@
         ),
         Line(
             "usage",
-            "rows by organisation and class, `coordination.ledger`",
+            "rows by publisher, organisation and class, `coordination.ledger`",
             slope("usage_row_bytes", held_rows),
         ),
         Line(
