--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
@@ -19,9 +19,12 @@
 KV_PART = 0.9
 # Beyond its even share an instance goes only up to this part: reports count
 # a prompt as it is read, so that what was just placed is missing there.
-KV_BORROWED_PART = 0.6
+KV_BORROWED_PART = 0.4
 # Failures in a row after which a server is drained and probed back.
 FEW_FAILURES = 2
+# While it still runs own work it may just be full and refuse more, which is
+# no reason to drain it; only when nothing else comes of it is it.
+MANY_FAILURES = 6
 # A slow server gets one probe in this many seconds.
 PROBE_INTERVAL = 3.0
 
@@ -50,6 +53,7 @@
         "own",
         "free",
         "others",
+        "slots",
         "limit",
         "quota",
         "allowed",
@@ -67,12 +71,13 @@
         "_history",
     )
 
-    def __init__(self, name, limit):
+    def __init__(self, name, slots):
         self.name = name
         self.own = 0
         self.free = 0
         self.others = 0
-        self.limit = float(limit)
+        self.slots = slots
+        self.limit = float(slots)
         self.quota = None
         self.allowed = 0
         self.reserve = 0
@@ -88,6 +93,12 @@
         self.service_seconds = 4.0
         self._history = collections.deque()
 
+    def announce(self, slots):
+        """Take in the announced slots; new ones are learned from anew."""
+        if slots != self.slots:
+            self.slots = slots
+            self.limit = float(slots)
+
     def change_own(self, by, now):
         """Count own work and remember since when."""
         self._history.append((now, self.own))
@@ -152,7 +163,8 @@
     def fail(self, now):
         """Take in an attempt that broke off or could not connect."""
         self.failures += 1
-        if self.failures >= FEW_FAILURES:
+        enough = FEW_FAILURES if not self.own else MANY_FAILURES
+        if self.failures >= enough:
             self.drain(now)
 
     def drain(self, now):
