Status as a table shows what is flat, lists show names

Cause: the status of the configuration came as a column of JSON one character wide; make demo's table could not be read.

--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/tables.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/tables.py
@@ -80,9 +80,16 @@
 
 
 def status(rows):
-    """Return a table with one line for each instance."""
+    """Return a table with one line for each instance.
+
+    What is nested is left to ``--output json``, but for what waits.
+    """
     table = rich.table.Table(title="Instances")
-    headings = list(rows[0])
+    headings = [
+        heading
+        for heading, value in rows[0].items()
+        if heading == "waiting" or not isinstance(value, (dict, list))
+    ]
     for heading in headings:
         table.add_column(_title(heading), overflow="fold")
     for row in rows:
@@ -164,10 +171,17 @@
             if inner not in (None, "", [], {})
         )
     if isinstance(value, list):
-        return msgspec.json.encode(value).decode()
+        return ", ".join(_item(inner) for inner in value)
     return _short(str(value))
 
 
+def _item(value):
+    """Return the name of an object in a list, or the object itself."""
+    if isinstance(value, dict) and "name" in value:
+        return str(value["name"])
+    return cell(value)
+
+
 def _short(text):
     """Cut the digits of a key's hash, which nobody compares by eye."""
     return text[:19] + "…" if text.startswith("sha256:") else text
