--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/live.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/capacity/live.py
@@ -8,6 +8,7 @@
 import statistics
 import subprocess
 import sys
+import time
 
 from dandeliontrail.coordination import codec
 from dandeliontrail.coordination import messages
@@ -187,28 +188,22 @@
         body = _batch_body(size)
         host, port = service.addresses["peers"].rsplit(":", 1)
         sender = geventhttpclient.HTTPClient(host, int(port))
-        here = processes_cpu(which, service.pid)
+        pid = service.pid if which == "receive" else "self"
         idle = _idle_share(service.pid) if which == "receive" else 0.0
-        before = here()
+        began = time.monotonic()
+        before = proc.cpu_seconds(pid)
         for _ in range(POSTS):
             sender.post(
                 peer_link.PATH, body, {"Content-Type": "application/json"}
             ).read()
-        used = here() - before
+        used = proc.cpu_seconds(pid) - before
+        used -= idle * (time.monotonic() - began)
         sender.close()
-        # The posts take well under a second, in which the instance does
-        # its idle work too.
-        return max(0.0, used - idle * 0.1) / POSTS * MICROSECONDS
+        return used / POSTS * MICROSECONDS
 
     return measure
 
 
-def processes_cpu(which, pid):
-    """Return a function that reads the processor time of one end."""
-    chosen = pid if which == "receive" else "self"
-    return lambda: proc.cpu_seconds(chosen)
-
-
 def _batch_body(size):
     """Return an envelope of about ``size`` bytes with no message in it.
 
