--- a/tests/cover/test_usage_ledger.py
+++ b/tests/cover/test_usage_ledger.py
@@ -8,15 +8,10 @@
 from dandeliontrail.coordination import ledger
 from dandeliontrail.coordination import member_records
 from dandeliontrail.coordination import usage
-from dandeliontrail import events
-from dandeliontrail_lab import pure_nodes
-
-DAY = "2026-03-14"
-ORGANISATIONS = ("dock", "lab")
 
+from tests.common import usage_nodes
 
-def totals(count):
-    return usage.Totals(1, 10 * count, count, count // 2)
+ORGANISATIONS = ("dock", "lab")
 
 
 class Ledgers(stateful.RuleBasedStateMachine):
@@ -40,7 +35,7 @@
     def new(self, place):
         own = usage.Publisher(f"i{place}", self.incarnations[place])
         made = ledger.UsageLedger(own)
-        made.day = DAY
+        made.day = usage_nodes.DAY
         return made
 
     def through_codec(self, message):
@@ -53,9 +48,11 @@
     )
     def counts(self, place, organisation, count):
         held = self.ledgers[place]
-        held.count(organisation, "lookup", totals(count))
+        held.count(organisation, "lookup", usage_nodes.totals(count))
         by = self.counted.setdefault(held.own, {})
-        by.setdefault(organisation, usage.Totals()).add(totals(count))
+        by.setdefault(organisation, usage.Totals()).add(
+            usage_nodes.totals(count)
+        )
 
     @stateful.rule(place=PLACES, since=st.integers(0, 5))
     def sends_rows(self, place, since):
@@ -152,8 +149,8 @@
 def test_row_that_was_missed_is_asked_for():
     one = ledger.UsageLedger(usage.Publisher("i1", 1))
     two = ledger.UsageLedger(usage.Publisher("i2", 1))
-    one.count("dock", "lookup", totals(1))
-    one.count("lab", "lookup", totals(1))
+    one.count("dock", "lookup", usage_nodes.totals(1))
+    one.count("lab", "lookup", usage_nodes.totals(1))
     assert not two.merge(one.rows_since(one.own, 1))
     assert two.held_version(one.own) == 0
     for message in one.answer(two.have()):
@@ -167,7 +164,7 @@
     # that all others folded that start into a checkpoint.
     one = ledger.UsageLedger(usage.Publisher("i1", 1))
     two = ledger.UsageLedger(usage.Publisher("i2", 1))
-    one.count("lab", "lookup", totals(1))
+    one.count("lab", "lookup", usage_nodes.totals(1))
     message = one.rows_since(one.own, 0)
     two.merge(message)
     two.finish(one.own)
@@ -176,112 +173,80 @@
     assert two.used_by("lab").requests == 1
 
 
-def nine(**options):
-    made = pure_nodes.Network(**options)
-    for index in range(9):
-        node = made.add(f"i{index}", f"fd{index // 3}")
-        made.apply(node, events.DayBegan(DAY))
-    made.run(5.0)
-    return made
-
-
-def used(made, name):
-    return made.nodes[name].state.usage.used_by("lab").requests
-
-
 def test_all_instances_hold_what_each_counted_in_spite_of_losses():
-    made = nine(seed=5, loss=0.3)
+    made = usage_nodes.nine(seed=5, loss=0.3)
     for index in range(90):
         node = made.nodes[f"i{index % 9}"]
-        node.state.usage.count("lab", "lookup", totals(1))
+        node.state.usage.count("lab", "lookup", usage_nodes.totals(1))
         made.run(0.1)
     made.run(8.0)
-    assert [used(made, name) for name in made.nodes] == [90] * 9
+    assert [usage_nodes.used(made, name) for name in made.nodes] == [90] * 9
 
 
 def test_crash_loses_at_most_a_second_and_copies_outlive_a_domain():
     # An instance counts ten requests a second and dies, and its whole
     # failure domain with it.  The others must know all but the last second.
-    made = nine()
+    made = usage_nodes.nine()
     for _ in range(50):
-        made.nodes["i0"].state.usage.count("lab", "lookup", totals(1))
+        made.nodes["i0"].state.usage.count(
+            "lab", "lookup", usage_nodes.totals(1)
+        )
         made.run(0.1)
     for name in ("i0", "i1", "i2"):
         made.nodes[name].up = False
     made.run(3.0)
     for name in list(made.nodes)[3:]:
-        assert used(made, name) >= 40
+        assert usage_nodes.used(made, name) >= 40
 
 
 def test_partition_neither_loses_nor_doubles_a_count():
-    made = nine()
+    made = usage_nodes.nine()
     inside = ["i0", "i1", "i2"]
     made.separate(inside, [name for name in made.nodes if name not in inside])
     for index in range(60):
         node = made.nodes[f"i{index % 9}"]
-        node.state.usage.count("lab", "lookup", totals(1))
+        node.state.usage.count("lab", "lookup", usage_nodes.totals(1))
         made.run(0.5)
-    assert used(made, "i0") == 21
+    assert usage_nodes.used(made, "i0") == 21
     made.heal()
     made.run(10.0)
-    assert [used(made, name) for name in made.nodes] == [60] * 9
-
-
-def restart(made, name, incarnation):
-    made.nodes[name].up = False
-    made.run(0.5)
-    node = made.add(name, made.nodes[name].domain)
-    node.state.identity.incarnation = incarnation
-    node.state.usage.rename_own(incarnation)
-    node.state.members.note_own()
-    made.apply(node, events.DayBegan(DAY))
-    return node
+    assert [usage_nodes.used(made, name) for name in made.nodes] == [60] * 9
 
 
 def test_many_restarts_leave_the_rows_of_one():
-    made = nine()
-    made.run(60.0)
-    for count in range(36):
-        name = f"i{count % 9}"
-        made.nodes[name].state.usage.count("lab", "lookup", totals(1))
-        made.run(1.2)
-        restart(made, name, 1 << 41 | count)
-    made.run(80.0)
-    assert [used(made, name) for name in made.nodes] == [36] * 9
-    for node in made.nodes.values():
-        held = node.state.usage
-        assert held.late == 0
-        assert all(len(held.publishers_of(name)) <= 1 for name in made.nodes)
+    usage_nodes.check_restarts(36)
 
 
 def test_instance_cut_off_for_long_keeps_what_it_counted():
     # It is taken for failed, yet goes on counting alone for an hour; its
     # publisher must not be folded away meanwhile.
-    made = nine()
+    made = usage_nodes.nine()
     rest = [name for name in made.nodes if name != "i0"]
     made.separate(["i0"], rest)
     made.run(30.0)
     for _ in range(30):
-        made.nodes["i0"].state.usage.count("lab", "lookup", totals(1))
+        made.nodes["i0"].state.usage.count(
+            "lab", "lookup", usage_nodes.totals(1)
+        )
         made.run(1.0)
     failed = made.nodes["i1"].state.members.members["i0"].standing
     assert failed is member_records.Standing.FAILED
     made.heal()
     made.run(12.0)
-    assert [used(made, name) for name in made.nodes] == [30] * 9
+    assert [usage_nodes.used(made, name) for name in made.nodes] == [30] * 9
 
 
 def test_start_with_an_older_wall_clock_still_counts():
     # The clock of the machine was set back: the new start's incarnation is
     # below one that is folded already, whose rows nobody takes any more.
-    made = nine()
+    made = usage_nodes.nine()
     made.run(60.0)
     old = made.nodes["i0"]
-    old.state.usage.count("lab", "lookup", totals(1))
+    old.state.usage.count("lab", "lookup", usage_nodes.totals(1))
     made.run(2.0)
     for number in (1 << 41, 5):
-        node = restart(made, "i0", number)
-        node.state.usage.count("lab", "lookup", totals(1))
+        node = usage_nodes.restart(made, "i0", number)
+        node.state.usage.count("lab", "lookup", usage_nodes.totals(1))
         made.run(20.0)
     made.run(70.0)
-    assert [used(made, name) for name in made.nodes] == [3] * 9
+    assert [usage_nodes.used(made, name) for name in made.nodes] == [3] * 9
