A suspended machine's messages count again after a minute

Its monotonic clock stands still while it is suspended, so all that it sent afterwards looked late by as long, for good: heartbeats arrived, but no lease that it passed on was renewed anywhere. The least difference of two clocks is now that of the last 30 to 60 s.

--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -13,6 +13,9 @@
 # two sides of a healed partition find each other.
 RETRY_INTERVAL = 2.0
 FORGET_INTERVAL = 10.0
+# The fastest message of the last one to two periods tells how far apart two
+# clocks are; at a heartbeat a second that is out of thirty at least.
+OFFSET_PERIOD = 30.0
 # At 530 members a look at each costs a third of a millisecond.
 JUDGE_INTERVAL = 0.3
 HEARS_OUTSIDE = (member_records.Reach.ALL, member_records.Reach.MINORITY)
@@ -30,6 +33,7 @@
         self._next_heartbeat = 0.0
         self._next_retry = 0.0
         self._next_forget = 0.0
+        self._next_offsets = 0.0
         self._next_judgement = 0.0
         self._last_tick = None
         self._suspected = set()
@@ -59,13 +63,15 @@
             out.extend(self._judge(now))
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
-            self._members.age_offsets(membership.HEARTBEAT_INTERVAL)
             self._recover_health(now)
             out.extend(self._report_reach(now))
             out.extend(self._heartbeats(now))
         if now >= self._next_retry:
             self._next_retry = now + RETRY_INTERVAL
             out.extend(self._retry())
+        if now >= self._next_offsets:
+            self._next_offsets = now + OFFSET_PERIOD
+            self._members.turn_offsets()
         if now >= self._next_forget:
             self._next_forget = now + FORGET_INTERVAL
             self._members.forget(now)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/member_records.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/member_records.py
@@ -49,8 +49,9 @@
     standing last changed, both on this instance's clock.  ``outside`` is
     whether it says that it hears other failure domains.  ``linked`` tells
     whether it sends heartbeats here.  ``offset`` is the least difference
-    seen between this clock and its own.  ``agreed`` is when its table of
-    finished usage was last the same as ours.
+    seen between this clock and its own in this period, ``offset_before``
+    that of the period before.  ``agreed`` is when its table of finished
+    usage was last the same as ours.
     """
 
     record: MemberRecord
@@ -59,7 +60,8 @@
     applied: int = 0
     linked: bool = False
     probed: float | None = None
-    offset: float | None = None
+    offset: float = float("inf")
+    offset_before: float = float("inf")
     agreed: float = float("-inf")
     outside: bool = False
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -37,8 +37,6 @@
 # long; those that left are remembered while old news may be on its way.
 KEEP_FAILED = 24 * 3600.0
 KEEP_LEFT = 600.0
-# Clocks of two machines drift apart by less than this, in s per s.
-DRIFT = 0.0002
 
 
 class Membership:
@@ -124,9 +122,7 @@
         return held
 
     def _note_offset(self, member, sender, now):
-        offset = now - sender.clock
-        if member.offset is None or offset < member.offset:
-            member.offset = offset
+        member.offset = min(member.offset, now - sender.clock)
 
     def delay(self, sender, now):
         """Return for how many seconds a message was under way at least.
@@ -138,9 +134,10 @@
         socket cannot grant two seconds more of a lease.
         """
         member = self.members.get(sender.instance)
-        if member is None or member.offset is None:
+        if member is None:
             return 0.0
-        return max(0.0, now - sender.clock - member.offset)
+        least = min(member.offset, member.offset_before)
+        return max(0.0, now - sender.clock - least)
 
     def learn(self, record, now):
         """Take in a record and return whether it was news."""
@@ -174,7 +171,8 @@
         held.since = now
         held.probed = None
         if record.incarnation != before.incarnation:
-            held.offset = None
+            held.offset = float("inf")
+            held.offset_before = float("inf")
             held.applied = 0
             held.heard = now
         self.digest.put(record.instance, record.order())
@@ -384,12 +382,21 @@
             member.since += seconds
             if member.probed is not None:
                 member.probed += seconds
+        for domain in self._last_heard:
+            self._last_heard[domain] += seconds
 
-    def age_offsets(self, seconds):
-        """Let least offsets rise by what two clocks may drift apart."""
+    def turn_offsets(self):
+        """Begin a new period in which least offsets are looked for.
+
+        Clocks drift apart, and the monotonic clock of a machine that is
+        suspended stands still: from then on every message of it would look
+        late for good, and renew no lease.  The link gives up a message
+        after a few seconds, so that the fastest of a whole period has
+        hardly been delayed.
+        """
         for member in self.members.values():
-            if member.offset is not None:
-                member.offset += DRIFT * seconds
+            member.offset_before = member.offset
+            member.offset = float("inf")
 
     def forget(self, now):
         """Drop members that have been gone for long."""
--- a/tests/cover/test_members.py
+++ b/tests/cover/test_members.py
@@ -1,6 +1,7 @@
 """Membership over pure reducers: failures, partitions, refutation."""
 
 from dandeliontrail.coordination import member_records
+from dandeliontrail.coordination import messages
 from dandeliontrail import events
 from dandeliontrail_lab import pure_nodes
 
@@ -184,3 +185,22 @@
         for item in made.nodes["i0"].state.members.members.values()
     )
     assert failed == 1
+
+
+def test_suspended_machine_is_not_late_for_ever():
+    # A machine is suspended for an hour, and its monotonic clock with it.
+    # Afterwards all it sends looks an hour late; leases that it passes on
+    # must count again after a while.
+    made = nine()
+    node = made.nodes["i0"]
+    node.up = False
+    made.run(20.0)
+    node.skew -= 3600.0
+    node.up = True
+    made.run(1.0)
+    members = made.nodes["i1"].state.members
+    sender = messages.Sender("i0", "i0", "fd0", "r1", 1, made.now + node.skew)
+    assert members.delay(sender, made.now) > 3000.0
+    made.run(65.0)
+    sender.clock = made.now + node.skew
+    assert members.delay(sender, made.now) < 0.1
