Usage told under a smaller incarnation is not counted again

An instance restarted with its wall clock set back while its failure domain is cut off publishes under a small incarnation and hears of the greater one only after the partition: it took its rows along, and whoever held the first publisher counted them twice. It now counts on as a later publisher unless the first is folded away already. A test with that story failed before.

--- a/packages/dandeliontrail/src/dandeliontrail/components/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage.py
@@ -76,15 +76,24 @@
         return out
 
     def _follow_incarnation(self):
-        """Publish under the incarnation that the others go by."""
+        """Publish under the incarnation that the others go by.
+
+        A start that found its wall clock set back takes a greater one once
+        it is told, which may be long after, where it was cut off.
+        """
         own = self._state.identity
         folded = self._ledger.folded_through(own.instance)
         if folded >= own.incarnation:
             own.incarnation = folded + 1
             self._state.members.note_own()
-        if own.incarnation > self._ledger.own.incarnation:
+        present = self._ledger.own.incarnation
+        if own.incarnation == present:
+            return
+        if self._sent and folded < present:
+            self._ledger.succeed_own(own.incarnation)
+        else:
             self._ledger.rename_own(own.incarnation)
-            self._sent.clear()
+        self._sent.clear()
 
     def _audience(self):
         """Return whom to tell of new rows: all, or one relay.
@@ -186,8 +195,8 @@
         counting, so just a later start of it, or its own word that it
         leaves, ends a publisher.
         """
-        for instance in self._ledger.instances():
-            *earlier, last = self._ledger.publishers_of(instance)
+        for instance, publishers in self._ledger.unfolded().items():
+            *earlier, last = publishers
             for publisher in earlier:
                 self._ledger.finish(publisher)
             member = self._state.members.members.get(instance)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -160,20 +160,28 @@
             item for item in self._publishers if item.instance == instance
         )
 
-    def instances(self):
-        """Return the names of all instances that have publishers here."""
-        return {item.instance for item in self._publishers}
+    def unfolded(self):
+        """Return the publishers of each instance, the earliest first."""
+        out = {}
+        for publisher in sorted(self._publishers):
+            out.setdefault(publisher.instance, []).append(publisher)
+        return out
 
     def folded_through(self, instance):
         """Return the greatest folded incarnation of an instance, or -1."""
         held = self._checkpoints.get(instance)
         return held.through if held else -1
 
+    def succeed_own(self, incarnation):
+        """Count on as a later publisher; what is counted stays."""
+        self.own = usage.Publisher(self.own.instance, incarnation)
+        self._publishers[self.own] = _Held()
+
     def rename_own(self, incarnation):
-        """Count under a greater incarnation from now on.
+        """Count under a greater incarnation, and take all rows along.
 
-        For a start that finds its wall clock set back.  What nobody has
-        been told of yet moves along.
+        Only where nobody counts the rows under the present one: nobody was
+        told of them, or all will find them folded already.
         """
         before = self.own
         self.own = usage.Publisher(before.instance, incarnation)
--- a/tests/common/usage_nodes.py
+++ b/tests/common/usage_nodes.py
@@ -24,10 +24,9 @@
     return made.nodes[name].state.usage.used_by("lab").requests
 
 
-def restart(made, name, incarnation):
-    made.nodes[name].up = False
-    made.run(0.5)
-    node = made.add(name, made.nodes[name].domain)
+def start(made, name, domain, incarnation):
+    """Start a node with a chosen incarnation."""
+    node = made.add(name, domain)
     node.state.identity.incarnation = incarnation
     node.state.usage.rename_own(incarnation)
     node.state.members.note_own()
@@ -35,6 +34,13 @@
     return node
 
 
+def restart(made, name, incarnation):
+    """Stop a node and start it again, with nothing but its name."""
+    made.nodes[name].up = False
+    made.run(0.5)
+    return start(made, name, made.nodes[name].domain, incarnation)
+
+
 def check_restarts(restarts):
     """Restart instances in turn; nothing is lost and one publisher left."""
     made = nine()
--- a/tests/cover/test_usage_ledger.py
+++ b/tests/cover/test_usage_ledger.py
@@ -98,7 +98,7 @@
     def all_agree_and_one_folds(self, place):
         self.exchange_all()
         for held in self.ledgers:
-            for instance in held.instances():
+            for instance in held.unfolded():
                 now = self.incarnations[int(instance[1:])]
                 for publisher in held.publishers_of(instance):
                     if publisher.incarnation < now:
@@ -250,3 +250,29 @@
         made.run(20.0)
     made.run(70.0)
     assert [usage_nodes.used(made, name) for name in made.nodes] == [3] * 9
+
+
+def test_start_with_an_older_wall_clock_inside_a_partition_counts_once():
+    # The instance restarts with its wall clock set back while its domain is
+    # cut off, counts, and hears only afterwards that others know of a
+    # greater incarnation.  What it told its own domain must not be counted
+    # again under the one that it takes then.
+    made = usage_nodes.nine()
+    made.nodes["i0"].state.usage.count("lab", "lookup", usage_nodes.totals(1))
+    made.run(3.0)
+    inside = ["i0", "i1", "i2"]
+    outside = [name for name in made.nodes if name not in inside]
+    for name in inside:
+        made.nodes[name].up = False
+    made.separate(inside, outside)
+    for number, name in enumerate(inside):
+        made.nodes.pop(name)
+        usage_nodes.start(made, name, "fd0", number)
+    made.run(8.0)
+    made.nodes["i0"].state.usage.count("lab", "lookup", usage_nodes.totals(1))
+    made.run(5.0)
+    assert usage_nodes.used(made, "i1") == 1
+    made.heal()
+    made.run(20.0)
+    found = [usage_nodes.used(made, name) for name in made.nodes]
+    assert found == [2] * 9
