--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -22,68 +22,15 @@
 hundred times leaves the rows of one.
 """
 
-import dataclasses
-
 from .. import invariants
 from . import digests
 from . import usage
+from . import usage_rows
 from . import usage_totals
 
 Totals = usage.Totals
 
 
-@dataclasses.dataclass(slots=True)
-class _Row:
-    version: int
-    totals: Totals
-
-
-class _Held:
-    """What is held of one publisher.
-
-    ``version`` is up to where nothing is missing, ``ahead`` the ranges of
-    versions that came before what precedes them.  ``rows`` are in the order
-    of their versions as long as ``ordered`` says so.
-    """
-
-    __slots__ = ("version", "ahead", "rows", "ordered", "newest", "unsaved")
-
-    def __init__(self):
-        self.version = 0
-        self.ahead = []
-        self.rows = {}
-        self.ordered = True
-        self.newest = 0
-        self.unsaved = set()
-
-    def put_last(self, key, row):
-        """Move a row that changed to the end, where the newest are."""
-        self.rows.pop(key, None)
-        self.rows[key] = row
-        self.ordered = self.ordered and row.version >= self.newest
-        self.newest = max(self.newest, row.version)
-
-    def covers(self, since, through):
-        """Take note of a range; return whether nothing is missing."""
-        self.ahead.append((since, through))
-        self.ahead.sort()
-        while self.ahead and self.ahead[0][0] <= self.version:
-            self.version = max(self.version, self.ahead.pop(0)[1])
-        return not self.ahead
-
-
-class _Checkpoint:
-    """The folded publishers of one instance, up to an incarnation."""
-
-    __slots__ = ("through", "root", "versions", "rows")
-
-    def __init__(self, through=-1, root=0, versions=0):
-        self.through = through
-        self.root = root
-        self.versions = versions
-        self.rows = {}
-
-
 class UsageLedger:
     """Totals by organisation, class and day, merged over all instances.
 
@@ -108,7 +55,7 @@
         self.late = 0
         self.finished = set()
         self.totals = usage_totals.UsageTotals()
-        self._publishers = {own: _Held()}
+        self._publishers = {own: usage_rows.HeldRows()}
         self._checkpoints = {}
         self._changed_checkpoints = set()
 
@@ -116,7 +63,7 @@
         """Add ``counted`` to this instance's rows."""
         held = self._publishers[self.own]
         key = usage.UsageKey(self.day, organisation, class_name)
-        row = held.rows.get(key) or _Row(0, Totals())
+        row = held.rows.get(key) or usage_rows.Row(0, Totals())
         held.version += 1
         row.version = held.version
         row.totals.add(counted)
@@ -175,7 +122,7 @@
     def succeed_own(self, incarnation):
         """Count on as a later publisher; what is counted stays."""
         self.own = usage.Publisher(self.own.instance, incarnation)
-        self._publishers[self.own] = _Held()
+        self._publishers[self.own] = usage_rows.HeldRows()
 
     def rename_own(self, incarnation):
         """Count under a greater incarnation, and take all rows along.
@@ -204,13 +151,13 @@
         publisher = message.publisher
         if publisher == self.own or self._is_folded(publisher):
             return True
-        held = self._publishers.setdefault(publisher, _Held())
+        held = self._publishers.setdefault(publisher, usage_rows.HeldRows())
         for item in message.rows:
             self._merge_row(held, item)
         return held.covers(message.since, message.through)
 
     def _merge_row(self, held, item):
-        row = held.rows.get(item.key) or _Row(0, Totals())
+        row = held.rows.get(item.key) or usage_rows.Row(0, Totals())
         after = usage.greater(row.totals, item.totals)
         grown = after.less(row.totals)
         invariants.check(
@@ -332,7 +279,7 @@
 
     def _fold(self, publisher):
         name = publisher.instance
-        into = self._checkpoints.setdefault(name, _Checkpoint())
+        into = self._checkpoints.setdefault(name, usage_rows.Checkpoint())
         held = self._publishers.pop(publisher)
         self.finished.discard(publisher)
         for key, row in held.rows.items():
@@ -360,7 +307,9 @@
             return
         before = self.version()
         self._drop_folded(name, message.through)
-        into = _Checkpoint(message.through, message.root, message.versions)
+        into = usage_rows.Checkpoint(
+            message.through, message.root, message.versions
+        )
         for row in message.rows:
             into.rows[row.key] = row.totals.copy()
             self.totals.add(row.key, row.totals)
