--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
@@ -5,9 +5,13 @@
 from . import batch
 from . import demo as demo_module
 from . import engine as engine_module
+from .capacity import command as capacity
+from .policy import command as policy_command
 from .soak import run as soak_run
 
 app = cyclopts.App(name="lab", help="Stand-ins, load and experiments.")
+app.command(capacity.app)
+app.command(policy_command.policy)
 
 
 @app.command
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -7,6 +7,7 @@
 from .. import interfaces
 from .. import sentinels
 from . import answers
+from . import attainment
 from . import claims
 from ..coordination import claim_entries
 from ..coordination import claims as claims_module
@@ -209,8 +210,11 @@
             return self._pause(held, pause, now) + self._decide(now)
         return self._try_again(held, now)
 
-    def _try_again(self, held, now):
-        """Queue a request for another server, or end it."""
+    def _try_again(self, held, now, begun=False):
+        """Queue a request for another server, or end it.
+
+        Where an attempt has ``begun``, the policy has a budget for more.
+        """
         held.work.avoid.add(held.server)
         if held.attempt >= MOST_ATTEMPTS:
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
@@ -219,7 +223,11 @@
             # One of them may have come back by then.
             held.work.avoid.clear()
             return self._pause(held, PAUSE_SECONDS, now) + self._decide(now)
-        self._policy.requeue(held.work, now)
+        if not begun:
+            self._policy.requeue(held.work, now)
+        elif not self._policy.retry(held.work, now):
+            nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED, 1.0)
+            return self._refuse(held, nothing, now) + self._decide(now)
         return self._decide(now)
 
     def _all_avoided(self, work):
@@ -266,6 +274,7 @@
             gaps_ms=event.gaps_ms,
         )
         self._policy.ended(ended, now)
+        attainment.count(self._state, held, now)
         self._count(work, event.prompt_tokens, event.output_tokens)
         out = [
             answers.decision(work, "complete", held.server),
@@ -304,7 +313,7 @@
             return self._refuse(held, nothing, now) + self._decide(now)
         out = self._cancel(held)
         held.move(life.Phase.QUEUED)
-        return out + self._try_again(held, now)
+        return out + self._try_again(held, now, begun=True)
 
     def _cancel(self, held):
         server = self._state.directory.server(held.server)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -44,6 +44,7 @@
         "late",
         "finished",
         "totals",
+        "own_totals",
         "_publishers",
         "_checkpoints",
         "_changed_checkpoints",
@@ -55,6 +56,7 @@
         self.late = 0
         self.finished = set()
         self.totals = usage_totals.UsageTotals()
+        self.own_totals = usage_totals.UsageTotals()
         self._publishers = {own: usage_rows.HeldRows()}
         self._checkpoints = {}
         self._changed_checkpoints = set()
@@ -70,6 +72,18 @@
         held.put_last(key, row)
         held.unsaved.add(key)
         self.totals.add(key, counted)
+        self.own_totals.add(key, counted)
+
+    def used_elsewhere(self, organisation, class_name):
+        """Return the totals that other instances or starts counted.
+
+        Without a class name they are of all classes.
+        """
+        if not class_name:
+            own = self.own_totals.of_organisation(organisation)
+            return self.totals.of_organisation(organisation).less(own)
+        own = self.own_totals.of_class(organisation, class_name)
+        return self.totals.of_class(organisation, class_name).less(own)
 
     def used(self, organisation, class_name):
         """Return the totals of an organisation in a class, all days."""
