What waited through a pause of this process renews no lease

A process test that had passed failed: an instance stopped for four seconds gave work to a silent server again when it went on. Its sockets held the first messages of senders with which there was nothing to compare yet, so their delay came out as none; and a server's own announcement, read late, counted as new. For a second after a pause all that is read is now taken to be as old as the pause.

The test also expected too much: the last announcement may have gone to the stopped instance alone, so it now waits for the whole lease before it lets the instance go on.

--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -43,7 +43,8 @@
         announcement = event.announcement
         name = announcement.backend_server
         before = self._content(name)
-        if not self._learn(announcement, 0.0, now):
+        age = self._state.members.waited(now)
+        if not self._learn(announcement, age, now):
             return []
         if self._content(name) == before:
             self._renewals.note(name)
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -35,7 +35,6 @@
         self._next_forget = 0.0
         self._next_offsets = 0.0
         self._next_judgement = 0.0
-        self._last_tick = None
         self._suspected = set()
         self._leaving = False
         self._reach = member_records.Reach.ALL
@@ -103,9 +102,8 @@
         in the sockets are read.  The time that stood still counts for
         nobody, and this instance becomes more patient for a while.
         """
-        late = now - self._last_tick if self._last_tick is not None else 0.0
-        self._last_tick = now
-        if late > membership.LATE_TICK:
+        late = self._members.note_tick(now)
+        if late:
             self._members.shift(late)
             self._worsen_health()
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -33,6 +33,8 @@
 WORST_HEALTH = 4
 # A tick this late means that this process, not its peers, stood still.
 LATE_TICK = 0.5
+# For so long after a pause, what is read may have waited through it.
+PAUSE_ECHO = 1.0
 # The fastest message between two instances, regions apart, takes less.
 HOP_SECONDS = 0.05
 # Failed instances are tried again for a day, since a partition may be
@@ -61,6 +63,9 @@
         "_linked_members",
         "_silent",
         "_last_heard",
+        "_last_tick",
+        "_pause",
+        "_pause_ended",
     )
 
     def __init__(self, identity, seeds):
@@ -76,6 +81,9 @@
         self._linked_members = []
         self._silent = set()
         self._last_heard = {}
+        self._last_tick = None
+        self._pause = 0.0
+        self._pause_ended = float("-inf")
 
     def own_record(self, standing=Standing.ALIVE):
         """Return this instance's record of itself."""
@@ -134,13 +142,16 @@
         is above that, it was delayed, in a queue, on the way or because
         either end stood still.  So a message that waited two seconds in a
         socket cannot grant two seconds more of a lease.  What the fastest
-        one took cannot be told from the clocks and is allowed for.
+        one took cannot be told from the clocks and is allowed for.  After a
+        pause of this process even the first message of a sender, with which
+        there is nothing to compare, may have waited through it.
         """
         member = self.members.get(sender.instance)
         if member is None:
             return 0.0
         least = min(member.offset, member.offset_before)
-        return HOP_SECONDS + max(0.0, now - sender.clock - least)
+        late = now - sender.clock - least
+        return HOP_SECONDS + max(0.0, late, self.waited(now))
 
     def learn(self, record, now):
         """Take in a record and return whether it was news."""
@@ -388,6 +399,34 @@
         for domain in self._last_heard:
             self._last_heard[domain] += seconds
 
+    def note_tick(self, now):
+        """Note that this process runs; return for how long it stood still.
+
+        Zero where the last tick is as long ago as it should be.
+        """
+        late = now - self._last_tick if self._last_tick is not None else 0.0
+        self._last_tick = now
+        if late <= LATE_TICK:
+            return 0.0
+        self._pause = late
+        self._pause_ended = now
+        return late
+
+    def waited(self, now):
+        """Return for how long something just read may have waited here.
+
+        After a pause of this process, what is read from its sockets may be
+        as old as the pause was long, and a backend server that has fallen
+        silent since would be taken for alive.
+        """
+        if self._last_tick is None:
+            return 0.0
+        if now - self._last_tick > LATE_TICK:
+            return now - self._last_tick
+        if now - self._pause_ended < PAUSE_ECHO:
+            return self._pause
+        return 0.0
+
     def turn_offsets(self):
         """Begin a new period in which least offsets are looked for.
 
--- a/tests/cover/test_server_records.py
+++ b/tests/cover/test_server_records.py
@@ -265,6 +265,28 @@
     assert not any(serving(made))
 
 
+def test_announcement_that_waited_for_a_paused_instance_renews_nothing():
+    # An instance stands still for five seconds.  A server's last
+    # announcement waits in its socket meanwhile; when it is read, before or
+    # after the first tick, it is as old as the pause and not new.
+    for ticked in (False, True):
+        made = nine()
+        speak(made, 3)
+        node = made.nodes["i4"]
+        node.up = False
+        made.run(5.0)
+        node.up = True
+        if ticked:
+            made.run(0.2)
+        made.announce(node, announcement(1, 10))
+        made.run(0.5)
+        assert not any(serving(made))
+        made.run(1.0)
+        made.announce(node, announcement(1, 11))
+        made.run(1.5)
+        assert serving(made) == [True] * 9
+
+
 def test_partitioned_instances_stop_to_give_work():
     made = nine()
     speak(made, 3)
--- a/tests/nocover/test_members_processes.py
+++ b/tests/nocover/test_members_processes.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import time
 
 import gevent
 
@@ -17,6 +18,7 @@
 DOMAINS = [f"fd{index // 3}" for index in range(9)]
 KEEPERS = {"bootstrap_keepers": ["i0", "i1", "i2"]}
 LONG = 60.0
+LEASE_SECONDS = 3.0
 
 
 def operators(running, index):
@@ -72,8 +74,14 @@
         os.kill(paused.pid, signal.SIGSTOP)
         try:
             announcer.kill()
+            # The last announcement may have gone to the paused instance
+            # alone, whose lease then ends later than the others'.
+            silent_since = time.monotonic()
             world.wait_until(lambda: heard(running, 0) == 7, LONG)
             world.wait_until(lambda: not servers(running, 0)["e1"], LONG)
+            world.wait_until(
+                lambda: time.monotonic() - silent_since > LEASE_SECONDS, LONG
+            )
         finally:
             os.kill(paused.pid, signal.SIGCONT)
         for _ in range(50):
