--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -33,12 +33,14 @@
 WORST_HEALTH = 4
 # A tick this late means that this process, not its peers, stood still.
 LATE_TICK = 0.5
+# For so long after a pause, what is read may have waited through it.
+PAUSE_ECHO = 1.0
+# The fastest message between two instances, regions apart, takes less.
+HOP_SECONDS = 0.05
 # Failed instances are tried again for a day, since a partition may be
 # long; those that left are remembered while old news may be on its way.
 KEEP_FAILED = 24 * 3600.0
 KEEP_LEFT = 600.0
-# Clocks of two machines drift apart by less than this, in s per s.
-DRIFT = 0.0002
 
 
 class Membership:
@@ -61,6 +63,9 @@
         "_linked_members",
         "_silent",
         "_last_heard",
+        "_last_tick",
+        "_pause",
+        "_pause_ended",
     )
 
     def __init__(self, identity, seeds):
@@ -76,6 +81,9 @@
         self._linked_members = []
         self._silent = set()
         self._last_heard = {}
+        self._last_tick = None
+        self._pause = 0.0
+        self._pause_ended = float("-inf")
 
     def own_record(self, standing=Standing.ALIVE):
         """Return this instance's record of itself."""
@@ -124,23 +132,26 @@
         return held
 
     def _note_offset(self, member, sender, now):
-        offset = now - sender.clock
-        if member.offset is None or offset < member.offset:
-            member.offset = offset
+        member.offset = min(member.offset, now - sender.clock)
 
     def delay(self, sender, now):
-        """Return for how many seconds a message was under way at least.
+        """Return for how many seconds a message was under way at most.
 
         Both clocks are monotonic but have nothing in common.  Their
         difference is least for the fastest message so far; what a later one
         is above that, it was delayed, in a queue, on the way or because
         either end stood still.  So a message that waited two seconds in a
-        socket cannot grant two seconds more of a lease.
+        socket cannot grant two seconds more of a lease.  What the fastest
+        one took cannot be told from the clocks and is allowed for.  After a
+        pause of this process even the first message of a sender, with which
+        there is nothing to compare, may have waited through it.
         """
         member = self.members.get(sender.instance)
-        if member is None or member.offset is None:
+        if member is None:
             return 0.0
-        return max(0.0, now - sender.clock - member.offset)
+        least = min(member.offset, member.offset_before)
+        late = now - sender.clock - least
+        return HOP_SECONDS + max(0.0, late, self.waited(now))
 
     def learn(self, record, now):
         """Take in a record and return whether it was news."""
@@ -174,7 +185,8 @@
         held.since = now
         held.probed = None
         if record.incarnation != before.incarnation:
-            held.offset = None
+            held.offset = float("inf")
+            held.offset_before = float("inf")
             held.applied = 0
             held.heard = now
         self.digest.put(record.instance, record.order())
@@ -384,12 +396,49 @@
             member.since += seconds
             if member.probed is not None:
                 member.probed += seconds
+        for domain in self._last_heard:
+            self._last_heard[domain] += seconds
 
-    def age_offsets(self, seconds):
-        """Let least offsets rise by what two clocks may drift apart."""
+    def note_tick(self, now):
+        """Note that this process runs; return for how long it stood still.
+
+        Zero where the last tick is as long ago as it should be.
+        """
+        late = now - self._last_tick if self._last_tick is not None else 0.0
+        self._last_tick = now
+        if late <= LATE_TICK:
+            return 0.0
+        self._pause = late
+        self._pause_ended = now
+        return late
+
+    def waited(self, now):
+        """Return for how long something just read may have waited here.
+
+        After a pause of this process, what is read from its sockets may be
+        as old as the pause was long, and a backend server that has fallen
+        silent since would be taken for alive.
+        """
+        if self._last_tick is None:
+            return 0.0
+        if now - self._last_tick > LATE_TICK:
+            return now - self._last_tick
+        if now - self._pause_ended < PAUSE_ECHO:
+            return self._pause
+        return 0.0
+
+    def turn_offsets(self):
+        """Begin a new period in which least offsets are looked for.
+
+        Clocks drift apart, and the monotonic clock of a machine that is
+        suspended stands still: from then on every message of it would look
+        late for good, and renew no lease.  The link gives up a message
+        after a few seconds, so that the fastest of a whole period has
+        hardly been delayed.
+        """
         for member in self.members.values():
-            if member.offset is not None:
-                member.offset += DRIFT * seconds
+            member.offset_before = member.offset
+            member.offset = float("inf")
 
     def forget(self, now):
         """Drop members that have been gone for long."""
