--- a/bench/nine.py
+++ b/bench/nine.py
@@ -41,7 +41,7 @@
         return self
 
     def _program(self, name):
-        path = self._folder / "instance"
+        path = self.folder / "instance"
         lines = [
             f"#!{sys.executable}",
             "from bench import nine",
@@ -50,7 +50,7 @@
         path.write_text("\n".join(lines) + "\n")
         path.chmod(0o755)
         os.environ["PYTHONPATH"] = str(pathlib.Path(__file__).parents[1])
-        os.environ[CUT_FILE] = str(self._folder / "cut")
+        os.environ[CUT_FILE] = str(self.folder / "cut")
         return str(path)
 
     def _settings(self, index, ports):
@@ -84,7 +84,7 @@
             for item, place in zip(self.instances, DOMAINS)
             if place == domain
         ]
-        file = self._folder / "cut"
+        file = self.folder / "cut"
         new = file.with_suffix(".new")
         new.write_text("\n".join(inside))
         new.rename(file)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
@@ -11,6 +11,7 @@
 
 from dandeliontrail import events
 
+from . import connection
 from . import engine_client
 from . import silence
 from . import transcript
@@ -32,11 +33,9 @@
         self._call = call
         self.dispatch = dispatch
         self.url = dispatch.url
-        # A repeatable stream is better tried elsewhere than awaited here;
-        # all else may be silent until its caller's deadline.
-        streams = call.streamed and dispatch.repeatable
-        limit = limits.backend_silent_seconds if streams else 0.0
-        self.watch = silence.PathWatch(engines, self, limit)
+        self.watch = silence.PathWatch(
+            engines, self, limits.backend_silent_seconds
+        )
         self._answer = None
         self._received = 0
         self._resumes = 0
@@ -60,7 +59,7 @@
         """Send the request; return the status of the answer."""
         try:
             self._answer = self._engines.open(self, outgoing)
-        except engine_client.PathLost as exc:
+        except connection.PathLost as exc:
             self._leave_path(exc)
         except engine_client.Broken as exc:
             self._recover(exc)
@@ -82,8 +81,22 @@
         # A whole answer goes on as the stream that it was made from.
         self._assembled = not self._call.streamed
 
+    def resumable(self):
+        """Tell whether its engine would know the stream if it had it."""
+        return self._engines.resumable(self.url, self._call.streamed)
+
+    def learn(self):
+        """Find out for later whether the engine knew this stream."""
+        if self._call.generation:
+            self._engines.learn(
+                self.url, self.dispatch.request_id, self._call.streamed
+            )
+
     def resumed(self):
-        """Return the rest of the stream over a new connection, or None."""
+        """Return the rest of the stream over a new connection, or None.
+
+        Raises ``NotHeld`` where the server does not know the stream.
+        """
         if not self._call.generation:
             return None
         try:
@@ -93,6 +106,8 @@
                 self._received,
                 self.watch,
             )
+        except engine_client.NotHeld:
+            raise
         except engine_client.Broken:
             return None
 
@@ -122,7 +137,7 @@
                 if event:
                     return self._count(event)
                 raise engine_client.Broken("it ended without [DONE]")
-            except engine_client.PathLost as exc:
+            except connection.PathLost as exc:
                 self._leave_path(exc)
             except engine_client.Broken as exc:
                 self._recover(exc)
@@ -142,7 +157,7 @@
                 body = self._answer.read_all()
                 self._check_whole(body)
                 return body
-            except engine_client.PathLost as exc:
+            except connection.PathLost as exc:
                 self._leave_path(exc)
             except engine_client.Broken as exc:
                 self._recover(exc)
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -10,6 +10,7 @@
 from . import events
 from .components import backend_servers
 from .components import caches
+from .components import claim_voting
 from .components import claims
 from .components import cluster_view
 from .components import configuration
@@ -97,7 +98,8 @@
         cluster_view.StateView(state),
         (identity.instance, identity.failure_domain),
     )
-    claimer = claims.Claims(state, bootstrap)
+    voting = claim_voting.ClaimVoting(state, bootstrap)
+    claimer = claims.Claims(state, voting)
     renewing = renewals.Renewals(state, chosen)
     parts = [
         members.Members(state),
@@ -106,6 +108,7 @@
         backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
+        voting,
         claimer,
         requests.Requests(state, chosen, claimer),
         orders.Orders(state),
--- a/tests/cover/test_bad_servers.py
+++ b/tests/cover/test_bad_servers.py
@@ -8,7 +8,7 @@
 import socket
 
 from dandeliontrail_lab import client
-from dandeliontrail_node import engine_client
+from dandeliontrail_node import connection
 import gevent
 import pytest
 
@@ -18,7 +18,7 @@
 CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
 # Of each of up to four connections, what is taken in and what the sockets
 # hold.
-BOUND = 4 * 16 * engine_client.MOST_EVENT_BYTES
+BOUND = 4 * 16 * connection.MOST_EVENT_BYTES
 
 
 class BadServer:
