--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/command.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/command.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import sys
 
 import msgspec
 import rich.console
@@ -14,6 +15,7 @@
 
 ALL = "all"
 BASELINES = "baselines"
+BAD_USAGE = 2
 
 
 def policy(
@@ -79,7 +81,9 @@
 def _known(names, known):
     for name in names:
         if name not in known:
-            raise SystemExit(f"{name} is none of: {', '.join(known)}")
+            allowed = ", ".join([*known, ALL])
+            print(f"{name}: use one of {allowed}", file=sys.stderr)
+            raise SystemExit(BAD_USAGE)
     return list(names)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -267,7 +267,6 @@
         self._shares.placed(work.class_name, tokens)
         self._fleet.place(work, server, need.footprint, now)
         self._check_share(need, server)
-        self._placing.placed(work, server)
         decided.append(work_module.Placement(work, server))
 
     def _check_share(self, need, server):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -65,6 +65,7 @@
         if self._options.shared_room:
             held.share(self.sharing.instances, self._rng.random())
         else:
+            held.quota = held.limit
             held.allowed = max(0, int(held.limit - held.reserve - held.others))
         self._count_free(held)
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/options.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/options.py
@@ -20,7 +20,6 @@
     aged_reports: bool = True
     shared_room: bool = True
     slow_servers: bool = True
-    prefix_affinity: bool = True
     learned_limits: bool = True
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -29,12 +29,8 @@
 # A slow server gets work whose target is this many times away, beyond its
 # own slowness.
 PLENTY = 5.0
-# In parts of a full batch: the price of the trip to another failure
-# domain, and what a held prefix is worth for each thousand tokens.
+# In parts of a full batch: the price of the trip to another failure domain.
 OTHER_DOMAIN = 0.03
-PREFIX_PER_THOUSAND = 0.5
-# Prefixes remembered, each with the server that got it last.
-MOST_PREFIXES = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,7 +113,6 @@
         self._identity = identity
         self._options = options
         self._subsets = {}
-        self._prefixes = collections.OrderedDict()
         self._freed = collections.deque(maxlen=REMEMBERED)
 
     def freed(self, server):
@@ -125,14 +120,6 @@
         if server not in self._freed:
             self._freed.append(server)
 
-    def placed(self, work, server):
-        """Remember where a prefix went."""
-        if work.prefix_hash:
-            self._prefixes[work.prefix_hash] = server
-            self._prefixes.move_to_end(work.prefix_hash)
-            if len(self._prefixes) > MOST_PREFIXES:
-                self._prefixes.popitem(last=False)
-
     def subset(self, servers, work, fleet, instances, now):
         """Return the servers to choose from for the target of ``work``."""
         key = (work.class_name, work.model, work.service)
@@ -148,14 +135,13 @@
 
     def pick(self, need, subset, fleet, now):
         """Return the name of the best server, or a ``Nothing``."""
-        holder = self._prefixes.get(need.work.prefix_hash)
-        sample = self._sample(subset, holder)
+        sample = self._sample(subset)
         best = None
         least = None
         for server, engine in sample:
             if not self._may_take(need, server, engine, fleet, now):
                 continue
-            score = self._score(need, server, engine, fleet, holder)
+            score = self._score(server, engine, fleet)
             if least is None or score < least:
                 best, least = engine.name, score
         best = best or self._only_slow(need, sample, now)
@@ -178,11 +164,11 @@
                 return engine.name
         return None
 
-    def _sample(self, subset, holder):
+    def _sample(self, subset):
         if len(subset.pairs) <= FEW:
             return subset.pairs
         chosen = self._rng.sample(subset.pairs, SAMPLE)
-        return chosen + subset.named([*self._freed, holder])
+        return chosen + subset.named(self._freed)
 
     def _may_take(self, need, server, engine, fleet, now):
         if not server.serves(now) or engine.name in need.work.avoid:
@@ -215,7 +201,7 @@
             return True
         return need.work.repeatable and engine.may_probe(now)
 
-    def _score(self, need, server, engine, fleet, holder):
+    def _score(self, server, engine, fleet):
         """Return the cost of a server; the least is taken.
 
         An instance that spreads its own work evenly needs no report to do
@@ -228,8 +214,6 @@
         score = own * fleet.medians.relative(engine)
         if server.announcement.failure_domain != self._domain:
             score += OTHER_DOMAIN
-        if holder == engine.name and self._options.prefix_affinity:
-            score -= PREFIX_PER_THOUSAND * need.work.prompt_tokens / 1000.0
         return score + self._rng.random() * 0.02
 
 
