--- a/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -8,10 +8,12 @@
 
 import time
 
+from . import connection
 from . import engine_client
 
-# Before the first byte an engine may queue and read a long prompt.
-FIRST_SECONDS = 5.0
+# Before the first byte an engine may queue and read a long prompt; asking
+# costs two small requests, and each doubles the time to the next.
+FIRST_SECONDS = 2.0
 # Between outputs: this many times the longest gap seen, within bounds.  At
 # 29 ms between tokens a silence of 2 s is 70 of them.
 GAP_FACTOR = 20.0
@@ -19,10 +21,13 @@
 # Each question that changed nothing doubles the time to the next one.
 MOST_SECONDS = 20.0
 FAILED_PROBES = 2
+# A stream that its engine twice does not know never arrived there, or is
+# lost: a request on its way would have come in between.
+NOT_HELD = 2
 
 
-class PathWatch(engine_client.Watch):
-    """Watches one attempt's connection; ``call`` tells what may be done.
+class PathWatch(connection.Watch):
+    """Watches the connection of one attempt, that of ``source``.
 
     When the server answers on a new connection and still holds the stream,
     the stream goes on over that one, from the event after the last.  That
@@ -37,6 +42,7 @@
         self._longest = 0.0
         self._begun = False
         self._failed = 0
+        self._not_held = 0
         self._patience = 1.0
 
     def heard(self):
@@ -68,11 +74,26 @@
                 raise TimeoutError("silent, also on new connections")
             return
         self._failed = 0
+        self._ask_for_stream()
+        if time.monotonic() - self._heard > self._limit:
+            self._give_up(f"silent for {self._limit:g} s")
+
+    def _ask_for_stream(self):
+        try:
+            answer = self._source.resumed()
+        except engine_client.NotHeld:
+            self._not_held += 1
+            if not self._source.resumable():
+                # Such an engine says so of streams that it is working on.
+                self._patience *= 2.0
+            elif self._not_held >= NOT_HELD:
+                self._give_up("unknown to its engine, and silent")
+            return
         self._patience *= 2.0
-        answer = self._source.resumed()
         if answer:
-            self._engines.retire(url)
-            raise engine_client.PathLost(answer)
-        if self._limit and time.monotonic() - self._heard > self._limit:
-            self._engines.retire(url)
-            raise TimeoutError(f"silent for {self._limit:g} s")
+            self._engines.retire(self._source.url)
+            raise connection.PathLost(answer)
+
+    def _give_up(self, why):
+        self._engines.retire(self._source.url)
+        raise TimeoutError(why)
