--- a/bench/nine.py
+++ b/bench/nine.py
@@ -42,15 +42,11 @@
 
     def _program(self, name):
         path = self.folder / "instance"
-        lines = [
-            f"#!{sys.executable}",
-            "from bench import nine",
-            "nine.serve()",
-        ]
-        path.write_text("\n".join(lines) + "\n")
-        path.chmod(0o755)
-        os.environ["PYTHONPATH"] = str(pathlib.Path(__file__).parents[1])
-        os.environ[CUT_FILE] = str(self.folder / "cut")
+        # Written once: others may be starting from it already.
+        if not path.exists():
+            _write_program(path)
+            os.environ["PYTHONPATH"] = str(pathlib.Path(__file__).parents[1])
+            os.environ[CUT_FILE] = str(self.folder / "cut")
         return str(path)
 
     def _settings(self, index, ports):
@@ -90,6 +86,12 @@
         new.rename(file)
 
 
+def _write_program(path):
+    lines = [f"#!{sys.executable}", "from bench import nine", "nine.serve()"]
+    path.write_text("\n".join(lines) + "\n")
+    path.chmod(0o755)
+
+
 def wait_until(holds, seconds=30.0):
     """Wait until ``holds()`` is true."""
     deadline = time.monotonic() + seconds
