A keeper whose log contradicts another's stops voting

Cause: a broken invariant failed the one message, and the keeper went on voting and acknowledging on top of a log known to be wrong. Change: it stops being a keeper and serves on as a learner; status.configuration.keeper_stopped and a metric say so.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -221,6 +221,7 @@
         "stale": int(status.stale),
         "ready": int(status.ready),
         "leads": int(status.role == "leader"),
+        "keeper_stopped": int(status.keeper_stopped),
         "confirmed_ago_seconds": status.confirmed_ago,
     }
     return "".join(
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -37,6 +37,7 @@
 """
 
 from .. import effects
+from .. import errors
 from . import quorum_log_catch_up as catch_up_module
 from . import quorum_log_core as core_module
 from . import quorum_log_election as election_module
@@ -233,11 +234,20 @@
         }
 
     def _guard(self, handler):
-        """Hand on only messages of the own log."""
+        """Hand on only messages of the own log.
+
+        A keeper whose log is found to contradict another's must not go on
+        voting and acknowledging on top of it: it stops, and serves on as a
+        learner until somebody has looked.
+        """
 
         def guarded(source, message, now):
             if message.log_id and message.log_id == self._core.log_id:
-                handler(source, message, now)
+                try:
+                    handler(source, message, now)
+                except errors.InvariantBroken:
+                    self._core.halt()
+                    raise
             return self._finish(now)
 
         return guarded
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_status.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_status.py
@@ -16,6 +16,6 @@
     stale: bool
     ready: bool
     in_memory: bool
-    disk_failed: bool
+    keeper_stopped: bool
     voters: list[entries.Voter]
     missing_founders: list[str]
--- a/tests/cover/test_quorum_rules.py
+++ b/tests/cover/test_quorum_rules.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+import dandeliontrail
 from dandeliontrail.coordination import messages
 from dandeliontrail.coordination import quorum_log_core as core_module
 from dandeliontrail.coordination import quorum_log_entries as entries
@@ -144,3 +147,19 @@
     reply = log_messages.AppendReply(log_id, "k2-0", 3, True, 2, 0)
     hand(world, "k2", "k1", reply)
     assert log.applied == 2
+
+
+def test_keeper_stops_when_its_log_contradicts_another():
+    # A majority has forgotten what it had acknowledged, and another entry
+    # was committed in its place.  Whoever notices must not vote for it.
+    world = settled_world(spares=0)
+    follower = next(n for n in world.bootstrap if n != world.leader())
+    log = world.nodes[follower].log
+    request = log_messages.AppendRequest(
+        log._core.log_id, 90, log.applied, 89, [], log.applied, 1
+    )
+    with pytest.raises(dandeliontrail.InvariantBroken):
+        hand(world, "k9", follower, request)
+    status = log.status(world.now)
+    assert status.keeper_stopped
+    assert status.role == "learner"
