--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/commands.py
@@ -2,6 +2,7 @@
 
 import cyclopts
 
+from . import audit_command
 from . import batch
 from . import demo as demo_module
 from . import engine as engine_module
@@ -81,3 +82,6 @@
         Draws the faults and the requests.
     """
     return soak_run.run(seconds, seed)
+
+
+app.command(audit_command.audit)
