--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/plots.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/policy/plots.py
@@ -43,7 +43,7 @@
     axes.set_xticks([at + 0.4 for at in range(len(scenarios))])
     axes.set_xticklabels(scenarios, rotation=30, ha="right", fontsize=8)
     axes.set_title(title)
-    axes.legend(fontsize=8)
+    axes.legend(fontsize=8, loc="upper left", bbox_to_anchor=(1.0, 1.0))
     figure.tight_layout()
     figure.savefig(path, dpi=80)
     pyplot.close(figure)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -6,6 +6,7 @@
 from .. import sentinels
 from . import fairness
 from . import fleet as fleet_module
+from . import lanes
 from . import lengths
 from . import limits
 from . import options as options_module
@@ -58,7 +59,7 @@
         within = self._limiter.admit(work, now)
         if not within:
             return within
-        if _protected(work):
+        if reserve.protected(work):
             self._reserve.arrived(now)
             self._note_protected(work)
         if self._options.early_refusal:
@@ -97,7 +98,7 @@
         return work.prompt_tokens + self._lengths.mean(work)
 
     def _check_shed(self, work):
-        lane = self._lanes[_lane_key(work)]
+        lane = self._lanes[lanes.key_of(work)]
         invariants.check(
             work.sheddable or len(lane.queue) >= refusal.LONGEST_QUEUE,
             "only-sheddable-work-is-shed",
@@ -117,10 +118,10 @@
         return prompt + self._lengths.mean(work)
 
     def _lane(self, work):
-        key = _lane_key(work)
+        key = lanes.key_of(work)
         held = self._lanes.get(key)
         if held is None:
-            held = self._lanes[key] = _Lane(work, self._options)
+            held = self._lanes[key] = lanes.Lane(work, self._options)
         held.declare(work)
         return held
 
@@ -132,12 +133,29 @@
         self._refresh(now)
         for work in self._retries.due(now):
             self.requeue(work, now)
-        for lane in self._order(now):
+        busy = self._busy(now)
+        for lane in busy:
             self._expire(lane, now, decided)
+            if lane.claims:
+                self._serve(lane, now, directory, decided)
+        for number, lane in enumerate(busy):
+            lane.claims = False
             if lane.key not in self._full:
+                self._check_order(busy[:number], lane)
                 self._serve(lane, now, directory, decided)
         return decided
 
+    def _check_order(self, higher, lane):
+        """Assert that no class is passed over for a lower one."""
+        for other in higher:
+            invariants.check(
+                other.priority == lane.priority
+                or other.key in self._full
+                or not len(other.queue),
+                "higher-class-goes-first",
+                f"{lane.class_name} before {other.class_name}",
+            )
+
     def _refresh(self, now):
         if now < self._next_merge:
             return
@@ -154,19 +172,19 @@
         for lane in self._lanes.values():
             lane.merge(self._view)
 
-    def _order(self, now):
-        """Return the lanes with work: claims of shares first, then by rank.
+    def _busy(self, now):
+        """Return the lanes with work, the highest class first.
 
-        Made for higher classes that fill every engine by themselves.
+        Of these some claim their minimum share, and go before all others.
         """
         busy = [lane for lane in self._lanes.values() if len(lane.queue)]
         for lane in busy:
             lane.claims = self._claims(lane, now)
-        busy.sort(key=_rank)
+        busy.sort(key=lanes.rank)
         return busy
 
     def _claims(self, lane, now):
-        if not self._options.minimum_shares:
+        if not self._options.minimum_shares or lane.key in self._full:
             return False
         if not self._shares.below(lane.class_name, lane.minimum_share):
             return False
@@ -200,6 +218,7 @@
                 return
             self._place(lane, need, server, now, decided)
             if lane.claims and not self._claims(lane, now):
+                # It goes on in its own order.
                 return
 
     def _refuse(self, work, nothing, now, decided):
@@ -213,7 +232,7 @@
         near its deadline, and so does sheddable work that can no longer
         meet its target: its caller can still do something else.
         """
-        if _all_avoided(work, servers):
+        if placing.all_avoided(work, servers):
             return sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
         if not self._options.early_refusal:
             return None
@@ -247,15 +266,28 @@
         lane.counters.charge(work.organisation, work.weight, tokens)
         self._shares.placed(work.class_name, tokens)
         self._fleet.place(work, server, need.footprint, now)
+        self._check_share(need, server)
         self._placing.placed(work, server)
         decided.append(work_module.Placement(work, server))
 
+    def _check_share(self, need, server):
+        """Assert that work which can wait left the reserve alone."""
+        engine = self._fleet.engine_of(server)
+        invariants.check(
+            need.protected
+            or need.claims_share
+            or engine.slow
+            or engine.own <= engine.allowed,
+            "lower-class-leaves-the-reserve",
+            f"{need.work.request_id} on {server}",
+        )
+
     # Feedback
 
     def first_output(self, request_id, now):
         """Learn how soon the server gave its first output."""
         held = self._fleet.first_output(request_id, now)
-        if held is not None and _protected(held.work):
+        if held is not None and reserve.protected(held.work):
             self._reserve.answered(held.work, now)
 
     def ended(self, ended, now):
@@ -322,68 +354,3 @@
     def forget_server(self, name):
         """Drop what is held about a server that is gone."""
         self._fleet.forget(name)
-
-
-class _Lane:
-    """The queue of one class for one target, with its rates."""
-
-    __slots__ = (
-        "key",
-        "class_name",
-        "priority",
-        "minimum_share",
-        "counters",
-        "queue",
-        "rate",
-        "claims",
-        "weights",
-    )
-
-    def __init__(self, work, options):
-        self.key = _lane_key(work)
-        self.class_name = work.class_name
-        self.declare(work)
-        self.counters = fairness.Counters()
-        self.queue = fairness.Lane(
-            self.counters, by_arrival=not options.fairness
-        )
-        self.rate = refusal.ServedRate()
-        self.claims = False
-        self.weights = {}
-
-    def declare(self, work):
-        """Follow what operators changed in the class."""
-        self.priority = work.priority
-        self.minimum_share = work.minimum_share
-
-    def merge(self, view):
-        """Take in what other instances served of this class."""
-        for name, weight in self.weights.items():
-            used = view.elsewhere(name, self.class_name)
-            total = used.prompt * fairness.PROMPT_PART + used.output
-            self.counters.merge(name, weight, total)
-
-
-def _lane_key(work):
-    return (work.class_name, work.model, work.service)
-
-
-def _rank(lane):
-    return (not lane.claims, lane.priority)
-
-
-def _protected(work):
-    """Tell whether a class is one that has to be answered at once."""
-    return work.first_token_ms is not None and not work.sheddable
-
-
-def _all_avoided(work, servers):
-    """Tell whether every server has failed this work already.
-
-    Such work gets its answer at once instead of near its deadline.
-    """
-    if not work.avoid:
-        return False
-    return all(
-        server.announcement.backend_server in work.avoid for server in servers
-    )
