--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -15,6 +15,7 @@
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICES = "/services/"
+REQUEST_ID = "dandeliontrail.request_id"
 # English text runs at about four bytes a token; the engine's own count
 # replaces this estimate when the answer is whole.
 BYTES_PER_TOKEN = 4
@@ -67,11 +68,23 @@
             return self._ready(start_response)
         if path == "/v1/models":
             return self._models(start_response)
-        if path in GENERATION_PATHS:
-            return self._generate(environ, start_response, path)
-        if path.startswith(SERVICES):
-            return self._service(environ, start_response, path)
-        raise wsgi.not_found(path)
+        return self._request(environ, start_response, path)
+
+    def _request(self, environ, start_response, path):
+        """Serve what may reach a backend server, under an id of its own."""
+        environ[REQUEST_ID] = str(uuid.uuid4())
+        try:
+            if path in GENERATION_PATHS:
+                return self._generate(environ, start_response, path)
+            if path.startswith(SERVICES):
+                return self._service(environ, start_response, path)
+            raise wsgi.not_found(path)
+        except wsgi.Problem as problem:
+            if not problem.request_id:
+                # Raised before the request was taken in, so nothing ran.
+                problem.request_id = environ[REQUEST_ID]
+                problem.outcome = "not-run"
+            raise
 
     def _ready(self, start_response):
         if self._drain.draining:
@@ -142,7 +155,7 @@
     def _event(self, environ, body):
         key = tokens.bearer(environ)
         return events.RequestReceived(
-            request_id=str(uuid.uuid4()),
+            request_id=environ[REQUEST_ID],
             key_hash=tokens.hash_of(key) if key else "",
             class_name=environ.get("HTTP_X_REQUEST_CLASS", ""),
             timeout=_timeout(environ),
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -48,7 +48,6 @@
 
 
 _TYPES = {
-    400: "invalid_request",
     401: "authentication",
     403: "permission",
     404: "not_found",
@@ -62,7 +61,7 @@
     return msgspec.json.encode(
         ErrorAnswer(
             ErrorBody(
-                _TYPES.get(problem.status, "server_error"),
+                _type_of(problem.status),
                 problem.code,
                 problem.message,
                 problem.remedy,
@@ -73,6 +72,13 @@
     )
 
 
+def _type_of(status):
+    """Return the error type of a status; the caller can mend any 4xx."""
+    if status >= 500:
+        return "server_error"
+    return _TYPES.get(status, "invalid_request")
+
+
 def status_line(status):
     """Return ``404 Not Found`` for 404."""
     return f"{status} {http.HTTPStatus(status).phrase}"
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -5,6 +5,7 @@
 from .. import effects
 from .. import events
 from .. import interfaces
+from .. import invariants
 from .. import sentinels
 from . import answers
 from . import attainment
@@ -135,8 +136,16 @@
         held.attempt += 1
         held.server = server
         held.dispatched = now
-        announcement = self._state.directory.server(server).announcement
+        known = self._state.directory.server(server)
         work = held.work
+        # The policy looks at this too, on lists that it keeps; a server
+        # that left or fell silent since must not slip through one of them.
+        invariants.check(
+            known is not None and known.serves(now),
+            "no-new-work-for-a-leaving-server",
+            f"{work.request_id} to {server}",
+        )
+        announcement = known.announcement
         return [
             effects.Dispatch(
                 work.request_id,
--- a/tests/cover/test_request_life.py
+++ b/tests/cover/test_request_life.py
@@ -8,6 +8,7 @@
 
 import dandeliontrail
 from dandeliontrail.components import life
+from dandeliontrail.decisions import baselines
 from dandeliontrail.decisions import work
 from dandeliontrail import effects
 from dandeliontrail import events
@@ -22,9 +23,11 @@
     return changes.Operation(changes.Verb.PUT, kind, name, raw)
 
 
-def make_reducer(repeatable=True, servers=("e1", "e2")):
+def make_reducer(repeatable=True, servers=("e1", "e2"), policy=None):
     identity = dandeliontrail.Identity("i1", "fd1", "r1", 1)
-    reducer = dandeliontrail.new_reducer(identity, random.Random(0))
+    reducer = dandeliontrail.new_reducer(
+        identity, random.Random(0), policy=policy
+    )
     change = changes.Change(
         "op",
         [
@@ -112,3 +115,22 @@
     held.begin()
     with pytest.raises(dandeliontrail.InvariantBroken):
         held.move(life.Phase.NOT_RUN)
+
+
+class StalePolicy(baselines.PriorityLeastOutstanding):
+    """Goes on giving work to a server that it once picked."""
+
+    def _pick(self, item, now, directory):
+        return "e1"
+
+
+def test_a_server_that_left_gets_nothing_whatever_the_policy_says():
+    # A server says that it leaves; a policy that kept its name in a list
+    # still picks it.  The request must fail loudly, not reach the server.
+    reducer = make_reducer(policy=StalePolicy())
+    gone = announcements.Announcement(
+        "e1", 1, 2, "model_engine", "http://x", leaving=True
+    )
+    reducer.apply(events.Announced(gone), 0.05)
+    with pytest.raises(dandeliontrail.InvariantBroken):
+        receive(reducer)
--- a/tests/cover/test_whole_path.py
+++ b/tests/cover/test_whole_path.py
@@ -1,6 +1,8 @@
 """From a caller to an engine and back, over real sockets on loopback."""
 
 import gevent
+import geventhttpclient
+import msgspec
 
 from dandeliontrail_ctl import api
 from dandeliontrail_lab import client
@@ -67,3 +69,20 @@
         made.instance("i2", "fd2")
         made.engine("e1")
         assert made.knows("e1")
+
+
+def test_refusal_before_intake_carries_an_id_and_not_run():
+    # A caller who reports a failure has no id to name: bodies that could
+    # not be read were answered without one, and as a fault of the server.
+    with world.World() as made:
+        one = made.instance("i1")
+        found = geventhttpclient.HTTPClient(
+            *one.addresses["callers"].rsplit(":", 1)
+        )
+        for path, body in (("/v1/completions", b"{"), ("/elsewhere", b"")):
+            reply = found.post(path, body)
+            error = msgspec.json.decode(reply.read())["error"]
+            assert reply["X-Request-Id"] == error["request_id"] != ""
+            assert reply["X-Outcome"] == "not-run"
+            assert error["type"] in ("invalid_request", "not_found")
+        found.close()
