--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -152,6 +152,10 @@
             except Exception as exc:
                 self._fault(self.reducer, exc)
 
+    def life(self, request_id):
+        """Return the life of a request that has not ended, or ``None``."""
+        return self.reducer.lives.get(request_id)
+
     def attach(self, exchange):
         """Route effects for a request to its exchange."""
         self._exchanges[exchange.request_id] = exchange
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -115,7 +115,9 @@
         """Parse the lines of a head; the name is that of the base class."""
         limit = self.server.limits.header_bytes
         reader = _HeadReader(rfile, limit)
-        return pywsgi.headers_factory(reader, seekable)
+        headers = pywsgi.headers_factory(reader, seekable)
+        _check_framing(headers)
+        return headers
 
     def get_environ(self):
         """Return the environment, with a body that is bounded."""
@@ -131,6 +133,9 @@
         self.wsgi_input = bounded
         environ["wsgi.input"] = bounded
         environ[wsgi.SOCKET] = self.socket
+        environ[wsgi.HEAD] = wsgi.Head(
+            self.command, self.path, self.headers.items()
+        )
         return environ
 
     def handle_one_response(self):
@@ -140,7 +145,7 @@
 
     def handle_error(self, kind, exc, trace):
         """Log a fault; a caller that is too slow or gone is none."""
-        if isinstance(exc, (OSError, gevent.GreenletExit)):
+        if isinstance(exc, (OSError, gevent.GreenletExit, wsgi.Aborted)):
             self.close_connection = True
             return
         self.server.logger.error("connection failed", exc_info=exc)
@@ -187,6 +192,34 @@
         super().handle(client_socket, address)
 
 
+def _check_framing(headers):
+    """Refuse a request whose end two readers could see differently.
+
+    Made for request smuggling (RFC 9112, section 11.2): what one server
+    takes for the body, the next takes for a request of its own.
+    """
+    lengths = headers.get_all("content-length") or []
+    codings = headers.get_all("transfer-encoding") or []
+    if lengths and codings:
+        raise Rejected(_bad_framing("both a length and a transfer coding"))
+    if len(lengths) > 1 or len(codings) > 1:
+        raise Rejected(_bad_framing("a repeated framing header"))
+    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+        raise Rejected(_bad_framing("a Content-Length that is no number"))
+    if codings and codings[0].strip().lower() != "chunked":
+        raise Rejected(_bad_framing("a transfer coding beside chunked"))
+
+
+def _bad_framing(what):
+    return wsgi.Problem(
+        400,
+        "bad_framing",
+        f"The request has {what}.",
+        "send one Content-Length, or Transfer-Encoding: chunked alone",
+        outcome="not-run",
+    )
+
+
 def _problem_of(exc):
     if isinstance(exc, Rejected):
         return exc.problem
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -18,19 +18,17 @@
 from . import disk_writer
 from . import drain
 from . import engine_client
+from . import face as face_module
 from . import host as host_module
 from . import http_server
 from . import listener_tls
 from . import metrics
 from . import peer_link
 from . import settings
+from . import standard_face
 from . import tokens
 from . import usage_disk
 from . import wsgi
-from .listeners import backend_servers
-from .listeners import callers
-from .listeners import drain_request
-from .listeners import operators
 from .listeners import peers
 
 
@@ -41,15 +39,15 @@
 class Instance:
     """One running instance; use it as a context manager."""
 
-    def __init__(self, cfg, logger, settings_path=None):
+    def __init__(self, cfg, logger, settings_path=None, face=None):
         self._cfg = cfg
+        self._face = face or standard_face.StandardFace()
         self._settings_path = settings_path
         self._logger = logger
         self._stack = contextlib.ExitStack()
         self._servers = {}
         self._stopping = gevent_event.Event()
-        self._drain = drain.Drain(cfg.limits)
-        self._doors = {}
+        self.drain_state = drain.Drain(cfg.limits)
         self._tls = listener_tls.ListenerTls(cfg.tls)
         self.host = None
         self.addresses = {}
@@ -138,44 +136,35 @@
             keeper=keeper,
             bootstrap=cfg.bootstrap_keepers,
             keeps_usage=storage is not None,
+            **self._face.reducer_options(),
         )
 
-    def _apps(self):
-        cfg = self._cfg
-        given = cfg.credentials
-        for name, path in (
-            ("operators", given.operator_tokens_file),
-            ("backend_servers", given.backend_tokens_file),
-        ):
-            self._doors[name] = tokens.doorkeeper(path, name in given.open)
-        return {
-            "callers": callers.CallersApp(
-                self.host, self._engines, cfg.limits, self._drain
-            ),
-            "backend_servers": backend_servers.BackendServersApp(
-                self.host, self._doors["backend_servers"]
-            ),
-            "operators": drain_request.DrainRequests(
-                operators.OperatorsApp(self.host, self._doors["operators"]),
-                self._doors["operators"],
-                self.on_term,
-            ),
-            "peers": peers.PeersApp(self.host, self._key, cfg.limits),
-        }
-
     def _listen(self):
-        for name, app in self._apps().items():
-            address = getattr(self._cfg.listen, name)
+        inner = face_module.Inner(
+            self._cfg,
+            self.host,
+            self._engines,
+            self.drain_state,
+            self._logger,
+            self.on_term,
+            self._stack,
+        )
+        peers_app = peers.PeersApp(self.host, self._key, self._cfg.limits)
+        listeners = [
+            *self._face.listeners(inner),
+            face_module.Listener("peers", self._cfg.listen.peers, peers_app),
+        ]
+        for item in listeners:
             server = http_server.Server(
-                address,
-                self._drain.closing(wsgi.guard(app, self._logger)),
-                self._cfg.limits,
+                item.address,
+                self.drain_state.closing(wsgi.guard(item.app, self._logger)),
+                item.limits or self._cfg.limits,
                 self._logger,
-                **self._tls.options(name),
+                **self._tls.options(item.name),
             )
             server.start()
             self._stack.callback(server.stop, 0.1)
-            self._servers[name] = server
+            self._servers[item.name] = server
 
     def _start(self):
         addresses = {
@@ -200,7 +189,7 @@
     def drain(self):
         """Finish what was taken in, then leave the others."""
         self.begin_drain()
-        self._drain.wait(self.host)
+        self.drain_state.wait(self.host)
         self._leave()
 
     def _leave(self):
@@ -210,13 +199,13 @@
 
     def begin_drain(self):
         """Be no longer ready, from this moment on."""
-        if not self._drain.draining:
-            self._drain.begin()
+        if not self.drain_state.draining:
+            self.drain_state.begin()
             self.host.state.draining = True
 
     def on_term(self):
         """Start to drain; the second time, end at once."""
-        self._drain.begin()
+        self.drain_state.begin()
         self.host.state.draining = True
         self._stopping.set()
 
@@ -225,10 +214,11 @@
 
         What cannot be read stays as it was, and the rest is reloaded.
         """
-        for part in (*self._doors.values(), self._key, self._tls):
+        for part in (*self._face.reloadable(), self._key, self._tls):
             self._reload_part(part.reload)
         if self._settings_path:
             self._reload_part(self._reload_log_level)
+        self._face.reloaded(self.host)
         self._logger.info("reloaded")
 
     def _reload_part(self, reload):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -55,7 +55,7 @@
             head = self._next()
         except CallerLeft:
             self._leave()
-            raise _caller_gone(self._event.request_id)
+            raise problems.caller_gone(self._event.request_id)
         except BaseException:
             self._leave()
             raise
@@ -174,15 +174,4 @@
         return True
 
 
-def _caller_gone(request_id):
-    return wsgi.Problem(
-        503,
-        "caller_gone",
-        "The caller closed its connection.",
-        "send it again with the same Idempotency-Key",
-        outcome="unknown",
-        request_id=request_id,
-    )
-
-
 __all__ = ["Relay", "serve"]
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -10,6 +10,36 @@
 SOCKET = "dandeliontrail.socket"
 
 
+# Where the environment of a request has its :class:`Head`.
+HEAD = "dandeliontrail.head"
+
+
+class Head:
+    """The head of a request as it came, for whoever passes it on.
+
+    ``target`` is the path with its query, not decoded; ``headers`` the
+    pairs of name and value in their order.
+    """
+
+    __slots__ = ("method", "target", "headers")
+
+    def __init__(self, method, target, headers):
+        self.method = method
+        self.target = target
+        self.headers = headers
+
+    def get(self, name):
+        """Return the value of a header by its lower-case name, or ''."""
+        for held, value in self.headers:
+            if held.lower() == name:
+                return value
+        return ""
+
+
+class Aborted(BaseException):
+    """The reply ends here; the connection closes without its proper end."""
+
+
 class Problem(Exception):
     """An answer other than success, raised to end the handling.
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -34,6 +34,18 @@
         "No backend server of the class offers this model or service.",
         "ask GET /v1/models for the models on offer",
     ),
+    sentinels.Reason.UNKNOWN_ROUTE: _Text(
+        404,
+        "unknown_route",
+        "No route has this host and path.",
+        "send it to a host and path that an operator has declared",
+    ),
+    sentinels.Reason.NOT_PROVEN: _Text(
+        503,
+        "state_not_proven",
+        "The instance cannot prove that its keys and routes are recent.",
+        "come back after Retry-After seconds, or use another instance",
+    ),
     sentinels.Reason.OVER_LIMIT: _Text(
         429,
         "over_limit",
@@ -132,3 +144,20 @@
             "reason": reason,
         },
     )
+
+
+def turned_away(state, event, nothing, now):
+    """Return the log line of a request that no route or key lets in."""
+    proven_ago = state.log.proven_ago(now)
+    return effects.Log(
+        "info",
+        "turned away",
+        {
+            "request_id": event.request_id,
+            "reason": nothing.reason.value,
+            "host": event.host,
+            "path": event.path,
+            "revision": state.routing.number,
+            "proven_ago": None if proven_ago is None else round(proven_ago, 3),
+        },
+    )
--- a/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
@@ -108,11 +108,11 @@
     def _write(self, event, now):
         change = event.change
         operation_id = change.operation_id or event.write_id
-        settled = _answer_to(event.write_id)
+        settled = answer_to(event.write_id)
         return self._state.log.propose(change, operation_id, now, settled)
 
     def _read(self, event, now):
-        settled = _answer_to(event.read_id)
+        settled = answer_to(event.read_id)
         mark = entries.ReadMark()
         return self._state.log.propose(mark, event.read_id, now, settled)
 
@@ -145,7 +145,7 @@
         return self._state.log.storage_failed(event.detail, now)
 
 
-def _answer_to(write_id):
+def answer_to(write_id):
     """Return the call that answers whoever waits under ``write_id``."""
 
     def settled(found, now):
--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -1,6 +1,7 @@
 """Turns a caller's request into the unit that decisions are about."""
 
 from .. import sentinels
+from ..decisions import routing
 from ..decisions import work as work_module
 from ..resources import specs
 
@@ -51,3 +52,76 @@
         limits=spec.limits,
         class_limits=class_spec.limits,
     )
+
+
+# Engines honour this many priorities; of these an organisation's priority
+# takes so many steps each, within which the routes' own count.
+LOWEST_PRIORITY = 9
+ROUTE_PRIORITIES = 3
+# A caller that meets an instance without proof may come back at once: the
+# balancer leads it to another instance.
+UNPROVEN_RETRY = 0.3
+
+
+def routed_work_of(state, event, now):
+    """Return the work of a request for a route, or why there can be none."""
+    table = state.routing.table
+    if table is None or not state.log.ready:
+        return sentinels.Nothing(sentinels.Reason.NO_CONFIGURATION, 1.0)
+    proven_ago = state.log.proven_ago(now)
+    route = table.find(event.host, event.path)
+    if route is None:
+        return _turn_away(state, sentinels.Reason.UNKNOWN_ROUTE, proven_ago)
+    organisation = None
+    if table.keyed and not route.public:
+        organisation = table.owner(event.key_hash)
+        if organisation is None:
+            return _turn_away(state, sentinels.Reason.UNKNOWN_KEY, proven_ago)
+        bound = state.routing.options.key_proof
+        if bound is not None and not _within(proven_ago, bound):
+            return _not_proven()
+    return _routed_work(event, route, organisation, now)
+
+
+def _within(proven_ago, bound):
+    return proven_ago is not None and proven_ago <= bound
+
+
+def _not_proven():
+    return sentinels.Nothing(sentinels.Reason.NOT_PROVEN, UNPROVEN_RETRY)
+
+
+def _turn_away(state, reason, proven_ago):
+    """Say that something does not exist, where that is certain."""
+    if _within(proven_ago, state.routing.options.refusal_proof):
+        return sentinels.Nothing(reason)
+    return _not_proven()
+
+
+def _routed_work(event, route, organisation, now):
+    timeout = route.timeout
+    if event.timeout is not None:
+        timeout = min(timeout, event.timeout)
+    rank = organisation.priority if organisation else 0
+    step = min(route.priority, ROUTE_PRIORITIES - 1)
+    priority = rank * ROUTE_PRIORITIES + step
+    return work_module.Work(
+        request_id=event.request_id,
+        organisation=organisation.name if organisation else "",
+        class_name=route.name,
+        model=event.model,
+        service=routing.choose_service(route.split, event.draw),
+        priority=priority,
+        received=now,
+        deadline=now + timeout,
+        prompt_tokens=event.prompt_tokens,
+        max_output_tokens=event.max_output_tokens,
+        repeatable=route.repeatable or route.resumable,
+        first_token_ms=route.target * 1000.0 or None,
+        between_tokens_ms=route.longest_pause * 1000.0 or None,
+        parts=event.parts,
+        max_attempts=max(1, route.max_attempts),
+        routed=True,
+        streamed=route.streamed,
+        start_priority=min(priority, LOWEST_PRIORITY),
+    )
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -68,7 +68,8 @@
 
     ``begun`` counts the attempts that may have begun; it never falls but
     by the server's own word.  ``first_output`` is zero until there is one.
-    ``claimed`` tells that the right to run its idempotency key was granted.
+    ``arrivals`` counts the servers that it reached, whether they ran it or
+    not; it never falls.  ``claimed`` tells that the right to run its idempotency key was granted.
     """
 
     work: work_module.Work
@@ -79,6 +80,7 @@
     dispatched: float = 0.0
     first_output: float = 0.0
     claimed: bool = False
+    arrivals: int = 0
 
     def move(self, phase):
         """Enter ``phase``, which the table must allow."""
@@ -106,6 +108,7 @@
         """Take note that the present attempt may have begun."""
         self.move(Phase.MAY_HAVE_BEGUN)
         self.begun += 1
+        self.arrivals += 1
         invariants.check(
             self.work.repeatable or self.begun == 1,
             "non-repeatable-runs-at-most-once",
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -25,6 +25,9 @@
 # A server that says "not run" is busy.  Asked again at once, it would be
 # asked as fast as it can refuse.
 PAUSE_SECONDS = 0.25
+# A caller whose request its servers turned away may find them less busy
+# after a few answers have ended, which take some tenths of a second each.
+BUSY_RETRY = 0.5
 
 Stand = claim_entries.Stand
 
@@ -44,6 +47,7 @@
         """Return the handlers of the request events."""
         return {
             events.RequestReceived: self._received,
+            events.RoutedRequestReceived: self._routed,
             events.AttemptBegan: self._began,
             events.NotBegun: self._not_begun,
             events.FirstOutput: self._first_output,
@@ -81,6 +85,18 @@
         )
         return self._claims.begin(wanted, now)
 
+    def _routed(self, event, now):
+        """Take in a request for a route; it has no key to claim."""
+        work = intake.routed_work_of(self._state, event, now)
+        if not work:
+            return [
+                answers.refusal(event.request_id, work),
+                answers.turned_away(self._state, event, work, now),
+            ]
+        held = life.Life(work)
+        self.lives[work.request_id] = held
+        return self._offer(held, now)
+
     # What the claim of a request came to; see ``claim_rounds.Listener``.
 
     def claim_granted(self, request_id, now):
@@ -152,7 +168,7 @@
                 held.attempt,
                 server,
                 announcement.url,
-                work.priority,
+                work.start_priority if work.routed else work.priority,
                 work.repeatable,
             ),
             answers.decision(work, "dispatched", server),
@@ -208,8 +224,16 @@
         held = self._current(event)
         if held is None:
             return []
-        self._release(held, now, failed=True)
+        self._release(
+            held,
+            now,
+            failed=True,
+            refused=event.server_said,
+            unreachable=not event.server_said,
+        )
         held.unbegin()
+        if held.work.routed:
+            return self._try_elsewhere(held, now, counts=event.server_said)
         if event.server_said:
             pause = max(PAUSE_SECONDS, event.retry_after)
             return self._pause(held, pause, now) + self._decide(now)
@@ -235,6 +259,32 @@
             return self._refuse(held, nothing, now) + self._decide(now)
         return self._decide(now)
 
+    def _try_elsewhere(self, held, now, counts):
+        """Queue a routed request for another server, or end it.
+
+        ``counts`` tells that the last attempt reached its server: it counts
+        towards the route's attempts, and another one draws on the budget of
+        repeats.  A server that could not be reached costs neither.
+        """
+        work = held.work
+        work.avoid.add(held.server)
+        if counts and held.arrivals >= work.max_attempts:
+            return self._give_up(held, now)
+        if not counts:
+            self._policy.requeue(work, now)
+        elif not self._policy.retry(work, now):
+            return self._give_up(held, now)
+        return self._decide(now)
+
+    def _give_up(self, held, now):
+        nothing = sentinels.Nothing(
+            sentinels.Reason.SERVER_FAILED
+            if held.begun
+            else sentinels.Reason.ALL_BUSY,
+            BUSY_RETRY,
+        )
+        return self._refuse(held, nothing, now) + self._decide(now)
+
     def _all_avoided(self, work):
         servers = self._state.directory.eligible(
             work.class_name, work.model, work.service
@@ -274,7 +324,8 @@
             gaps_ms=event.gaps_ms,
         )
         self._policy.ended(ended, now)
-        attainment.count(self._state, held, now)
+        if not work.routed:
+            attainment.count(self._state, held, now)
         self._count(work, event.prompt_tokens, event.output_tokens)
         out = [
             answers.decision(work, "complete", held.server),
@@ -303,8 +354,10 @@
         if not held.work.repeatable:
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
             return self._refuse(held, nothing, now) + self._decide(now)
-        out = self._cancel(held)
+        out = [] if held.work.routed else self._cancel(held)
         held.move(life.Phase.QUEUED)
+        if held.work.routed:
+            return self._try_elsewhere(held, now, counts=True)
         return out + self._try_again(held, now, begun=True)
 
     def _cancel(self, held):
@@ -314,10 +367,8 @@
         url = server.announcement.url
         return [effects.Cancel(held.work.request_id, url)]
 
-    def _release(self, held, now, failed=False, wasted=False):
-        ended = work_module.Ended(
-            held.work.request_id, held.server, failed=failed, wasted=wasted
-        )
+    def _release(self, held, now, **how):
+        ended = work_module.Ended(held.work.request_id, held.server, **how)
         self._policy.ended(ended, now)
 
     def _caller_gone(self, event, now):
@@ -325,7 +376,7 @@
         held = self.lives.get(event.request_id)
         if held is None:
             return []
-        if held.phase not in life.WAITING and not held.work.repeatable:
+        if held.phase not in life.WAITING and not _may_stop(held.work):
             # It may have begun, and half a report or half an order is
             # worse than a whole one that its caller asks for again.
             return []
@@ -335,7 +386,7 @@
         held = self.lives.get(event.request_id)
         if held is None or held.phase in life.WAITING:
             return []
-        if not held.work.repeatable:
+        if not held.work.repeatable and not held.work.routed:
             return []
         return self._stop(held, "deadline", now)
 
@@ -368,8 +419,18 @@
             self._policy.withdraw(request_id)
         else:
             self._release(held, now, wasted=True)
-            out.extend(self._cancel(held))
+            if not held.work.routed:
+                out.extend(self._cancel(held))
         begun = held.begun > 0
         held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
         out.extend(self._end_claim(held, now))
         return out + self._decide(now)
+
+
+def _may_stop(work):
+    """Tell whether work that nobody waits for any more may be stopped.
+
+    What is generated only for its caller may; an order that is half done
+    may not.
+    """
+    return work.repeatable or work.streamed
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
@@ -0,0 +1,133 @@
+"""The component that brings whole configurations into force.
+
+A :class:`..resources.revisions.Revision` is one entry of the quorum log.
+The applier keeps the one with the highest number: a lower one, or another
+with the number that is held, is accepted and changes nothing, so that an
+operator who resends after a lost answer gets the same answer again and
+never brings back what was overtaken.
+"""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from .. import effects
+from .. import events
+from .. import interfaces
+from .. import invariants
+from ..coordination import quorum_log_machine as machine
+from ..decisions import routing
+from ..resources import changes
+from ..resources import revisions
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RoutingOptions:
+    """How recent the state must be proven to be, in seconds, to act on it.
+
+    ``key_proof`` bounds the age for accepting a key: a key that was taken
+    away stops working that soon, also at an instance that is cut off;
+    ``None`` accepts any age.  ``refusal_proof`` bounds it for saying that a
+    key or a route does not exist: an instance that missed a change must not
+    turn away for good what others accept.
+    """
+
+    key_proof: float | None = None
+    refusal_proof: float = 2.0
+
+
+class RoutingState:
+    """The revision in force here and its table, or ``None`` for none."""
+
+    __slots__ = ("table", "options")
+
+    def __init__(self, options=RoutingOptions()):
+        self.table = None
+        self.options = options
+
+    @property
+    def number(self):
+        """Return the number in force, or -1 for none."""
+        return self.table.revision.number if self.table else -1
+
+    def replace(self, revision):
+        """Bring a revision with a higher number into force."""
+        invariants.check(
+            revision.number > self.number,
+            "revision-in-force-never-reverts",
+            f"{revision.number} after {self.number}",
+        )
+        self.table = routing.RoutingTable(revision)
+
+
+class RevisionApplier(machine.Applier):
+    """Applies revisions in log order, the same way on every instance."""
+
+    result_type = changes.Result
+
+    def __init__(self, state):
+        self._state = state
+
+    def apply(self, version, entry):
+        """Keep the revision with the highest number."""
+        if entry.number > self._state.number:
+            self._state.replace(entry)
+        return changes.Result(changes.ResultKind.ACCEPTED, version)
+
+    def dump(self):
+        """Return the revision in force as JSON."""
+        table = self._state.table
+        return msgspec.json.encode(table.revision if table else None)
+
+    def load(self, state):
+        """Take over a revision, unless a newer one is in force."""
+        found = msgspec.json.decode(state, type=revisions.Revision | None)
+        if found is not None and found.number > self._state.number:
+            self._state.replace(found)
+
+
+class Revisions(interfaces.Component):
+    """Proposes revisions and logs which one is in force."""
+
+    def __init__(self, state, settled_answer):
+        self._state = state
+        self._answer_to = settled_answer
+        self._logged = -1
+        state.log.register(
+            revisions.Revision, RevisionApplier(state.routing)
+        )
+
+    def handlers(self):
+        """Return the handler of revisions from operators."""
+        return {events.RevisionSubmitted: self._submitted}
+
+    def tick(self, now):
+        """Log a change of the revision in force."""
+        number = self._state.routing.number
+        if number == self._logged:
+            return []
+        self._logged = number
+        fields = {
+            "revision": number,
+            "log_position": self._state.log.applied,
+            "routes": len(self._state.routing.table.revision.routes),
+            "proven_ago": _rounded(self._state.log.proven_ago(now)),
+        }
+        return [effects.Log("info", "revision in force", fields)]
+
+    def _submitted(self, event, now):
+        """Propose a revision under an id made of its content.
+
+        Two operators may send different content under one number, so the
+        number alone would take the second for a resend of the first.
+        """
+        revision = event.revision
+        digest = hashlib.sha256(revision.document.encode()).hexdigest()[:16]
+        proposal_id = f"revision/{revision.number}/{digest}"
+        settled = self._answer_to(event.write_id)
+        return self._state.log.propose(revision, proposal_id, now, settled)
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 3)
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -10,10 +10,12 @@
 from ..coordination import membership
 from ..coordination import quorum_log
 from ..coordination import quorum_log_neighbours as neighbours
+from ..coordination import quorum_log_options
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
 from . import orders_state
+from . import revisions
 from ..resources import store
 
 
@@ -39,7 +41,8 @@
 
     Owners: ``store`` and ``log`` the configuration component,
     ``registry`` the server component, ``members`` the membership
-    component, ``usage`` the usage component, into which the request
+    component, ``routing`` the revisions component, ``usage`` the usage
+    component, into which the request
     component counts, ``orders`` the orders component.
     """
 
@@ -52,17 +55,27 @@
     directory: directory.Directory
     log: quorum_log.QuorumLog
     orders: orders_state.OrdersState
+    routing: revisions.RoutingState
     draining: bool = False
 
 
-def new_state(identity, rng, seeds=(), keeper=None, bootstrap=()):
+def new_state(
+    identity,
+    rng,
+    seeds=(),
+    keeper=None,
+    bootstrap=(),
+    log_options=quorum_log_options.DEFAULT,
+    routing_options=revisions.RoutingOptions(),
+    longest_lease=servers.LONGEST_LEASE,
+):
     """Return the state of an instance that knows only its seeds.
 
     ``keeper`` is what its disk has (``quorum_log_records.Keeper``), where it
     has one; ``bootstrap`` names the first keepers.
     """
     objects = store.ResourceStore()
-    registry = servers.ServerRegistry()
+    registry = servers.ServerRegistry(longest_lease)
     own = usage.Publisher(identity.instance, identity.incarnation)
     members = membership.Membership(identity, seeds)
     log = quorum_log.QuorumLog(
@@ -71,6 +84,7 @@
         neighbours.KnownMembers(identity, members),
         keeper,
         bootstrap,
+        log_options,
     )
     return State(
         identity,
@@ -82,4 +96,5 @@
         directory.Directory(registry, objects),
         log,
         orders_state.new_orders_state(identity),
+        revisions.RoutingState(routing_options),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -47,8 +47,11 @@
 from . import quorum_log_leader as leader_module
 from . import quorum_log_machine as machine_module
 from . import quorum_log_messages as messages
+from . import quorum_log_options as options_module
 from . import quorum_log_proposals as proposals_module
+from . import quorum_log_proving as proving_module
 from . import quorum_log_records as records
+from . import quorum_log_repair as repair_module
 from . import quorum_log_spreading as spreading_module
 from . import quorum_log_start as start_module
 from . import quorum_log_status as status_module
@@ -64,7 +67,15 @@
 class QuorumLog:
     """The replica of one instance.  ``open`` it before all else."""
 
-    def __init__(self, name, rng, neighbours, keeper=None, bootstrap=()):
+    def __init__(
+        self,
+        name,
+        rng,
+        neighbours,
+        keeper=None,
+        bootstrap=(),
+        options=options_module.DEFAULT,
+    ):
         self._keeper = keeper
         self._neighbours = neighbours
         self._bootstrap = set(bootstrap)
@@ -79,7 +90,9 @@
         self._following = follower_module.Following(
             core, self._election, self._freshness
         )
-        self._founding = founding_module.Founding(core, bootstrap)
+        self._founding = founding_module.Founding(
+            core, bootstrap if options.may_found else ()
+        )
         self._catch_up = catch_up_module.CatchUp(core, neighbours)
         self._proposals = proposals_module.Proposals(
             core, self._leadership, sorted(bootstrap)
@@ -90,6 +103,16 @@
         self._start = start_module.Start(
             core, self._freshness, self._catch_up, neighbours
         )
+        self._proving = proving_module.Proving(
+            core, self._freshness, neighbours, options.proves_often
+        )
+        self._repair = repair_module.VoterRepair(
+            core,
+            self._leadership,
+            self._founding,
+            neighbours,
+            options.wanted_voters,
+        )
         # Whether the disk held a log when this process started.
         self.resumed = False
         self._spreading = spreading_module.Spreading(core, neighbours)
@@ -139,6 +162,14 @@
         """Tell whether a majority has not been heard of for a while."""
         return self._freshness.stale(now)
 
+    def proven_ago(self, now):
+        """Return the proven age of the state in seconds, or ``None``.
+
+        All that was committed so many seconds ago is certainly applied here.
+        """
+        ago = self._freshness.proven.ago(now)
+        return None if ago < 0 else ago
+
     def leader(self, now):
         """Return the name of the leader where it is known, or ''."""
         return self._proposals.leader(now)
@@ -190,6 +221,10 @@
         self._leadership.tick(now)
         self._catch_up.tick(now)
         self._proposals.tick(now)
+        out.extend(self._prove(now))
+        changed = self._repair.tick(now)
+        if changed:
+            out.append(effects.Log("info", "keepers repaired", changed))
         for expired in self._proposals.take_expired(now):
             out.extend(_call(expired, now))
         if self._start.tick(now):
@@ -199,6 +234,18 @@
         out.extend(self._finish(now))
         return out
 
+    def _prove(self, now):
+        """Ask a keeper how far it is, where that is due."""
+        asked = self._proving.question(self.leader(now), now)
+        if asked is None:
+            return []
+        name, number = asked
+        address = self._neighbours.address_of(name)
+        if not address:
+            return []
+        question = self._progress(now, asks=True, ask=number)
+        return [effects.SendPeer(address, question)]
+
     def synced(self, ticket, now):
         """Take note that a write and all before are on the disk."""
         self._core.synced(ticket)
@@ -277,6 +324,7 @@
                 self._catch_up.hear(name, message.applied)
             if not message.asks:
                 self._start.hear(name, message)
+                self._proving.hear(message)
             self._freshness.hear(message.confirmed_ago, message.applied, now)
             self._catch_up.tick(now)
             if self._proposals.wants_leader():
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
@@ -13,6 +13,7 @@
 from . import downloads
 from . import leases
 from ..resources import changes
+from ..resources import revisions
 
 
 class Voter(msgspec.Struct, frozen=True, order=True):
@@ -50,6 +51,7 @@
     ReadMark,
     VoterChange,
     changes.Change,
+    revisions.Revision,
     downloads.DownloadEntry,
     leases.LeaseRequest,
 )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
@@ -170,6 +170,16 @@
         since = now - QUORUM_SILENT_AFTER
         return self._reached(lambda peer: peer.heard > since, voters)
 
+    def silent_for(self, voter, now):
+        """Return for how many seconds a voter has answered nothing.
+
+        It counts from when this one began to lead: what came before that
+        was answered to somebody else.
+        """
+        peer = self._peers.get(voter)
+        heard = peer.heard if peer else float("-inf")
+        return now - max(heard, self._since)
+
     def _reached(self, holds, voters=None):
         """Tell whether ``holds`` is true for a majority with this one."""
         core = self._core
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -88,20 +88,32 @@
 class ServerRegistry:
     """All backend servers heard of, by name."""
 
-    __slots__ = ("servers", "digest", "running", "_lapsed", "_next_lapse")
+    __slots__ = (
+        "servers",
+        "digest",
+        "running",
+        "longest_lease",
+        "_lapsed",
+        "_next_lapse",
+    )
 
-    def __init__(self):
+    def __init__(self, longest_lease=LONGEST_LEASE):
+        self.longest_lease = longest_lease
         self.servers = {}
         self.digest = digests.TableDigest()
         self.running = {}
         self._lapsed = {}
         self._next_lapse = 0.0
 
+    def _lease_of(self, announcement):
+        """Return for how many seconds an announcement holds here."""
+        return min(announcement.lease, self.longest_lease)
+
     def learn(self, announcement, age, now):
         """Take in a record and return whether it was news."""
         name = announcement.backend_server
         held = self.servers.get(name)
-        lease = lease_of(announcement)
+        lease = self._lease_of(announcement)
         if held is None:
             if age >= lease and not announcement.leaving:
                 return False
@@ -128,7 +140,7 @@
         if content_of(announcement) != held.content:
             return False
         held.heard = heard
-        held.expires = heard + lease_of(held.announcement)
+        held.expires = heard + self._lease_of(held.announcement)
         self._enter(held)
         return True
 
@@ -136,7 +148,7 @@
         """Keep the digests of those that have not lapsed."""
         announcement = held.announcement
         name = announcement.backend_server
-        held.lease = lease_of(announcement)
+        held.lease = self._lease_of(announcement)
         self._lapsed.pop(name, None)
         self._next_lapse = min(self._next_lapse, held.expires)
         self.digest.put(name, held.content)
@@ -170,7 +182,7 @@
         # The object is kept, since the directory's lists point to it.
         held.announcement = announcement
         held.heard = heard
-        held.expires = heard + lease_of(announcement)
+        held.expires = heard + self._lease_of(announcement)
         _check_order(before, announcement)
 
     def renew(self, renewal, age, now):
@@ -180,7 +192,7 @@
         """
         held = self.servers.get(renewal.backend_server)
         if held is None:
-            return None if age < LONGEST_LEASE else False
+            return None if age < self.longest_lease else False
         before = held.announcement
         order = (renewal.epoch, renewal.sequence)
         if order <= before.order() or _has_left(before, renewal.epoch):
@@ -192,7 +204,7 @@
             before, sequence=renewal.sequence, load=load
         )
         held.heard = now - age
-        held.expires = held.heard + lease_of(before)
+        held.expires = held.heard + self._lease_of(before)
         self._enter(held)
         _check_order(before, held.announcement)
         return True
@@ -266,11 +278,6 @@
         return gone
 
 
-def lease_of(announcement):
-    """Return for how many seconds an announcement holds."""
-    return min(announcement.lease, LONGEST_LEASE)
-
-
 def _load_of(renewal):
     if len(renewal.load) != len(announcements.Load.__struct_fields__):
         return None
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -0,0 +1,108 @@
+"""Which model engine takes a request, by the prompt parts it may hold.
+
+Most of a long prompt is shared with other prompts, and an engine that has
+read a shared part keeps it for a while.  Reading 13,000 tokens anew takes an
+engine 0.2 s, in which all streams beside it stand still.  So the requests
+with one shared part go to one engine, chosen by rendezvous hashing, which
+every instance computes alike without talking; a second one takes over while
+the first has clearly more to do.
+
+Streams whose events must follow one another closely suffer from any prompt
+that is read beside them.  They get a part of the engines to themselves, and
+the long prompts the rest.
+"""
+
+import hashlib
+
+# The part of a service's engines that streams with the shortest pauses get.
+CLOSE_PART = 0.25
+# Routes whose longest pause is within this factor of the shortest count as
+# close.
+CLOSE_FACTOR = 1.25
+# How many of the engines are looked at in the order of their hash.
+CHOICES = 2
+# What one running request adds to the cost of an engine, in prompt tokens:
+# its share in the time of a step, over a second or so.
+TOKENS_PER_RUNNING = 150.0
+# A backup engine is taken once the first is this many prompt tokens behind;
+# below that the parts it holds are worth more.
+RANK_TOKENS = 600.0
+
+
+def rank(key, names):
+    """Return ``names`` in the order in which they take work for ``key``.
+
+    A name more or less moves only the keys that it is first for (Thaler and
+    Ravishankar, "Using name-based mappings to increase hit rates", 1998).
+    """
+
+    def weight(name):
+        text = f"{key} {name}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(names, key=weight)
+
+
+def shared_key(parts):
+    """Return what the prompts that share most have in common, or ''."""
+    if len(parts) < 2:
+        return ""
+    return parts[-2][0]
+
+
+def shared_tokens(parts):
+    """Return how many tokens of a prompt others may have had read."""
+    return sum(tokens for _, tokens in parts[:-1])
+
+
+class Groups:
+    """Divides the engines of one service between close and other streams."""
+
+    __slots__ = ("_names", "_order", "_ranks")
+
+    def __init__(self):
+        self._names = None
+        self._order = []
+        self._ranks = {}
+
+    def follow(self, service, names):
+        """Take note of the engines there are."""
+        if names == self._names:
+            return
+        self._names = names
+        self._order = rank(service, names)
+        self._ranks = {}
+
+    def members(self, close):
+        """Return the engines of a group, the whole where it has one only."""
+        count = len(self._order)
+        if count < 2:
+            return self._order
+        kept = max(1, round(count * CLOSE_PART))
+        return self._order[:kept] if close else self._order[kept:]
+
+    def ranked(self, key, close):
+        """Return the engines of a group in the order for ``key``."""
+        held = self._ranks.get((key, close))
+        if held is None:
+            held = rank(key, self.members(close))
+            if len(self._ranks) > 4096:
+                self._ranks.clear()
+            self._ranks[(key, close)] = held
+        return held
+
+
+def shortest_pause(routes, service):
+    """Return the shortest pause that a route to ``service`` asks for."""
+    pauses = [
+        route.longest_pause
+        for route in routes
+        if route.longest_pause > 0
+        and any(part.service == service for part in route.split)
+    ]
+    return min(pauses, default=0.0)
+
+
+def is_close(pause, shortest):
+    """Tell whether a stream with ``pause`` is among the closest."""
+    return 0 < pause <= shortest * CLOSE_FACTOR
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/directory.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/directory.py
@@ -82,6 +82,23 @@
             self._lists[key] = held
         return held
 
+    def of_service(self, service):
+        """Return the servers of a service, for routes, which need no pool.
+
+        The list may hold servers whose lease has lapsed since.
+        """
+        key = ("", "", service)
+        held = self._lists.get(key)
+        if held is None:
+            held = [
+                server
+                for server in self._registry.servers.values()
+                if server.announcement.service == service
+                and not server.announcement.leaving
+            ]
+            self._lists[key] = held
+        return held
+
     def _build(self, class_name, model, service):
         spec = self._store.spec(specs.Kind.REQUEST_CLASSES, class_name)
         pools = self._pools(spec)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -10,6 +10,11 @@
     ``received`` and ``deadline`` are on the clock of this instance;
     ``avoid`` names the servers on which an attempt failed already.
     ``predicted_tokens`` is the expected output length, zero if unknown.
+    ``parts`` are those of the prompt, in order, as ``(name, tokens)``; the
+    last one is the request's own.  ``max_attempts`` bounds the servers that
+    it may reach, zero leaves that to the node; ``routed`` tells that a route
+    and not a class decided all this.  ``start_priority`` is what a model
+    engine is told.
     ``limits`` are those of the organisation, ``class_limits`` those of each
     organisation in the class (``resources.specs.Limits``).
     """
@@ -35,6 +40,11 @@
     between_tokens_ms: float | None = None
     limits: object = None
     class_limits: object = None
+    parts: tuple = ()
+    max_attempts: int = 0
+    routed: bool = False
+    streamed: bool = False
+    start_priority: int = 0
     avoid: set = dataclasses.field(default_factory=set)
 
 
@@ -58,7 +68,9 @@
 class Ended:
     """How an attempt ended, as feedback to the policy.
 
-    ``wasted`` tells that its output was of no use to any caller.
+    ``wasted`` tells that its output was of no use to any caller,
+    ``refused`` that the server said itself that it did not run it, and
+    ``unreachable`` that no connection to it came about.
     """
 
     request_id: str
@@ -66,4 +78,6 @@
     output_tokens: int = 0
     failed: bool = False
     wasted: bool = False
+    refused: bool = False
+    unreachable: bool = False
     gaps_ms: list = dataclasses.field(default_factory=list)
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -7,6 +7,7 @@
 from .config import InForceAsked
 from .config import LogSynced
 from .config import ReadSubmitted
+from .config import RevisionSubmitted
 from .config import StorageFailed
 from .config import VoterChangeAsked
 from .config import WriteSubmitted
@@ -25,6 +26,7 @@
 from .requests import NotBegun
 from .requests import Overdue
 from .requests import RequestReceived
+from .requests import RoutedRequestReceived
 from .servers import Announced
 from .usage import DayBegan
 from .usage import UsageLoaded
@@ -49,7 +51,9 @@
     "PeerMessageReceived",
     "ReadSubmitted",
     "RequestReceived",
+    "RevisionSubmitted",
     "Started",
+    "RoutedRequestReceived",
     "StorageFailed",
     "UsageLoaded",
     "VoterChangeAsked",
--- a/packages/dandeliontrail/src/dandeliontrail/events/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/config.py
@@ -4,6 +4,7 @@
 
 from ..coordination import quorum_log_voters as voters
 from ..resources import changes
+from ..resources import revisions
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,6 +15,14 @@
     change: changes.Change
 
 
+@dataclasses.dataclass(slots=True)
+class RevisionSubmitted:
+    """A whole configuration, checked; ``write_id`` pairs it with its answer."""
+
+    write_id: str
+    revision: revisions.Revision
+
+
 @dataclasses.dataclass(slots=True)
 class ReadSubmitted:
     """An operator's read that must not be stale.
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -29,6 +29,27 @@
     streamed: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class RoutedRequestReceived:
+    """A caller's request for a declared route, its head read and checked.
+
+    ``timeout`` is what the caller allows, in seconds from now, or ``None``.
+    ``parts`` are those of the prompt, as ``(name, tokens)``, the shared ones
+    first; it is empty where the request generates nothing.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    key_hash: str = ""
+    timeout: float | None = None
+    model: str = ""
+    parts: tuple = ()
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    draw: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptBegan:
     """The first byte of attempt ``attempt`` is about to be sent."""
@@ -49,6 +70,7 @@
     attempt: int
     server_said: bool
     retry_after: float = 0.0
+    detail: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -19,17 +19,28 @@
 from .components import renewals
 from .components import repair
 from .components import requests
+from .components import revisions
 from .components import state as state_module
 from .components import usage
+from .coordination import quorum_log_options
+from .coordination import servers
 from .decisions import adaptive
 
 
 class Reducer:
     """Hands each event to the component that answers to its type."""
 
-    __slots__ = ("state", "policy", "components", "_handlers", "_messages")
+    __slots__ = (
+        "state",
+        "policy",
+        "components",
+        "lives",
+        "_handlers",
+        "_messages",
+    )
 
-    def __init__(self, state, policy, components):
+    def __init__(self, state, policy, components, lives):
+        self.lives = lives
         self.state = state
         self.policy = policy
         self.components = components
@@ -82,6 +93,10 @@
     keeper=None,
     bootstrap=(),
     keeps_usage=False,
+    log_options=quorum_log_options.DEFAULT,
+    routing_options=revisions.RoutingOptions(),
+    longest_lease=servers.LONGEST_LEASE,
+    new_policy=None,
 ):
     """Return the reducer of an instance, put together from its parts.
 
@@ -90,9 +105,25 @@
     holds (``quorum_log_records.Keeper``) on an instance that has one, and
     ``bootstrap`` the names of the first keepers, which also grant claims on
     idempotency keys; without either, the instance keeps a log of its own in
-    memory.  ``keeps_usage`` tells that there is a disk for usage.
+    memory.  ``keeps_usage`` tells that there is a disk for usage and
+    ``log_options`` what else is chosen about the log;
+    ``routing_options`` says how recent state must be to be acted on,
+    ``longest_lease`` how long a silent backend server is taken for alive.
+    ``new_policy(rng, view, state)`` makes the policy where ``policy`` is
+    not given.
     """
-    state = state_module.new_state(identity, rng, seeds, keeper, bootstrap)
+    state = state_module.new_state(
+        identity,
+        rng,
+        seeds,
+        keeper,
+        bootstrap,
+        log_options,
+        routing_options,
+        longest_lease,
+    )
+    if new_policy is not None:
+        policy = new_policy(rng, cluster_view.StateView(state), state)
     chosen = policy or adaptive.Adaptive(
         rng,
         cluster_view.StateView(state),
@@ -101,6 +132,7 @@
     voting = claim_voting.ClaimVoting(state, bootstrap)
     claimer = claims.Claims(state, voting)
     renewing = renewals.Renewals(state, chosen)
+    serving = requests.Requests(state, chosen, claimer)
     parts = [
         members.Members(state),
         repair.Repair(state),
@@ -108,12 +140,13 @@
         backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
+        revisions.Revisions(state, configuration.answer_to),
         voting,
         claimer,
-        requests.Requests(state, chosen, claimer),
+        serving,
         orders.Orders(state),
         caches.Caches(state),
     ]
     # Every applier is registered by now, as the replay needs them all.
     state.log.open()
-    return Reducer(state, chosen, parts)
+    return Reducer(state, chosen, parts, serving.lives)
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -18,6 +18,8 @@
     UNKNOWN_KEY = "unknown_key"
     UNKNOWN_CLASS = "unknown_class"
     UNKNOWN_TARGET = "unknown_target"
+    UNKNOWN_ROUTE = "unknown_route"
+    NOT_PROVEN = "state_not_proven_recent"
     OVER_LIMIT = "organisation_over_limit"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
