Long prompts wait at the entry until an engine has little to read

Ruled out: memory of engines (0 preemptions). Instances now tell one another their loads and what they sent where, long prompts wait until an engine has under 8,000 tokens to read, 421 ends a server's record, and one of several servers at an address is used.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/drain.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/drain.py
@@ -12,8 +12,6 @@
 from dandeliontrail import events
 
 POLL_SECONDS = 0.05
-# The last words to callers are a few hundred bytes each.
-LAST_WORDS_SECONDS = 1.0
 
 
 class Drain:
@@ -69,6 +67,6 @@
         """End what is left, and give the callers time to be told."""
         for exchange in host.exchanges():
             host.submit(events.CutShort(exchange.request_id))
-        with gevent.Timeout(LAST_WORDS_SECONDS, False):
+        with gevent.Timeout(self._limits.last_words_seconds, False):
             while host.open_exchanges():
                 gevent.sleep(POLL_SECONDS)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -62,6 +62,10 @@
     def not_executed(self, answer):
         """Tell whether a server says that it did not run the request."""
 
+    @abc.abstractmethod
+    def is_other_server(self, answer):
+        """Tell whether another server than the one meant answered."""
+
     @abc.abstractmethod
     def request_id_of(self, answer):
         """Return the id of the request that an answer is for, or ''."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -189,8 +189,8 @@
                 return self._kept[0], None
             except upstream_module.NotSent as exc:
                 self._not_begun(False, str(exc))
-            except _NotExecuted:
-                self._not_begun(True, "the server said so")
+            except _NotExecuted as exc:
+                self._not_begun(True, str(exc), exc.gone)
             except upstream_module.Broken as exc:
                 self._failed(str(exc))
 
@@ -243,7 +243,7 @@
         )
         answer = self._upstream.head()
         if self._dialect.not_executed(answer):
-            raise _NotExecuted()
+            raise _NotExecuted(answer, self._dialect.is_other_server(answer))
         return answer
 
     def _take_whole(self, answer):
@@ -261,7 +261,7 @@
         self._finished(0)
         return True
 
-    def _not_begun(self, server_said, detail):
+    def _not_begun(self, server_said, detail, gone=False):
         dispatch = self._dispatch
         self._release()
         self._host.submit(
@@ -270,6 +270,7 @@
                 dispatch.attempt,
                 server_said,
                 detail=detail,
+                gone=gone,
             )
         )
 
@@ -370,8 +371,8 @@
                 return
             except upstream_module.NotSent as exc:
                 self._not_begun(False, str(exc))
-            except _NotExecuted:
-                self._not_begun(True, "the server said so")
+            except _NotExecuted as exc:
+                self._not_begun(True, str(exc), exc.gone)
             except upstream_module.Broken as exc:
                 self._failed(str(exc))
 
@@ -394,7 +395,14 @@
 
 
 class _NotExecuted(Exception):
-    """The server says that it did not run the request."""
+    """The server says that it did not run the request.
+
+    ``gone`` tells that it is another server than the one that was meant.
+    """
+
+    def __init__(self, answer, gone):
+        super().__init__(f"the server answered {answer.status}, not run")
+        self.gone = gone
 
 
 class _KeptAnswer(Exception):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -77,7 +77,8 @@
     requests, and ``write_seconds`` how long a caller may take nothing of
     its answer.  ``drain_notice_seconds`` is how long a draining instance
     still takes new connections, until the platform's balancer has noticed;
-    ``drain_seconds`` is the longest drain in all.
+    ``drain_seconds`` is the longest drain in all, after which callers have
+    ``last_words_seconds`` to be told what became of their requests.
     ``peer_bytes_per_second`` is what messages to other instances may cost
     before load reports and repairs are kept back.
     """
@@ -91,6 +92,7 @@
     connections: int = 4096
     drain_notice_seconds: float = 5.0
     drain_seconds: float = 300.0
+    last_words_seconds: float = 1.0
     backend_silent_seconds: float = 30.0
     connect_seconds: float = 1.0
     peer_bytes_per_second: int = 64 * 1024
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -12,6 +12,7 @@
 from . import claim_rounds
 from ..coordination import claim_entries
 from ..coordination import claims as claims_module
+from ..coordination import server_loads
 from ..coordination import usage
 from ..decisions import work as work_module
 from ..effects import reports
@@ -25,6 +26,8 @@
 # A server that says "not run" is busy.  Asked again at once, it would be
 # asked as fast as it can refuse.
 PAUSE_SECONDS = 0.25
+# So many servers may turn a request away before its caller is told.
+MOST_REJECTIONS = 3
 # A caller whose request its servers turned away may find them less busy
 # after a few answers have ended, which take some tenths of a second each.
 BUSY_RETRY = 0.5
@@ -56,6 +59,7 @@
             events.CallerGone: self._caller_gone,
             events.Overdue: self._overdue,
             events.CutShort: self._cut_short,
+            server_loads.ServerLoads: self._loads_heard,
         }
 
     def tick(self, now):
@@ -230,6 +234,7 @@
             failed=True,
             refused=event.server_said,
             unreachable=not event.server_said,
+            gone=event.gone,
         )
         held.unbegin()
         if held.work.routed:
@@ -262,13 +267,15 @@
     def _try_elsewhere(self, held, now, counts):
         """Queue a routed request for another server, or end it.
 
-        ``counts`` tells that the last attempt reached its server: it counts
-        towards the route's attempts, and another one draws on the budget of
-        repeats.  A server that could not be reached costs neither.
+        ``counts`` tells that the last attempt reached its server: another
+        one draws on the budget of repeats.  The route's attempts are those
+        that may have run; those that servers turned away have a bound of
+        their own.  A server that could not be reached costs neither.
         """
         work = held.work
         work.avoid.add(held.server)
-        if counts and held.arrivals >= work.max_attempts:
+        rejected = held.arrivals - held.begun
+        if held.begun >= work.max_attempts or rejected >= MOST_REJECTIONS:
             return self._give_up(held, now)
         if not counts:
             self._policy.requeue(work, now)
@@ -306,9 +313,11 @@
         if held.first_output:
             return []
         held.first_output = now
-        return [
+        out = [
             measures.since_received(held.work, reports.Metric.FIRST_TOKEN, now)
         ]
+        # Its engine has read the prompt and has room for the next.
+        return out + self._decide(now) if held.work.routed else out
 
     def _finished(self, event, now):
         held = self._current(event)
@@ -390,6 +399,10 @@
             return []
         return self._stop(held, "deadline", now)
 
+    def _loads_heard(self, source, message, now):
+        """Look again what can be placed: others' work may have ended."""
+        return self._decide(now) if self.lives else []
+
     def _cut_short(self, event, now):
         """Tell a caller the truth, since this instance ends now.
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -11,6 +11,7 @@
 from ..coordination import quorum_log
 from ..coordination import quorum_log_neighbours as neighbours
 from ..coordination import quorum_log_options
+from ..coordination import server_loads
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
@@ -41,7 +42,8 @@
 
     Owners: ``store`` and ``log`` the configuration component,
     ``registry`` the server component, ``members`` the membership
-    component, ``routing`` the revisions component, ``usage`` the usage
+    component, ``routing`` the revisions component, ``loads`` the server loads
+    component, ``usage`` the usage
     component, into which the request
     component counts, ``orders`` the orders component.
     """
@@ -56,6 +58,7 @@
     log: quorum_log.QuorumLog
     orders: orders_state.OrdersState
     routing: revisions.RoutingState
+    loads: server_loads.LoadTable
     draining: bool = False
 
 
@@ -97,4 +100,5 @@
         log,
         orders_state.new_orders_state(identity),
         revisions.RoutingState(routing_options),
+        server_loads.LoadTable(),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -12,6 +12,7 @@
 from . import quorum_log_messages
 from . import quorum_log_voters
 from ..resources import announcements
+from . import server_loads
 from . import servers
 from . import usage
 from . import vouches
@@ -20,6 +21,7 @@
     messages.Heartbeat,
     member_records.MemberRecords,
     servers.ServerRecords,
+    server_loads.ServerLoads,
     *claims.MESSAGES,
     order_reports.OrdersReport,
     announcements.CacheEvents,
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -14,19 +14,21 @@
 
 import hashlib
 
-# The part of a service's engines that streams with the shortest pauses get.
-CLOSE_PART = 0.25
+# The part of a service's engines that streams with the shortest pauses get:
+# their prompts are short, so a few engines serve many of them.
+CLOSE_PART = 1 / 6
 # Routes whose longest pause is within this factor of the shortest count as
 # close.
 CLOSE_FACTOR = 1.25
-# How many of the engines are looked at in the order of their hash.
-CHOICES = 2
 # What one running request adds to the cost of an engine, in prompt tokens:
 # its share in the time of a step, over a second or so.
 TOKENS_PER_RUNNING = 150.0
-# A backup engine is taken once the first is this many prompt tokens behind;
-# below that the parts it holds are worth more.
-RANK_TOKENS = 600.0
+# What an engine that always fails would cost beyond its load: more than any
+# prompt, so that it gets next to nothing.
+TOKENS_PER_FAILURE = 20_000.0
+# An engine that is not the first for a part is taken only if it saves this
+# many tokens of waiting: what it reads of the part will be of little use.
+SPILL_TOKENS = 6000.0
 
 
 def rank(key, names):
@@ -50,11 +52,6 @@
     return parts[-2][0]
 
 
-def shared_tokens(parts):
-    """Return how many tokens of a prompt others may have had read."""
-    return sum(tokens for _, tokens in parts[:-1])
-
-
 class Groups:
     """Divides the engines of one service between close and other streams."""
 
@@ -74,12 +71,24 @@
         self._ranks = {}
 
     def members(self, close):
-        """Return the engines of a group, the whole where it has one only."""
+        """Return the engines of a group.
+
+        Close streams may go to all engines: their cost leads them to their
+        own part while it has room.
+        """
         count = len(self._order)
-        if count < 2:
+        if count < 2 or close:
             return self._order
-        kept = max(1, round(count * CLOSE_PART))
-        return self._order[:kept] if close else self._order[kept:]
+        return self._order[self.kept(count) :]
+
+    def is_kept(self, name):
+        """Tell whether an engine is kept for close streams."""
+        return name in self._order[: self.kept(len(self._order))]
+
+    @staticmethod
+    def kept(count):
+        """Return how many of ``count`` engines are kept."""
+        return max(1, round(count * CLOSE_PART)) if count > 1 else 0
 
     def ranked(self, key, close):
         """Return the engines of a group in the order for ``key``."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -55,3 +55,14 @@
 
     def forget_server(self, name):
         """Drop what is held about a server that is gone."""
+
+    def own_loads(self):
+        """Return this instance's work at each server, for the others."""
+        return []
+
+    def take_reads(self):
+        """Return which prompt parts were sent where since the last call."""
+        return []
+
+    def heard_reads(self, reads):
+        """Take in which prompt parts the others sent where."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
@@ -38,6 +38,10 @@
         self.until = now + self.pause
         self._answered(failed=True)
 
+    def gone(self):
+        """Take note that another server is at its address now, for good."""
+        self.until = float("inf")
+
     def full(self, now):
         """Take note that the server turned a request away."""
         self.until = max(self.until, now + FULL_PAUSE)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -1,19 +1,25 @@
 """The policy for servers that many instances share and nobody reports on.
 
 Servers tell neither their load nor what they hold, and other instances send
-them work too.  What an instance has is its own work under way, what became
-of it, and that all instances compute alike.  Requests start at once, with
-their priority, since an engine orders its own queue better than instances
-that do not see one another could; what is decided here is where, and when
-not to try.
+them work too.  What an instance has is its own work under way, what the
+other instances say of theirs a tenth of a second ago, and that all of them
+compute alike.
+
+A model engine reads prompts in between the tokens of all its streams.  An
+engine that always has a prompt to read makes one token in the time of
+fifteen, so streams last ten times as long, run into their time limits, and
+what was read for them is lost.  So long prompts wait here, where they can
+still be reordered or refused, until an engine has next to nothing to read.
 """
 
 import collections
 import dataclasses
 
+from ..coordination import server_loads
 from .. import sentinels
 from . import affinity
 from . import policy
+from . import prompt_cache
 from . import retry_budget
 from . import server_health
 from . import work as work_module
@@ -23,6 +29,17 @@
 # Work waits so long for a server to become usable again before it is given
 # up: most pauses are over by then, and little of its target is.
 PATIENCE = 0.3
+# An engine gets a further long prompt once it has fewer tokens than this to
+# read, itself included: two steps of reading, so that between two prompts
+# its streams go on at their own pace.
+UNREAD_LIMIT = 8000.0
+# Prompts below this are no burden: less than half a step of reading.
+SHORT_PROMPT = 2000.0
+# What is left of its time when queued work is given up as hopeless: a short
+# answer's own time on a calm engine.
+LEAST_SERVICE = 0.5
+# Memory of an engine where the configuration does not say.
+KV_TOKENS = 500_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,30 +52,53 @@
 
 
 class Server:
-    """What this instance knows of one server from its own work."""
+    """What this instance knows of one server."""
 
-    __slots__ = ("running", "unread", "health")
+    __slots__ = ("running", "unread", "health", "cache")
 
-    def __init__(self):
+    def __init__(self, kv_tokens):
         self.running = 0
         self.unread = 0.0
         self.health = server_health.Health()
+        self.cache = prompt_cache.PromptCache(kv_tokens)
 
 
 class Shared(policy.Policy):
-    """Decides for one instance, from its own work alone."""
+    """Decides for one instance, from its own work and the others' word."""
 
-    def __init__(self, rng, view, routing, identity, limits):
+    def __init__(self, rng, view, state, limits):
         self._rng = rng
         self._view = view
-        self._routing = routing
-        self._domain = identity[1]
+        self._routing = state.routing
+        self._others = state.loads
+        self._domain = state.identity.failure_domain
         self._budget = retry_budget.RetryBudget(limits)
-        self._queue = collections.OrderedDict()
+        self._queue = {}
         self._attempts = {}
-        self._servers = collections.defaultdict(Server)
+        self._servers = {}
         self._groups = collections.defaultdict(affinity.Groups)
         self._closest = (None, {})
+        self._reads = []
+
+    # -- what the other instances are told ---------------------------------
+
+    def own_loads(self):
+        """Return this instance's work at each server."""
+        return [
+            server_loads.Load(name, held.running, int(held.unread))
+            for name, held in self._servers.items()
+            if held.running
+        ]
+
+    def take_reads(self):
+        """Return what was sent to engines since the last call."""
+        reads, self._reads = self._reads, []
+        return reads
+
+    def heard_reads(self, reads):
+        """Take in what the others sent to engines."""
+        for item in reads:
+            self._server(item.server).cache.read(item.parts)
 
     # -- admitting --------------------------------------------------------
 
@@ -98,94 +138,138 @@
     # -- placing ----------------------------------------------------------
 
     def next(self, now, directory):
-        """Place what can be placed, the most urgent first."""
+        """Place what can be placed, the most urgent first.
+
+        An engine that is too busy for a piece of work takes nothing less
+        urgent in this round: it would else never be free for a long prompt.
+        """
         if not self._queue:
             return []
         decided = []
-        queued = sorted(self._queue.values(), key=_urgency)
+        claimed = set()
+        queued = list(self._queue.values())
+        if len(queued) > 1:
+            queued.sort(key=lambda work: _urgency(work, now))
         for work in queued:
-            item = self._decide(work, now, directory)
+            item = self._decide(work, now, directory, claimed)
             if item is not None:
                 del self._queue[work.request_id]
                 decided.append(item)
         return decided
 
-    def _decide(self, work, now, directory):
-        if now >= work.deadline:
-            nothing = sentinels.Nothing(
-                sentinels.Reason.DEADLINE, NO_SERVER_RETRY
-            )
-            return work_module.Refusal(work, nothing)
+    def _decide(self, work, now, directory, claimed):
+        left = work.deadline - now
+        if left <= 0 or (work.parts and left < LEAST_SERVICE):
+            return _refusal(work, sentinels.Reason.ALL_BUSY)
         servers = directory.of_service(work.service)
-        chosen = self._choose(work, servers, now)
-        if chosen:
-            self._place(work, chosen)
-            return work_module.Placement(work, chosen)
-        if now - work.received < PATIENCE and len(work.avoid) < len(servers):
+        usable = self._usable(work, servers, now)
+        if not usable:
+            waited = now - work.received
+            if waited < PATIENCE and len(work.avoid) < len(servers):
+                return None
+            return _refusal(work, sentinels.Reason.NO_SERVER)
+        if not work.parts:
+            return self._place(work, self._choose_plain(usable), 0.0)
+        name, need = self._choose_engine(work, servers, usable)
+        if not self._has_room(name, need):
+            claimed.add(name)
             return None
-        nothing = sentinels.Nothing(
-            sentinels.Reason.NO_SERVER, NO_SERVER_RETRY
-        )
-        return work_module.Refusal(work, nothing)
+        if name in claimed and need > SHORT_PROMPT:
+            return None
+        return self._place(work, name, need)
 
-    def _choose(self, work, servers, now):
-        usable = {}
+    def _usable(self, work, servers, now):
+        """Return the servers that may take the work, by name.
+
+        Of several at one address only the one heard of last is there: a
+        server that starts anew at its address has a new name.
+        """
+        newest = {}
         for server in servers:
+            url = server.announcement.url
+            held = newest.get(url)
+            if held is None or server.heard > held.heard:
+                newest[url] = server
+        usable = {}
+        for server in newest.values():
             name = server.announcement.backend_server
             if not server.serves(now) or name in work.avoid:
                 continue
-            if self._servers[name].health.usable(now):
+            if self._server(name).health.usable(now):
                 usable[name] = server
-        if not usable:
-            return None
-        if work.parts:
-            return self._choose_engine(work, servers, usable)
-        return self._choose_plain(usable)
+        return usable
+
+    def _server(self, name):
+        held = self._servers.get(name)
+        if held is None:
+            held = self._servers[name] = Server(KV_TOKENS)
+        return held
+
+    def _running(self, name):
+        return self._server(name).running + self._others.running(name)
+
+    def _unread(self, name):
+        return self._server(name).unread + self._others.unread(name)
+
+    def _has_room(self, name, need):
+        """Tell whether an engine may be given so much more to read."""
+        unread = self._unread(name)
+        if need <= SHORT_PROMPT or unread <= 0:
+            return True
+        return unread + need <= UNREAD_LIMIT
 
     def _choose_plain(self, usable):
         """Prefer the own failure domain and the servers that fail least."""
 
         def cost(name):
-            held = self._servers[name]
             announcement = usable[name].announcement
-            load = held.running / max(1, announcement.slots)
+            load = self._running(name) / max(1, announcement.slots)
             away = announcement.failure_domain != self._domain
             return (
                 load
                 + 0.3 * away
-                + held.health.failure_share
+                + self._server(name).health.failure_share
                 + 0.01 * self._rng.random()
             )
 
         return min(usable, key=cost)
 
     def _choose_engine(self, work, servers, usable):
-        """Weigh what an engine holds against what it has to do."""
+        """Return the best engine and what it would have to read.
+
+        What an engine holds is weighed against what it has to do, all in
+        prompt tokens, which stand for its time.
+        """
         groups = self._groups[work.service]
         names = sorted(item.announcement.backend_server for item in servers)
         groups.follow(work.service, names)
         close = self._is_close(work)
         key = affinity.shared_key(work.parts)
-        ranked = [
-            name for name in groups.ranked(key, close) if name in usable
-        ]
+        ranked = [name for name in groups.ranked(key, close) if name in usable]
         if not ranked:
             ranked = affinity.rank(key, usable)
-        shared = affinity.shared_tokens(work.parts)
-
-        def cost(item):
-            place, name = item
-            held = self._servers[name]
-            missing = 0.0 if place < affinity.CHOICES else shared
-            return (
-                held.unread
-                + missing
-                + place * affinity.RANK_TOKENS
-                + held.running * affinity.TOKENS_PER_RUNNING
-                + held.health.failure_share * 4000.0
+        shared = work.parts[:-1]
+        own = work.parts[-1][1]
+        best = None
+        for place, name in enumerate(ranked):
+            held = self._server(name)
+            need = own + held.cache.missing(shared)
+            cost = (
+                self._unread(name)
+                + need
+                + self._detour(groups, close, place, name)
+                + self._running(name) * affinity.TOKENS_PER_RUNNING
+                + held.health.failure_share * affinity.TOKENS_PER_FAILURE
             )
+            if best is None or cost < best[0]:
+                best = (cost, name, need)
+        return best[1], best[2]
 
-        return min(enumerate(ranked), key=cost)[1]
+    def _detour(self, groups, close, place, name):
+        """Return the cost of an engine that is not the one to prefer."""
+        if close:
+            return 0.0 if groups.is_kept(name) else affinity.SPILL_TOKENS
+        return affinity.SPILL_TOKENS if place else 0.0
 
     def _is_close(self, work):
         revision = self._routing.table.revision
@@ -200,12 +284,16 @@
         pause = (work.between_tokens_ms or 0.0) / 1000.0
         return affinity.is_close(pause, shortest)
 
-    def _place(self, work, name):
-        held = self._servers[name]
-        own = work.parts[-1][1] if work.parts else 0
+    def _place(self, work, name, need):
+        held = self._server(name)
         held.running += 1
-        held.unread += own
-        self._attempts[work.request_id] = Attempt(work, name, own)
+        held.unread += need
+        shared = work.parts[:-1]
+        if shared:
+            held.cache.read(shared)
+            self._reads.append(server_loads.Read(name, list(shared)))
+        self._attempts[work.request_id] = Attempt(work, name, need)
+        return work_module.Placement(work, name)
 
     # -- feedback ---------------------------------------------------------
 
@@ -213,7 +301,7 @@
         """Take note that the prompt has been read."""
         attempt = self._attempts.get(request_id)
         if attempt is not None:
-            self._servers[attempt.server].unread -= attempt.unread
+            self._server(attempt.server).unread -= attempt.unread
             attempt.unread = 0.0
 
     def ended(self, ended, now):
@@ -221,10 +309,12 @@
         attempt = self._attempts.pop(ended.request_id, None)
         if attempt is None:
             return
-        held = self._servers[attempt.server]
+        held = self._server(attempt.server)
         held.running -= 1
         held.unread -= attempt.unread
-        if ended.unreachable:
+        if ended.gone:
+            held.health.gone()
+        elif ended.unreachable:
             held.health.unreachable(now)
         elif ended.refused:
             held.health.full(now)
@@ -240,5 +330,13 @@
             del self._servers[name]
 
 
-def _urgency(work):
-    return (work.priority, work.received)
+def _urgency(work, now):
+    """Order by priority, and within it those first that can be on time."""
+    target = work.first_token_ms
+    late = target is not None and now - work.received > target / 1000.0
+    return (work.priority, late, work.received)
+
+
+def _refusal(work, reason):
+    nothing = sentinels.Nothing(reason, NO_SERVER_RETRY)
+    return work_module.Refusal(work, nothing)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -69,8 +69,9 @@
     """How an attempt ended, as feedback to the policy.
 
     ``wasted`` tells that its output was of no use to any caller,
-    ``refused`` that the server said itself that it did not run it, and
-    ``unreachable`` that no connection to it came about.
+    ``refused`` that the server said itself that it did not run it, 
+    ``unreachable`` that no connection to it came about, and ``gone`` that
+    another server is at its address.
     """
 
     request_id: str
@@ -80,4 +81,5 @@
     wasted: bool = False
     refused: bool = False
     unreachable: bool = False
+    gone: bool = False
     gaps_ms: list = dataclasses.field(default_factory=list)
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -63,7 +63,8 @@
     """It is certain that attempt ``attempt`` did not start any work.
 
     ``server_said`` is true where the server itself answered ``not-run``,
-    false where no byte of the request left this instance.
+    false where no byte of the request left this instance; ``gone`` where
+    another server answered at its address.
     """
 
     request_id: str
@@ -71,6 +72,7 @@
     server_said: bool
     retry_after: float = 0.0
     detail: str = ""
+    gone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -20,6 +20,7 @@
 from .components import repair
 from .components import requests
 from .components import revisions
+from .components import server_loads
 from .components import state as state_module
 from .components import usage
 from .coordination import quorum_log_options
@@ -123,7 +124,8 @@
         longest_lease,
     )
     if new_policy is not None:
-        policy = new_policy(rng, cluster_view.StateView(state), state)
+        view = cluster_view.StateView(state)
+        policy = new_policy(rng, view, state)
     chosen = policy or adaptive.Adaptive(
         rng,
         cluster_view.StateView(state),
@@ -143,6 +145,7 @@
         revisions.Revisions(state, configuration.answer_to),
         voting,
         claimer,
+        server_loads.ServerLoads(state, chosen),
         serving,
         orders.Orders(state),
         caches.Caches(state),
