--- a/packages/dandeliontrail-node/src/dandeliontrail_node/jsonlog.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/jsonlog.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line, on standard error."""
+"""Structured logs: one JSON object a line."""
 
 import logging
 import sys
@@ -6,9 +6,12 @@
 from pythonjsonlogger import msgspec as jsonlogger
 
 
-def make_logger(name, level, instance):
-    """Return a logger whose lines carry ``instance``."""
-    handler = logging.StreamHandler(sys.stderr)
+def make_logger(name, level, instance, handler=None):
+    """Return a logger whose lines carry ``instance``.
+
+    They go to standard error, or wherever ``handler`` writes them.
+    """
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         jsonlogger.MsgspecFormatter(
             "{levelname}{message}{asctime}",
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
@@ -39,6 +39,7 @@
         self._open = {}
         self._seen = {
             events.RequestReceived: self._received,
+            events.RoutedRequestReceived: self._routed,
             events.AttemptBegan: self._began,
             events.NotBegun: self._not_begun,
             events.AttemptFailed: self._failed,
@@ -78,10 +79,17 @@
         fields["request_id"] = request_id
         self._logger.info(message, extra=fields)
 
-    def _received(self, event, now):
+    def _note_open(self, event, now):
         while len(self._open) >= MOST_OPEN:
             del self._open[next(iter(self._open))]
         self._open[event.request_id] = _Open(now)
+
+    def _routed(self, event, now):
+        """Write nothing yet: the decision that follows says it all."""
+        self._note_open(event, now)
+
+    def _received(self, event, now):
+        self._note_open(event, now)
         self._line(
             "request",
             event.request_id,
@@ -106,6 +114,8 @@
             attempt=event.attempt,
             backend_server=held.backend_server if held else "",
             server_said=event.server_said,
+            detail=event.detail,
+            important=True,
         )
 
     def _failed(self, event, now):
@@ -117,6 +127,7 @@
             backend_server=held.backend_server if held else "",
             relayed=event.relayed,
             detail=event.detail,
+            important=True,
         )
 
     def _first_output(self, event, now):
@@ -131,7 +142,7 @@
 
     def _caller_gone(self, event, now):
         if event.request_id in self._open:
-            self._line("caller gone", event.request_id)
+            self._line("caller gone", event.request_id, important=True)
 
     def _note_decision(self, effect):
         if effect.message != DECISION:
@@ -162,6 +173,8 @@
             fields["first_output_ms"] = _milliseconds(passed)
         if status is not None:
             fields["status"] = status
+        if reason not in ("complete", "replayed"):
+            fields["important"] = True
         self._line("request ended", request_id, **fields)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -131,33 +131,60 @@
     )
 
 
-def decision(work, reason, server):
-    """Return the log line of one decision about a request."""
-    return effects.Log(
-        "info",
-        "decision",
-        {
-            "request_id": work.request_id,
-            "organisation": work.organisation,
-            "class": work.class_name,
-            "backend_server": server,
-            "reason": reason,
-        },
-    )
+def decision(work, reason, server, **inputs):
+    """Return the log line of one decision about a request.
+
+    ``inputs`` are what it went by.  What did not go well is marked as
+    important, so that it is logged where others are left out.
+    """
+    fields = {
+        "request_id": work.request_id,
+        "organisation": work.organisation,
+        "class": work.class_name,
+        "backend_server": server,
+        "reason": reason,
+        **inputs,
+    }
+    if reason not in _USUAL:
+        fields["important"] = True
+    return effects.Log("info", "decision", fields)
+
+
+_USUAL = frozenset(("dispatched", "complete", "replayed"))
+
+
+def inputs_of(state, grounds, work, now):
+    """Return the inputs of a decision about a routed request."""
+    if not work.routed:
+        return {}
+    found = {
+        "service": work.service,
+        "waited_ms": round((now - work.received) * 1000.0, 1),
+        "left_ms": round((work.deadline - now) * 1000.0, 1),
+        "revision": state.routing.number,
+        "proven_ago": _rounded(state.log.proven_ago(now)),
+    }
+    if grounds is not None:
+        found.update(dataclasses.asdict(grounds))
+    return found
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 3)
 
 
 def turned_away(state, event, nothing, now):
     """Return the log line of a request that no route or key lets in."""
-    proven_ago = state.log.proven_ago(now)
     return effects.Log(
         "info",
         "turned away",
         {
+            "important": True,
             "request_id": event.request_id,
             "reason": nothing.reason.value,
             "host": event.host,
             "path": event.path,
             "revision": state.routing.number,
-            "proven_ago": None if proven_ago is None else round(proven_ago, 3),
+            "proven_ago": _rounded(state.log.proven_ago(now)),
         },
     )
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -146,12 +146,15 @@
             if held is None:
                 continue
             if isinstance(item, work_module.Placement):
-                out.extend(self._dispatch(held, item.server, now))
+                out.extend(self._dispatch(held, item, now))
             else:
-                out.extend(self._refuse(held, item.nothing, now))
+                out.extend(
+                    self._refuse(held, item.nothing, now, item.grounds)
+                )
         return out
 
-    def _dispatch(self, held, server, now):
+    def _dispatch(self, held, placement, now):
+        server = placement.server
         held.move(life.Phase.DISPATCHED)
         held.attempt += 1
         held.server = server
@@ -175,11 +178,18 @@
                 work.start_priority if work.routed else work.priority,
                 work.repeatable,
             ),
-            answers.decision(work, "dispatched", server),
+            answers.decision(
+                work,
+                "dispatched",
+                server,
+                **answers.inputs_of(
+                    self._state, placement.grounds, work, now
+                ),
+            ),
             measures.since_received(work, reports.Metric.QUEUE_WAIT, now),
         ]
 
-    def _refuse(self, held, nothing, now):
+    def _refuse(self, held, nothing, now, grounds=None):
         """End a request without an answer, as what may have begun says."""
         begun = held.begun > 0
         held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
@@ -187,7 +197,12 @@
         self.lives.pop(work.request_id, None)
         out = [
             answers.refusal(work.request_id, nothing, begun=begun),
-            answers.decision(work, nothing.reason.value, held.server),
+            answers.decision(
+                work,
+                nothing.reason.value,
+                held.server,
+                **answers.inputs_of(self._state, grounds, work, now),
+            ),
         ]
         return out + self._end_claim(held, now)
 
@@ -424,7 +439,12 @@
         del self.lives[request_id]
         out = [
             effects.Abandon(request_id),
-            answers.decision(held.work, reason, held.server),
+            answers.decision(
+                held.work,
+                reason,
+                held.server,
+                **answers.inputs_of(self._state, None, held.work, now),
+            ),
         ]
         if held.phase is life.Phase.CLAIMING:
             return out + self._claims.forget(request_id, now)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -159,24 +159,24 @@
 
     def _decide(self, work, now, directory, claimed):
         left = work.deadline - now
-        if left <= 0 or (work.parts and left < LEAST_SERVICE):
-            return _refusal(work, sentinels.Reason.ALL_BUSY)
         servers = directory.of_service(work.service)
+        if left <= 0 or (work.parts and left < LEAST_SERVICE):
+            return self._refusal(work, sentinels.Reason.ALL_BUSY, servers)
         usable = self._usable(work, servers, now)
         if not usable:
             waited = now - work.received
             if waited < PATIENCE and len(work.avoid) < len(servers):
                 return None
-            return _refusal(work, sentinels.Reason.NO_SERVER)
+            return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
         if not work.parts:
-            return self._place(work, self._choose_plain(usable), 0.0)
+            return self._place(work, self._choose_plain(usable), 0.0, usable)
         name, need = self._choose_engine(work, servers, usable)
         if not self._has_room(name, need):
             claimed.add(name)
             return None
         if name in claimed and need > SHORT_PROMPT:
             return None
-        return self._place(work, name, need)
+        return self._place(work, name, need, usable)
 
     def _usable(self, work, servers, now):
         """Return the servers that may take the work, by name.
@@ -284,8 +284,17 @@
         pause = (work.between_tokens_ms or 0.0) / 1000.0
         return affinity.is_close(pause, shortest)
 
-    def _place(self, work, name, need):
+    def _place(self, work, name, need, usable):
         held = self._server(name)
+        grounds = work_module.Grounds(
+            int(need),
+            int(held.unread),
+            self._others.unread(name),
+            held.running,
+            self._others.running(name),
+            len(usable),
+            len(self._queue) - 1,
+        )
         held.running += 1
         held.unread += need
         shared = work.parts[:-1]
@@ -293,7 +302,14 @@
             held.cache.read(shared)
             self._reads.append(server_loads.Read(name, list(shared)))
         self._attempts[work.request_id] = Attempt(work, name, need)
-        return work_module.Placement(work, name)
+        return work_module.Placement(work, name, grounds)
+
+    def _refusal(self, work, reason, servers):
+        nothing = sentinels.Nothing(reason, NO_SERVER_RETRY)
+        grounds = work_module.Grounds(
+            usable=len(servers), waiting=len(self._queue) - 1
+        )
+        return work_module.Refusal(work, nothing, grounds)
 
     # -- feedback ---------------------------------------------------------
 
@@ -336,7 +352,3 @@
     late = target is not None and now - work.received > target / 1000.0
     return (work.priority, late, work.received)
 
-
-def _refusal(work, reason):
-    nothing = sentinels.Nothing(reason, NO_SERVER_RETRY)
-    return work_module.Refusal(work, nothing)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -48,12 +48,32 @@
     avoid: set = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(slots=True)
+class Grounds:
+    """What a decision went by, for whoever asks for its reason later.
+
+    ``need`` is what the server would have to read of the prompt, in tokens;
+    ``unread`` and ``running`` are the tokens and requests that it had, by
+    this instance's own count and as the others said last.  ``usable`` counts
+    the servers that could be chosen, ``waiting`` the work that waited here.
+    """
+
+    need: int = 0
+    unread: int = 0
+    unread_others: int = 0
+    running: int = 0
+    running_others: int = 0
+    usable: int = 0
+    waiting: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Placement:
     """The decision to give ``work`` to a backend server now."""
 
     work: Work
     server: str
+    grounds: Grounds | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,6 +82,7 @@
 
     work: Work
     nothing: object
+    grounds: Grounds | None = None
 
 
 @dataclasses.dataclass(slots=True)
