--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 PACKAGES := packages/dandeliontrail packages/dandeliontrail-node \
 	packages/dandeliontrail-lab packages/dandeliontrail-ctl
-CODE := packages tests bench tools
+CODE := packages platform tests bench tools
 STAMP := .venv/.stamp
 
 .PHONY: setup format check lint test cover nocover demo clean
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -142,6 +142,10 @@
         """Answer, cutting off a caller that takes nothing any more."""
         self.socket.settimeout(self.server.limits.write_seconds)
         super().handle_one_response()
+        if self.server.closing():
+            # Its head may have gone out before the drain began, and said
+            # nothing of an end; the next request would come past it.
+            self.close_connection = True
 
     def handle_error(self, kind, exc, trace):
         """Log a fault; a caller that is too slow or gone is none."""
@@ -166,12 +170,18 @@
 
 
 class Server(pywsgi.WSGIServer):
-    """One listener."""
+    """One listener.
+
+    While ``closing()`` is true each connection ends with its next answer.
+    """
 
     handler_class = Handler
 
-    def __init__(self, address, app, limits, logger, **options):
+    def __init__(
+        self, address, app, limits, logger, closing=lambda: False, **options
+    ):
         self.limits = limits
+        self.closing = closing
         self.logger = logger
         super().__init__(
             address,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -160,6 +160,7 @@
                 self.drain_state.closing(wsgi.guard(item.app, self._logger)),
                 item.limits or self._cfg.limits,
                 self._logger,
+                lambda: self.drain_state.draining,
                 **self._tls.options(item.name),
             )
             server.start()
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -67,9 +67,10 @@
     """One request from its receipt to its outcome.
 
     ``begun`` counts the attempts that may have begun; it never falls but
-    by the server's own word.  ``first_output`` is zero until there is one.
-    ``arrivals`` counts the servers that it reached, whether they ran it or
-    not; it never falls.  ``claimed`` tells that the right to run its idempotency key was granted.
+    by the server's own word.  ``arrivals`` counts the servers that it
+    reached, whether they ran it or not; it never falls.  ``first_output`` is
+    zero until there is one.  ``claimed`` tells that the right to run its
+    idempotency key was granted.
     """
 
     work: work_module.Work
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -148,9 +148,7 @@
             if isinstance(item, work_module.Placement):
                 out.extend(self._dispatch(held, item, now))
             else:
-                out.extend(
-                    self._refuse(held, item.nothing, now, item.grounds)
-                )
+                out.extend(self._refuse(held, item.nothing, now, item.grounds))
         return out
 
     def _dispatch(self, held, placement, now):
@@ -182,9 +180,7 @@
                 work,
                 "dispatched",
                 server,
-                **answers.inputs_of(
-                    self._state, placement.grounds, work, now
-                ),
+                **answers.inputs_of(self._state, placement.grounds, work, now),
             ),
             measures.since_received(work, reports.Metric.QUEUE_WAIT, now),
         ]
--- a/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
@@ -94,9 +94,7 @@
         self._state = state
         self._answer_to = settled_answer
         self._logged = -1
-        state.log.register(
-            revisions.Revision, RevisionApplier(state.routing)
-        )
+        state.log.register(revisions.Revision, RevisionApplier(state.routing))
 
     def handlers(self):
         """Return the handler of revisions from operators."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -16,8 +16,8 @@
 from ..coordination import usage
 from ..decisions import directory
 from . import orders_state
-from . import revisions
 from ..resources import store
+from . import revisions
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -2,10 +2,11 @@
 
 Most of a long prompt is shared with other prompts, and an engine that has
 read a shared part keeps it for a while.  Reading 13,000 tokens anew takes an
-engine 0.2 s, in which all streams beside it stand still.  So the requests
-with one shared part go to one engine, chosen by rendezvous hashing, which
-every instance computes alike without talking; a second one takes over while
-the first has clearly more to do.
+engine 0.2 s, in which all streams beside it stand still.  So requests go to
+an engine that holds their shared parts, unless it has clearly more to do
+than another.  Parts that nobody has read yet go where there is room, and
+where that is alike everywhere, in the order of a hash that every instance
+computes alike, so that two instances seldom send one part to two engines.
 
 Streams whose events must follow one another closely suffer from any prompt
 that is read beside them.  They get a part of the engines to themselves, and
@@ -15,8 +16,9 @@
 import hashlib
 
 # The part of a service's engines that streams with the shortest pauses get:
-# their prompts are short, so a few engines serve many of them.
-CLOSE_PART = 1 / 6
+# their prompts are short, so a few engines serve many of them, and each one
+# is missing where the long prompts are kept.
+CLOSE_PART = 0.14
 # Routes whose longest pause is within this factor of the shortest count as
 # close.
 CLOSE_FACTOR = 1.25
@@ -26,9 +28,14 @@
 # What an engine that always fails would cost beyond its load: more than any
 # prompt, so that it gets next to nothing.
 TOKENS_PER_FAILURE = 20_000.0
-# An engine that is not the first for a part is taken only if it saves this
-# many tokens of waiting: what it reads of the part will be of little use.
+# An engine that lacks what another holds is taken only if it saves this many
+# tokens of waiting beyond those that it reads anew: what it reads will be of
+# little use, and pushes out what is.
 SPILL_TOKENS = 6000.0
+# For parts that no engine holds: the cost of a full memory over an empty
+# one, and of one place further in the order of the hash.
+FULL_TOKENS = 6000.0
+PLACE_TOKENS = 300.0
 
 
 def rank(key, names):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -15,9 +15,10 @@
 import collections
 import dataclasses
 
-from ..coordination import server_loads
 from .. import sentinels
 from . import affinity
+from ..coordination import server_loads
+from . import placing_pace
 from . import policy
 from . import prompt_cache
 from . import retry_budget
@@ -38,6 +39,10 @@
 # What is left of its time when queued work is given up as hopeless: a short
 # answer's own time on a calm engine.
 LEAST_SERVICE = 0.5
+# Queued work counts as hopeless once the queue before it takes this part of
+# the time that it has left: its own answer takes time too, and the pace is
+# only an estimate.
+HOPE_PART = 0.7
 # Memory of an engine where the configuration does not say.
 KV_TOKENS = 500_000
 
@@ -79,6 +84,7 @@
         self._groups = collections.defaultdict(affinity.Groups)
         self._closest = (None, {})
         self._reads = []
+        self._pace = placing_pace.PlacingPace()
 
     # -- what the other instances are told ---------------------------------
 
@@ -114,9 +120,7 @@
 
     def retry(self, work, now):
         """Queue work again, within the budget of repeats."""
-        if not self._budget.take(
-            work.service, self._view.instances(now), now
-        ):
+        if not self._budget.take(work.service, self._view.instances(now), now):
             return sentinels.Nothing(
                 sentinels.Reason.SERVER_FAILED, NO_SERVER_RETRY
             )
@@ -147,16 +151,37 @@
             return []
         decided = []
         claimed = set()
+        ahead = collections.Counter()
         queued = list(self._queue.values())
         if len(queued) > 1:
             queued.sort(key=lambda work: _urgency(work, now))
         for work in queued:
             item = self._decide(work, now, directory, claimed)
+            if item is None:
+                ahead[work.service] += work.prompt_tokens
+                item = self._refuse_hopeless(work, ahead[work.service], now)
             if item is not None:
                 del self._queue[work.request_id]
                 decided.append(item)
         return decided
 
+    def _refuse_hopeless(self, work, ahead, now):
+        """Refuse work that the queue before it will keep too long.
+
+        Made for a burst beyond what the engines can read: whoever cannot be
+        served within its time is told so at once, with the time that the
+        queue takes, and not when its time is up.
+        """
+        wait = self._pace.seconds(work.service, ahead, now)
+        left = work.deadline - now - LEAST_SERVICE
+        if wait <= left * HOPE_PART:
+            return None
+        nothing = sentinels.Nothing(sentinels.Reason.QUEUE_FULL, wait / 2)
+        grounds = work_module.Grounds(
+            need=work.prompt_tokens, waiting=len(self._queue) - 1
+        )
+        return work_module.Refusal(work, nothing, grounds)
+
     def _decide(self, work, now, directory, claimed):
         left = work.deadline - now
         servers = directory.of_service(work.service)
@@ -169,14 +194,16 @@
                 return None
             return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
         if not work.parts:
-            return self._place(work, self._choose_plain(usable), 0.0, usable)
+            return self._place(
+                work, self._choose_plain(usable), 0.0, usable, now
+            )
         name, need = self._choose_engine(work, servers, usable)
         if not self._has_room(name, need):
             claimed.add(name)
             return None
         if name in claimed and need > SHORT_PROMPT:
             return None
-        return self._place(work, name, need, usable)
+        return self._place(work, name, need, usable, now)
 
     def _usable(self, work, servers, now):
         """Return the servers that may take the work, by name.
@@ -250,26 +277,35 @@
             ranked = affinity.rank(key, usable)
         shared = work.parts[:-1]
         own = work.parts[-1][1]
+        missing = {
+            name: self._server(name).cache.missing(shared) for name in ranked
+        }
+        held_somewhere = min(missing.values()) < max(missing.values())
         best = None
         for place, name in enumerate(ranked):
-            held = self._server(name)
-            need = own + held.cache.missing(shared)
-            cost = (
-                self._unread(name)
-                + need
-                + self._detour(groups, close, place, name)
-                + self._running(name) * affinity.TOKENS_PER_RUNNING
-                + held.health.failure_share * affinity.TOKENS_PER_FAILURE
-            )
+            need = own + missing[name]
+            cost = self._engine_cost(name) + need
+            if close and not groups.is_kept(name):
+                cost += affinity.SPILL_TOKENS
+            if not missing[name]:
+                pass
+            elif held_somewhere:
+                cost += affinity.SPILL_TOKENS
+            else:
+                cost += place * affinity.PLACE_TOKENS
+                cost += self._server(name).cache.fill * affinity.FULL_TOKENS
             if best is None or cost < best[0]:
                 best = (cost, name, need)
         return best[1], best[2]
 
-    def _detour(self, groups, close, place, name):
-        """Return the cost of an engine that is not the one to prefer."""
-        if close:
-            return 0.0 if groups.is_kept(name) else affinity.SPILL_TOKENS
-        return affinity.SPILL_TOKENS if place else 0.0
+    def _engine_cost(self, name):
+        """Return how much an engine has to do, in prompt tokens."""
+        held = self._server(name)
+        return (
+            self._unread(name)
+            + self._running(name) * affinity.TOKENS_PER_RUNNING
+            + held.health.failure_share * affinity.TOKENS_PER_FAILURE
+        )
 
     def _is_close(self, work):
         revision = self._routing.table.revision
@@ -284,7 +320,7 @@
         pause = (work.between_tokens_ms or 0.0) / 1000.0
         return affinity.is_close(pause, shortest)
 
-    def _place(self, work, name, need, usable):
+    def _place(self, work, name, need, usable, now):
         held = self._server(name)
         grounds = work_module.Grounds(
             int(need),
@@ -297,6 +333,8 @@
         )
         held.running += 1
         held.unread += need
+        if need > SHORT_PROMPT:
+            self._pace.placed(work.service, work.prompt_tokens, now)
         shared = work.parts[:-1]
         if shared:
             held.cache.read(shared)
@@ -351,4 +389,3 @@
     target = work.first_token_ms
     late = target is not None and now - work.received > target / 1000.0
     return (work.priority, late, work.received)
-
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -90,7 +90,7 @@
     """How an attempt ended, as feedback to the policy.
 
     ``wasted`` tells that its output was of no use to any caller,
-    ``refused`` that the server said itself that it did not run it, 
+    ``refused`` that the server said itself that it did not run it,
     ``unreachable`` that no connection to it came about, and ``gone`` that
     another server is at its address.
     """
--- a/packages/dandeliontrail/src/dandeliontrail/events/config.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/config.py
@@ -17,7 +17,7 @@
 
 @dataclasses.dataclass(slots=True)
 class RevisionSubmitted:
-    """A whole configuration, checked; ``write_id`` pairs it with its answer."""
+    """A whole configuration, checked; ``write_id`` pairs the answer."""
 
     write_id: str
     revision: revisions.Revision
--- /dev/null
+++ b/tests/common/platform_world.py
@@ -0,0 +1,352 @@
+"""The programs of the users' platform on loopback, in one gevent loop.
+
+Each program has an address of 127.0.0.0/8 of its own, as each machine of the
+platform has, and a stand-in server speaks the platform's protocol by script.
+"""
+
+import contextlib
+import logging
+import socket
+import tempfile
+
+from dandeliontrail_node import instance
+from dandeliontrail_platform import programs
+from dandeliontrail_platform import settings_file
+import gevent
+from gevent import server as gevent_server
+import msgspec
+
+from tests.common import world
+
+HOST = "shop.example"
+KEY = "key-of-acme"
+SEAL = "X-Dandeliontrail-Response-Seal"
+
+SETTINGS = """
+node_name={node}
+ip={ip}
+zone={zone}
+region=r1
+listen_addrs.frontend_addr={ip}:{callers}
+listen_addrs.ready={ip}:{ready}
+listen_addrs.control_plane={ip}:{control}
+internal_port_range={inner},{inner}
+seed_nodes={seed}
+bootstrap=true
+data_dir={data_dir}
+bounds.drain_ms=2000
+bounds.grace_s=8
+bounds.strict_revocation=true
+bounds.revoke_ms={revoke_ms}
+bounds.retry_budget_ratio=0.2
+bounds.retry_window_s=10
+bounds.retry_budget_slack=58
+fault_tolerance.machines=0
+new.field=ignored
+"""
+
+
+def free_ports(count):
+    """Return ports that are free on all of loopback."""
+    with contextlib.ExitStack() as stack:
+        held = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("0.0.0.0", 0))
+            held.append(sock.getsockname()[1])
+        return held
+
+
+def route(name, kind, **more):
+    """Return a route of the manifest as the operator sends it."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "path_prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": "app",
+        "max_attempts": 2,
+        **more,
+    }
+
+
+ROUTES = (
+    route("read", "safe"),
+    route("order", "non_idempotent", max_attempts=1),
+    route("chat", "streaming", resumable=True, gap_aim_ms=300),
+    route("report", "streaming", max_attempts=1, gap_aim_ms=1000),
+)
+
+
+def manifest(version, routes=ROUTES, keys=(KEY,), **more):
+    """Return a manifest as the operator sends it."""
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": "app", "max_connections": 100}],
+        "tenants": [{"name": "acme", "api_keys": list(keys), "priority": 1}],
+        **more,
+    }
+
+
+class Reply:
+    """An answer that has come in: status, headers in lower case, body."""
+
+    def __init__(self, data):
+        head, _, rest = data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split()[1]) if lines[0] else 0
+        self.headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:])
+        }
+        chunked = self.headers.get("transfer-encoding") == "chunked"
+        self.whole = True
+        self.body = rest
+        if chunked:
+            self.body, self.whole = _dechunk(rest)
+
+
+def _dechunk(data):
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        count = int(size or b"0", 16)
+        if not count:
+            return body, size == b"0"
+        body += data[:count]
+        data = data[count + 2 :]
+    return body, False
+
+
+class Server:
+    """A stand-in backend server; ``script(server, sock, head)`` answers.
+
+    ``ran`` holds the heads of the requests that reached it.
+    """
+
+    def __init__(self, ip, script):
+        self.ran = []
+        self.closed = []
+        self._script = script
+        self._server = gevent_server.StreamServer((ip, 0), self._serve)
+        self._server.start()
+        self.address = f"{ip}:{self._server.server_port}"
+        self.id = f"i-{ip}-{self._server.server_port}"
+
+    def _serve(self, sock, address):
+        buffered = b""
+        with contextlib.suppress(OSError):
+            while True:
+                while b"\r\n\r\n" not in buffered:
+                    data = sock.recv(65536)
+                    if not data:
+                        return
+                    buffered += data
+                head, _, buffered = buffered.partition(b"\r\n\r\n")
+                text = head.decode()
+                length = _header(text, "content-length")
+                while len(buffered) < int(length or 0):
+                    buffered += sock.recv(65536)
+                buffered = buffered[int(length or 0) :]
+                self.ran.append(text)
+                if self._script(self, sock, text) == "close":
+                    sock.close()
+                    return
+
+    def close(self):
+        """Stop; open connections end too."""
+        self._server.stop(0)
+
+
+def _header(head, name):
+    for line in head.split("\r\n")[1:]:
+        held, _, value = line.partition(":")
+        if held.lower() == name:
+            return value.strip()
+    return ""
+
+
+def header(head, name):
+    """Return a header of a request that reached a server."""
+    return _header(head, name.lower())
+
+
+def whole(status, body, request_id, extra=""):
+    """Return the bytes of a whole answer."""
+    return (
+        f"HTTP/1.1 {status} X\r\nX-Dandeliontrail-Request-Id: {request_id}\r\n"
+        f"{SEAL}: seal-{request_id}\r\nContent-Length: {len(body)}\r\n"
+        f"{extra}\r\n"
+    ).encode() + body
+
+
+def stream_head(request_id):
+    """Return the head of a stream."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Dandeliontrail-Request-Id: {request_id}\r\n"
+        f"{SEAL}: seal-{request_id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data):
+    """Return ``data`` as one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+END = b"0\r\n\r\n"
+
+
+class PlatformWorld:
+    """One keeper, any number of entries and stand-in servers."""
+
+    def __init__(self, revoke_ms=5000):
+        self._stack = contextlib.ExitStack()
+        self._revoke_ms = revoke_ms
+        self._count = 0
+        self._sequence = 0
+        names = ("callers", "ready", "control", "inner")
+        self.ports = dict(zip(names, free_ports(4)))
+        self.keeper = None
+
+    def __enter__(self):
+        self.keeper = self.program("keeper")
+        return self
+
+    def __exit__(self, *exc_info):
+        return self._stack.__exit__(*exc_info)
+
+    def program(self, role):
+        """Start a program at an address of its own."""
+        self._count += 1
+        ip = f"127.0.0.{self._count}"
+        folder = ""
+        if role == "keeper":
+            folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        given = settings_file.parse(
+            SETTINGS.format(
+                node=f"{role}-{self._count}",
+                ip=ip,
+                zone="a",
+                seed=f"127.0.0.1:{self.ports['control']}",
+                data_dir=folder,
+                revoke_ms=self._revoke_ms,
+                **self.ports,
+            )
+        )
+        logger = logging.getLogger(f"test.{role}{self._count}")
+        logger.propagate = False
+        face = programs.FACES[role](given)
+        running = self._stack.enter_context(
+            instance.Instance(programs.settings_of(given), logger, face=face)
+        )
+        running.ip = ip
+        return running
+
+    def entry(self):
+        """Start an entry and wait until it can serve."""
+        started = self.program("entry")
+        world.wait_until(lambda: self.ready(started) == 200)
+        return started
+
+    def ready(self, entry):
+        """Return the status of the balancer's question."""
+        return self.ask(
+            entry, "GET", "/api/ready", port=self.ports["ready"]
+        ).status
+
+    def server(self, script, service="app"):
+        """Start a stand-in server and register it."""
+        made = Server("127.0.0.1", script)
+        self._stack.callback(made.close)
+        self.heartbeat(made, service)
+        return made
+
+    def heartbeat(self, server, service="app", **more):
+        """Send a heartbeat of a server; return the reply."""
+        self._sequence += 1
+        body = {
+            "service": service,
+            "address": server.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "sequence": self._sequence,
+            **more,
+        }
+        return self.control("PUT", f"/api/instances/{server.id}", body)
+
+    def control(self, method, path, body=None):
+        """Call the keeper as an operator or a server does."""
+        data = msgspec.json.encode(body) if body is not None else b""
+        return self.ask(
+            self.keeper, method, path, body=data, port=self.ports["control"]
+        )
+
+    def apply(self, document):
+        """Send a manifest; return the reply."""
+        return self.control("PUT", "/api/config", document)
+
+    def connect(self, running, port=None):
+        """Return a connection to a program."""
+        sock = socket.create_connection(
+            (running.ip, port or self.ports["callers"])
+        )
+        self._stack.callback(sock.close)
+        return sock
+
+    def ask(self, running, method, path, headers=(), body=b"", port=None):
+        """Send one request on a new connection; return the whole reply."""
+        sock = self.connect(running, port)
+        send(sock, method, path, [*headers, ("Connection", "close")], body)
+        return Reply(read_to_end(sock))
+
+    def call(self, entry, method, path, request_id="r1", **more):
+        """Send a caller's request; return the whole reply."""
+        headers = caller_headers(request_id, **more)
+        return self.ask(entry, method, path, headers, more.get("body", b""))
+
+    def knows(self, entry, server):
+        """Wait until an entry knows a server."""
+        registry = entry.host.state.registry
+        world.wait_until(lambda: server.id in registry.servers)
+
+
+def caller_headers(request_id, key=KEY, **more):
+    """Return the headers of a caller's request."""
+    headers = [("X-Dandeliontrail-Request-Id", request_id)]
+    if key:
+        headers.append(("X-Api-Key", key))
+    headers.append(("X-Dandeliontrail-Deadline-Ms", more.get("left", "3000")))
+    return headers + list(more.get("headers", ()))
+
+
+def send(sock, method, path, headers=(), body=b""):
+    """Write a request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+def read_to_end(sock):
+    """Read until the far end closes, however it does."""
+    data = b""
+    with gevent.Timeout(10.0), contextlib.suppress(ConnectionResetError):
+        while True:
+            more = sock.recv(65536)
+            if not more:
+                break
+            data += more
+    return data
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 monkey.patch_all()
 
 import os  # noqa: E402
+import pathlib  # noqa: E402
+import sys  # noqa: E402
 
 import hypothesis  # noqa: E402
 
@@ -19,3 +21,6 @@
     "long", deadline=None, max_examples=1000, print_blob=True
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+# The adapter is a folder beside the packages and is not installed.
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
--- /dev/null
+++ b/tests/cover/test_forwarding.py
@@ -0,0 +1,328 @@
+"""What callers of a declared route get, and what servers get to see."""
+
+import time
+
+from dandeliontrail_platform import dialect
+import gevent
+import pytest
+
+from tests.common import platform_world
+from tests.common import world
+
+ID = dialect.REQUEST_ID
+
+
+def id_of(head):
+    return platform_world.header(head, ID)
+
+
+def answers(status=200, body=b"done"):
+    """Return a script that always answers the same."""
+
+    def script(server, sock, head):
+        sock.sendall(platform_world.whole(status, body, id_of(head)))
+
+    return script
+
+
+@pytest.fixture
+def made():
+    with platform_world.PlatformWorld() as found:
+        assert found.apply(platform_world.manifest(1)).status == 200
+        yield found
+
+
+def start(made, *scripts):
+    """Return an entry and servers that it knows."""
+    entry = made.entry()
+    servers = [made.server(script) for script in scripts]
+    for server in servers:
+        made.knows(entry, server)
+    return entry, servers
+
+
+def test_passes_a_request_and_its_answer_on_unchanged(made):
+    entry, (server,) = start(made, answers(200, b"a b"))
+    reply = made.call(
+        entry, "POST", "/order/x%20y?q=1", body=b"{}", headers=[("X-Own", "v")]
+    )
+    assert (reply.status, reply.body) == (200, b"a b")
+    assert reply.headers[platform_world.SEAL.lower()] == "seal-r1"
+    (head,) = server.ran
+    assert head.startswith("POST /order/x%20y?q=1 HTTP/1.1")
+    assert platform_world.header(head, "x-own") == "v"
+    assert platform_world.header(head, "host") == platform_world.HOST
+
+
+def test_a_server_learns_the_organisation_and_never_the_key(made):
+    entry, (server,) = start(made, answers())
+    forged = [(dialect.ORGANISATION, "other"), (dialect.PRIORITY, "0")]
+    made.call(entry, "GET", "/read/", headers=forged)
+    (head,) = server.ran
+    assert platform_world.header(head, dialect.ORGANISATION) == "acme"
+    assert platform_world.KEY not in head
+    assert platform_world.header(head, dialect.EXPECTED_SERVER) == server.id
+    left = int(platform_world.header(head, dialect.TIME_LEFT))
+    assert 1500 < left <= 2000
+
+
+def test_a_failure_of_a_repeatable_request_is_tried_elsewhere(made):
+    entry, servers = start(made, answers(500, b"no"), answers(200, b"yes"))
+    for number in range(6):
+        reply = made.call(entry, "GET", "/read/", f"r{number}")
+        assert (reply.status, reply.body) == (200, b"yes")
+
+
+def test_a_request_that_may_not_be_repeated_runs_once(made):
+    # Two servers close the connection after the request has come in.  Was
+    # the order taken?  Nobody knows, so it must not be given to the second.
+    def breaks(server, sock, head):
+        return "close"
+
+    entry, servers = start(made, breaks, breaks)
+    reply = made.call(entry, "POST", "/order/", body=b"{}")
+    assert reply.status == 502
+    assert sum(len(server.ran) for server in servers) == 1
+
+
+def test_a_server_that_says_not_executed_is_no_attempt(made):
+    def full(server, sock, head):
+        extra = f"{dialect.NOT_EXECUTED}: 1\r\n"
+        sock.sendall(platform_world.whole(503, b"", id_of(head), extra))
+
+    entry, servers = start(made, full, answers(200, b"ok"))
+    number = 0
+    while not servers[0].ran:
+        # Which of the two is asked first is up to chance.
+        number += 1
+        assert number < 100
+        reply = made.call(entry, "POST", "/order/", f"r{number}", body=b"{}")
+        assert reply.status == 200
+
+
+def test_nobody_gets_the_answer_to_another_request(made):
+    # A server answers one request twice.  The second answer lies on the kept
+    # connection and would be taken for the answer to the next caller.
+    def twice(server, sock, head):
+        first = platform_world.whole(200, b"for " + id_of(head).encode(), "x")
+        sock.sendall(
+            first.replace(b": x\r\n", f": {id_of(head)}\r\n".encode())
+        )
+        gevent.sleep(0.02)
+        late = platform_world.whole(200, b"late", id_of(head))
+        sock.sendall(late)
+
+    entry, (server,) = start(made, twice)
+    for number in range(5):
+        reply = made.call(entry, "GET", "/read/", f"r{number}")
+        assert reply.body == f"for r{number}".encode()
+        gevent.sleep(0.05 * (number % 2))
+
+
+def test_garbage_is_no_answer(made):
+    def garbage(server, sock, head):
+        sock.sendall(b"\x00\x01 this is not HTTP\r\n\r\n")
+        return "close"
+
+    entry, _ = start(made, garbage)
+    reply = made.call(entry, "POST", "/order/", body=b"{}")
+    assert reply.status == 502
+    assert platform_world.SEAL.lower() not in reply.headers
+
+
+def test_an_answer_that_is_cut_does_not_look_whole(made):
+    def cut(server, sock, head):
+        sock.sendall(
+            platform_world.whole(200, b"0123456789", id_of(head))[:-4]
+        )
+        return "close"
+
+    entry, _ = start(made, cut)
+    assert made.call(entry, "POST", "/order/", body=b"{}").status == 502
+
+
+def streams(first, last, then=""):
+    """Return a script that sends events ``first`` to ``last``."""
+
+    def script(server, sock, head):
+        sock.sendall(platform_world.stream_head(id_of(head)))
+        begin = int(platform_world.header(head, "last-event-id") or first - 1)
+        for number in range(begin + 1, last + 1):
+            sock.sendall(platform_world.chunk(platform_world.event(number)))
+            gevent.sleep(0.01)
+        if then == "mid-event":
+            sock.sendall(platform_world.chunk(b"id: 99\nda"))
+        if then:
+            return "close"
+        sock.sendall(platform_world.END)
+
+    return script
+
+
+def pieces(reply):
+    return [
+        line for line in reply.body.decode().split("\n") if line[:3] == "id:"
+    ]
+
+
+def test_passes_events_on_as_they_come(made):
+    entry, _ = start(made, streams(1, 30))
+    sock = made.connect(entry)
+    headers = platform_world.caller_headers("r1")
+    platform_world.send(sock, "POST", "/chat/", headers, b"{}")
+    began = time.monotonic()
+    first = sock.recv(65536)
+    assert b"200 OK" in first
+    assert time.monotonic() - began < 0.25
+
+
+def test_a_stream_goes_on_at_another_server_after_its_last_event(made):
+    # A server crashes in the middle of an event.  The caller would see half
+    # of it, then the next server's first event: pieces of two runs, joined.
+    entry, servers = start(
+        made, streams(1, 5, "mid-event"), streams(1, 5, "mid-event")
+    )
+    whole = made.server(streams(1, 9))
+    made.knows(entry, whole)
+    for number in range(3):
+        reply = made.call(entry, "POST", "/chat/", f"r{number}", body=b"{}")
+        found = pieces(reply)
+        expected = [f"id: {place}" for place in range(1, len(found) + 1)]
+        assert found == expected
+        assert reply.whole == (len(found) == 9)
+
+
+def test_a_stream_that_may_not_be_repeated_is_cut_visibly(made):
+    entry, (server,) = start(made, streams(1, 3, "close"))
+    reply = made.call(entry, "POST", "/report/", body=b"{}")
+    assert pieces(reply) == ["id: 1", "id: 2", "id: 3"]
+    assert not reply.whole
+    assert len(server.ran) == 1
+
+
+def test_a_server_stops_when_the_caller_has_left(made):
+    # A caller closes its connection while the engine still reads the prompt.
+    # Without a word the engine would work for nobody for many seconds.
+    stopped = []
+
+    def waits(server, sock, head):
+        if not sock.recv(1):
+            stopped.append(time.monotonic())
+        return "close"
+
+    entry, (server,) = start(made, waits)
+    sock = made.connect(entry)
+    headers = platform_world.caller_headers("r1")
+    platform_world.send(sock, "POST", "/chat/", headers, b"{}")
+    world.wait_until(lambda: server.ran)
+    left = time.monotonic()
+    sock.close()
+    world.wait_until(lambda: stopped)
+    assert stopped[0] - left < 0.3
+    world.wait_until(lambda: not entry.host.open_exchanges())
+
+
+def test_an_order_under_way_is_not_stopped_when_its_caller_leaves(made):
+    finished = []
+
+    def slow(server, sock, head):
+        gevent.sleep(0.3)
+        sock.sendall(platform_world.whole(200, b"done", id_of(head)))
+        finished.append(head)
+
+    entry, (server,) = start(made, slow)
+    sock = made.connect(entry)
+    headers = platform_world.caller_headers("r1")
+    platform_world.send(sock, "POST", "/order/", headers, b"{}")
+    world.wait_until(lambda: server.ran)
+    sock.close()
+    world.wait_until(lambda: finished)
+
+
+def test_the_final_answer_comes_at_the_time_limit_of_the_route(made):
+    def silent(server, sock, head):
+        gevent.sleep(5.0)
+
+    entry, _ = start(made, silent)
+    began = time.monotonic()
+    reply = made.call(entry, "POST", "/order/", body=b"{}", left="9000")
+    assert reply.status == 504
+    assert 1.9 < time.monotonic() - began < 2.3
+
+
+def test_without_a_server_the_refusal_says_when_to_come_back(made):
+    entry = made.entry()
+    began = time.monotonic()
+    reply = made.call(entry, "GET", "/read/")
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert time.monotonic() - began < 1.0
+
+
+def test_an_unknown_route_or_key_is_turned_away(made):
+    entry, (server,) = start(made, answers())
+    assert made.call(entry, "GET", "/nowhere/").status == 404
+    assert made.call(entry, "GET", "/read/", key="wrong").status == 401
+    assert made.call(entry, "GET", "/read/", key="").status == 401
+    assert not server.ran
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Content-Length: 4\r\nContent-Length: 5",
+        "Content-Length: +4",
+        "Transfer-Encoding: chunked, identity",
+    ],
+)
+def test_a_request_inside_another_never_reaches_a_server(made, framing):
+    # Two readers see the end of the first request at different places: what
+    # one takes for its body, the other runs as a request of its own.
+    entry, (server,) = start(made, answers())
+    sock = made.connect(entry)
+    sock.sendall(
+        f"POST /order/ HTTP/1.1\r\nHost: {platform_world.HOST}\r\n"
+        f"{ID}: r1\r\nX-Api-Key: {platform_world.KEY}\r\n{framing}\r\n\r\n"
+        f"0\r\n\r\nPOST /order/ HTTP/1.1\r\n{ID}: r2\r\n\r\n".encode()
+    )
+    reply = platform_world.Reply(platform_world.read_to_end(sock))
+    assert reply.status == 400
+    assert not server.ran
+
+
+def test_a_server_in_place_of_another_is_told_apart(made):
+    # A server crashes and another starts at its address.  The record of the
+    # first is still held; its requests are answered 421 and go elsewhere.
+    def other(server, sock, head):
+        sock.sendall(platform_world.whole(421, b"", id_of(head)))
+
+    entry, servers = start(made, other, answers(200, b"ok"))
+    for number in range(8):
+        reply = made.call(entry, "POST", "/order/", f"r{number}", body=b"{}")
+        assert reply.status == 200
+    assert len(servers[0].ran) <= 1
+
+
+def test_a_leaving_server_gets_no_new_work(made):
+    entry, servers = start(made, answers(200, b"a"), answers(200, b"b"))
+    reply = made.heartbeat(servers[0], state="draining")
+    assert reply.status == 200
+    gevent.sleep(0.3)
+    before = len(servers[0].ran)
+    for number in range(6):
+        assert made.call(entry, "GET", "/read/", f"r{number}").body == b"b"
+    assert len(servers[0].ran) == before
+
+
+def test_a_draining_entry_is_not_ready_and_cuts_nothing(made):
+    entry, _ = start(made, streams(1, 20))
+    sock = made.connect(entry)
+    headers = platform_world.caller_headers("r1")
+    platform_world.send(sock, "POST", "/chat/", headers, b"{}")
+    world.wait_until(entry.host.open_exchanges)
+    entry.begin_drain()
+    assert made.ready(entry) == 503
+    reply = platform_world.Reply(platform_world.read_to_end(sock))
+    assert len(pieces(reply)) == 20
+    assert reply.whole
