--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -33,7 +33,7 @@
 # An engine gets a further long prompt once it has fewer tokens than this to
 # read, itself included: two steps of reading, so that between two prompts
 # its streams go on at their own pace.
-UNREAD_LIMIT = 8000.0
+UNREAD_LIMIT = 16000.0
 # Prompts below this are no burden: less than half a step of reading.
 SHORT_PROMPT = 2000.0
 # What is left of its time when queued work is given up as hopeless: a short
