--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/metrics_app.py
@@ -0,0 +1,21 @@
+"""Counters and histograms at an address of their own."""
+
+from .. import wsgi
+from ..listeners import read_only
+
+PATH = "/metrics"
+TEXT = ("Content-Type", "text/plain; version=0.0.4")
+
+
+class MetricsApp:
+    """Answers ``GET /metrics`` in the Prometheus text format."""
+
+    def __init__(self, host):
+        self._host = host
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        if environ["PATH_INFO"] != PATH:
+            raise wsgi.not_found(environ["PATH_INFO"])
+        text = self._host.metrics.text() + read_only.log_metrics(self._host)
+        return wsgi.reply(start_response, 200, text.encode(), [TEXT])
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -29,7 +29,7 @@
         self.clock = clock
         self.metrics = metrics
         self.logger = logger
-        self._requests = request_log.RequestLog(logger)
+        self._requests = request_log.RequestLog(logger, metrics.counters)
         self._peer_link = peer_link
         self._engines = engines
         self._exchanges = {}
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
@@ -34,8 +34,9 @@
 class RequestLog:
     """Watches events and effects pass by and writes lines about them."""
 
-    def __init__(self, logger):
+    def __init__(self, logger, counters):
         self._logger = logger
+        self._counters = counters
         self._open = {}
         self._seen = {
             events.RequestReceived: self._received,
@@ -102,11 +103,13 @@
         )
 
     def _began(self, event, now):
+        self._counters["attempts_total"] += 1
         held = self._open.get(event.request_id)
         if held:
             held.attempts += 1
 
     def _not_begun(self, event, now):
+        self._counters["attempts_not_begun_total"] += 1
         held = self._open.get(event.request_id)
         self._line(
             "attempt not begun",
@@ -119,6 +122,7 @@
         )
 
     def _failed(self, event, now):
+        self._counters["attempts_failed_total"] += 1
         held = self._open.get(event.request_id)
         self._line(
             "attempt failed",
@@ -158,6 +162,7 @@
         held = self._open.pop(request_id, None)
         if held is None:
             return
+        self._counters[f'requests_ended_total{{reason="{reason}"}}'] += 1
         fields = {
             "reason": reason,
             "outcome": outcome or reason,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
@@ -7,13 +7,13 @@
 old, at some hundred bytes a message.
 """
 
-import collections
-
 import msgspec
 
 # What an instance said counts for so long: some missed messages more than
 # their interval, and less than a crashed instance's work takes to end.
 HELD_SECONDS = 1.0
+# Marks the sum over all failure domains, which no domain is called.
+ALL = "*"
 
 
 class Load(msgspec.Struct, array_like=True):
@@ -36,14 +36,39 @@
 
 
 class ServerLoads(msgspec.Struct, tag="server_loads"):
-    """All work of the sender, and what it sent since its last message."""
+    """All work of the sender, and what it sent since its last message.
+
+    ``of`` is empty for the sender's own, else the failure domain whose sum
+    a relay tells, or ``ALL``.
+    """
 
     loads: list[Load]
     reads: list[Read] = []
+    of: str = ""
+
+
+def without(loads, own):
+    """Return ``loads`` less the part in them that is ``own``.
+
+    The sum that a relay sends back holds what it heard from this instance
+    before, which may have changed a little since.
+    """
+    mine = {load.server: load for load in own}
+    found = []
+    for load in loads:
+        part = mine.get(load.server)
+        if part is not None:
+            load = Load(
+                load.server,
+                max(0, load.running - part.running),
+                max(0, load.unread - part.unread),
+            )
+        found.append(load)
+    return found
 
 
 class LoadTable:
-    """The newest word of each other instance, and the sums by server."""
+    """The newest word of each speaker, and the sums by server."""
 
     __slots__ = ("_said", "_sums")
 
@@ -51,31 +76,41 @@
         self._said = {}
         self._sums = {}
 
-    def take(self, instance, loads, now):
-        """Take in an instance's word in place of its last one."""
-        self._said[instance] = (now, loads)
-        self._sum()
+    def take(self, speaker, domain, loads, now):
+        """Take in a speaker's word in place of its last one.
+
+        A speaker is an instance of ``domain``, or a domain or all of them,
+        by the word of a relay.
+        """
+        self._said[speaker] = (now, domain, loads)
+        self._sums = _sum(held[2] for held in self._said.values())
 
     def expire(self, now):
         """Forget what was said too long ago."""
         old = [
             name
-            for name, (at, _) in self._said.items()
-            if now - at > HELD_SECONDS
+            for name, held in self._said.items()
+            if now - held[0] > HELD_SECONDS
         ]
         for name in old:
             del self._said[name]
         if old:
-            self._sum()
-
-    def _sum(self):
-        sums = collections.defaultdict(lambda: [0, 0])
-        for _, loads in self._said.values():
-            for load in loads:
-                held = sums[load.server]
-                held[0] += load.running
-                held[1] += load.unread
-        self._sums = dict(sums)
+            self._sums = _sum(held[2] for held in self._said.values())
+
+    def sums_of(self, own, domain):
+        """Return the loads of ``domain``, with ``own``, and those of all."""
+        inside = [
+            held[2]
+            for name, held in self._said.items()
+            if held[1] == domain and name != ALL
+        ]
+        outside = [
+            held[2]
+            for name, held in self._said.items()
+            if held[1] != domain and name != ALL
+        ]
+        near = _loads(_sum([own, *inside]))
+        return near, _loads(_sum([near, *outside]))
 
     def running(self, server):
         """Return how many requests of others run at a server."""
@@ -86,3 +121,19 @@
         """Return how many prompt tokens of others wait to be read there."""
         held = self._sums.get(server)
         return held[1] if held else 0
+
+
+def _sum(spoken):
+    sums = {}
+    for loads in spoken:
+        for load in loads:
+            held = sums.setdefault(load.server, [0, 0])
+            held[0] += load.running
+            held[1] += load.unread
+    return sums
+
+
+def _loads(sums):
+    return [
+        Load(name, running, unread) for name, (running, unread) in sums.items()
+    ]
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -43,6 +43,11 @@
 # the time that it has left: its own answer takes time too, and the pace is
 # only an estimate.
 HOPE_PART = 0.7
+# The others are told this often that a part is still in use where they know
+# it to be; more often than a part that is in use is pushed out.
+RETELL_SECONDS = 5.0
+MOST_TOLD = 10_000
+NEVER = float("-inf")
 # Memory of an engine where the configuration does not say.
 KV_TOKENS = 500_000
 
@@ -84,6 +89,7 @@
         self._groups = collections.defaultdict(affinity.Groups)
         self._closest = (None, {})
         self._reads = []
+        self._told = {}
         self._pace = placing_pace.PlacingPace()
 
     # -- what the other instances are told ---------------------------------
@@ -337,8 +343,7 @@
             self._pace.placed(work.service, work.prompt_tokens, now)
         shared = work.parts[:-1]
         if shared:
-            held.cache.read(shared)
-            self._reads.append(server_loads.Read(name, list(shared)))
+            self._note_read(held.cache, name, list(shared), now)
         self._attempts[work.request_id] = Attempt(work, name, need)
         return work_module.Placement(work, name, grounds)
 
@@ -349,6 +354,18 @@
         )
         return work_module.Refusal(work, nothing, grounds)
 
+    def _note_read(self, cache, name, shared, now):
+        """Note what an engine reads, and tell the others what is news."""
+        news = cache.missing(shared) > 0
+        cache.read(shared)
+        key = (name, shared[-1][0])
+        if not news and now - self._told.get(key, NEVER) < RETELL_SECONDS:
+            return
+        if len(self._told) > MOST_TOLD:
+            self._told.clear()
+        self._told[key] = now
+        self._reads.append(server_loads.Read(name, shared))
+
     # -- feedback ---------------------------------------------------------
 
     def first_output(self, request_id, now):
