--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -10,7 +10,8 @@
 from .. import interfaces
 from ..coordination import server_loads
 
-# An unchanged load is repeated this often, so that it does not expire.
+# What changed little is said this often, so that it does not expire.  Said
+# at each change, it took as much processor time as the requests themselves.
 REPEAT_INTERVAL = 0.5
 # Instances that have not said anything of their own are told this often
 # only: they may have begun to serve, or never will.
@@ -46,8 +47,8 @@
         loads = self._policy.own_loads()
         if not loads and not self._sent and not self._reads:
             return []
-        unchanged = loads == self._sent and not self._reads
-        if unchanged and now < self._next_repeat:
+        matters = self._reads or server_loads.differ(loads, self._sent)
+        if not matters and now < self._next_repeat:
             return []
         self._sent = loads
         self._next_repeat = now + REPEAT_INTERVAL
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
@@ -12,6 +12,10 @@
 # What an instance said counts for so long: some missed messages more than
 # their interval, and less than a crashed instance's work takes to end.
 HELD_SECONDS = 1.0
+# Changes below these can wait: a quarter of a step of reading, and a small
+# part of what an engine runs at once.
+MATTERING_TOKENS = 1000
+MATTERING_REQUESTS = 4
 # Marks the sum over all failure domains, which no domain is called.
 ALL = "*"
 
@@ -47,6 +51,26 @@
     of: str = ""
 
 
+def differ(loads, before):
+    """Tell whether loads changed by so much that others should know.
+
+    What they go by is mostly how much an engine has to read.
+    """
+    held = {load.server: load for load in before}
+    for load in loads:
+        old = held.pop(load.server, None) or Load(load.server, 0, 0)
+        if _far(load, old):
+            return True
+    return any(_far(old, Load(name, 0, 0)) for name, old in held.items())
+
+
+def _far(one, other):
+    return (
+        abs(one.unread - other.unread) >= MATTERING_TOKENS
+        or abs(one.running - other.running) >= MATTERING_REQUESTS
+    )
+
+
 def without(loads, own):
     """Return ``loads`` less the part in them that is ``own``.
 
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -325,6 +325,16 @@
     ]
 
 
+def test_only_changes_that_matter_are_told_at_once():
+    held = [server_loads.Load("e0", 10, 5000)]
+    assert not server_loads.differ(held, held)
+    near = [server_loads.Load("e0", 11, 5900)]
+    assert not server_loads.differ(near, held)
+    assert server_loads.differ([server_loads.Load("e0", 10, 9000)], held)
+    assert server_loads.differ([], held)
+    assert server_loads.differ(held, [])
+
+
 @pytest.mark.parametrize("count", [1, 2, 6, 9, 45])
 def test_some_engine_is_left_for_each_group(count):
     groups = affinity.Groups()
