--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -281,29 +281,31 @@
         ranked = [name for name in groups.ranked(key, close) if name in usable]
         if not ranked:
             ranked = affinity.rank(key, usable)
-        shared = work.parts[:-1]
-        own = work.parts[-1][1]
         missing = {
-            name: self._server(name).cache.missing(shared) for name in ranked
+            name: self._server(name).cache.missing(work.parts[:-1])
+            for name in ranked
         }
         held_somewhere = min(missing.values()) < max(missing.values())
+        own = work.parts[-1][1]
         best = None
         for place, name in enumerate(ranked):
             need = own + missing[name]
             cost = self._engine_cost(name) + need
             if close and not groups.is_kept(name):
                 cost += affinity.SPILL_TOKENS
-            if not missing[name]:
-                pass
-            elif held_somewhere:
-                cost += affinity.SPILL_TOKENS
-            else:
-                cost += place * affinity.PLACE_TOKENS
-                cost += self._server(name).cache.fill * affinity.FULL_TOKENS
+            if missing[name]:
+                cost += self._newcomer_cost(name, place, held_somewhere)
             if best is None or cost < best[0]:
                 best = (cost, name, need)
         return best[1], best[2]
 
+    def _newcomer_cost(self, name, place, held_somewhere):
+        """Return the cost of having an engine read what it does not hold."""
+        if held_somewhere:
+            return affinity.SPILL_TOKENS
+        fill = self._server(name).cache.fill
+        return place * affinity.PLACE_TOKENS + fill * affinity.FULL_TOKENS
+
     def _engine_cost(self, name):
         """Return how much an engine has to do, in prompt tokens."""
         held = self._server(name)
