What a process comes to believe is logged; uses known to all are not told again

A relay's link of 5 Mbit/s was choked on the grown Bayou Gulf site (a caller's request arrived 2.1 s late, GONE): every instance told each use of a prompt part to all. Now one of them does, every ten seconds. Lines for servers known, changed, leaving, avoided, replaced and usable again, for the leader, and for when keys cease to be proven recent.

--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -19,6 +19,7 @@
         self._policy = policy
         self._renewals = renewals
         self._gathered = {}
+        self._lines = []
 
     def handlers(self):
         """Return the handlers of server events and messages."""
@@ -29,12 +30,14 @@
 
     def tick(self, now):
         """Pass on what gathered and forget servers gone for long."""
+        out, self._lines = self._lines, []
         for name in self._state.registry.forget(now):
             self._policy.forget_server(name)
             self._state.directory.invalidate()
+            fields = {"backend_server": name}
+            out.append(effects.Log("info", "backend server forgotten", fields))
         gathered = self._gathered
         self._gathered = {}
-        out = []
         for source, names in gathered.items():
             out.extend(self._spread(names, now, source))
         return out
@@ -106,5 +109,25 @@
         server = registry.servers[announcement.backend_server]
         if before != directory.signature(server.announcement):
             self._state.directory.invalidate()
+            self._lines.append(_line(server.announcement, held is None, age))
         self._policy.observe(server, now)
         return True
+
+
+def _line(announcement, is_new, age):
+    """Return the log line of a change in what is known of a server."""
+    if announcement.leaving:
+        text = "backend server leaves"
+    elif is_new:
+        text = "backend server known"
+    else:
+        text = "backend server changed"
+    fields = {
+        "backend_server": announcement.backend_server,
+        "service": announcement.service,
+        "url": announcement.url,
+        "server_domain": announcement.failure_domain,
+        "sequence": announcement.sequence,
+        "age": round(age, 3),
+    }
+    return effects.Log("info", text, fields)
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -69,7 +69,23 @@
             held = self.lives.get(request_id)
             if held:
                 self._policy.requeue(held.work, now)
-        return self._decide(now)
+        return self._beliefs() + self._decide(now)
+
+    def _beliefs(self):
+        """Return the log lines of what the policy learnt of servers."""
+        return [
+            effects.Log(
+                "info",
+                item.text,
+                {
+                    "backend_server": item.server,
+                    "failure_share": item.failure_share,
+                    "seconds": min(item.seconds, 3600.0),
+                    "important": True,
+                },
+            )
+            for item in self._policy.take_beliefs()
+        ]
 
     def _received(self, event, now):
         work = intake.work_of(self._state, event, now)
--- a/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
@@ -94,6 +94,7 @@
         self._state = state
         self._answer_to = settled_answer
         self._logged = -1
+        self._proven = None
         state.log.register(revisions.Revision, RevisionApplier(state.routing))
 
     def handlers(self):
@@ -102,9 +103,10 @@
 
     def tick(self, now):
         """Log a change of the revision in force."""
+        out = self._tell_proof(now)
         number = self._state.routing.number
         if number == self._logged:
-            return []
+            return out
         self._logged = number
         fields = {
             "revision": number,
@@ -112,7 +114,23 @@
             "routes": len(self._state.routing.table.revision.routes),
             "proven_ago": _rounded(self._state.log.proven_ago(now)),
         }
-        return [effects.Log("info", "revision in force", fields)]
+        return [*out, effects.Log("info", "revision in force", fields)]
+
+    def _tell_proof(self, now):
+        """Log when keys begin, or cease, to be proven recent enough."""
+        bound = self._state.routing.options.key_proof
+        if bound is None:
+            return []
+        ago = self._state.log.proven_ago(now)
+        proven = ago is not None and ago <= bound
+        if proven == self._proven or (self._proven is None and not proven):
+            return []
+        self._proven = proven
+        fields = {"proven_ago": _rounded(ago), "bound": bound}
+        if proven:
+            return [effects.Log("info", "keys are proven recent", fields)]
+        text = "keys are not proven recent: requests with keys are refused"
+        return [effects.Log("warning", text, fields)]
 
     def _submitted(self, event, now):
         """Propose a revision under an id made of its content.
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -124,7 +124,7 @@
         self._speakers[source.instance] = now
         name = message.of or source.instance
         self._state.loads.take(name, source.failure_domain, loads, now)
-        self._policy.heard_reads(message.reads)
+        self._policy.heard_reads(message.reads, now)
         if self._sums_up():
             self._reads.extend(message.reads)
         return []
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -118,6 +118,7 @@
         self._spreading = spreading_module.Spreading(core, neighbours)
         self._settled = 0
         self._was_stale = False
+        self._was_leader = ""
 
     # -- the seam ---------------------------------------------------------
 
@@ -231,6 +232,7 @@
             fields = {"applied": core.commit, "stale": self.stale(now)}
             out.append(effects.Log("info", "state is current", fields))
         out.extend(self._tell_stale(now))
+        out.extend(self._tell_leader(now))
         out.extend(self._finish(now))
         return out
 
@@ -418,6 +420,18 @@
                     addresses.append(address)
         return [effects.SendPeer(item, message) for item in addresses]
 
+    def _tell_leader(self, now):
+        leader = self.leader(now)
+        if leader == self._was_leader:
+            return []
+        fields = {
+            "leader": leader,
+            "before": self._was_leader,
+            "term": self._core.term,
+        }
+        self._was_leader = leader
+        return [effects.Log("info", "leader of the keepers", fields)]
+
     def _tell_stale(self, now):
         stale = self.ready and self.stale(now)
         if stale == self._was_stale:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -64,5 +64,9 @@
         """Return which prompt parts were sent where since the last call."""
         return []
 
-    def heard_reads(self, reads):
+    def heard_reads(self, reads, now):
         """Take in which prompt parts the others sent where."""
+
+    def take_beliefs(self):
+        """Return what it came to believe of servers since the last call."""
+        return []
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -43,10 +43,14 @@
 # the time that it has left: its own answer takes time too, and the pace is
 # only an estimate.
 HOPE_PART = 0.7
-# The others are told this often that a part is still in use where they know
-# it to be; more often than a part that is in use is pushed out.
-RETELL_SECONDS = 5.0
+# That a part is still in use where all know it to be is said this often, by
+# whichever instance is the first to use it then.  A part in use is pushed out
+# later than that; said at each use, it was half of what a relay's link of
+# 5 Mbit/s carries at 90 instances.
+RETELL_SECONDS = 10.0
 MOST_TOLD = 10_000
+# Lines about servers between two ticks; a storm of failures needs no more.
+MOST_BELIEFS = 50
 NEVER = float("-inf")
 # Memory of an engine where the configuration does not say.
 KV_TOKENS = 500_000
@@ -90,6 +94,7 @@
         self._closest = (None, {})
         self._reads = []
         self._told = {}
+        self._beliefs = []
         self._pace = placing_pace.PlacingPace()
 
     # -- what the other instances are told ---------------------------------
@@ -107,10 +112,26 @@
         reads, self._reads = self._reads, []
         return reads
 
-    def heard_reads(self, reads):
-        """Take in what the others sent to engines."""
+    def take_beliefs(self):
+        """Return the :class:`Belief` objects since the last call."""
+        beliefs, self._beliefs = self._beliefs, []
+        return beliefs
+
+    def _believe(self, text, server, health, now):
+        if len(self._beliefs) < MOST_BELIEFS:
+            seconds = max(0.0, health.until - now)
+            self._beliefs.append(
+                work_module.Belief(
+                    text, server, round(health.failure_share, 3), seconds
+                )
+            )
+
+    def heard_reads(self, reads, now):
+        """Take in what the others sent to engines; all know it by now."""
         for item in reads:
             self._server(item.server).cache.read(item.parts)
+            if item.parts:
+                self._told[(item.server, item.parts[-1][0])] = now
 
     # -- admitting --------------------------------------------------------
 
@@ -385,16 +406,27 @@
         held = self._server(attempt.server)
         held.running -= 1
         held.unread -= attempt.unread
+        health = held.health
         if ended.gone:
-            held.health.gone()
+            health.gone()
+            self._believe(
+                "backend server replaced", attempt.server, health, now
+            )
         elif ended.unreachable:
-            held.health.unreachable(now)
+            health.unreachable(now)
+            self._believe(
+                "backend server avoided", attempt.server, health, now
+            )
         elif ended.refused:
             held.health.full(now)
         elif ended.failed:
             held.health.failed()
         elif not ended.wasted:
-            held.health.succeeded()
+            if health.pause:
+                self._believe(
+                    "backend server usable again", attempt.server, health, now
+                )
+            health.succeeded()
 
     def forget_server(self, name):
         """Drop what is held about a server that is gone."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -85,6 +85,20 @@
     grounds: Grounds | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class Belief:
+    """What a policy came to believe of a server, for the log.
+
+    ``failure_share`` is the share of its answers that failed lately,
+    ``seconds`` how long it gets no work.
+    """
+
+    text: str
+    server: str
+    failure_share: float
+    seconds: float
+
+
 @dataclasses.dataclass(slots=True)
 class Ended:
     """How an attempt ended, as feedback to the policy.
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -146,11 +146,31 @@
     kept = affinity.Groups()
     kept.follow("llm", sorted(names))
     far = kept.ranked("t7", False)[-1]
-    play.policy.heard_reads([server_loads.Read(far, [("t7", LONG)])])
+    play.policy.heard_reads([server_loads.Read(far, [("t7", LONG)])], 0.0)
     work = play.review(7)
     assert play.next()[work.request_id] == far
 
 
+def test_what_all_know_is_not_told_again():
+    # Ninety instances use one part within seconds.  Each telling all others
+    # of each use took half of a small link.
+    play = Play()
+    play.review(7)
+    play.next()
+    (read,) = play.policy.take_reads()
+    other = Play()
+    other.policy.heard_reads([read], 0.0)
+    other.review(7)
+    other.next()
+    assert other.policy.take_reads() == []
+    other.now += shared.RETELL_SECONDS + 1.0
+    for attempt in list(other.policy._attempts):
+        other.policy.first_output(attempt, other.now)
+    other.review(7)
+    other.next()
+    assert len(other.policy.take_reads()) == 1
+
+
 def test_a_burst_of_long_prompts_waits_here_and_not_at_the_engines():
     # Forty long prompts come within a second.  Given to the engines at once,
     # each engine would make one token in the time of fifteen until all are
