A test of the log left a writer behind that wrote into the next test's socket

Seen twice as failures of test_dandelionctl: the flusher of the test's handler ran after its pipe was closed, when the descriptor's number belonged to a connection of the next test. Programs never close that descriptor.

--- a/tests/cover/test_bounded_log.py
+++ b/tests/cover/test_bounded_log.py
@@ -26,6 +26,11 @@
     handler = bounded_log.BoundedHandler(writer, clock)
     logger = jsonlog.make_logger("test.bounded", "info", "i1", handler)
     yield logger, handler, clock, reader
+    # What still waits must not be written later, to whatever has the number
+    # of this descriptor by then.
+    if handler._flusher is not None:
+        handler._flusher.kill()
+    handler._buffer.clear()
     os.close(writer)
     os.close(reader)
 
