--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -43,6 +43,11 @@
 # the time that it has left: its own answer takes time too, and the pace is
 # only an estimate.
 HOPE_PART = 0.7
+# Of plain servers, in parts of all slots: what the way to another failure
+# domain costs, so that its servers take over once the own are a third busy,
+# and a draw between equals, without which all instances would choose alike.
+AWAY_COST = 0.3
+DRAW_COST = 0.01
 # That a part is still in use where all know it to be is said this often, by
 # whichever instance is the first to use it then.  A part in use is pushed out
 # later than that; said at each use, it was half of what a relay's link of
@@ -281,9 +286,9 @@
             away = announcement.failure_domain != self._domain
             return (
                 load
-                + 0.3 * away
+                + AWAY_COST * away
                 + self._server(name).health.failure_share
-                + 0.01 * self._rng.random()
+                + DRAW_COST * self._rng.random()
             )
 
         return min(usable, key=cost)
--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -246,7 +246,7 @@
         )
         logger = logging.getLogger(f"test.{role}{self._count}")
         logger.propagate = False
-        face = programs.FACES[role](given)
+        face = programs.FACES[role](given, "")
         running = self._stack.enter_context(
             instance.Instance(programs.settings_of(given), logger, face=face)
         )
--- a/tests/cover/test_platform_settings.py
+++ b/tests/cover/test_platform_settings.py
@@ -1,5 +1,11 @@
 """The platform's settings file, and what is said where it is wrong."""
 
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
 import dandeliontrail
 from dandeliontrail_platform import programs
 from dandeliontrail_platform import settings_file
@@ -58,3 +64,23 @@
     text = GOOD.replace("revoke_ms=5000", "revoke_ms=soon")
     with pytest.raises(dandeliontrail.SettingsError, match="bounds.revoke_ms"):
         settings_file.parse(text)
+
+
+@pytest.mark.parametrize(
+    "words, settings", [(["nobody"], "here"), ([], "here"), (["entry"], None)]
+)
+def test_a_start_that_cannot_work_says_how_it_could(words, settings):
+    env = dict(os.environ)
+    env.pop("DANDELIONTRAIL_CONFIG", None)
+    if settings:
+        env["DANDELIONTRAIL_CONFIG"] = settings
+    launch = pathlib.Path(__file__).parents[2] / "platform/launch.py"
+    found = subprocess.run(
+        [sys.executable, str(launch), *words],
+        env=env,
+        capture_output=True,
+        timeout=30,
+    )
+    assert found.returncode == 2
+    (line,) = found.stdout.splitlines()
+    assert json.loads(line)["remedy"]
