A keeper whose disk failed for a while comes back

Ruled out: trusting the folder within the same process, since a failed sync may have marked lost pages as clean. Where the platform starts ended processes again, the keeper now ends once a file can be written and synced, and every start writes what it read anew and syncs it.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
@@ -116,11 +116,12 @@
             self._write_new(b"", [])
         data = path.read_bytes()
         start = self._read_header(data)
-        checkpoint, records, end = self._read_frames(data, start)
+        checkpoint, records = self._read_frames(data, start)
+        # What was read may be in the kernel's memory alone: after a failed
+        # sync its pages count as clean and are lost with the power.  Written
+        # anew and synced, it may be promised; a torn end goes with it.
+        self._write_new(checkpoint, records)
         self._file = path.open("ab")
-        if end < len(data):
-            self._file.truncate(end)
-            os.fsync(self._file.fileno())
         return checkpoint, records
 
     def _read_header(self, data):
@@ -153,7 +154,7 @@
                 checkpoint = bytes(frame.checkpoint)
             records.extend(bytes(item) for item in frame.records)
             at += _FRAME.size + len(payload)
-        return checkpoint, records, at
+        return checkpoint, records
 
     def _check_torn(self, data, at, start):
         """Refuse a bad frame that is not the last.
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -26,6 +26,7 @@
 from . import peer_link
 from . import settings
 from . import standard_face
+from . import storage_watch
 from . import tokens
 from . import usage_disk
 from . import wsgi
@@ -101,7 +102,7 @@
             self._logger,
         )
         if storage:
-            writer = disk_writer.DiskWriter(storage, self.host.submit)
+            writer = disk_writer.DiskWriter(storage, self._disk_event)
             self._stack.callback(writer.close)
             self.host.attach_disk(writer)
         if usage_storage:
@@ -109,6 +110,21 @@
             self._stack.callback(keeping.close)
             self.host.attach_usage_disk(keeping)
 
+    def _disk_event(self, event):
+        """Hand on what the disk did; see to it that a failure ends."""
+        self.host.submit(event)
+        if isinstance(event, events.StorageFailed) and self._face.restarted:
+            watching = gevent.spawn(self._end_with_disk)
+            self._stack.callback(watching.kill)
+
+    def _end_with_disk(self):
+        storage_watch.wait(self._cfg.keeper.data_dir)
+        self._logger.warning("the disk works again: ending, to start anew")
+        # Twice, which skips the drain: nobody waits for a keeper's answers
+        # that another would not give as well.
+        self.on_term()
+        self.on_term()
+
     def _open_storage(self, folder=""):
         """Return the storage in a part of the data folder, if any."""
         keeper = self._cfg.keeper
