Relays do not tell each other the same uses of prompt parts for ever

Found on reading: above 16 instances a relay passed on to the other relays what one of them had told it.

--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -30,6 +30,9 @@
         self._speakers = {}
         self._sent = []
         self._reads = []
+        # From other domains, for the own one alone: passed on to relays, two
+        # of these would tell each other the same for ever.
+        self._reads_from_outside = []
         self._next_repeat = 0.0
         self._next_others = 0.0
         self._next_relayed = 0.0
@@ -102,8 +105,11 @@
             self._policy.own_loads(), own.failure_domain
         )
         reads = self._take_reads()
+        from_outside, self._reads_from_outside = self._reads_from_outside, []
         outer = server_loads.ServerLoads(domain, reads, own.failure_domain)
-        inner = server_loads.ServerLoads(whole, reads, server_loads.ALL)
+        inner = server_loads.ServerLoads(
+            whole, reads + from_outside, server_loads.ALL
+        )
         return [
             effects.SendPeer(
                 member.address,
@@ -126,5 +132,9 @@
         self._state.loads.take(name, source.failure_domain, loads, now)
         self._policy.heard_reads(message.reads, now)
         if self._sums_up():
-            self._reads.extend(message.reads)
+            inside = self._state.identity.failure_domain
+            if source.failure_domain == inside:
+                self._reads.extend(message.reads)
+            else:
+                self._reads_from_outside.extend(message.reads)
         return []
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -3,6 +3,8 @@
 import random
 import types
 
+from dandeliontrail.components import server_loads as loads_component
+from dandeliontrail.coordination import messages
 from dandeliontrail.coordination import server_loads
 from dandeliontrail.coordination import servers
 from dandeliontrail.decisions import affinity
@@ -355,6 +357,38 @@
     assert server_loads.differ(held, [])
 
 
+def test_relays_do_not_tell_each_other_the_same_for_ever():
+    # A relay passes on to other relays what one of them told it, and hears
+    # it again from them: every use of a part goes round for good, and the
+    # links of the relays are full.
+    members = types.SimpleNamespace(
+        full_mesh=lambda: False,
+        is_relay=lambda: True,
+        is_first_relay=lambda: True,
+        links=lambda: [
+            types.SimpleNamespace(address="near", failure_domain="fd0"),
+            types.SimpleNamespace(address="far", failure_domain="fd1"),
+        ],
+    )
+    state = types.SimpleNamespace(
+        members=members,
+        loads=server_loads.LoadTable(),
+        identity=types.SimpleNamespace(failure_domain="fd0"),
+    )
+    relay = loads_component.ServerLoads(state, Play().policy)
+    far = messages.Sender("b", "far", "fd1", "r", 1)
+    near = messages.Sender("a", "near", "fd0", "r", 1)
+    outside = server_loads.Read("e0", [("x", 9)])
+    inside = server_loads.Read("e0", [("y", 9)])
+    relay._heard(far, server_loads.ServerLoads([], [outside], "fd1"), 0.0)
+    relay._heard(near, server_loads.ServerLoads([], [inside]), 0.0)
+    sent = {item.address: item.message for item in relay.tick(1.0)}
+    assert sent["far"].reads == [inside]
+    assert sent["near"].reads == [inside, outside]
+    again = {item.address: item.message for item in relay.tick(2.0)}
+    assert again["far"].reads == again["near"].reads == []
+
+
 @pytest.mark.parametrize("count", [1, 2, 6, 9, 45])
 def test_some_engine_is_left_for_each_group(count):
     groups = affinity.Groups()
