--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -108,6 +108,9 @@
         self.body = rest
         if chunked:
             self.body, self.whole = _dechunk(rest)
+        elif "content-length" in self.headers:
+            # Cut short by its length: a caller sees that it is not whole.
+            self.whole = len(rest) == int(self.headers["content-length"])
 
 
 def _dechunk(data):
