One reply for the metrics of both listeners; look-up tables that nobody read are gone

Found on reading the whole change: the metrics listener built the same text and header as the operators' one, and the routing table held services and organisations by name without a reader. Behaviour stays as it is.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/metrics_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/metrics_app.py
@@ -4,7 +4,6 @@
 from ..listeners import read_only
 
 PATH = "/metrics"
-TEXT = ("Content-Type", "text/plain; version=0.0.4")
 
 
 class MetricsApp:
@@ -17,5 +16,4 @@
         """Serve one request."""
         if environ["PATH_INFO"] != PATH:
             raise wsgi.not_found(environ["PATH_INFO"])
-        text = self._host.metrics.text() + read_only.log_metrics(self._host)
-        return wsgi.reply(start_response, 200, text.encode(), [TEXT])
+        return read_only.reply_metrics(self._host, start_response)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/operators.py
@@ -49,10 +49,7 @@
     def _metrics(self, environ, start_response):
         query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
         by = query.get("by", [""])[0]
-        text = self._host.metrics.text(by)
-        text += read_only.log_metrics(self._host)
-        plain = ("Content-Type", "text/plain; version=0.0.4")
-        return wsgi.reply(start_response, 200, text.encode(), [plain])
+        return read_only.reply_metrics(self._host, start_response, by)
 
     def _read(self, words, environ, start_response):
         if watches.wanted(environ):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -213,6 +213,15 @@
     return Listing("history", host.state.store.version, items)
 
 
+METRICS_TEXT = ("Content-Type", "text/plain; version=0.0.4")
+
+
+def reply_metrics(host, start_response, by=""):
+    """Reply with all counters and histograms in the Prometheus format."""
+    text = host.metrics.text(by) + log_metrics(host)
+    return wsgi.reply(start_response, 200, text.encode(), [METRICS_TEXT])
+
+
 def log_metrics(host):
     """Return how the configuration stands, as Prometheus text."""
     status = host.state.log.status(host.clock.now())
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/routing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/routing.py
@@ -4,16 +4,12 @@
 
 
 class RoutingTable:
-    """The routes, services and keys of one revision, ready for look-ups."""
+    """The routes and keys of one revision, ready for look-ups."""
 
-    __slots__ = ("revision", "services", "organisations", "_hosts", "_owners")
+    __slots__ = ("revision", "_hosts", "_owners")
 
     def __init__(self, revision):
         self.revision = revision
-        self.services = {item.name: item for item in revision.services}
-        self.organisations = {
-            item.name: item for item in revision.organisations
-        }
         self._owners = {
             key: item for item in revision.organisations for key in item.keys
         }
