Nothing is sent for a request that ended while its connection was made

Cause: an instance that ends tells its requests so in one turn of the loop, and a connection that came about in the same turn went on with a request that was no longer there: an ERROR line with a traceback in place of a clean end.

Also: an answer kept from a server that failed ended a later stream with an internal fault; and "request ended" said 502 where the caller got the server's own 500.

Ruled out: a lapsed server in the directory's lists (the reducer looks at one moment), and a start at an address still in use (the soak waits for the end of the process).

The two loops over attempts share one method.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -177,36 +177,51 @@
         For an answer that is no stream its whole body is kept and the
         second is ``None``.
         """
-        while True:
-            try:
-                self._next_dispatch()
-                answer = self._attempt()
-                if _is_stream(answer):
-                    return answer, self._next_events()
-                if self._take_whole(answer):
-                    return answer, None
-            except _KeptAnswer:
-                return self._kept[0], None
-            except upstream_module.NotSent as exc:
-                self._not_begun(False, str(exc))
-            except _NotExecuted as exc:
-                self._not_begun(True, str(exc), exc.gone)
-            except upstream_module.Broken as exc:
-                self._failed(str(exc))
+        while self._next_dispatch():
+            found = self._attempted(self._begin_answer)
+            if found is not None:
+                return found
+        return self._kept[0], None
+
+    def _begin_answer(self):
+        answer = self._attempt()
+        if _is_stream(answer):
+            return answer, self._next_events()
+        self._take_whole(answer)
+        return answer, None
+
+    def _attempted(self, call):
+        """Return what ``call`` makes of one attempt, ``None`` if it failed.
+
+        The reducer has been told by then how it failed.
+        """
+        try:
+            return call()
+        except upstream_module.NotSent as exc:
+            self._not_begun(False, str(exc))
+        except _NotExecuted as exc:
+            self._not_begun(True, str(exc), exc.gone)
+        except _ServerFailed as exc:
+            self._failed(str(exc), exc.status)
+        except (upstream_module.Broken, events_splitter.EventTooLong) as exc:
+            self._failed(str(exc))
+        return None
 
     def _next_dispatch(self):
         """Wait for where to go; a refusal is raised as its problem.
 
         Where a server answered with a failure of its own and there is no
-        going elsewhere, that answer is the caller's.
+        going elsewhere, that answer is the caller's, and this returns
+        false.  In the middle of a stream it is of no use.
         """
         self._release()
         effect = self._exchange.get()
         if isinstance(effect, effects.Dispatch):
             self._dispatch = effect
-            return
-        if self._kept is not None and isinstance(effect, effects.Refuse):
-            raise _KeptAnswer()
+            return True
+        refused = isinstance(effect, effects.Refuse)
+        if refused and self._kept is not None and not self._events_passed:
+            return False
         if effect is None:
             raise problems.internal_problem(self._incoming.request_id)
         raise problems.problem_of(effect)
@@ -223,6 +238,12 @@
         )
         self._upstream.connect()
         life = self._host.life(incoming.request_id)
+        if life is None:
+            # The instance ended the request while the connection was made,
+            # and its caller is told that nothing ran: nothing may be sent.
+            # ``CutOff`` is on its way and ends this wait.
+            self._next_dispatch()
+            raise problems.internal_problem(incoming.request_id)
         self._host.submit(
             events.AttemptBegan(incoming.request_id, dispatch.attempt)
         )
@@ -247,7 +268,7 @@
         return answer
 
     def _take_whole(self, answer):
-        """Take in a whole answer; tell whether it is the caller's.
+        """Take in a whole answer as the caller's.
 
         A failure of a request that may be repeated is tried elsewhere, and
         kept in case that there is no elsewhere.
@@ -256,10 +277,8 @@
         self._first_output()
         self._kept = (answer, body)
         if answer.status >= 500 and self._dispatch.repeatable:
-            self._failed(f"the server answered {answer.status}")
-            return False
+            raise _ServerFailed(answer.status)
         self._finished(0)
-        return True
 
     def _not_begun(self, server_said, detail, gone=False):
         dispatch = self._dispatch
@@ -274,7 +293,7 @@
             )
         )
 
-    def _failed(self, detail):
+    def _failed(self, detail, answered=0):
         dispatch = self._dispatch
         self._release()
         self._host.submit(
@@ -283,6 +302,7 @@
                 dispatch.attempt,
                 self._events_passed,
                 detail,
+                answered,
             )
         )
 
@@ -346,35 +366,23 @@
             self._close()
 
     def _continued(self):
-        while True:
-            try:
-                return self._next_events()
-            except (
-                upstream_module.Broken,
-                events_splitter.EventTooLong,
-            ) as exc:
-                self._splitter.drop_rest()
-                self._failed(str(exc))
-                self._resume()
+        """Return the next events, from another server where one failed."""
+        found = self._attempted(self._next_events)
+        while found is None:
+            self._splitter.drop_rest()
+            self._next_dispatch()
+            found = self._attempted(self._resume)
+        return found
 
     def _resume(self):
-        """Go on with the stream at another server, after its last event."""
-        while True:
-            self._next_dispatch()
-            try:
-                answer = self._attempt()
-                if answer.status != 200 or not _is_stream(answer):
-                    self._upstream.whole_body()
-                    raise upstream_module.Broken(
-                        f"not resumed: the server answered {answer.status}"
-                    )
-                return
-            except upstream_module.NotSent as exc:
-                self._not_begun(False, str(exc))
-            except _NotExecuted as exc:
-                self._not_begun(True, str(exc), exc.gone)
-            except upstream_module.Broken as exc:
-                self._failed(str(exc))
+        """Go on with the stream after its last event; return the next."""
+        answer = self._attempt()
+        if answer.status != 200 or not _is_stream(answer):
+            self._upstream.whole_body()
+            raise upstream_module.Broken(
+                f"not resumed: the server answered {answer.status}"
+            )
+        return self._next_events()
 
 
 class _Written:
@@ -405,8 +413,12 @@
         self.gone = gone
 
 
-class _KeptAnswer(Exception):
-    """The failure that a server answered with is the caller's answer."""
+class _ServerFailed(Exception):
+    """The server answered with a failure of its own."""
+
+    def __init__(self, status):
+        super().__init__(f"the server answered {status}")
+        self.status = status
 
 
 def _is_stream(answer):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
@@ -29,6 +29,7 @@
     organisation: str = ""
     class_name: str = ""
     backend_server: str = ""
+    answered: int = 0
 
 
 class RequestLog:
@@ -124,6 +125,8 @@
     def _failed(self, event, now):
         self._counters["attempts_failed_total"] += 1
         held = self._open.get(event.request_id)
+        if held and event.answered:
+            held.answered = event.answered
         self._line(
             "attempt failed",
             event.request_id,
@@ -177,7 +180,8 @@
             passed = held.first_output - held.received
             fields["first_output_ms"] = _milliseconds(passed)
         if status is not None:
-            fields["status"] = status
+            # The caller gets a server's own failure before one of ours.
+            fields["status"] = held.answered or status
         if reason not in ("complete", "replayed"):
             fields["important"] = True
         self._line("request ended", request_id, **fields)
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -103,13 +103,16 @@
 class AttemptFailed:
     """The attempt broke off after it may have begun.
 
-    ``relayed`` counts the events that the caller already has.
+    ``relayed`` counts the events that the caller already has.  ``answered``
+    is the status of a whole answer that the server failed with, which the
+    caller gets if no other server can be asked, and 0 without one.
     """
 
     request_id: str
     attempt: int
     relayed: int
     detail: str
+    answered: int = 0
 
 
 @dataclasses.dataclass(slots=True)
