--- a/tests/cover/test_platform_soak.py
+++ b/tests/cover/test_platform_soak.py
@@ -10,6 +10,9 @@
     # second time, which ended with an ERROR line: its address was in use.
     # The soak's own fault, and what seed 101 had shown once.
     (22, 25.0),
+    (3, 25.0),
+    # SIGHUP ended an entry that was still loading its modules.
+    (12, 25.0),
 )
 
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -11,6 +11,7 @@
 import time
 
 import gevent
+from gevent import lock
 
 from tests.common import platform_world
 from tests.soak import proxy as proxy_module
@@ -39,6 +40,8 @@
         self._settings = settings
         self._first = True
         self._process = None
+        # To start a process takes a while in which other faults go on.
+        self._lock = lock.RLock()
         self.frozen = False
         self.disk_failed = False
         self.hurt = float("-inf")
@@ -55,8 +58,11 @@
         Two processes at one address: the second would end with an error and
         the first be out of reach.  Only the first start may found the log.
         """
-        if self.running:
-            return
+        with self._lock:
+            if not self.running:
+                self._start()
+
+    def _start(self):
         self.write_settings()
         self._first = False
         env = {
@@ -124,11 +130,12 @@
 
     def kill(self):
         """End it at once, if it has not ended by itself."""
-        if self.running:
-            self.note_hurt()
-        self.thaw()
-        self.signal(signal.SIGKILL)
-        self._process.wait(KILL_SECONDS)
+        with self._lock:
+            if self.running:
+                self.note_hurt()
+            self.thaw()
+            self.signal(signal.SIGKILL)
+            self._process.wait(KILL_SECONDS)
 
     def freeze(self):
         """Have it stand still."""
