--- a/tests/common/prompt_world.py
+++ b/tests/common/prompt_world.py
@@ -14,15 +14,15 @@
 import types
 
 from dandeliontrail.coordination import server_loads
-from dandeliontrail.coordination import servers
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared
 from dandeliontrail.decisions import work as work_module
-from dandeliontrail.resources import announcements
 from dandeliontrail.resources import revisions
 
-SERVICE = "llm"
+from tests.common import prompt_engine
+
+SERVICE = prompt_engine.SERVICE
 TICK = 0.1
 
 
@@ -52,158 +52,6 @@
 CHAT = Kind("chat", 113, 1478, 350, 1110, 174, 1.2, 10.0, 0.4, 0)
 
 
-@dataclasses.dataclass(slots=True)
-class Pace:
-    """An engine: seconds a step and a stream, tokens a second and a chunk.
-
-    ``event`` is how many tokens make one event of a stream.
-    """
-
-    step: float = 0.00337
-    stream: float = 0.0000109
-    reading: float = 61_200.0
-    chunk: int = 4096
-    slots: int = 64
-    kv_tokens: int = 653_994
-    event: int = 6
-
-
-class Stream:
-    """One request inside an engine."""
-
-    __slots__ = (
-        "work",
-        "instance",
-        "kind",
-        "left",
-        "output",
-        "made",
-        "events_at",
-        "longest",
-        "gone",
-        "sent",
-    )
-
-    def __init__(self, work, instance, kind, output, sent):
-        self.work = work
-        self.instance = instance
-        self.kind = kind
-        self.left = None
-        self.output = output
-        self.made = 0
-        self.events_at = 0.0
-        self.longest = 0.0
-        self.gone = False
-        self.sent = sent
-
-
-class Engine:
-    """One engine; ``step`` advances it by one step of its batch."""
-
-    def __init__(self, name, pace, world):
-        self.name = name
-        self.pace = pace
-        self.world = world
-        self.waiting = []
-        self.active = []
-        self.parts = collections.OrderedDict()
-        self.kept = 0
-        self.busy = False
-
-    def submit(self, stream):
-        self.waiting.append(stream)
-        if not self.busy:
-            self.busy = True
-            self.world.at(self.world.now, self.step)
-
-    def _running_tokens(self):
-        return sum(
-            item.work.prompt_tokens + item.output for item in self.active
-        )
-
-    def _admit(self):
-        self.waiting.sort(key=lambda item: item.work.start_priority)
-        used = self._running_tokens()
-        while self.waiting and len(self.active) < self.pace.slots:
-            first = self.waiting[0]
-            used += first.work.prompt_tokens + first.output
-            if used > self.pace.kv_tokens and self.active:
-                return
-            self.waiting.pop(0)
-            if first.gone:
-                continue
-            self._begin(first)
-            self.active.append(first)
-
-    def _begin(self, stream):
-        """Find what of the prompt is held; the rest must be read."""
-        missing = 0
-        whole = True
-        for name, tokens in stream.work.parts:
-            if whole and name in self.parts:
-                self.parts.move_to_end(name)
-                self.world.hit(stream, tokens)
-                continue
-            whole = False
-            missing += tokens
-            self.world.read(stream, name, tokens)
-        stream.left = missing
-
-    def _keep(self, name, tokens):
-        if name not in self.parts:
-            self.parts[name] = tokens
-            self.kept += tokens
-        room = self.pace.kv_tokens - self._running_tokens()
-        while self.kept > room and len(self.parts) > 1:
-            _, dropped = self.parts.popitem(last=False)
-            self.kept -= dropped
-
-    def step(self):
-        world = self.world
-        self.active = [item for item in self.active if not item.gone]
-        self._admit()
-        if not self.active:
-            self.busy = False
-            return
-        reading = [item for item in self.active if item.left]
-        reading.sort(key=lambda item: item.work.start_priority)
-        room = self.pace.chunk
-        for item in reading:
-            part = min(room, item.left)
-            item.left -= part
-            room -= part
-            if not room:
-                break
-        used = self.pace.chunk - room
-        took = (
-            self.pace.step
-            + self.pace.stream * len(self.active)
-            + used / self.pace.reading
-        )
-        end = world.now + took
-        for item in self.active:
-            if item.left == 0:
-                world.at(end, self._made, item)
-        world.at(end, self.step)
-
-    def _made(self, item):
-        if item.gone:
-            return
-        world = self.world
-        item.made += 1
-        if item.made == 1:
-            for name, tokens in item.work.parts:
-                self._keep(name, tokens)
-            item.events_at = world.now
-            world.first(item)
-        elif item.made % self.pace.event == 1:
-            item.longest = max(item.longest, world.now - item.events_at)
-            item.events_at = world.now
-        if item.made >= item.output:
-            item.gone = True
-            world.finished(item)
-
-
 class Instance:
     """One instance with its policy, and what it heard of the others."""
 
@@ -222,6 +70,7 @@
         self.policy = shared.Shared(random.Random(number), view, state, limits)
 
     def decide(self):
+        """Place or refuse what waits here."""
         world = self.world
         for item in self.policy.next(world.now, world):
             if isinstance(item, work_module.Placement):
@@ -241,7 +90,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.kinds = {kind.name: kind for kind in kinds}
-        self.pace = pace or Pace()
+        self.pace = pace or prompt_engine.Pace()
         self.table = _table(kinds, self.pace)
         self.lag = lag
         self._events = []
@@ -252,8 +101,8 @@
         self.servers = []
         for number in range(engines):
             name = f"e{number}"
-            self.engines[name] = Engine(name, self.pace, self)
-            self.servers.append(_server(name, number))
+            self.engines[name] = prompt_engine.Engine(name, self.pace, self)
+            self.servers.append(prompt_engine.server_of(number))
         self.instances = [
             Instance(self, number, f"fd{number % 3}")
             for number in range(instances)
@@ -276,6 +125,7 @@
     # -- time -------------------------------------------------------------
 
     def at(self, when, call, *args):
+        """Have ``call`` made at a moment."""
         self._order += 1
         heapq.heappush(self._events, (when, self._order, call, args))
 
@@ -372,28 +222,30 @@
         if not tries:
             self.asked[kind.name] += 1
         output = max(1, int(rng.expovariate(1 / kind.output)))
-        stream = Stream(work, instance, kind, output, asked)
+        stream = prompt_engine.Stream(
+            work, instance, kind, output, asked, tries
+        )
         self.streams[work.request_id] = stream
-        stream.made = -1 - tries
         self.at(asked + kind.deadline, self._time_up, stream)
         instance.policy.offer(work, self.now)
         instance.decide()
 
     def placed(self, instance, placement):
+        """Send a request to its engine."""
         stream = self.streams[placement.work.request_id]
-        stream.made = 0
         self.busiest[placement.server] += 1
         self.at(
             self.now + 0.002, self.engines[placement.server].submit, stream
         )
 
     def refused(self, instance, refusal):
+        """Tell the caller, who comes back once if there is time."""
         stream = self.streams.pop(refusal.work.request_id)
         stream.gone = True
         self.refusals[stream.kind.name] += 1
         wait = refusal.nothing.retry_after or 0.0
         left = stream.sent + stream.kind.deadline - self.now
-        if stream.made == -1 and wait < left / 3:
+        if not stream.tries and wait < left / 3:
             self.at(
                 self.now + max(0.01, wait),
                 self._ask,
@@ -413,6 +265,7 @@
         instance.decide()
 
     def first(self, stream):
+        """Take note of a first token; a late one counts as a long pause."""
         waited = self.now - stream.sent
         if waited > stream.kind.target:
             stream.longest = 1e9
@@ -421,6 +274,7 @@
             stream.instance.decide()
 
     def finished(self, stream):
+        """Take note of a whole answer."""
         ended = work_module.Ended(
             stream.work.request_id, "", output_tokens=stream.output
         )
@@ -435,9 +289,11 @@
     # -- what engines read ------------------------------------------------
 
     def hit(self, stream, tokens):
+        """Take note of tokens that an engine held."""
         self.hits += tokens
 
     def read(self, stream, name, tokens):
+        """Take note of tokens that an engine reads."""
         self.read_tokens += tokens
         if name in self._seen:
             self.read_again += tokens
@@ -478,20 +334,3 @@
     engine = revisions.Engine(pace.slots, pace.kv_tokens, pace.event)
     service = revisions.Service(SERVICE, 800, engine)
     return routing.RoutingTable(revisions.Revision(1, "", routes, [service]))
-
-
-def _server(name, number):
-    return servers.Server(
-        announcements.Announcement(
-            name,
-            0,
-            1,
-            "model_engine",
-            f"http://10.0.0.{number}:1",
-            failure_domain=f"fd{number % 3}",
-            service=SERVICE,
-            slots=64,
-        ),
-        heard=0.0,
-        expires=1e9,
-    )
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -6,17 +6,17 @@
 from dandeliontrail.components import server_loads as loads_component
 from dandeliontrail.coordination import messages
 from dandeliontrail.coordination import server_loads
-from dandeliontrail.coordination import servers
 from dandeliontrail.decisions import affinity
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared
 from dandeliontrail.decisions import work as work_module
-from dandeliontrail.resources import announcements
 from dandeliontrail.resources import revisions
 from dandeliontrail import sentinels
 import pytest
 
+from tests.common import prompt_engine
+
 LONG = 13_000
 
 
@@ -25,21 +25,7 @@
 
     def __init__(self, count, service="llm"):
         self.servers = [
-            servers.Server(
-                announcements.Announcement(
-                    f"e{number}",
-                    0,
-                    1,
-                    "model_engine",
-                    f"http://10.0.0.{number}:1",
-                    failure_domain=f"fd{number % 3}",
-                    service=service,
-                    slots=64,
-                ),
-                heard=0.0,
-                expires=1e9,
-            )
-            for number in range(count)
+            prompt_engine.server_of(number, service) for number in range(count)
         ]
 
     def of_service(self, service):
