--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/processes.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/processes.py
@@ -26,7 +26,7 @@
 
 
 def program(name):
-    """Return the path of a program of this installation."""
+    """Return the path of a program of this deployment."""
     return str(pathlib.Path(sys.executable).parent / name)
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -123,7 +123,7 @@
             raise
 
     def sendall(self, data):
-        """Send, with the time limit of the pool."""
+        """Send, with the timeout of the pool."""
         self.sock.sendall(data)
 
     def sendfile(self, body):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 One greenlet does it all: it asks the reducer where the request may go, sends
 it there, and passes the answer on.  Three things can end the wait at any
-moment: the time limit of the route, a caller that leaves, and the end of the
+moment: the deadline of the route, a caller that leaves, and the end of the
 instance.
 """
 
@@ -116,7 +116,7 @@
             self._limit(life.work.deadline - host.clock.now())
 
     def _limit(self, seconds):
-        """End the wait at the time limit of the request."""
+        """End the wait at the deadline of the request."""
         self._deadline = time.monotonic() + seconds
         timeout = gevent.Timeout(max(0.001, seconds), _Overdue)
         timeout.start()
@@ -399,7 +399,7 @@
 
 
 class _Overdue(wsgi.Aborted):
-    """The time limit passed."""
+    """The deadline passed."""
 
 
 class _NotExecuted(Exception):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -111,7 +111,7 @@
             raise self._deadline_problem()
 
     def _overdue(self):
-        """Tell whether the caller's own time limit has passed.
+        """Tell whether the caller's own deadline has passed.
 
         A stream that came to life in time is cut only where its caller set
         a limit: without one, slow is no fault.
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
@@ -2,7 +2,7 @@
 
 Each line has the ``request_id``.  The reducer logs its decisions itself
 (``decision``); this module adds what comes before and after them: the
-receipt, each attempt that came to nothing, and one line at the end with
+arrival, each attempt that came to nothing, and one line at the end with
 outcome, tokens and times.  No line holds a key, a prompt or an answer.
 """
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -64,7 +64,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Life:
-    """One request from its receipt to its outcome.
+    """One request from its arrival to its outcome.
 
     ``begun`` counts the attempts that may have begun; it never falls but
     by the server's own word.  ``arrivals`` counts the servers that it
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -124,7 +124,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Overdue:
-    """The caller's own time limit passed while an attempt was running."""
+    """The caller's own deadline passed while an attempt was running."""
 
     request_id: str
 
