--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -2,6 +2,7 @@
 
 from .. import sentinels
 from ..decisions import routing
+from ..decisions import service_traits
 from ..decisions import work as work_module
 from ..resources import specs
 
@@ -54,10 +55,8 @@
     )
 
 
-# Engines honour this many priorities; of these an organisation's priority
-# takes so many steps each, within which the routes' own count.
+# The last of the priorities that engines honour.
 LOWEST_PRIORITY = 9
-ROUTE_PRIORITIES = 3
 # A caller that meets an instance without proof may come back at once: the
 # balancer leads it to another instance.
 UNPROVEN_RETRY = 0.3
@@ -103,8 +102,8 @@
     if event.timeout is not None:
         timeout = min(timeout, event.timeout)
     rank = organisation.priority if organisation else 0
-    step = min(route.priority, ROUTE_PRIORITIES - 1)
-    priority = rank * ROUTE_PRIORITIES + step
+    step = service_traits.step_of(route.priority)
+    priority = rank * service_traits.ROUTE_PRIORITIES + step
     return work_module.Work(
         request_id=event.request_id,
         organisation=organisation.name if organisation else "",
@@ -124,5 +123,5 @@
         routed=True,
         streamed=route.streamed,
         start_priority=min(priority, LOWEST_PRIORITY),
-        route_priority=route.priority,
+        route_priority=step,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -14,7 +14,7 @@
     last one is the request's own.  ``max_attempts`` bounds the servers that
     it may reach, zero leaves that to the node; ``routed`` tells that a route
     and not a class decided all this.  ``start_priority`` is what a model
-    engine is told, ``route_priority`` the route's own part of it.
+    engine is told, ``route_priority`` the route's own step in it.
     ``limits`` are those of the organisation, ``class_limits`` those of each
     organisation in the class (``resources.specs.Limits``).
     """
