One reader of settings files, and what the change had left double or dead

PromptCache.fill had no reader any more. The bound on fetched entries has a name of its own beside the leader's.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -121,14 +121,18 @@
 
 def load(path):
     """Read, check and return the settings in the file at ``path``."""
+    return parse(read_file(path))
+
+
+def read_file(path):
+    """Return the text of a settings file, of whatever format."""
     try:
-        text = pathlib.Path(path).read_text()
+        return pathlib.Path(path).read_text()
     except OSError as exc:
         raise dandeliontrail.SettingsError(
             f"{path} cannot be read: {exc.strerror}.",
             "give the path of a settings file that this user may read",
         )
-    return parse(text)
 
 
 def parse(text):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
@@ -13,7 +13,7 @@
 BATCH = 256
 # Beyond so many bytes of entries a checkpoint is sent instead: of many whole
 # configurations in a row only the last is of use to whoever is behind.
-BATCH_BYTES = 256 * 1024
+MOST_ENTRY_BYTES = 256 * 1024
 # A fetch without an answer is repeated elsewhere after this long; it is
 # above the round trip between regions and below the 3 s goal.
 FETCH_SECONDS = 0.8
@@ -112,7 +112,10 @@
         if after < log.base or after == 0:
             return True
         several = self._core.commit > after + 1
-        return several and log.size_of(after, self._core.commit) > BATCH_BYTES
+        return (
+            several
+            and log.size_of(after, self._core.commit) > MOST_ENTRY_BYTES
+        )
 
     def _checkpoint(self):
         """Return the encoded checkpoint, made once for all who ask."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prompt_cache.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prompt_cache.py
@@ -29,11 +29,6 @@
             _, tokens = self._parts.popitem(last=False)
             self._tokens -= tokens
 
-    @property
-    def fill(self):
-        """Return which part of its room is taken."""
-        return self._tokens / self._room
-
     def missing(self, parts):
         """Return how many tokens of ``parts`` it would have to read.
 
--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -178,6 +178,11 @@
     return _header(head, name.lower())
 
 
+def id_of(head):
+    """Return the id of a request that reached a server."""
+    return header(head, "X-Dandeliontrail-Request-Id")
+
+
 def whole(status, body, request_id, extra=""):
     """Return the bytes of a whole answer."""
     return (
--- a/tests/common/prompt_world.py
+++ b/tests/common/prompt_world.py
@@ -157,8 +157,7 @@
 
     def _tick(self):
         for instance in self.instances:
-            if instance.policy._queue:
-                instance.decide()
+            instance.decide()
 
     def _tell(self):
         """Let what all instances do now reach the others after the lag."""
@@ -172,21 +171,17 @@
             for load in said:
                 total[load.server][0] += load.running
                 total[load.server][1] += load.unread
+        everyone = [
+            server_loads.Load(name, running, unread)
+            for name, (running, unread) in total.items()
+        ]
         for instance, own, mine in zip(self.instances, loads, reads):
-            held = {load.server: load for load in own}
-            others = []
-            for name, (running, unread) in total.items():
-                load = held.get(name)
-                if load:
-                    running -= load.running
-                    unread -= load.unread
-                others.append(server_loads.Load(name, running, unread))
+            others = server_loads.without(everyone, own)
             instance.loads.take("others", "fd", others, self.now)
             for said in reads:
                 if said is not mine and said:
                     instance.policy.heard_reads(said, self.now)
-            if instance.policy._queue:
-                instance.decide()
+            instance.decide()
 
     # -- a request's life -------------------------------------------------
 
@@ -200,7 +195,7 @@
             (f"{kind.name}{thing}", kind.shared),
             (f"own{self._count}", own),
         )
-        left = asked + kind.deadline - self.now
+        deadline = asked + kind.deadline
         work = work_module.Work(
             f"r{self._count}",
             "acme",
@@ -209,7 +204,7 @@
             SERVICE,
             kind.priority,
             self.now,
-            self.now + left,
+            deadline,
             prompt_tokens=kind.shared + own,
             max_output_tokens=kind.output,
             first_token_ms=kind.target * 1000.0,
@@ -226,7 +221,7 @@
             work, instance, kind, output, asked, tries
         )
         self.streams[work.request_id] = stream
-        self.at(asked + kind.deadline, self._time_up, stream)
+        self.at(deadline, self._time_up, stream)
         instance.policy.offer(work, self.now)
         instance.decide()
 
@@ -270,8 +265,7 @@
         if waited > stream.kind.target:
             stream.longest = 1e9
         stream.instance.policy.first_output(stream.work.request_id, self.now)
-        if stream.instance.policy._queue:
-            stream.instance.decide()
+        stream.instance.decide()
 
     def finished(self, stream):
         """Take note of a whole answer."""
@@ -283,8 +277,7 @@
             self.on_time[stream.kind.name] += 1
         else:
             self.late[stream.kind.name] += 1
-        if stream.instance.policy._queue:
-            stream.instance.decide()
+        stream.instance.decide()
 
     # -- what engines read ------------------------------------------------
 
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -12,15 +12,13 @@
 ID = dialect.REQUEST_ID
 
 
-def id_of(head):
-    return platform_world.header(head, ID)
-
-
 def answers(status=200, body=b"done"):
     """Return a script that always answers the same."""
 
     def script(server, sock, head):
-        sock.sendall(platform_world.whole(status, body, id_of(head)))
+        sock.sendall(
+            platform_world.whole(status, body, platform_world.id_of(head))
+        )
 
     return script
 
@@ -88,7 +86,9 @@
 def test_a_server_that_says_not_executed_is_no_attempt(made):
     def full(server, sock, head):
         extra = f"{dialect.NOT_EXECUTED}: 1\r\n"
-        sock.sendall(platform_world.whole(503, b"", id_of(head), extra))
+        sock.sendall(
+            platform_world.whole(503, b"", platform_world.id_of(head), extra)
+        )
 
     entry, servers = start(made, full, answers(200, b"ok"))
     number = 0
@@ -104,12 +104,16 @@
     # A server answers one request twice.  The second answer lies on the kept
     # connection and would be taken for the answer to the next caller.
     def twice(server, sock, head):
-        first = platform_world.whole(200, b"for " + id_of(head).encode(), "x")
+        first = platform_world.whole(
+            200, b"for " + platform_world.id_of(head).encode(), "x"
+        )
         sock.sendall(
-            first.replace(b": x\r\n", f": {id_of(head)}\r\n".encode())
+            first.replace(
+                b": x\r\n", f": {platform_world.id_of(head)}\r\n".encode()
+            )
         )
         gevent.sleep(0.02)
-        late = platform_world.whole(200, b"late", id_of(head))
+        late = platform_world.whole(200, b"late", platform_world.id_of(head))
         sock.sendall(late)
 
     entry, (server,) = start(made, twice)
@@ -133,7 +137,9 @@
 def test_an_answer_that_is_cut_does_not_look_whole(made):
     def cut(server, sock, head):
         sock.sendall(
-            platform_world.whole(200, b"0123456789", id_of(head))[:-4]
+            platform_world.whole(
+                200, b"0123456789", platform_world.id_of(head)
+            )[:-4]
         )
         return "close"
 
@@ -145,7 +151,7 @@
     """Return a script that sends events ``first`` to ``last``."""
 
     def script(server, sock, head):
-        sock.sendall(platform_world.stream_head(id_of(head)))
+        sock.sendall(platform_world.stream_head(platform_world.id_of(head)))
         begin = int(platform_world.header(head, "last-event-id") or first - 1)
         for number in range(begin + 1, last + 1):
             sock.sendall(platform_world.chunk(platform_world.event(number)))
@@ -227,7 +233,9 @@
 
     def slow(server, sock, head):
         gevent.sleep(0.3)
-        sock.sendall(platform_world.whole(200, b"done", id_of(head)))
+        sock.sendall(
+            platform_world.whole(200, b"done", platform_world.id_of(head))
+        )
         finished.append(head)
 
     entry, (server,) = start(made, slow)
@@ -295,7 +303,9 @@
     # A server crashes and another starts at its address.  The record of the
     # first is still held; its requests are answered 421 and go elsewhere.
     def other(server, sock, head):
-        sock.sendall(platform_world.whole(421, b"", id_of(head)))
+        sock.sendall(
+            platform_world.whole(421, b"", platform_world.id_of(head))
+        )
 
     entry, servers = start(made, other, answers(200, b"ok"))
     for number in range(8):
--- a/tests/cover/test_forwarding_ends.py
+++ b/tests/cover/test_forwarding_ends.py
@@ -4,7 +4,6 @@
 
 from dandeliontrail import events
 from dandeliontrail_node.forwarding import connections
-from dandeliontrail_platform import dialect
 import pytest
 
 from tests.common import platform_world
@@ -40,12 +39,10 @@
         yield found
 
 
-def id_of(head):
-    return platform_world.header(head, dialect.REQUEST_ID)
-
-
 def failing(server, sock, head):
-    sock.sendall(platform_world.whole(500, b"broken", id_of(head)))
+    sock.sendall(
+        platform_world.whole(500, b"broken", platform_world.id_of(head))
+    )
 
 
 def test_an_instance_that_ends_while_connecting_sends_nothing(
@@ -94,7 +91,7 @@
     # is of no use in the middle of a stream: the caller sees a cut, and the
     # log has the reason and no fault of the instance.
     def breaks(server, sock, head):
-        sock.sendall(platform_world.stream_head(id_of(head)))
+        sock.sendall(platform_world.stream_head(platform_world.id_of(head)))
         sock.sendall(platform_world.chunk(platform_world.event(1)))
         return "close"
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -78,7 +78,7 @@
         self.leaving_acked = None
 
     def _script(self, server, sock, head):
-        request_id = platform_world.header(head, "X-Dandeliontrail-Request-Id")
+        request_id = platform_world.id_of(head)
         expected = platform_world.header(
             head, "X-Dandeliontrail-Expect-Instance"
         )
