A full disk: keepers hold on and go on by themselves

Cause: a write that the disk refused ended the keeper's vote for good, and a watch ended the process once the disk took writes again, so that it was started anew. Each full disk cost an exit of its own, a voter for the time and the callers of its listeners.

Now a refused write waits: the file is cut back to where a sync had succeeded, and the same bytes are written again every quarter of a second until the disk takes them. Nothing is acknowledged and no vote is granted meanwhile, as nothing is synced; a checkpoint takes the place of all that waits, so what waits is bounded by the log. A start on a full disk waits too. A log that has less than was synced stops the vote for good.

Ruled out: a second sync alone (after a failed one it proves nothing); reading the log back and writing it anew (needs the room that is missing).

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/disk.py
@@ -14,6 +14,7 @@
 """
 
 import contextlib
+import errno
 import fcntl
 import os
 import pathlib
@@ -34,6 +35,11 @@
 _HEADER = re.compile(rb"([a-z-]+) (\d+) ([0-9a-f]{32})\n")
 _LONGEST_HEADER = 128
 
+# What the kernel says of a disk without room, or of a user's share of it.
+FULL = (errno.ENOSPC, errno.EDQUOT)
+FREE_THE_DISK = (
+    "make room on the disk, or mend it; the instance goes on by itself then"
+)
 REPLACE_KEEPER = (
     "stop the instance, move the folder away and bring the keeper back as a"
     " new one; see docs/operators/keepers.md"
@@ -59,19 +65,30 @@
 
     ``folder`` is the identity that the folder was given when it was new.
     Raises :class:`dandeliontrail.StorageError` where the folder cannot be
-    used; after a failed write every later one is refused.
+    used, and of its kinds :class:`dandeliontrail.StorageRefused` where the
+    disk takes no writes at present.  After a refused write every later one
+    is refused too, until :meth:`recover` has taken back what it left::
+
+        try:
+            storage.append(records)
+        except dandeliontrail.StorageRefused:
+            storage.recover()  # Raises the same while the disk refuses.
+            storage.append(records)
     """
 
     def __init__(self, data_dir):
         self._path = pathlib.Path(data_dir)
         self._broken = ""
         self._file = None
+        # Up to where the file was synced: all that was ever promised.
+        self._synced_bytes = 0
         self.folder = ""
         with contextlib.ExitStack() as stack:
             with _explained(self._path):
                 self._path.mkdir(parents=True, exist_ok=True)
                 _sync_folder(self._path.parent)
                 self._lock(stack)
+                stack.callback(self._close_file)
                 self._loaded = self._open()
             self._stack = stack.pop_all()
 
@@ -81,23 +98,52 @@
 
     def append(self, records):
         """Write ``records`` as one frame; return once they are synced."""
-        with self._fatal():
-            self._file.write(_frame(records))
-            self._file.flush()
+        with self._refusing():
+            data = _frame(records)
+            _write_all(self._file, data)
             os.fdatasync(self._file.fileno())
+            self._synced_bytes += len(data)
 
     def replace(self, checkpoint, records):
         """Write a new log with ``checkpoint`` and put it in place."""
-        with self._fatal():
+        with self._refusing():
             self._write_new(checkpoint, records)
-            self._file.close()
-            self._file = (self._path / "log").open("ab")
+
+    def recover(self):
+        """Take back what a refused write left; then write again.
+
+        Failure guarded against: a disk that was full for some seconds.  What
+        a failed write or sync left behind it is unknown, and a second sync
+        may report success without having written it (Rebello et al., "Can
+        Applications Recover from fsync Failures?", 2020).  So the file is
+        cut back to where a sync had succeeded, and whoever wrote writes the
+        same again: only bytes written after the failure are synced then.
+        Raises :class:`dandeliontrail.StorageRefused` while the disk refuses,
+        and another :class:`dandeliontrail.StorageError` for good where less
+        is there than was promised.
+        """
+        with self._refusing(again=True):
+            handle = self._file.fileno()
+            held = os.fstat(handle).st_size
+            if held < self._synced_bytes:
+                raise dandeliontrail.StorageError(
+                    f"{self._path}/log has {held} bytes of"
+                    f" {self._synced_bytes} that were synced.",
+                    REPLACE_KEEPER,
+                )
+            os.ftruncate(handle, self._synced_bytes)
+            os.lseek(handle, self._synced_bytes, os.SEEK_SET)
+            os.fsync(handle)
+            _sync_folder(self._path)
+        self._broken = ""
 
     def close(self):
         """Release the folder."""
+        self._stack.close()
+
+    def _close_file(self):
         if self._file:
             self._file.close()
-        self._stack.close()
 
     def _lock(self, stack):
         lock = stack.enter_context((self._path / "lock").open("w"))
@@ -121,7 +167,6 @@
         # sync its pages count as clean and are lost with the power.  Written
         # anew and synced, it may be promised; a torn end goes with it.
         self._write_new(checkpoint, records)
-        self._file = path.open("ab")
         return checkpoint, records
 
     def _read_header(self, data):
@@ -184,30 +229,35 @@
     def _write_new(self, checkpoint, records):
         new = self._path / "log.new"
         header = f"{FORMAT} {FORMAT_VERSION} {self.folder}\n".encode()
-        with new.open("wb") as file:
-            file.write(header)
-            file.write(_frame(records, checkpoint))
-            file.flush()
+        data = header + _frame(records, checkpoint)
+        with contextlib.ExitStack() as stack:
+            file = stack.enter_context(new.open("wb", buffering=0))
+            _write_all(file, data)
             os.fsync(file.fileno())
-        new.rename(self._path / "log")
+            new.rename(self._path / "log")
+            stack.pop_all()
+        if self._file:
+            self._file.close()
+        self._file = file
+        self._synced_bytes = len(data)
         # Without this the rename itself may be lost in a crash, and with it
         # every append to the new file.
         _sync_folder(self._path)
 
     @contextlib.contextmanager
-    def _fatal(self):
-        """Make the first failure the last operation.
+    def _refusing(self, again=False):
+        """Refuse every write after one that failed, until ``again``.
 
         After a failed sync the kernel may drop the pages and report
-        success the next time, so a retry proves nothing.
+        success the next time, so a mere second sync proves nothing.
         """
-        if self._broken:
-            raise dandeliontrail.StorageError(self._broken, REPLACE_KEEPER)
+        if self._broken and not again:
+            raise dandeliontrail.StorageRefused(self._broken, FREE_THE_DISK)
         try:
             yield
         except OSError as exc:
-            self._broken = f"{self._path} failed: {exc.strerror}."
-            raise dandeliontrail.StorageError(self._broken, REPLACE_KEEPER)
+            self._broken = f"{self._path} took no write: {exc.strerror}."
+            raise dandeliontrail.StorageRefused(self._broken, FREE_THE_DISK)
 
 
 @contextlib.contextmanager
@@ -215,12 +265,27 @@
     try:
         yield
     except OSError as exc:
+        if exc.errno in FULL:
+            raise dandeliontrail.StorageRefused(
+                f"{path} took no write: {exc.strerror}.", FREE_THE_DISK
+            )
         raise dandeliontrail.StorageError(
             f"{path} cannot be used: {exc.strerror}.",
             "give this user a folder that it may read and write",
         )
 
 
+def _write_all(file, data):
+    """Write all of ``data`` to an unbuffered file.
+
+    A buffer would keep what the disk refused, and write it later in front
+    of what is written then.
+    """
+    left = memoryview(data)
+    while left:
+        left = left[file.write(left) :]
+
+
 def _frame(records, checkpoint=None):
     raw = [msgspec.Raw(item) for item in records]
     state = msgspec.Raw(checkpoint or NULL)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/disk_writer.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/disk_writer.py
@@ -14,26 +14,35 @@
 from dandeliontrail import effects
 from dandeliontrail import events
 
+from . import patient_writes
+
 
 class DiskWriter:
     """Does writes in order, joining those that gathered meanwhile."""
 
-    def __init__(self, storage, submit):
+    def __init__(self, storage, submit, logger):
         self._storage = storage
         self._submit = submit
         self._waiting = collections.deque()
         self._filled = gevent_event.Event()
         self._greenlet = gevent.spawn(self._write_forever)
-        # One thread, so that writes cannot overtake one another.
-        self._pool = gevent.get_hub().threadpool
+        # One write at a time, so that none overtakes another.
+        self._writes = patient_writes.PatientWrites(storage, logger)
 
     def put(self, effect):
-        """Queue an ``AppendLog`` or ``ReplaceLog``."""
+        """Queue an ``AppendLog`` or ``ReplaceLog``.
+
+        A ``ReplaceLog`` holds all that was to be written before it, so that
+        what waits for a disk that refuses stays as small as the log.
+        """
+        if isinstance(effect, effects.ReplaceLog):
+            self._waiting.clear()
         self._waiting.append(effect)
         self._filled.set()
 
     def close(self):
-        """Finish the write under way and stop."""
+        """Finish the write under way, unless it is refused, and stop."""
+        self._writes.give_up()
         self._waiting.append(None)
         self._filled.set()
         self._greenlet.join()
@@ -51,7 +60,8 @@
     def _write_next(self):
         ticket, call, args = self._next()
         try:
-            self._pool.apply(call, args)
+            if not self._writes.carry_out(call, args):
+                return False
         except dandeliontrail.StorageError as exc:
             self._submit(events.StorageFailed(str(exc)))
             return False
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/face.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/face.py
@@ -41,13 +41,7 @@
 
 
 class Face(abc.ABC):
-    """Builds the listeners of an instance and chooses its policy.
-
-    ``restarted`` tells that whatever runs the process starts it again when
-    it ends by itself.
-    """
-
-    restarted = False
+    """Builds the listeners of an instance and chooses its policy."""
 
     @abc.abstractmethod
     def listeners(self, inner):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -24,10 +24,10 @@
 from . import http_server
 from . import listener_tls
 from . import metrics
+from . import patient_writes
 from . import peer_link
 from . import settings
 from . import standard_face
-from . import storage_watch
 from . import tokens
 from . import usage_disk
 from . import wsgi
@@ -103,7 +103,9 @@
             self._logger,
         )
         if storage:
-            writer = disk_writer.DiskWriter(storage, self._disk_event)
+            writer = disk_writer.DiskWriter(
+                storage, self.host.submit, self._logger
+            )
             self._stack.callback(writer.close)
             self.host.attach_disk(writer)
         if usage_storage:
@@ -111,28 +113,15 @@
             self._stack.callback(keeping.close)
             self.host.attach_usage_disk(keeping)
 
-    def _disk_event(self, event):
-        """Hand on what the disk did; see to it that a failure ends."""
-        self.host.submit(event)
-        if isinstance(event, events.StorageFailed) and self._face.restarted:
-            watching = gevent.spawn(self._end_with_disk)
-            self._stack.callback(watching.kill)
-
-    def _end_with_disk(self):
-        storage_watch.wait(self._cfg.keeper.data_dir)
-        self._logger.warning("the disk works again: ending, to start anew")
-        # Twice, which skips the drain: nobody waits for a keeper's answers
-        # that another would not give as well.
-        self.on_term()
-        self.on_term()
-
     def _open_storage(self, folder=""):
         """Return the storage in a part of the data folder, if any."""
         keeper = self._cfg.keeper
         if keeper is None:
             return None
         path = pathlib.Path(keeper.data_dir) / folder
-        storage = disk.FileStorage(path)
+        storage = patient_writes.opened(
+            lambda: disk.FileStorage(path), self._logger
+        )
         self._stack.callback(storage.close)
         return storage
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/usage_disk.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/usage_disk.py
@@ -16,6 +16,8 @@
 from dandeliontrail import effects
 from dandeliontrail import events
 
+from . import patient_writes
+
 _ENTRIES = msgspec.json.Decoder(
     typing.Union[usage.UsageRows, usage.UsageCheckpoint]
 )
@@ -28,6 +30,7 @@
     def __init__(self, storage, logger):
         self._storage = storage
         self._logger = logger
+        self._writes = patient_writes.PatientWrites(storage, logger)
         self._waiting = queue.SimpleQueue()
         self._greenlet = gevent.spawn(self._write_forever)
 
@@ -57,18 +60,19 @@
             self._waiting.put((self._storage.append, (data,)))
 
     def close(self):
-        """Finish the writes that wait and stop."""
+        """Finish the writes that wait, unless they are refused, and stop."""
+        self._writes.give_up()
         self._waiting.put(None)
         self._greenlet.join()
 
     def _write_forever(self):
-        pool = gevent.get_hub().threadpool
         while True:
             work = self._waiting.get()
             if work is None:
                 return
             try:
-                pool.apply(*work)
+                if not self._writes.carry_out(*work):
+                    return
             except dandeliontrail.StorageError as exc:
                 # Usage goes on in memory, with its copies elsewhere.
                 self._logger.error(
--- a/packages/dandeliontrail/src/dandeliontrail/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/__init__.py
@@ -10,6 +10,7 @@
 from .errors import ResourceInvalid
 from .errors import SettingsError
 from .errors import StorageError
+from .errors import StorageRefused
 from .errors import VersionConflict
 from .reducer import new_reducer
 from .reducer import Reducer
@@ -28,6 +29,7 @@
     "ResourceInvalid",
     "SettingsError",
     "StorageError",
+    "StorageRefused",
     "VersionConflict",
     "new_reducer",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/errors.py
+++ b/packages/dandeliontrail/src/dandeliontrail/errors.py
@@ -52,3 +52,7 @@
 
 class StorageError(DandeliontrailError):
     """The data folder cannot be used as it stands."""
+
+
+class StorageRefused(StorageError):
+    """The disk took no write; all that was promised before still holds."""
