--- a/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
@@ -13,6 +13,11 @@
         """Return how many instances are alive, this one included."""
         return 1 + len(self._state.members.alive(now))
 
+    def heard_from(self, failure_domain):
+        """Return when an instance of a domain was last heard, in a mesh."""
+        members = self._state.members
+        return members.heard_from(failure_domain)
+
     def elsewhere(self, organisation, class_name):
         """Return what the ledger holds of the other instances."""
         used = self._state.usage.used_elsewhere(organisation, class_name)
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -89,6 +89,7 @@
                     "backend_server": item.server,
                     "failure_share": item.failure_share,
                     "seconds": min(item.seconds, 3600.0),
+                    "server_domain": item.domain,
                     "important": True,
                 },
             )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -338,6 +338,16 @@
         """Tell whether any other instance was heard after ``moment``."""
         return any(heard > moment for heard in self._last_heard.values())
 
+    def heard_from(self, domain):
+        """Return when an instance of ``domain`` was last heard directly.
+
+        It is ``None`` above a full mesh, where most are heard of through
+        relays alone, and while none of them was ever heard.
+        """
+        if not self.full_mesh():
+            return None
+        return self._last_heard.get(domain)
+
     def hears_other_domain(self, now):
         """Tell whether anybody outside this failure domain was heard.
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
@@ -13,6 +13,9 @@
 # some seconds, and a probe with a live request costs its caller little.
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 4.0
+# While a server that could not be reached is tried again, the others wait for
+# what that one request finds: a connection comes about within this, or not.
+PROBE_SECONDS = 0.5
 # A server that says that it is full is left alone this long: a request at it
 # ends every few tens of milliseconds.
 FULL_PAUSE = 0.15
@@ -38,6 +41,17 @@
         self.until = now + self.pause
         self._answered(failed=True)
 
+    def tried(self, now):
+        """Take note that a request goes there, maybe to find it out."""
+        if self.pause:
+            self.until = max(self.until, now + PROBE_SECONDS)
+
+    def answers(self):
+        """Take note that it answers: it can be reached."""
+        if self.pause:
+            self.pause = 0.0
+            self.until = float("-inf")
+
     def gone(self):
         """Take note that another server is at its address now, for good."""
         self.until = float("inf")
@@ -52,7 +66,7 @@
 
     def succeeded(self):
         """Take note of a whole answer."""
-        self.pause = 0.0
+        self.answers()
         self._answered(failed=False)
 
     def _answered(self, failed):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -18,6 +18,7 @@
 from .. import sentinels
 from . import affinity
 from ..coordination import server_loads
+from . import domain_reach
 from . import placing_pace
 from . import policy
 from . import prompt_cache
@@ -71,6 +72,8 @@
     work: work_module.Work
     server: str
     held: "Server"
+    domain: str
+    placed: float
     unread: float
 
 
@@ -109,6 +112,7 @@
         self._told = {}
         self._beliefs = []
         self._pace = placing_pace.PlacingPace()
+        self._reach = domain_reach.DomainReach(self._domain, view.heard_from)
 
     # -- what the other instances are told ---------------------------------
 
@@ -264,7 +268,21 @@
                 continue
             if self._server(name).health.usable(now):
                 usable[name] = server
-        return usable
+        return self._within_reach(usable, now)
+
+    def _within_reach(self, usable, now):
+        """Leave out the domains that are cut off, where others are left."""
+        domains = {
+            server.announcement.failure_domain for server in usable.values()
+        }
+        cut = {item for item in domains if self._reach.is_cut(item, now)}
+        if not cut or cut == domains:
+            return usable
+        return {
+            name: server
+            for name, server in usable.items()
+            if server.announcement.failure_domain not in cut
+        }
 
     def _server(self, name):
         held = self._servers.get(name)
@@ -384,6 +402,7 @@
             len(usable),
             len(self._queue) - 1,
         )
+        held.health.tried(now)
         held.running += 1
         held.unread += need
         if need > SHORT_PROMPT:
@@ -391,7 +410,10 @@
         shared = work.parts[:-1]
         if shared:
             self._note_read(held.cache, name, list(shared), now)
-        self._attempts[work.request_id] = Attempt(work, name, held, need)
+        domain = usable[name].announcement.failure_domain
+        self._attempts[work.request_id] = Attempt(
+            work, name, held, domain, now, need
+        )
         return work_module.Placement(work, name, grounds)
 
     def _refusal(self, work, reason, servers):
@@ -421,6 +443,7 @@
         if attempt is not None:
             attempt.held.unread -= attempt.unread
             attempt.unread = 0.0
+            self._answers(attempt, now)
 
     def ended(self, ended, now):
         """Take note of how an attempt ended."""
@@ -437,21 +460,42 @@
                 "backend server replaced", attempt.server, health, now
             )
         elif ended.unreachable:
-            health.unreachable(now)
-            self._believe(
-                "backend server avoided", attempt.server, health, now
-            )
+            self._unreachable(attempt, now)
         elif ended.refused:
             held.health.full(now)
         elif ended.failed:
             held.health.failed()
         elif not ended.wasted:
-            if health.pause:
-                self._believe(
-                    "backend server usable again", attempt.server, health, now
-                )
+            self._answers(attempt, now)
             health.succeeded()
 
+    def _answers(self, attempt, now):
+        """Take note that a server answers: it, and its domain, are there."""
+        health = attempt.held.health
+        self._reach.reached(attempt.domain)
+        if health.pause:
+            health.answers()
+            self._believe(
+                "backend server usable again", attempt.server, health, now
+            )
+
+    def _unreachable(self, attempt, now):
+        health = attempt.held.health
+        health.unreachable(now)
+        self._believe("backend server avoided", attempt.server, health, now)
+        if self._reach.unreachable(
+            attempt.domain, attempt.server, attempt.placed, now
+        ):
+            self._tell(
+                work_module.Belief(
+                    "failure domain avoided",
+                    attempt.server,
+                    round(health.failure_share, 3),
+                    domain_reach.SUSPECTED_SECONDS,
+                    attempt.domain,
+                )
+            )
+
     def observe(self, server, now):
         """Drop all that was held of an earlier incarnation of ``server``.
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
@@ -24,6 +24,13 @@
     def instances(self, now):
         """Return how many instances take requests, this one included."""
 
+    def heard_from(self, failure_domain):
+        """Return when an instance of a domain was last heard.
+
+        It is ``None`` where this instance hears none of them directly.
+        """
+        return None
+
     def elsewhere(self, organisation, class_name):
         """Return what the other instances counted so far.
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -91,13 +91,15 @@
     """What a policy came to believe of a server, for the log.
 
     ``failure_share`` is the share of its answers that failed lately,
-    ``seconds`` how long it gets no work.
+    ``seconds`` how long it gets no work.  ``domain`` names its failure
+    domain where the belief is about all of that.
     """
 
     text: str
     server: str
     failure_share: float
     seconds: float
+    domain: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/common/prompt_world.py
+++ b/tests/common/prompt_world.py
@@ -17,6 +17,7 @@
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared
+from dandeliontrail.decisions import view as view_module
 from dandeliontrail.decisions import work as work_module
 from dandeliontrail.resources import revisions
 
@@ -64,9 +65,7 @@
             identity=types.SimpleNamespace(failure_domain=domain),
         )
         limits = retry_budget.RetryLimits(0.2, 220.0, 10.0)
-        view = types.SimpleNamespace(
-            instances=lambda now: world.count_of_instances
-        )
+        view = view_module.FixedView(world.count_of_instances)
         self.policy = shared.Shared(random.Random(number), view, state, limits)
 
     def decide(self):
--- /dev/null
+++ b/tests/cover/test_domain_cuts.py
@@ -0,0 +1,134 @@
+"""What a cut between failure domains costs the requests outside of it."""
+
+from dandeliontrail.decisions import domain_reach
+from dandeliontrail.decisions import server_health
+from dandeliontrail.decisions import work as work_module
+
+from tests.cover import test_shared_policy
+
+CONNECT = 0.2
+
+
+def cut_play():
+    """Return a play in which fd1 has just been cut off from fd0."""
+    play = test_shared_policy.Play(count=6)
+    play.view.heard = {"fd1": 0.0, "fd2": 0.0}
+    play.now = 10.0
+    play.view.heard["fd2"] = 10.0
+    return play
+
+
+def domain_of(play, name):
+    for server in play.directory.servers:
+        if server.announcement.backend_server == name:
+            return server.announcement.failure_domain
+    raise KeyError(name)
+
+
+def tried(play, calls):
+    """Place ``calls`` requests one after the other; return what was lost.
+
+    A connection to fd1 takes ``CONNECT`` to fail; answers come at once.
+    """
+    lost = 0
+    for thing in range(calls):
+        work = play.review(thing)
+        while True:
+            name = play.next()[work.request_id]
+            if domain_of(play, name) != "fd1":
+                break
+            lost += 1
+            play.now += CONNECT
+            play.view.heard["fd2"] = play.now
+            ended = work_module.Ended(work.request_id, name, unreachable=True)
+            play.policy.ended(ended, play.now)
+            work.avoid.add(name)
+            play.policy.requeue(work, play.now)
+        play.policy.first_output(work.request_id, play.now)
+        play.policy.ended(work_module.Ended(work.request_id, name), play.now)
+        play.now += 0.05
+    return lost
+
+
+def test_one_request_finds_out_that_a_domain_is_cut_off():
+    # A domain with two idle engines is cut off.  Outside of it they look the
+    # best, and each request that is sent there waits for a connection in
+    # vain.  Before, each engine was found out and tried again by itself: in
+    # these 5 s 10 requests of 100 waited so, and half a second each.
+    play = cut_play()
+    assert tried(play, 100) <= 3
+    texts = [item.text for item in play.policy.take_beliefs()]
+    assert "failure domain avoided" in texts
+
+
+def test_a_domain_is_used_again_as_soon_as_it_is_heard():
+    # The cut heals while a domain is avoided.  Its engines must not stay
+    # idle for seconds while the others have twice their load.
+    play = cut_play()
+    tried(play, 10)
+    play.view.heard["fd1"] = play.now
+    play.now += server_health.LONGEST_PAUSE
+    names = set()
+    for thing in range(100, 112):
+        work = play.review(thing)
+        names.add(play.next()[work.request_id])
+        play.policy.first_output(work.request_id, play.now)
+    assert {domain_of(play, name) for name in names} >= {"fd1"}
+
+
+def test_a_crashed_server_does_not_take_its_domain_along():
+    # One engine of fd1 crashes and answers no more; instances there are
+    # heard all the while, and its other engine goes on serving.
+    reach = domain_reach.DomainReach("fd0", lambda domain: 9.9)
+    assert not reach.unreachable("fd1", "e1", 9.8, 10.0)
+    assert not reach.is_cut("fd1", 10.0)
+
+
+def test_where_nobody_is_heard_two_servers_tell_of_a_cut():
+    # Above a full mesh most instances hear nobody of another domain.
+    reach = domain_reach.DomainReach("fd0", lambda domain: None)
+    assert not reach.unreachable("fd1", "e1", 0.0, 0.2)
+    assert reach.unreachable("fd1", "e4", 0.1, 0.3)
+    assert reach.is_cut("fd1", 0.3)
+    reach.reached("fd1")
+    assert not reach.is_cut("fd1", 0.3)
+    assert not reach.unreachable("fd1", "e1", 0.0, 1.0)
+    assert not reach.unreachable("fd1", "e4", 9.0, 10.0)
+
+
+def test_the_own_domain_is_never_cut_off_from_itself():
+    reach = domain_reach.DomainReach("fd0", lambda domain: 0.0)
+    assert not reach.unreachable("fd0", "e0", 1.0, 1.2)
+    assert not reach.unreachable("fd0", "e3", 1.0, 1.2)
+    assert not reach.is_cut("fd0", 1.2)
+
+
+def test_where_all_that_is_left_is_cut_off_it_is_tried():
+    # All engines of the own domain are gone; the only others are in a domain
+    # that seems cut off.  A try may serve the caller, a refusal cannot.
+    play = cut_play()
+    play.directory.servers = [
+        server
+        for server in play.directory.servers
+        if server.announcement.failure_domain == "fd1"
+    ]
+    work = play.chat()
+    name = play.next()[work.request_id]
+    ended = work_module.Ended(work.request_id, name, unreachable=True)
+    play.now += CONNECT
+    play.policy.ended(ended, play.now)
+    again = play.chat()
+    assert domain_of(play, play.next()[again.request_id]) == "fd1"
+
+
+def test_one_request_at_a_time_finds_out_whether_a_server_is_back():
+    # A server could not be reached and its pause is over.  Of the requests
+    # that come then all but one would wait for a connection in vain.
+    health = server_health.Health()
+    health.unreachable(0.0)
+    assert not health.usable(0.4)
+    assert health.usable(0.6)
+    health.tried(0.6)
+    assert not health.usable(0.7)
+    health.answers()
+    assert health.usable(0.7)
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -10,6 +10,7 @@
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared
+from dandeliontrail.decisions import view
 from dandeliontrail.decisions import work as work_module
 from dandeliontrail.resources import revisions
 from dandeliontrail import sentinels
@@ -32,12 +33,18 @@
         return self.servers
 
 
-class View:
-    """Nine instances."""
+class View(view.ClusterView):
+    """Nine instances; ``heard`` tells when those of a domain were heard."""
+
+    def __init__(self):
+        self.heard = {}
 
     def instances(self, now):
         return 9
 
+    def heard_from(self, failure_domain):
+        return self.heard.get(failure_domain)
+
 
 def table():
     split = [revisions.Split("llm")]
@@ -61,7 +68,8 @@
             identity=types.SimpleNamespace(failure_domain="fd0"),
         )
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
-        self.policy = shared.Shared(random.Random(1), View(), state, limits)
+        self.view = View()
+        self.policy = shared.Shared(random.Random(1), self.view, state, limits)
         self.directory = Directory(count)
         self.now = 0.0
         self.count = 0
