--- a/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
@@ -18,6 +18,10 @@
         members = self._state.members
         return members.heard_from(failure_domain)
 
+    def has_fallen_silent(self, failure_domain, now):
+        """Go by the messages of the instances there."""
+        return self._state.members.has_fallen_silent(failure_domain, now)
+
     def elsewhere(self, organisation, class_name):
         """Return what the ledger holds of the other instances."""
         used = self._state.usage.used_elsewhere(organisation, class_name)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -35,6 +35,16 @@
 LATE_TICK = 0.5
 # For so long after a pause, what is read may have waited through it.
 PAUSE_ECHO = 1.0
+# A failure domain has fallen silent once nothing was heard of any instance
+# there for so many times the usual gap between two of its messages, and for
+# so long at least; with three instances that tell of their work, messages
+# are 0.1 s apart.  After a while the silence tells nothing more: instances
+# may all be down where servers are not.
+SILENT_GAPS = 6.0
+LEAST_SILENCE = 0.3
+MOST_SILENCE = 3.0
+# Weight of the newest gap in the usual one.
+GAP_WEIGHT = 0.1
 # The fastest message between two instances, regions apart, takes less.
 HOP_SECONDS = 0.05
 # Failed instances are tried again for a day, since a partition may be
@@ -63,6 +73,7 @@
         "_linked_members",
         "_silent",
         "_last_heard",
+        "_gaps",
         "_last_tick",
         "_pause",
         "_pause_ended",
@@ -81,6 +92,7 @@
         self._linked_members = []
         self._silent = set()
         self._last_heard = {}
+        self._gaps = {}
         self._last_tick = None
         self._pause = 0.0
         self._pause_ended = float("-inf")
@@ -127,10 +139,16 @@
             return held
         held.heard = now
         held.probed = None
+        self._note_gap(held.failure_domain, now)
         self._last_heard[held.failure_domain] = now
         self._note_offset(held, sender, now)
         return held
 
+    def _note_gap(self, domain, now):
+        gap = now - self._last_heard.get(domain, now)
+        usual = self._gaps.get(domain, 0.0)
+        self._gaps[domain] = usual + GAP_WEIGHT * (gap - usual)
+
     def _note_offset(self, member, sender, now):
         member.offset = min(member.offset, now - sender.clock)
 
@@ -348,6 +366,23 @@
             return None
         return self._last_heard.get(domain)
 
+    def has_fallen_silent(self, domain, now):
+        """Tell whether a domain has just fallen silent, and others have not.
+
+        Where this instance hears nobody, the fault is with itself.
+        """
+        heard = self.heard_from(domain)
+        if heard is None:
+            return False
+        allowed = max(LEAST_SILENCE, SILENT_GAPS * self._gaps[domain])
+        if not allowed < now - heard < MOST_SILENCE:
+            return False
+        return any(
+            other > heard + allowed / 2
+            for name, other in self._last_heard.items()
+            if name != domain
+        )
+
     def hears_other_domain(self, now):
         """Tell whether anybody outside this failure domain was heard.
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/domain_reach.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/domain_reach.py
@@ -6,6 +6,10 @@
 each server is tried again by itself.  A cut is an event of the domain: once
 its instances are silent and a server there cannot be reached, or two of its
 servers cannot, none of its servers gets new work while others can.
+
+A request that is sent over a connection that is kept finds out nothing: it
+is lost without a word.  So the silence of the instances counts by itself,
+for a while, from a few tenths of a second on.
 """
 
 # A domain counts as cut off for so long after the last sign of it; then one
@@ -34,13 +38,12 @@
 class DomainReach:
     """Judges by failed attempts and by what is heard of instances.
 
-    ``heard_from(domain)`` returns when an instance there was heard last, or
-    ``None`` where none is expected to be heard.
+    ``view`` (:class:`.view.ClusterView`) tells what is heard of them.
     """
 
-    def __init__(self, own, heard_from):
+    def __init__(self, own, view):
         self._own = own
-        self._heard_from = heard_from
+        self._view = view
         self._domains = {}
 
     def unreachable(self, domain, server, began, now):
@@ -56,7 +59,7 @@
             signs.servers.clear()
         signs.since = now
         signs.servers.add(server)
-        heard = self._heard_from(domain)
+        heard = self._view.heard_from(domain)
         silent = heard is not None and heard < began
         if not silent and len(signs.servers) < MANY_SERVERS:
             return False
@@ -70,10 +73,12 @@
 
     def is_cut(self, domain, now):
         """Tell whether servers of the domain should get no new work."""
+        if domain != self._own and self._view.has_fallen_silent(domain, now):
+            return True
         signs = self._domains.get(domain)
         if signs is None or now >= signs.until:
             return False
-        heard = self._heard_from(domain)
+        heard = self._view.heard_from(domain)
         if heard is not None and heard > signs.since:
             # An instance there is heard again: the cut is over.
             del self._domains[domain]
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -112,7 +112,7 @@
         self._told = {}
         self._beliefs = []
         self._pace = placing_pace.PlacingPace()
-        self._reach = domain_reach.DomainReach(self._domain, view.heard_from)
+        self._reach = domain_reach.DomainReach(self._domain, view)
 
     # -- what the other instances are told ---------------------------------
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
@@ -31,6 +31,10 @@
         """
         return None
 
+    def has_fallen_silent(self, failure_domain, now):
+        """Tell whether the instances of a domain have just fallen silent."""
+        return False
+
     def elsewhere(self, organisation, class_name):
         """Return what the other instances counted so far.
 
--- a/tests/cover/test_domain_cuts.py
+++ b/tests/cover/test_domain_cuts.py
@@ -1,5 +1,8 @@
 """What a cut between failure domains costs the requests outside of it."""
 
+import types
+
+from dandeliontrail.coordination import membership
 from dandeliontrail.decisions import domain_reach
 from dandeliontrail.decisions import server_health
 from dandeliontrail.decisions import work as work_module
@@ -18,6 +21,14 @@
     return play
 
 
+def heard_at(moment):
+    """Return a view in which all domains were heard at ``moment``."""
+    found = test_shared_policy.View()
+    if moment is not None:
+        found.heard = {"fd0": moment, "fd1": moment}
+    return found
+
+
 def domain_of(play, name):
     for server in play.directory.servers:
         if server.announcement.backend_server == name:
@@ -79,14 +90,14 @@
 def test_a_crashed_server_does_not_take_its_domain_along():
     # One engine of fd1 crashes and answers no more; instances there are
     # heard all the while, and its other engine goes on serving.
-    reach = domain_reach.DomainReach("fd0", lambda domain: 9.9)
+    reach = domain_reach.DomainReach("fd0", heard_at(9.9))
     assert not reach.unreachable("fd1", "e1", 9.8, 10.0)
     assert not reach.is_cut("fd1", 10.0)
 
 
 def test_where_nobody_is_heard_two_servers_tell_of_a_cut():
     # Above a full mesh most instances hear nobody of another domain.
-    reach = domain_reach.DomainReach("fd0", lambda domain: None)
+    reach = domain_reach.DomainReach("fd0", heard_at(None))
     assert not reach.unreachable("fd1", "e1", 0.0, 0.2)
     assert reach.unreachable("fd1", "e4", 0.1, 0.3)
     assert reach.is_cut("fd1", 0.3)
@@ -97,7 +108,7 @@
 
 
 def test_the_own_domain_is_never_cut_off_from_itself():
-    reach = domain_reach.DomainReach("fd0", lambda domain: 0.0)
+    reach = domain_reach.DomainReach("fd0", heard_at(0.0))
     assert not reach.unreachable("fd0", "e0", 1.0, 1.2)
     assert not reach.unreachable("fd0", "e3", 1.0, 1.2)
     assert not reach.is_cut("fd0", 1.2)
@@ -132,3 +143,46 @@
     assert not health.usable(0.7)
     health.answers()
     assert health.usable(0.7)
+
+
+def two_domains(seconds):
+    """Return a membership that heard fd1 and fd2 each 0.1 s for so long."""
+    identity = types.SimpleNamespace(
+        instance="i0", failure_domain="fd0", address="a0", incarnation=1
+    )
+    members = membership.Membership(identity, ())
+    for step in range(round(seconds * 10)):
+        for domain in ("fd1", "fd2"):
+            members.hear(sender_in(domain, step / 10), step / 10)
+    return members
+
+
+def sender_in(domain, clock):
+    return types.SimpleNamespace(
+        instance=f"i-{domain}",
+        address=f"a-{domain}",
+        failure_domain=domain,
+        region="r",
+        incarnation=1,
+        clock=clock,
+    )
+
+
+def test_a_domain_that_falls_silent_gets_no_work_by_kept_connections():
+    # A domain is cut off.  Requests go there over connections that are open
+    # since before, and none of them ever fails: in the users' deployment 30
+    # streams that may not be repeated were lost so in each cut.
+    members = two_domains(5.0)
+    assert not members.has_fallen_silent("fd1", 5.0)
+    for step in range(50, 60):
+        members.hear(sender_in("fd2", step / 10), step / 10)
+    assert members.has_fallen_silent("fd1", 5.6)
+    assert not members.has_fallen_silent("fd2", 5.9)
+    # Nobody can tell for how long: its instances may be down, not cut off.
+    members.hear(sender_in("fd2", 9.0), 9.0)
+    assert not members.has_fallen_silent("fd1", 9.0)
+
+
+def test_an_instance_that_hears_nobody_blames_itself():
+    members = two_domains(5.0)
+    assert not members.has_fallen_silent("fd1", 6.0)
