--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -266,6 +266,31 @@
     assert len(places) > 1
 
 
+def test_of_engines_with_as_much_to_do_the_own_domain_is_asked():
+    # The first two engines in the order of a part's hash are idle, one of
+    # them beyond a cut that may come at any moment.  Before, the order alone
+    # decided, and two in three prompts went to another domain.
+    play = Play(count=6)
+    own = 0
+    choices = 0
+    for thing in range(200):
+        names = [f"e{number}" for number in range(6)]
+        groups = affinity.Groups()
+        groups.follow("llm", names)
+        homes = groups.ranked(f"t{thing}", False)[: affinity.HOMES]
+        domains = {int(name[1:]) % 3 for name in homes}
+        if 0 not in domains or len(domains) < 2:
+            continue
+        choices += 1
+        work = play.review(thing)
+        name = play.next()[work.request_id]
+        own += int(name[1:]) % 3 == 0
+        play.policy.first_output(work.request_id, play.now)
+        play.policy.ended(work_module.Ended(work.request_id, name), play.now)
+    assert choices > 20
+    assert own == choices
+
+
 def test_a_queue_that_takes_too_long_refuses_with_its_time():
     # A burst lasts beyond what the engines can read.  The last in the queue
     # learn at once when to come back, instead of when their time is up.
