--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -5,25 +5,22 @@
 other instances say of theirs a tenth of a second ago, and that all of them
 compute alike.
 
-A model engine reads prompts in between the tokens of all its streams.  An
-engine that always has a prompt to read makes one token in the time of
-fifteen, so streams last ten times as long, run into their time limits, and
-what was read for them is lost.  So long prompts wait here, where they can
-still be reordered or refused, until an engine has next to nothing to read.
+Long prompts wait here, where they can still be reordered or refused, until an
+engine has next to nothing to read (:mod:`.engine_choice`).
 """
 
 import collections
 import dataclasses
 
 from .. import sentinels
-from . import affinity
-from ..coordination import server_loads
 from . import domain_reach
+from . import engine_choice
 from . import placing_pace
+from . import plain_choice
 from . import policy
-from . import prompt_cache
+from . import read_news
 from . import retry_budget
-from . import server_health
+from . import server_table
 from . import service_traits
 from . import work as work_module
 
@@ -32,12 +29,6 @@
 # Work waits so long for a server to become usable again before it is given
 # up: most pauses are over by then, and little of its target is.
 PATIENCE = 0.3
-# An engine gets a further long prompt once it has fewer tokens than this to
-# read, itself included: two steps of reading, so that between two prompts
-# its streams go on at their own pace.
-UNREAD_LIMIT = 16000.0
-# Prompts below this are no burden: less than half a step of reading.
-SHORT_PROMPT = 2000.0
 # What is left of its time when queued work is given up as hopeless: a short
 # answer's own time on a calm engine.
 LEAST_SERVICE = 0.5
@@ -45,20 +36,8 @@
 # the time that it has left: its own answer takes time too, and the pace is
 # only an estimate.
 HOPE_PART = 0.7
-# Of plain servers, in parts of all slots: what the way to another failure
-# domain costs, so that its servers take over once the own are a third busy,
-# and a draw between equals, without which all instances would choose alike.
-AWAY_COST = 0.3
-DRAW_COST = 0.01
-# That a part is still in use where all know it to be is said this often, by
-# whichever instance is the first to use it then.  A part in use is pushed out
-# later than that; said at each use, it was half of what a relay's link of
-# 5 Mbit/s carries at 90 instances.
-RETELL_SECONDS = 10.0
-MOST_TOLD = 10_000
 # Lines about servers between two ticks; a storm of failures needs no more.
 MOST_BELIEFS = 50
-NEVER = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,28 +50,12 @@
 
     work: work_module.Work
     server: str
-    held: "Server"
+    held: server_table.Server
     domain: str
     placed: float
     unread: float
 
 
-class Server:
-    """What this instance knows of one incarnation of a server.
-
-    ``epoch`` tells which one, ``None`` while none has announced itself.
-    """
-
-    __slots__ = ("epoch", "running", "unread", "health", "cache")
-
-    def __init__(self, kv_tokens, epoch=None):
-        self.epoch = epoch
-        self.running = 0
-        self.unread = 0.0
-        self.health = server_health.Health()
-        self.cache = prompt_cache.PromptCache(kv_tokens)
-
-
 class Shared(policy.Policy):
     """Decides for one instance, from its own work and the others' word."""
 
@@ -100,16 +63,14 @@
         self._rng = rng
         self._view = view
         self._routing = state.routing
-        self._others = state.loads
         self._domain = state.identity.failure_domain
         self._budget = retry_budget.RetryBudget(limits)
         self._queue = {}
         self._attempts = {}
-        self._servers = {}
-        self._groups = collections.defaultdict(affinity.Groups)
+        self._table = server_table.ServerTable(state.loads, self._kv_tokens)
+        self._engines = engine_choice.EngineChoice(self._table, self._domain)
+        self._news = read_news.ReadNews(self._table)
         self._traits_of = (None, {})
-        self._reads = []
-        self._told = {}
         self._beliefs = []
         self._pace = placing_pace.PlacingPace()
         self._reach = domain_reach.DomainReach(self._domain, view)
@@ -118,16 +79,15 @@
 
     def own_loads(self):
         """Return this instance's work at each server."""
-        return [
-            server_loads.Load(name, held.running, int(held.unread))
-            for name, held in self._servers.items()
-            if held.running
-        ]
+        return self._table.own_loads()
 
     def take_reads(self):
         """Return what was sent to engines since the last call."""
-        reads, self._reads = self._reads, []
-        return reads
+        return self._news.take()
+
+    def heard_reads(self, reads, now):
+        """Take in what the others sent to engines."""
+        self._news.heard(reads, now)
 
     def take_beliefs(self):
         """Return the :class:`Belief` objects since the last call."""
@@ -143,13 +103,6 @@
         if len(self._beliefs) < MOST_BELIEFS:
             self._beliefs.append(belief)
 
-    def heard_reads(self, reads, now):
-        """Take in what the others sent to engines; all know it by now."""
-        for item in reads:
-            self._server(item.server).cache.read(item.parts)
-            if item.parts:
-                self._told[(item.server, item.parts[-1][0])] = now
-
     # -- admitting --------------------------------------------------------
 
     def offer(self, work, now):
@@ -238,16 +191,20 @@
                 return None
             return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
         if not work.parts:
-            return self._place(
-                work, self._choose_plain(usable), 0.0, usable, now
+            name = plain_choice.choose(
+                usable, self._table, self._domain, self._rng
             )
-        name, need = self._choose_engine(work, servers, usable)
-        if not self._has_room(work, name, need):
-            claimed.add(name)
+            return self._place(work, name, 0.0, usable, now)
+        traits = self._traits(work)
+        chosen = self._engines.choose(work, traits, servers, usable)
+        if not self._engines.has_room(work, traits, chosen):
+            claimed.add(chosen.name)
             return None
-        if name in claimed and need > SHORT_PROMPT:
+        if chosen.name in claimed and (
+            chosen.need > engine_choice.SHORT_PROMPT
+        ):
             return None
-        return self._place(work, name, need, usable, now)
+        return self._place(work, chosen.name, chosen.need, usable, now)
 
     def _usable(self, work, servers, now):
         """Return the servers that may take the work, by name.
@@ -266,7 +223,7 @@
             name = server.announcement.backend_server
             if not server.serves(now) or name in work.avoid:
                 continue
-            if self._server(name).health.usable(now):
+            if self._table.server(name).health.usable(now):
                 usable[name] = server
         return self._within_reach(usable, now)
 
@@ -284,104 +241,10 @@
             if server.announcement.failure_domain not in cut
         }
 
-    def _server(self, name):
-        held = self._servers.get(name)
-        if held is None:
-            held = self._servers[name] = Server(self._kv_tokens())
-        return held
-
     def _kv_tokens(self):
         table = self._routing.table
         return service_traits.kv_tokens(table.revision if table else None)
 
-    def _running(self, name):
-        return self._server(name).running + self._others.running(name)
-
-    def _unread(self, name):
-        return self._server(name).unread + self._others.unread(name)
-
-    def _has_room(self, work, name, need):
-        """Tell whether an engine may be given so much more to read.
-
-        Engines read what is more urgent first.  What they have to read of
-        less urgent prompts does not hold up a more urgent one, which may
-        therefore find more of it there.
-        """
-        unread = self._unread(name)
-        if need <= SHORT_PROMPT or unread <= 0:
-            return True
-        least_urgent = self._traits(work).least_urgent
-        steps = max(0, least_urgent - work.route_priority)
-        return unread + need <= UNREAD_LIMIT * (1 + steps)
-
-    def _choose_plain(self, usable):
-        """Prefer the own failure domain and the servers that fail least."""
-
-        def cost(name):
-            announcement = usable[name].announcement
-            load = self._running(name) / max(1, announcement.slots)
-            away = announcement.failure_domain != self._domain
-            return (
-                load
-                + AWAY_COST * away
-                + self._server(name).health.failure_share
-                + DRAW_COST * self._rng.random()
-            )
-
-        return min(usable, key=cost)
-
-    def _choose_engine(self, work, servers, usable):
-        """Return the best engine and what it would have to read.
-
-        What an engine holds is weighed against what it has to do, all in
-        prompt tokens, which stand for its time.  Long prompts have a few
-        engines to choose from, the same for all that share a part.
-        """
-        groups = self._groups[work.service]
-        names = sorted(item.announcement.backend_server for item in servers)
-        groups.follow(work.service, names)
-        close = self._is_close(work)
-        key = affinity.shared_key(work.parts)
-        ranked = [name for name in groups.ranked(key, close) if name in usable]
-        if not ranked:
-            ranked = affinity.rank(key, usable)
-        own = work.parts[-1][1]
-        best = None
-        for place, name in enumerate(ranked):
-            missing = self._server(name).cache.missing(work.parts[:-1])
-            if missing and not close and place >= affinity.HOMES:
-                continue
-            need = own + missing
-            announcement = usable[name].announcement
-            cost = (
-                self._engine_cost(name, announcement.slots)
-                + need
-                + missing * affinity.ANEW_FACTOR
-                + place * affinity.PLACE_TOKENS
-            )
-            if announcement.failure_domain != self._domain:
-                cost += affinity.AWAY_TOKENS
-            if close and not groups.is_kept(name):
-                cost += affinity.LEAVE_TOKENS
-            if best is None or cost < best[0]:
-                best = (cost, name, need)
-        return best[1], best[2]
-
-    def _engine_cost(self, name, slots):
-        """Return how much an engine has to do, in prompt tokens."""
-        held = self._server(name)
-        running = self._running(name)
-        return (
-            self._unread(name)
-            + running * affinity.TOKENS_PER_RUNNING
-            + affinity.full_cost(running, slots)
-            + held.health.failure_share * affinity.TOKENS_PER_FAILURE
-        )
-
-    def _is_close(self, work):
-        pause = (work.between_tokens_ms or 0.0) / 1000.0
-        return affinity.is_close(pause, self._traits(work).shortest_pause)
-
     def _traits(self, work):
         """Return what the revision in force says of a service's requests."""
         revision = self._routing.table.revision
@@ -396,24 +259,25 @@
         return found
 
     def _place(self, work, name, need, usable, now):
-        held = self._server(name)
+        held = self._table.server(name)
+        running, unread = self._table.others(name)
         grounds = work_module.Grounds(
             int(need),
             int(held.unread),
-            self._others.unread(name),
+            unread,
             held.running,
-            self._others.running(name),
+            running,
             len(usable),
             len(self._queue) - 1,
         )
         held.health.tried(now)
         held.running += 1
         held.unread += need
-        if need > SHORT_PROMPT:
+        if need > engine_choice.SHORT_PROMPT:
             self._pace.placed(work.service, work.prompt_tokens, now)
         shared = work.parts[:-1]
         if shared:
-            self._note_read(held.cache, name, list(shared), now)
+            self._news.sent(name, list(shared), now)
         domain = usable[name].announcement.failure_domain
         self._attempts[work.request_id] = Attempt(
             work, name, held, domain, now, need
@@ -427,18 +291,6 @@
         )
         return work_module.Refusal(work, nothing, grounds)
 
-    def _note_read(self, cache, name, shared, now):
-        """Note what an engine reads, and tell the others what is news."""
-        news = cache.missing(shared) > 0
-        cache.read(shared)
-        key = (name, shared[-1][0])
-        if not news and now - self._told.get(key, NEVER) < RETELL_SECONDS:
-            return
-        if len(self._told) > MOST_TOLD:
-            self._told.clear()
-        self._told[key] = now
-        self._reads.append(server_loads.Read(name, shared))
-
     # -- feedback ---------------------------------------------------------
 
     def first_output(self, request_id, now):
@@ -501,30 +353,16 @@
             )
 
     def observe(self, server, now):
-        """Drop all that was held of an earlier incarnation of ``server``.
-
-        Failure guarded against: an engine that starts again under its name
-        has read nothing and runs nothing.  Taken for the old one it would
-        get no work while what died with it counts as running, and prompts
-        for parts that it no longer has.
-        """
+        """Drop all that was held of an earlier incarnation of ``server``."""
         announcement = server.announcement
         name = announcement.backend_server
-        held = self._server(name)
-        if held.epoch is None:
-            held.epoch = announcement.epoch
-        if held.epoch == announcement.epoch:
-            return
-        fresh = Server(self._kv_tokens(), announcement.epoch)
-        self._servers[name] = fresh
-        self._others.forget(name)
-        self._believe("backend server restarted", name, fresh.health, now)
+        if self._table.announced(name, announcement.epoch):
+            health = self._table.server(name).health
+            self._believe("backend server restarted", name, health, now)
 
     def forget_server(self, name):
         """Drop what is held about a server that is gone."""
-        held = self._servers.get(name)
-        if held is not None and not held.running:
-            del self._servers[name]
+        self._table.forget(name)
 
 
 def _urgency(work, now):
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -8,6 +8,8 @@
 from dandeliontrail.coordination import messages
 from dandeliontrail.coordination import server_loads
 from dandeliontrail.decisions import affinity
+from dandeliontrail.decisions import engine_choice
+from dandeliontrail.decisions import read_news
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared
@@ -160,7 +162,7 @@
     other.review(7)
     other.next()
     assert other.policy.take_reads() == []
-    other.now += shared.RETELL_SECONDS + 1.0
+    other.now += read_news.RETELL_SECONDS + 1.0
     for attempt in list(other.policy._attempts):
         other.policy.first_output(attempt, other.now)
     other.review(7)
@@ -180,7 +182,7 @@
     for load in play.policy.own_loads():
         unread[load.server] = load.unread
     assert 4 <= len(placed) <= 12
-    assert max(unread.values()) <= shared.UNREAD_LIMIT + LONG
+    assert max(unread.values()) <= engine_choice.UNREAD_LIMIT + LONG
 
 
 def test_work_of_other_instances_counts():
