--- a/tests/cover/test_domain_cuts.py
+++ b/tests/cover/test_domain_cuts.py
@@ -7,14 +7,14 @@
 from dandeliontrail.decisions import server_health
 from dandeliontrail.decisions import work as work_module
 
-from tests.cover import test_shared_policy
+from tests.common import shared_play
 
 CONNECT = 0.2
 
 
 def cut_play():
     """Return a play in which fd1 has just been cut off from fd0."""
-    play = test_shared_policy.Play(count=6)
+    play = shared_play.Play(count=6)
     play.view.heard = {"fd1": 0.0, "fd2": 0.0}
     play.now = 10.0
     play.view.heard["fd2"] = 10.0
@@ -23,7 +23,7 @@
 
 def heard_at(moment):
     """Return a view in which all domains were heard at ``moment``."""
-    found = test_shared_policy.View()
+    found = shared_play.View()
     if moment is not None:
         found.heard = {"fd0": moment, "fd1": moment}
     return found
--- a/tests/cover/test_heartbeats.py
+++ b/tests/cover/test_heartbeats.py
@@ -16,9 +16,9 @@
 import pytest
 
 from tests.common import platform_world
+from tests.common import shared_play
 from tests.common import world
 from tests.cover import test_forwarding
-from tests.cover import test_shared_policy
 
 BEAT = {
     "service": "app",
@@ -185,7 +185,7 @@
     # An engine crashes with ten prompts and starts again under its name.
     # Counted as busy and as holding parts that it lost, it would get no work
     # while it idles, and then work that it must read from the beginning.
-    play = test_shared_policy.Play(count=1)
+    play = shared_play.Play(count=1)
     (server,) = play.directory.servers
     name = server.announcement.backend_server
     server.announcement = msgspec.structs.replace(
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -1,7 +1,6 @@
 """Where requests go on engines that many instances share."""
 
 import collections
-import random
 import types
 
 from dandeliontrail.components import server_loads as loads_component
@@ -10,115 +9,16 @@
 from dandeliontrail.decisions import affinity
 from dandeliontrail.decisions import engine_choice
 from dandeliontrail.decisions import read_news
-from dandeliontrail.decisions import retry_budget
-from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared
-from dandeliontrail.decisions import view
 from dandeliontrail.decisions import work as work_module
-from dandeliontrail.resources import revisions
 from dandeliontrail import sentinels
 import pytest
 
-from tests.common import prompt_engine
-
-LONG = 13_000
-
-
-class Directory:
-    """Servers of one service, all alive."""
-
-    def __init__(self, count, service="llm"):
-        self.servers = [
-            prompt_engine.server_of(number, service) for number in range(count)
-        ]
-
-    def of_service(self, service):
-        return self.servers
-
-
-class View(view.ClusterView):
-    """Nine instances; ``heard`` tells when those of a domain were heard."""
-
-    def __init__(self):
-        self.heard = {}
-
-    def instances(self, now):
-        return 9
-
-    def heard_from(self, failure_domain):
-        return self.heard.get(failure_domain)
-
-
-def table():
-    split = [revisions.Split("llm")]
-    routes = [
-        revisions.Route("chat", "h", "/c/", split, 10.0, longest_pause=0.3),
-        revisions.Route("review", "h", "/r/", split, 10.0, longest_pause=1.2),
-    ]
-    return routing.RoutingTable(
-        revisions.Revision(1, "", routes, [revisions.Service("llm")])
-    )
-
-
-class Play:
-    """One instance's policy, with time and servers in the test's hands."""
-
-    def __init__(self, count=6, slack=58.0):
-        self.loads = server_loads.LoadTable()
-        state = types.SimpleNamespace(
-            routing=types.SimpleNamespace(table=table()),
-            loads=self.loads,
-            identity=types.SimpleNamespace(failure_domain="fd0"),
-        )
-        limits = retry_budget.RetryLimits(0.2, slack, 10.0)
-        self.view = View()
-        self.policy = shared.Shared(random.Random(1), self.view, state, limits)
-        self.directory = Directory(count)
-        self.now = 0.0
-        self.count = 0
-
-    def ask(self, parts, pause=1.2, priority=2, deadline=10.0, **more):
-        """Offer one request; return its work."""
-        self.count += 1
-        work = work_module.Work(
-            f"r{self.count}",
-            "acme",
-            "review",
-            "",
-            "llm",
-            priority,
-            self.now,
-            self.now + deadline,
-            prompt_tokens=sum(tokens for _, tokens in parts),
-            first_token_ms=2000.0,
-            between_tokens_ms=pause * 1000.0,
-            parts=tuple(parts),
-            routed=True,
-            **more,
-        )
-        self.policy.offer(work, self.now)
-        return work
-
-    def next(self):
-        """Return what is decided now, as ``{request: server or refusal}``."""
-        decided = self.policy.next(self.now, self.directory)
-        return {
-            item.work.request_id: getattr(item, "server", item)
-            for item in decided
-        }
-
-    def review(self, thing, own=3000, **more):
-        return self.ask(
-            [(f"t{thing}", LONG), (f"own{self.count}", own)], **more
-        )
-
-    def chat(self, **more):
-        parts = [("c", 200), ("u", 150), (f"own{self.count}", 700)]
-        return self.ask(parts, pause=0.3, priority=0, **more)
+from tests.common import shared_play
 
 
 def test_requests_with_one_shared_part_go_to_one_engine():
-    play = Play()
+    play = shared_play.Play()
     chosen = set()
     for number in range(8):
         work = play.review(1)
@@ -132,20 +32,22 @@
 def test_an_instance_that_has_just_started_asks_the_same_engine():
     # Two instances see a part for the first time at once.  Each sending it
     # elsewhere would have it read twice.
-    first, second = Play(), Play()
+    first, second = shared_play.Play(), shared_play.Play()
     one, other = first.review(5), second.review(5)
     assert first.next()[one.request_id] == second.next()[other.request_id]
 
 
 def test_what_others_sent_is_known_here():
-    play = Play()
+    play = shared_play.Play()
     names = [
         item.announcement.backend_server for item in play.directory.servers
     ]
     kept = affinity.Groups()
     kept.follow("llm", sorted(names))
     far = kept.ranked("t7", False)[-1]
-    play.policy.heard_reads([server_loads.Read(far, [("t7", LONG)])], 0.0)
+    play.policy.heard_reads(
+        [server_loads.Read(far, [("t7", shared_play.LONG)])], 0.0
+    )
     work = play.review(7)
     assert play.next()[work.request_id] == far
 
@@ -153,11 +55,11 @@
 def test_what_all_know_is_not_told_again():
     # Ninety instances use one part within seconds.  Each telling all others
     # of each use took half of a small link.
-    play = Play()
+    play = shared_play.Play()
     play.review(7)
     play.next()
     (read,) = play.policy.take_reads()
-    other = Play()
+    other = shared_play.Play()
     other.policy.heard_reads([read], 0.0)
     other.review(7)
     other.next()
@@ -174,7 +76,7 @@
     # Forty long prompts come within a second.  Given to the engines at once,
     # each engine would make one token in the time of fifteen until all are
     # read, and streams that began before would run into their time limits.
-    play = Play()
+    play = shared_play.Play()
     for thing in range(40):
         play.review(thing)
     placed = play.next()
@@ -182,11 +84,13 @@
     for load in play.policy.own_loads():
         unread[load.server] = load.unread
     assert 4 <= len(placed) <= 12
-    assert max(unread.values()) <= engine_choice.UNREAD_LIMIT + LONG
+    assert (
+        max(unread.values()) <= engine_choice.UNREAD_LIMIT + shared_play.LONG
+    )
 
 
 def test_work_of_other_instances_counts():
-    play = Play(count=2)
+    play = shared_play.Play(count=2)
     busy = [server_loads.Load(f"e{n}", 9, 50_000) for n in range(2)]
     play.loads.take("other", "fd1", busy, 0.0)
     work = play.review(1)
@@ -196,7 +100,7 @@
 
 
 def test_an_engine_that_has_read_gets_the_next_prompt():
-    play = Play(count=2)
+    play = shared_play.Play(count=2)
     works = [play.review(1) for _ in range(9)]
     placed = play.next()
     assert len(placed) < 9
@@ -207,7 +111,7 @@
 
 
 def test_the_more_urgent_goes_first_and_the_late_last():
-    play = Play(count=2)
+    play = shared_play.Play(count=2)
     filler = [play.review(0) for _ in range(9)]
     play.next()
     play.now = 2.5
@@ -225,7 +129,7 @@
 def test_close_streams_stay_away_from_long_prompts():
     # A chat whose pauses must stay below 0.3 s shares an engine with a
     # prompt of 16,000 tokens, which takes that long to read.
-    play = Play(count=9)
+    play = shared_play.Play(count=9)
     reviews = set()
     for thing in range(6):
         work = play.review(thing)
@@ -244,7 +148,7 @@
 
 
 def test_close_streams_overflow_to_the_other_engines():
-    play = Play(count=6)
+    play = shared_play.Play(count=6)
     chats = set()
     for _ in range(300):
         work = play.chat()
@@ -257,7 +161,7 @@
     # the 65th request waits there until one is free, while the others have
     # half of theirs.  Before, 98 were sent to it before one went elsewhere,
     # and half of their first tokens were late.
-    play = Play(count=5)
+    play = shared_play.Play(count=5)
     places = collections.Counter()
     for _ in range(110):
         work = play.chat()
@@ -272,7 +176,7 @@
     # The first two engines in the order of a part's hash are idle, one of
     # them beyond a cut that may come at any moment.  Before, the order alone
     # decided, and two in three prompts went to another domain.
-    play = Play(count=6)
+    play = shared_play.Play(count=6)
     own = 0
     choices = 0
     for thing in range(200):
@@ -296,7 +200,7 @@
 def test_a_queue_that_takes_too_long_refuses_with_its_time():
     # A burst lasts beyond what the engines can read.  The last in the queue
     # learn at once when to come back, instead of when their time is up.
-    play = Play(count=2)
+    play = shared_play.Play(count=2)
     refused = {}
     for step in range(60):
         play.now = step * 0.1
@@ -318,7 +222,7 @@
 
 
 def test_an_unreachable_server_is_left_alone_for_a_while():
-    play = Play(count=2)
+    play = shared_play.Play(count=2)
     work = play.review(1)
     server = play.next()[work.request_id]
     ended = work_module.Ended(
@@ -335,7 +239,7 @@
 
 
 def test_without_a_usable_server_the_refusal_comes_soon():
-    play = Play(count=1)
+    play = shared_play.Play(count=1)
     work = play.review(1)
     server = play.next()[work.request_id]
     play.policy.ended(
@@ -351,7 +255,7 @@
 
 
 def test_of_two_servers_at_one_address_the_newer_is_used():
-    play = Play(count=2)
+    play = shared_play.Play(count=2)
     old, new = play.directory.servers
     new.announcement.url = old.announcement.url
     new.heard = 5.0
@@ -362,7 +266,7 @@
 
 
 def test_repeats_keep_within_the_budget():
-    play = Play(slack=58.0)
+    play = shared_play.Play(slack=58.0)
     works = [play.review(n) for n in range(50)]
     allowed = [bool(play.policy.retry(work, play.now)) for work in works]
     # A tenth of 58, and a fifth of the requests, less the reserve.
@@ -419,7 +323,7 @@
         loads=server_loads.LoadTable(),
         identity=types.SimpleNamespace(failure_domain="fd0"),
     )
-    relay = loads_component.ServerLoads(state, Play().policy)
+    relay = loads_component.ServerLoads(state, shared_play.Play().policy)
     far = messages.Sender("b", "far", "fd1", "r", 1)
     near = messages.Sender("a", "near", "fd0", "r", 1)
     outside = server_loads.Read("e0", [("x", 9)])
