--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -41,6 +41,7 @@
         self._suspected = set()
         self._leaving = False
         self._reach = member_records.Reach.ALL
+        self._silent = set()
 
     def handlers(self):
         """Return the handlers of membership events and messages."""
@@ -63,6 +64,7 @@
         if now >= self._next_judgement:
             self._next_judgement = now + JUDGE_INTERVAL
             out.extend(self._judge(now))
+            out.extend(self._report_silence(now))
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
             self._recover_health(now)
@@ -100,6 +102,24 @@
         level = "info" if reach is member_records.Reach.ALL else "warning"
         return [effects.Log(level, "reach", {"reach": reach.value})]
 
+    def _report_silence(self, now):
+        """Log which failure domains fell silent, or are heard again.
+
+        Placing goes by this, see ``decisions.domain_reach``.
+        """
+        silent = self._members.silent_domains(now)
+        before, self._silent = self._silent, silent
+        return [
+            effects.Log(
+                "info",
+                "failure domain fell silent"
+                if domain in silent
+                else "failure domain is no longer taken for silent",
+                {"server_domain": domain, "important": True},
+            )
+            for domain in sorted(silent ^ before)
+        ]
+
     def _excuse_pause(self, now):
         """Do not blame the others for a pause of this process.
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -383,6 +383,14 @@
             if name != domain
         )
 
+    def silent_domains(self, now):
+        """Return the failure domains that have just fallen silent."""
+        return {
+            domain
+            for domain in self._last_heard
+            if self.has_fallen_silent(domain, now)
+        }
+
     def hears_other_domain(self, now):
         """Tell whether anybody outside this failure domain was heard.
 
--- a/tests/cover/test_domain_cuts.py
+++ b/tests/cover/test_domain_cuts.py
@@ -1,7 +1,9 @@
 """What a cut between failure domains costs the requests outside of it."""
 
+import random
 import types
 
+from dandeliontrail.components import members as members_component
 from dandeliontrail.coordination import membership
 from dandeliontrail.decisions import domain_reach
 from dandeliontrail.decisions import server_health
@@ -183,6 +185,26 @@
     assert not members.has_fallen_silent("fd1", 9.0)
 
 
+def test_the_log_says_which_domain_fell_silent():
+    # An operator looks for why a domain got no work for two seconds.
+    members = two_domains(5.0)
+    told = []
+    component = members_component.Members(
+        types.SimpleNamespace(members=members, rng=random.Random(1))
+    )
+    for step in range(50, 100):
+        now = step / 10
+        members.hear(sender_in("fd2", now), now)
+        if step >= 80:
+            members.hear(sender_in("fd1", now), now)
+        told.extend(component._report_silence(now))
+    assert [item.message for item in told] == [
+        "failure domain fell silent",
+        "failure domain is no longer taken for silent",
+    ]
+    assert {item.fields["server_domain"] for item in told} == {"fd1"}
+
+
 def test_an_instance_that_hears_nobody_blames_itself():
     members = two_domains(5.0)
     assert not members.has_fallen_silent("fd1", 6.0)
