--- a/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/cluster_view.py
@@ -15,8 +15,7 @@
 
     def heard_from(self, failure_domain):
         """Return when an instance of a domain was last heard, in a mesh."""
-        members = self._state.members
-        return members.heard_from(failure_domain)
+        return self._state.members.heard_from(failure_domain)
 
     def has_fallen_silent(self, failure_domain, now):
         """Go by the messages of the instances there."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/early_requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/early_requests.py
@@ -24,9 +24,6 @@
     def __init__(self):
         self._held = {}
 
-    def __len__(self):
-        return len(self._held)
-
     def hold(self, event, now):
         """Hold a request that came just now; tell whether it may wait."""
         if len(self._held) >= MOST_WAITING:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -46,7 +46,6 @@
 # What it costs a close stream to leave the engines kept for it: the prompts
 # of eight others.
 LEAVE_TOKENS = 12_000.0
-
 # What the way to another failure domain costs, in prompt tokens: 20 to 60 ms
 # of an engine's reading, so that it decides between engines that have about
 # as much to do.  The bytes of answers between domains are dear, and a cut
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -45,7 +45,9 @@
     """Work under way at a server.
 
     ``held`` is what was known of the incarnation that got it: work that
-    ends after a restart is not taken off the next one's count.
+    ends after a restart is not taken off the next one's count.  ``domain``
+    is the server's failure domain, ``placed`` when the work was given to it,
+    ``unread`` the prompt tokens that it has yet to read of it.
     """
 
     work: work_module.Work
