A numeric address is not looked up at each new connection

Found by sampling an entry under load; ruled out: the collector (gc frozen: 3.0 ms a plain request before and after). Names are looked up as before.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -2,6 +2,8 @@
 
 import socket
 
+from gevent import socket as gevent_socket
+
 # How long a connection that nobody watches waits for the next byte.
 DEFAULT_SECONDS = 2.0
 # A path that acknowledges nothing is found out by the kernel: idle for 5 s,
@@ -131,6 +133,41 @@
         self.sock.sendfile(body)
 
 
+def connect(address, seconds):
+    """Return a socket connected to ``host:port`` within so many seconds.
+
+    An address that is a number already is not looked up: gevent asks its
+    thread pool, which takes two changes of thread, 0.3 ms of processor time
+    and the wait for a thread, at each new connection.
+    """
+    host, port = address.rsplit(":", 1)
+    host = host.strip("[]")
+    family = _family_of(host)
+    if family is None:
+        return gevent_socket.create_connection(
+            (host, int(port)), timeout=seconds
+        )
+    sock = gevent_socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(seconds)
+        sock.connect((host, int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def _family_of(host):
+    """Return the address family of a numeric address, else ``None``."""
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, host)
+        except OSError:
+            continue
+        return family
+    return None
+
+
 def watch_path(sock):
     """Have the kernel find out a path that lost track of a connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -13,7 +13,6 @@
 import time
 
 import gevent
-from gevent import socket as gevent_socket
 
 from .. import connection
 
@@ -81,10 +80,7 @@
                 conn.used = True
                 return conn
             conn.close()
-        host, port = address.rsplit(":", 1)
-        sock = gevent_socket.create_connection(
-            (host, int(port)), timeout=self._connect_seconds
-        )
+        sock = connection.connect(address, self._connect_seconds)
         sock.settimeout(None)
         connection.watch_path(sock)
         return Connection(sock, address)
