Answers between instances travel in the answer to the batch that asks

Cause: a question and its answer were two HTTP exchanges over two connections, and a batch cost 0.95 ms of processor time at the leader (0.163 core at 195 batches a second, 36 idle instances), most of it in the general HTTP client and the server's header objects. Now what a batch causes to be said to its sender goes back in its answer, and one small connection class on the library's parser sends batches. An instance that does not say that it reads answers gets batches as before.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -117,6 +117,11 @@
         finally:
             self._busy = False
 
+    def take_in(self, envelope):
+        """Submit each message of a batch from another instance."""
+        for message in envelope.messages:
+            self.submit(events.PeerMessageReceived(envelope.sender, message))
+
     def _apply(self, event):
         now = self.clock.now()
         self._requests.event(event, now)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -88,6 +88,7 @@
             lambda: self._tls.client_context("peers"),
         )
         self._stack.callback(link.close)
+        self._link = link
         self._engines = engine_client.PooledEngineClient(
             limits.connect_seconds, limits.backend_silent_seconds
         )
@@ -102,6 +103,7 @@
             measured,
             self._logger,
         )
+        link.take_in = self.host.take_in
         if storage:
             writer = disk_writer.DiskWriter(
                 storage, self.host.submit, self._logger
@@ -155,7 +157,9 @@
             self.on_term,
             self._stack,
         )
-        peers_app = peers.PeersApp(self.host, self._key, self._cfg.limits)
+        peers_app = peers.PeersApp(
+            self.host, self._key, self._cfg.limits, self._link
+        )
         listeners = [
             *self._face.listeners(inner),
             face_module.Listener("peers", self._cfg.listen.peers, peers_app),
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
@@ -3,23 +3,34 @@
 import msgspec
 
 from dandeliontrail.coordination import codec
-from dandeliontrail import events
 
 from .. import packing
 from .. import peer_link
 from .. import wsgi
 
 BODY_SECONDS = 5.0
-SIGNATURE = "HTTP_" + peer_link.SIGNATURE_HEADER.upper().replace("-", "_")
+
+
+def _environ_name(header):
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+SIGNATURE = _environ_name(peer_link.SIGNATURE_HEADER)
+TAKES_ANSWERS = _environ_name(peer_link.ANSWERS_HEADER)
 
 
 class PeersApp:
-    """Takes in the batches that :mod:`..peer_link` sends."""
+    """Takes in the batches that :mod:`..peer_link` sends, and answers.
+
+    What these batches caused to be said to their sender goes back at once,
+    in the answer.
+    """
 
-    def __init__(self, host, key, limits):
+    def __init__(self, host, key, limits, link):
         self._host = host
         self._key = key
         self._limits = limits
+        self._link = link
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -40,16 +51,9 @@
             raise wsgi.Problem(
                 400, "malformed", f"{exc}.", "run one release everywhere"
             )
-        self._count(len(body), len(envelope.messages), left_out)
-        for message in envelope.messages:
-            self._host.submit(
-                events.PeerMessageReceived(envelope.sender, message)
-            )
-        return wsgi.reply(start_response, 200, b"{}", [wsgi.JSON])
-
-    def _count(self, size, messages, left_out):
-        counters = self._host.metrics.counters
-        counters["peer_received_bytes_total"] += size
-        counters["peer_received_messages_total"] += messages
-        counters["peer_received_batches_total"] += 1
-        counters["peer_unknown_messages_total"] += left_out
+        self._link.count_received(len(body), envelope, left_out)
+        self._link.take_in(envelope)
+        if not environ.get(TAKES_ANSWERS):
+            return wsgi.reply(start_response, 200, b"{}", [wsgi.JSON])
+        body, headers = self._link.answer(envelope.sender.address)
+        return wsgi.reply(start_response, 200, body, headers.items())
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
@@ -1,13 +1,15 @@
 """Carries messages between instances: HTTP with JSON, signed.
 
 Each address has one outbox, one connection and one greenlet that sends
-what has gathered as one batch.  Messages may be lost or repeated; every
-mechanism above allows for both.
+what has gathered as one batch.  What the other instance has for this one by
+then comes back in the answer to the batch: a question and its answer are one
+exchange in place of two.  Messages may be lost or repeated; every mechanism
+above allows for both.
 """
 
 import gevent
 from gevent import event as gevent_event
-import geventhttpclient
+import msgspec
 
 from dandeliontrail.coordination import codec
 from dandeliontrail.coordination import messages
@@ -15,9 +17,13 @@
 
 from . import outbox
 from . import packing
+from . import peer_connection
 
 PATH = "/peer/v1/messages"
 SIGNATURE_HEADER = "X-Peer-Signature"
+# Says that the sender takes messages in the answer; a release that does not
+# know it gets them as batches of their own.
+ANSWERS_HEADER = "X-Peer-Answers"
 CONNECT_SECONDS = 1.0
 BACKOFF_SECONDS = 0.5
 # A connection that has gone silent is told by the pace of those before: it
@@ -34,7 +40,7 @@
 # What HTTP adds to the body of a batch and its answer, about; counted
 # towards the budget.
 OVERHEAD_BYTES = 330
-FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
+FAILURES = (*peer_connection.FAILURES, packing.BadBatch)
 
 
 class ByteBudget:
@@ -69,6 +75,7 @@
     ``counters`` takes ``peer_*`` counts; ``bytes_per_second`` is the budget
     over all addresses, above which :mod:`.outbox` sheds.  ``new_context``
     returns the TLS context of a new connection, or ``None`` for none.
+    ``take_in`` is called with each envelope that came in an answer.
     """
 
     def __init__(
@@ -86,6 +93,7 @@
         self.counters = counters
         self.new_context = new_context
         self.budget = ByteBudget(bytes_per_second, clock.now())
+        self.take_in = lambda envelope: None
         self._lines = {}
 
     def send(self, address, message):
@@ -96,6 +104,38 @@
             self._lines[address] = line
         line.put(message)
 
+    def answer(self, address):
+        """Take what waits for ``address``; return its body and headers.
+
+        For the answer to a batch that came from there; both are empty where
+        nothing waits.
+        """
+        line = self._lines.get(address)
+        batch = line.take() if line is not None else []
+        return self.pack(batch) if batch else (b"", {})
+
+    def open_answer(self, answer, body):
+        """Take in the messages in the answer to a batch."""
+        if not body or not answer.get(SIGNATURE_HEADER.lower()):
+            # An earlier release, or there was nothing to say.
+            return
+        if not self._key.verify(body, answer.get(SIGNATURE_HEADER.lower())):
+            raise packing.BadBatch("the answer is not signed with our key")
+        encoding = answer.get("content-encoding")
+        try:
+            found = codec.decode(packing.unpack(body, encoding))
+        except msgspec.DecodeError as exc:
+            raise packing.BadBatch(f"the answer is no batch: {exc}")
+        self.count_received(len(body), *found)
+        self.take_in(found[0])
+
+    def count_received(self, size, envelope, left_out):
+        """Count a batch that came in, on its own or in an answer."""
+        self.counters["peer_received_bytes_total"] += size
+        self.counters["peer_received_messages_total"] += len(envelope.messages)
+        self.counters["peer_received_batches_total"] += 1
+        self.counters["peer_unknown_messages_total"] += left_out
+
     def pack(self, batch):
         """Return the body of a batch and the headers that sign it."""
         own = self._identity
@@ -112,6 +152,7 @@
         headers = {
             "Content-Type": "application/json",
             SIGNATURE_HEADER: self._key.sign(body),
+            ANSWERS_HEADER: "1",
         }
         if encoding:
             headers["Content-Encoding"] = encoding
@@ -140,7 +181,7 @@
         self._link = link
         self._outbox = outbox.Outbox()
         self._filled = gevent_event.Event()
-        self._client = None
+        self._conn = None
         self._usual = 0.0
         self._greenlet = gevent.spawn(self._send_forever)
 
@@ -154,6 +195,15 @@
         self._greenlet.kill()
         self._hang_up()
 
+    def take(self):
+        """Take out what has gathered, as far as the budget of bytes goes."""
+        rich = self._link.budget.has_left(self._link.clock.now())
+        shed = self._outbox.shed
+        batch = self._outbox.take(rich)
+        counters = self._link.counters
+        counters["peer_shed_messages_total"] += self._outbox.shed - shed
+        return batch
+
     def _send_forever(self):
         while self._filled.wait(IDLE_SECONDS):
             self._filled.clear()
@@ -164,18 +214,15 @@
 
     def _send_waiting(self):
         """Send what has gathered; return whether it arrived."""
-        rich = self._link.budget.has_left(self._link.clock.now())
-        shed = self._outbox.shed
-        batch = self._outbox.take(rich)
-        counters = self._link.counters
-        counters["peer_shed_messages_total"] += self._outbox.shed - shed
+        batch = self.take()
         if not batch:
+            # It went out in the answer to a batch from there.
             return True
         body, headers = self._link.pack(batch)
         # A connection that something in between has lost track of takes the
         # bytes and answers nothing, for good, while a new one works.  So
         # the batch goes out once more on a new one; both may arrive.
-        reused = self._client is not None
+        reused = self._conn is not None
         if self._post(body, headers):
             return True
         return reused and self._post(body, headers)
@@ -184,43 +231,36 @@
         began = self._link.clock.now()
         try:
             with gevent.Timeout(self._patience(len(body))):
-                client = self._connected()
-                response = client.post(PATH, body, headers)
-                response.read()
+                answer, data = self._connected().post(body, headers)
+                self._link.open_answer(answer, data)
         except FAILURES:
             self._hang_up()
             self._link.counters["peer_failed_batches_total"] += 1
             return False
+        if "close" in answer.get("connection").lower():
+            # The other instance is on its way out: the next batch would
+            # find this connection closed.
+            self._hang_up()
         took = self._link.clock.now() - began
         self._usual += PACE_WEIGHT * (took - self._usual)
-        return response.status_code == 200
+        return answer.status == 200
 
     def _patience(self, size):
         """Return how long an answer to so many bytes may take."""
         travel = size / SLOW_LINK_BYTES
-        if self._client is None:
+        if self._conn is None:
             return CONNECT_SECONDS + LONGEST_SILENCE + travel
         expected = max(SHORTEST_SILENCE, SILENT_FACTOR * self._usual)
         return min(LONGEST_SILENCE, expected) + travel
 
     def _connected(self):
-        if self._client is None:
-            host, port = self.address.rsplit(":", 1)
-            context = self._link.new_context()
-            self._client = geventhttpclient.HTTPClient(
-                host.strip("[]"),
-                int(port),
-                headers={"User-Agent": "dandeliond"},
-                connection_timeout=CONNECT_SECONDS,
-                # Each exchange as a whole has its patience.
-                network_timeout=None,
-                ssl=context is not None,
-                ssl_context_factory=lambda **options: context,
-                insecure=True,
+        if self._conn is None:
+            self._conn = peer_connection.PeerConnection(
+                self.address, PATH, CONNECT_SECONDS, self._link.new_context()
             )
-        return self._client
+        return self._conn
 
     def _hang_up(self):
-        if self._client is not None:
-            self._client.close()
-            self._client = None
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/tokens.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/tokens.py
@@ -7,6 +7,7 @@
 import dandeliontrail
 
 SCHEME = "Bearer "
+UNSIGNED = "unsigned"
 
 
 def hash_of(secret):
@@ -106,8 +107,13 @@
         self._key = key
 
     def sign(self, body):
-        """Return the signature of ``body``."""
-        return hmac.new(self._key, body, hashlib.sha256).hexdigest()
+        """Return the signature of ``body``.
+
+        Where there is no key nobody would check one.
+        """
+        if not self._key:
+            return UNSIGNED
+        return hmac.digest(self._key, body, "sha256").hex()
 
     def verify(self, body, signature):
         """Tell whether ``signature`` is that of ``body``."""
--- a/tests/cover/test_peer_link.py
+++ b/tests/cover/test_peer_link.py
@@ -1,7 +1,10 @@
 """The link between instances over real sockets."""
 
+import collections
 import pathlib
 
+import dandeliontrail
+import gevent
 from gevent import socket
 import msgspec
 import pytest
@@ -9,8 +12,14 @@
 from dandeliontrail.coordination import codec
 from dandeliontrail.coordination import messages
 from dandeliontrail.coordination import servers
+from dandeliontrail_node import clock
+from dandeliontrail_node.forwarding import answer_parser
 from dandeliontrail_node import outbox
+from dandeliontrail_node import packing
+from dandeliontrail_node import peer_connection
+from dandeliontrail_node import peer_link
 from dandeliontrail_node import settings
+from dandeliontrail_node import tokens
 
 from tests.common import world
 
@@ -44,11 +53,10 @@
         silent.bind(("127.0.0.1", 0))
         silent.listen(1)
         line = one.host._peer_link._lines[two.addresses["peers"]]
-        pool = line._client._connection_pool
-        sock = pool.get_socket()
-        sock.close()
         dead = socket.create_connection(silent.getsockname())
-        pool.return_socket(dead)
+        world.wait_until(lambda: line._conn is not None)
+        line._conn.close()
+        line._conn._sock = dead
         counters = one.host.metrics.counters
         world.wait_until(lambda: counters["peer_failed_batches_total"] > 0)
         held = two.host.state.members.members["i1"]
@@ -59,6 +67,74 @@
         silent.close()
 
 
+def test_answer_to_a_question_comes_back_in_the_same_exchange():
+    # Two hundred instances ask a keeper twice a second how recent their
+    # state is.  Each answer was a batch of its own, over a second
+    # connection: twice the work for the keeper, 0.19 core at 36 instances.
+    with world.World() as made:
+        one, two = made.instance("i1"), made.instance("i2")
+        world.wait_until(lambda: alive(one) == alive(two) == 1)
+        address = two.addresses["peers"]
+        for line in two.host._peer_link._lines.values():
+            line._post = lambda body, headers: True
+        held = one.host.state.members.members["i2"]
+        gevent.sleep(0.2)
+        seen = held.heard
+        one.host._peer_link.send(address, messages.Heartbeat(ask=True))
+        world.wait_until(lambda: held.heard > seen, 1.0)
+
+
+def test_answer_with_a_foreign_signature_is_not_taken_in(tmp_path):
+    # Whoever stands between two instances could else put words into the
+    # answers, which no batch could carry without the key.
+    path = tmp_path / "key"
+    path.write_text("a key that all instances share")
+    identity = dandeliontrail.Identity("i1", "fd1", "r1", 1)
+    link = peer_link.HttpPeerLink(
+        identity,
+        tokens.PeerKey(str(path)),
+        clock.MonotonicClock(),
+        collections.Counter(),
+        1e6,
+    )
+    taken = []
+    link.take_in = taken.append
+    body, headers = link.pack([outbox.Waiting(messages.Heartbeat(), 0.0)])
+    answer = answer_parser.Answer()
+    answer.headers = [
+        (peer_link.SIGNATURE_HEADER.lower(), "sha256:" + "0" * 64)
+    ]
+    with pytest.raises(packing.BadBatch):
+        link.open_answer(answer, body)
+    answer.headers = [(name.lower(), held) for name, held in headers.items()]
+    link.open_answer(answer, body)
+    assert [item.messages for item in taken] == [[messages.Heartbeat()]]
+
+
+def test_release_before_gets_what_it_is_told_as_batches():
+    # While releases are mixed, one that reads nothing in an answer must not
+    # lose what it is told: an instance without the header is not answered.
+    with world.World() as made:
+        one = made.instance("i1")
+        sender = messages.Sender("i2", "127.0.0.1:1", "fd1", "r1", 1)
+        link = one.host._peer_link
+        envelope = codec.Envelope(sender, [messages.Heartbeat(ask=True)])
+        body = codec.encode(envelope)
+        conn = peer_connection.PeerConnection(
+            one.addresses["peers"], peer_link.PATH, 1.0
+        )
+        signature = {peer_link.SIGNATURE_HEADER: link._key.sign(body)}
+        answer, data = conn.post(body, signature)
+        assert (answer.status, data) == (200, b"{}")
+        answers = {**signature, peer_link.ANSWERS_HEADER: "1"}
+        answer, data = conn.post(body, answers)
+        conn.close()
+        found, left_out = codec.decode(data)
+        assert any(
+            isinstance(item, messages.Heartbeat) for item in found.messages
+        )
+
+
 def test_unknown_message_does_not_take_the_heartbeat_along():
     # A newer release sends what this one does not know, in one batch with
     # its heartbeat.
