--- a/packages/dandeliontrail-node/src/dandeliontrail_node/packing.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/packing.py
@@ -2,8 +2,9 @@
 
 A whole configuration with 1,449 routes is 0.8 MB as an entry of the log and
 goes to every instance.  On a link of 5 Mbit/s that is 1.3 s for each, behind
-which heartbeats wait; compressed it is 60 KB.  What a relay answers two hundred
-times a second, work at 44 servers and some prompt parts, shrinks by half.
+which heartbeats wait; compressed it is 60 KB.  What a relay answers
+two hundred times a second, work at 44 servers and some prompt parts, shrinks
+by half.
 """
 
 import zlib
