Callers wait for an entry that starts where nobody else is up

Now a socket listens from the first lines on, where none of the seeds takes a connection; where one does, a caller is better off elsewhere and is refused as before.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -8,6 +8,7 @@
 
 import gevent
 from gevent import event as gevent_event
+from gevent import socket as gevent_socket
 
 import dandeliontrail
 from dandeliontrail.coordination import quorum_log_records
@@ -18,6 +19,7 @@
 from . import disk_writer
 from . import drain
 from . import early_hangup
+from . import early_listener
 from . import engine_client
 from . import face as face_module
 from . import host as host_module
@@ -166,7 +168,7 @@
         ]
         for item in listeners:
             server = http_server.Server(
-                item.address,
+                _held_listener(item.address) or item.address,
                 self.drain_state.closing(wsgi.guard(item.app, self._logger)),
                 item.limits or self._cfg.limits,
                 self._logger,
@@ -244,3 +246,13 @@
     def _reload_log_level(self):
         cfg = settings.load(self._settings_path)
         self._logger.setLevel(cfg.log.level.upper())
+
+
+def _held_listener(address):
+    """Return the socket that listens at ``address`` already, if one does."""
+    descriptor = early_listener.take(address)
+    if descriptor is None:
+        return None
+    sock = gevent_socket.socket(fileno=descriptor)
+    sock.setblocking(False)
+    return sock
