--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -42,6 +42,7 @@
         self._leaving = False
         self._reach = member_records.Reach.ALL
         self._silent = set()
+        self._relays = False
 
     def handlers(self):
         """Return the handlers of membership events and messages."""
@@ -65,6 +66,7 @@
             self._next_judgement = now + JUDGE_INTERVAL
             out.extend(self._judge(now))
             out.extend(self._report_silence(now))
+            out.extend(self._report_relay())
         if self._members.heartbeat_now:
             self._next_heartbeat = now + membership.HEARTBEAT_INTERVAL
             self._recover_health(now)
@@ -120,6 +122,27 @@
             for domain in sorted(silent ^ before)
         ]
 
+    def _report_relay(self):
+        """Log when this instance becomes a relay of its domain, or ceases.
+
+        A relay carries what its domain and the others tell each other, and
+        an operator who sees one busy instance among many looks for this line.
+        """
+        members = self._members
+        relays = members.is_relay()
+        if relays is self._relays:
+            return []
+        self._relays = relays
+        domain = self._state.identity.failure_domain
+        fields = {
+            "relay": relays,
+            "failure_domain": domain,
+            "others": [item.instance for item in members.relays_of(domain)],
+            "silent": members.silent_relays_of(domain),
+            "members": 1 + len(members.members),
+        }
+        return [effects.Log("info", "relay of the failure domain", fields)]
+
     def _excuse_pause(self, now):
         """Do not blame the others for a pause of this process.
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -324,6 +324,14 @@
         self.links()
         return list(self._links.relays)
 
+    def silent_relays_of(self, domain):
+        """Return who of a domain is no relay for being silent, by name."""
+        return sorted(
+            name
+            for name in self._silent & self.members.keys()
+            if self.members[name].failure_domain == domain
+        )
+
     def is_relay_of(self, member):
         """Tell whether a member is a relay of its failure domain."""
         return member in self.relays_of(member.failure_domain)
--- a/tests/cover/test_relays.py
+++ b/tests/cover/test_relays.py
@@ -2,6 +2,7 @@
 
 from dandeliontrail.coordination import member_records
 from dandeliontrail.coordination import servers
+from dandeliontrail import effects
 from dandeliontrail.resources import announcements
 from dandeliontrail_lab import members_costs as costs
 
@@ -138,3 +139,40 @@
     relay.learn(said("e1", 2, leaving=True), 0.0, 3.0)
     assert not other.vouched(relay.vouch("fd1", 3.0), 0.0, 3.0)
     assert not other.servers["e1"].serves(4.1)
+
+
+def test_an_instance_says_when_it_becomes_a_relay():
+    # One instance of many is busier than all others.  Its log must say that
+    # it carries its domain's news, since when, and whom it stands in for.
+    made = deployment()
+    first, second = relays(made, "fd1")
+    stop(made, first)
+    said = {}
+    for node in made.nodes:
+        if node.domain != "fd1" or node is second:
+            continue
+        member = node.reducer.components[0]
+        member.tick = watched(member.tick, said.setdefault(node.name, []))
+    made.run(6.0)
+    lines = [(name, found) for name, lines in said.items() for found in lines]
+    ((name, fields),) = lines
+    assert fields["relay"] is True
+    assert fields["others"] == [second.name]
+    assert first.name in fields["silent"]
+    assert name in [node.name for node in relays(made, "fd1")]
+
+
+def watched(tick, lines):
+    """Return ``tick``, which notes the lines about relays in ``lines``."""
+
+    def call(now):
+        out = tick(now)
+        lines.extend(
+            item.fields
+            for item in out
+            if isinstance(item, effects.Log)
+            and item.message == "relay of the failure domain"
+        )
+        return out
+
+    return call
