--- a/packages/dandeliontrail-node/src/dandeliontrail_node/face.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/face.py
@@ -2,9 +2,10 @@
 
 import abc
 import contextlib
-import msgspec
 import typing
 
+import msgspec
+
 from . import drain as drain_module
 from . import engine_client
 from . import host as host_module
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -1,6 +1,7 @@
 """What one platform's callers and servers say about a request."""
 
 import abc
+
 import msgspec
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/claim_rounds.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/claim_rounds.py
@@ -1,6 +1,7 @@
 """What the claims of requests and the requests tell each other."""
 
 import abc
+
 import msgspec
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+
 import msgspec
 
 from .. import invariants
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -35,6 +35,10 @@
 
 Stand = claim_entries.Stand
 
+# What a caller is told whom this instance cannot serve to the end: by the
+# time given the balancer has noticed, and asks others.
+DRAINING = sentinels.Nothing(sentinels.Reason.DRAINING, 1.0)
+
 
 class Requests(claim_rounds.Listener, interfaces.Component):
     """Takes requests through their life with the help of a policy."""
@@ -456,8 +460,7 @@
         if held is None:
             return self._cut_early(event.request_id)
         begun = held.begun > 0 or held.phase is life.Phase.CLAIMING
-        nothing = sentinels.Nothing(sentinels.Reason.DRAINING, 1.0)
-        refusal = answers.refusal(event.request_id, nothing, begun=begun)
+        refusal = answers.refusal(event.request_id, DRAINING, begun=begun)
         out = self._stop(held, "cut_short", now)
         return [effects.CutOff(refusal)] + out
 
@@ -465,8 +468,7 @@
         """Tell the caller of a request that waited for the state."""
         if not self._early.drop(request_id):
             return []
-        nothing = sentinels.Nothing(sentinels.Reason.DRAINING, 1.0)
-        return [effects.CutOff(answers.refusal(request_id, nothing))]
+        return [effects.CutOff(answers.refusal(request_id, DRAINING))]
 
     def _stop(self, held, reason, now):
         """Drop a request for which nobody waits any more."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -3,9 +3,10 @@
 Whoever is named as the owner is the only component that changes the part.
 """
 
-import msgspec
 import random
 
+import msgspec
+
 from ..coordination import ledger
 from ..coordination import membership
 from ..coordination import quorum_log
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/claim_entries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/claim_entries.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+
 import msgspec
 
 from . import claims
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/claim_votes.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/claim_votes.py
@@ -10,9 +10,10 @@
 """
 
 import heapq
-import msgspec
 import sys
 
+import msgspec
+
 from . import claims
 
 # 100,000 claims are about 45 MB (bench/claims.py).  A voter that is full
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
@@ -9,9 +9,10 @@
 
 import collections
 import enum
-import msgspec
 import typing
 
+import msgspec
+
 from .. import invariants
 from . import quorum_log_entries as entries
 from . import quorum_log_machine as machine_module
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_proposals.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_proposals.py
@@ -6,9 +6,10 @@
 """
 
 import enum
-import msgspec
 import typing
 
+import msgspec
+
 from . import quorum_log_core as core_module
 from . import quorum_log_machine as machine_module
 from . import quorum_log_messages as messages
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+
 import msgspec
 
 from . import affinity
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engines.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+
 import msgspec
 
 from . import pace
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fairness.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fairness.py
@@ -9,6 +9,7 @@
 
 import collections
 import heapq
+
 import msgspec
 
 # An organisation that was idle comes back at most this many tokens (by
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/model_orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/model_orders.py
@@ -13,9 +13,10 @@
 """
 
 import enum
-import msgspec
 from urllib import parse
 
+import msgspec
+
 # An engine that takes a load needs memory bandwidth for it and serves more
 # slowly; a tenth of the engines at a time (and at least one) keeps the loss
 # within the tenth of capacity that queues absorb.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -6,6 +6,7 @@
 
 import collections
 import hashlib
+
 import msgspec
 
 from .. import sentinels
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefix_index.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefix_index.py
@@ -12,9 +12,10 @@
 """
 
 import array
-import msgspec
 import zlib
 
+import msgspec
+
 # Entries of a set share one place in the table; eight keep the chance low
 # that one hot set loses entries while others stand empty.
 WAYS = 8
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/refusal.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/refusal.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+
 import msgspec
 
 from .. import sentinels
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+
 import msgspec
 
 # What the bound allows is used up to this part: requests in the window are
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+
 import msgspec
 
 from .. import sentinels
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/view.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+
 import msgspec
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/effects/peers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/peers.py
@@ -1,8 +1,9 @@
 """Effects that go to other instances."""
 
-import msgspec
 import typing
 
+import msgspec
+
 
 class SendPeer(msgspec.Struct):
     """Send ``message`` to the instance at ``address`` (``IP:port``)."""
--- a/packages/dandeliontrail/src/dandeliontrail/effects/reports.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/reports.py
@@ -1,6 +1,7 @@
 """Effects that tell people what happened."""
 
 import enum
+
 import msgspec
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/orders.py
@@ -1,6 +1,7 @@
 """Events about orders to engines and about their caches."""
 
 import enum
+
 import msgspec
 
 from ..resources import announcements
--- a/packages/dandeliontrail/src/dandeliontrail/events/peers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/peers.py
@@ -1,8 +1,9 @@
 """Events from other instances of the system."""
 
-import msgspec
 import typing
 
+import msgspec
+
 from ..coordination import messages
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+
 import msgspec
 
 
