--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -19,12 +19,15 @@
 import sys  # noqa: E402
 import time  # noqa: E402
 
+import gevent  # noqa: E402
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform"))
 
 import launch  # noqa: E402
 
 POLL_SECONDS = 0.02
+PARENT_SECONDS = 1.0
 _sleep = monkey.get_original("time", "sleep")
 
 
@@ -67,7 +70,24 @@
     launch.programs.settings_of = moved
 
 
+def end_with_parent():
+    """End where the soak has ended without ending this program.
+
+    A soak that was killed left its programs behind, which held the addresses
+    that the same seed takes again: every later run of it failed to start.
+    """
+    parent = os.getppid()
+
+    def watch():
+        while os.getppid() == parent:
+            gevent.sleep(PARENT_SECONDS)
+        os._exit(1)
+
+    gevent.spawn(watch)
+
+
 if __name__ == "__main__":
+    end_with_parent()
     spoil_clock(float(os.environ["SOAK_CLOCK"]))
     spoil_disk(os.environ["SOAK_DISK"])
     stand_behind(os.environ["SOAK_PEERS"])
