--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -137,8 +137,9 @@
     """Return a socket connected to ``host:port`` within so many seconds.
 
     An address that is a number already is not looked up: gevent asks its
-    thread pool, which takes two changes of thread, 0.3 ms of processor time
-    and the wait for a thread, at each new connection.
+    thread pool, which takes two changes of thread and the wait for them.  A
+    connection to a number takes 0.09 ms of processor time, by way of the pool
+    0.21 (four times 500 on loopback, beside other work).
     """
     host, port = address.rsplit(":", 1)
     host = host.strip("[]")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -151,7 +151,7 @@
         """Write to the caller, most often with one call of the system.
 
         The library's way asks for the size of the socket's buffer each time:
-        twice the calls for each of half a million events a minute.  What a
+        twice the calls for each event of a stream.  What a
         full buffer leaves over goes that way.
         """
         try:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_connection.py
@@ -1,8 +1,10 @@
 """One connection to another instance, which takes one batch at a time.
 
-A general HTTP client took 0.5 ms of processor time for each batch, most of
-it for pools, header objects and redirects, which a connection to a known
-path of a known instance has no use for.  The parser is the library's.
+A general HTTP client has pools, header objects and redirects, which a
+connection to a known path of a known instance has no use for.  With it, and
+with answers as batches of their own, a leading keeper of 36 idle instances
+spent 0.95 ms of processor time on each batch (0.163 core), without 0.56 (0.110
+core).  The parser is the library's.
 """
 
 from gevent import socket
@@ -47,8 +49,8 @@
         lines.append(f"Content-Length: {len(body)}\r\n\r\n")
         head = self._head + "".join(lines)
         self._sock.sendall(head.encode("latin-1") + body)
-        # A parser each time: bytes of an earlier answer cannot become part
-        # of this one, since each answer is read to its end.
+        # A parser each time: each answer is read to its end, so that no byte
+        # of an earlier one is left to become part of this one.
         parser = answer_parser.AnswerParser()
         while not (parser.answers and parser.answers[0].complete):
             self._read_into(parser)
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -4,8 +4,8 @@
 of its failure domain, which answers with the sum of all; a relay tells the
 relays of the other domains the sum of its own.  So each instance has a few
 exchanges a second however many there are, and one that has nothing to do has
-hardly any.  The relay used to tell its domain on its own accord: at 30 idle
-instances 73 batches a second for each relay, at 195 busy ones 235.
+hardly any.  A relay that told its domain on its own accord sent 73 batches a
+second at 30 idle instances, and would send 235 at 195.
 """
 
 from .. import effects
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -32,9 +32,9 @@
     """The engines that are weighed in one round, and what each has to do.
 
     A round decides about all that waits, before the same engines.  What is
-    alike for each piece of work is found out once: with 56 engines and two
-    pieces waiting that was most of the 1 ms of processor time that went into
-    deciding about a request.
+    alike for each piece of work is found out once: together with leaving
+    out the engines that cannot win this takes a third off the 1 ms of
+    processor time that it takes to decide about a request among 56 engines.
     """
 
     __slots__ = ("usable", "groups", "costs")
--- a/tests/cover/test_writing.py
+++ b/tests/cover/test_writing.py
@@ -36,8 +36,8 @@
 
 
 def test_one_call_writes_an_event():
-    # Half a million events a minute went out with two calls of the system
-    # each, the first of which asked for the size of a buffer.
+    # Each event of each stream went out with two calls of the system, the
+    # first of which asked for the size of a buffer.
     sock = FakeSocket(1000)
     made = handler(sock)
     made._sendall(b"x" * 90)
