--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_connection.py
@@ -7,9 +7,8 @@
 core).  The parser is the library's.
 """
 
-from gevent import socket
-
 import gevent
+from gevent import socket
 
 from . import connection
 from .forwarding import answer_parser
