--- a/tests/cover/test_dandelionctl.py
+++ b/tests/cover/test_dandelionctl.py
@@ -2,6 +2,8 @@
 
 import json
 import subprocess
+import urllib.error
+import urllib.request
 
 from dandeliontrail_ctl import api
 from dandeliontrail_ctl import main
@@ -127,6 +129,15 @@
     assert deployment.exit_codes == [0]
 
 
+def is_ready(address):
+    """Tell whether an instance says that callers may come."""
+    try:
+        with urllib.request.urlopen(f"http://{address}/readyz") as reply:
+            return reply.status == 200
+    except urllib.error.HTTPError:
+        return False
+
+
 def start_long_answer(deployment, url):
     """Start a request of some seconds and return once it runs."""
     served = engine.Engine("e1", "fd1", ["small"], 4, batch.Pace(step=0.01))
@@ -139,6 +150,9 @@
     server.put("organisations", "lab", key)
     world.wait_until(lambda: server.get("status")["serving_backend_servers"])
     address = deployment.addresses("callers")[0]
+    # As the balancer does: an instance that is not ready yet, which takes a
+    # tick after its first change, says "not run" and is right to.
+    world.wait_until(lambda: is_ready(address))
     ask = client.Ask(address, "k", "", "hello", max_tokens=100)
     job = gevent.spawn(client.send, ask)
     world.wait_until(lambda: served.batch.begun)
