An instance that becomes a relay counts nobody twice

Cause: the sum of all that a relay answers with is kept up to date word by word since this work, and the word of the relay before, which says all, was no longer left out of it. For the second in which that word is held the domain was told of twice the work there is. The test fails without the change.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
@@ -157,8 +157,14 @@
         return _loads(sums)
 
     def sum_of_all(self, own):
-        """Return the loads of all speakers, with ``own``."""
+        """Return the loads of all speakers, with ``own``.
+
+        What another relay said of all is no speaker's own word: an instance
+        that has just become the relay holds it for a second still.
+        """
         sums = {name: list(held) for name, held in self._sums.items()}
+        if ALL in self._said:
+            _add(sums, self._said[ALL][2], -1)
         _add(sums, own, 1)
         return _loads(sums)
 
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -296,6 +296,16 @@
     ]
 
 
+def test_an_instance_that_becomes_a_relay_counts_nobody_twice():
+    # It heard the sum of all from the relay before it, and now hears each
+    # instance for itself: its domain would be told of twice the work there
+    # is, and leave engines idle.
+    held = server_loads.LoadTable()
+    held.take(server_loads.ALL, "fd0", [server_loads.Load("e0", 3, 500)], 0.0)
+    held.take("a", "fd0", [server_loads.Load("e0", 3, 500)], 0.1)
+    assert held.sum_of_all([]) == [server_loads.Load("e0", 3, 500)]
+
+
 def test_only_changes_that_matter_are_told_at_once():
     held = [server_loads.Load("e0", 10, 5000)]
     assert not server_loads.differ(held, held)
