--- a/packages/dandeliontrail-node/src/dandeliontrail_node/channel.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/channel.py
@@ -1,9 +1,8 @@
 """What passes between the engine side and the caller side of a request."""
 
-import msgspec
-
 import gevent
 from gevent import queue
+import msgspec
 
 
 class Head(msgspec.Struct):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
@@ -1,8 +1,7 @@
 """The link between one caller's request and the reducer."""
 
-import msgspec
-
 from gevent import queue
+import msgspec
 
 from . import channel as channel_module
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_link.py
@@ -116,10 +116,11 @@
 
     def open_answer(self, answer, body):
         """Take in the messages in the answer to a batch."""
-        if not body or not answer.get(SIGNATURE_HEADER.lower()):
+        signature = answer.get(SIGNATURE_HEADER.lower())
+        if not body or not signature:
             # An earlier release, or there was nothing to say.
             return
-        if not self._key.verify(body, answer.get(SIGNATURE_HEADER.lower())):
+        if not self._key.verify(body, signature):
             raise packing.BadBatch("the answer is not signed with our key")
         encoding = answer.get("content-encoding")
         try:
--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -65,16 +65,21 @@
 NO_STATE_RETRY = 0.3
 
 
+def has_state(state):
+    """Tell whether requests for routes can be judged here by now."""
+    return state.log.ready and state.routing.table is not None
+
+
 def routed_work_of(state, event, received, now):
     """Return the work of a request for a route, or why there can be none.
 
     Its time counts from when it was ``received``, which may be a while ago.
     """
-    table = state.routing.table
-    if table is None or not state.log.ready:
+    if not has_state(state):
         return sentinels.Nothing(
             sentinels.Reason.NO_CONFIGURATION, NO_STATE_RETRY
         )
+    table = state.routing.table
     proven_ago = state.log.proven_ago(now)
     route = table.find(event.host, event.path)
     if route is None:
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -76,13 +76,11 @@
             if held:
                 self._policy.requeue(held.work, now)
         out = self._beliefs()
-        for event, received in self._early.due(self._has_state(), now):
+        ready = intake.has_state(self._state)
+        for event, received in self._early.due(ready, now):
             out.extend(self._take_routed(event, received, now))
         return out + self._decide(now)
 
-    def _has_state(self):
-        return self._state.log.ready and self._state.routing.table is not None
-
     def _beliefs(self):
         """Return the log lines of what the policy learnt of servers."""
         return [
@@ -120,7 +118,9 @@
 
     def _routed(self, event, now):
         """Take in a request for a route; it has no key to claim."""
-        if not self._has_state() and self._early.hold(event, now):
+        if not intake.has_state(self._state) and (
+            self._early.hold(event, now)
+        ):
             return []
         return self._take_routed(event, now, now)
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -56,7 +56,6 @@
         self._table = table
         self._domain = domain
         self._groups = collections.defaultdict(affinity.Groups)
-        self._followed = {}
         self._field = _Field(None, None)
 
     def placed(self, name):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
@@ -65,7 +65,6 @@
 
     def succeeded(self):
         """Take note of a whole answer."""
-        self.answers()
         self._answered(failed=False)
 
     def _answered(self, failed):
--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -57,6 +57,12 @@
         return held
 
 
+def new_ports():
+    """Return free ports for what a program listens on, by their names."""
+    names = ("callers", "ready", "control", "inner")
+    return dict(zip(names, free_ports(len(names))))
+
+
 def route(name, kind, **more):
     """Return a route of the manifest as the operator sends it."""
     return {
@@ -222,8 +228,7 @@
         self._revoke_ms = revoke_ms
         self._count = 0
         self._sequence = 0
-        names = ("callers", "ready", "control", "inner")
-        self.ports = dict(zip(names, free_ports(4)))
+        self.ports = new_ports()
         self.keeper = None
 
     def __enter__(self):
--- a/tests/cover/test_disk_comes_back.py
+++ b/tests/cover/test_disk_comes_back.py
@@ -44,6 +44,16 @@
         self._sync_all(handle)
 
 
+def fill_up(held, monkeypatch):
+    """Append one record; then have the disk be full and refuse the next."""
+    held.append([b"1"])
+    full = FullDisk(monkeypatch)
+    full.full = True
+    with pytest.raises(dandeliontrail.StorageRefused):
+        held.append([b"2"])
+    return full
+
+
 def test_a_keeper_holds_on_while_its_disk_is_full(monkeypatch):
     # A disk is full for some seconds while the operator sends a change.  The
     # keeper must not acknowledge what it cannot keep, must not end, since
@@ -70,11 +80,7 @@
     # Half of a record finds room before the disk is full.  It is written
     # again once there is room; a restart reads each record once.
     held = disk.FileStorage(tmp_path)
-    held.append([b"1"])
-    full = FullDisk(monkeypatch)
-    full.full = True
-    with pytest.raises(dandeliontrail.StorageRefused):
-        held.append([b"2"])
+    full = fill_up(held, monkeypatch)
     with pytest.raises(dandeliontrail.StorageRefused):
         held.recover()
     full.full = False
@@ -123,11 +129,7 @@
     # The disk comes back with less than the keeper has promised: to go on
     # would acknowledge on top of a hole.
     held = disk.FileStorage(tmp_path)
-    held.append([b"1"])
-    full = FullDisk(monkeypatch)
-    full.full = True
-    with pytest.raises(dandeliontrail.StorageRefused):
-        held.append([b"2"])
+    full = fill_up(held, monkeypatch)
     full.full = False
     path = tmp_path / "log"
     with path.open("r+b") as file:
--- a/tests/cover/test_early_hangup.py
+++ b/tests/cover/test_early_hangup.py
@@ -14,8 +14,7 @@
     # The settings of all machines change while one of them starts: SIGHUP
     # comes before the program has loaded its modules.  Its default action
     # ended the process without a word, and no instance served there.
-    names = ("callers", "ready", "control", "inner")
-    ports = dict(zip(names, platform_world.free_ports(4)))
+    ports = platform_world.new_ports()
     settings = {
         "seed": f"127.0.9.1:{ports['control']}",
         "revoke_ms": 5000,
--- a/tests/cover/test_early_listener.py
+++ b/tests/cover/test_early_listener.py
@@ -107,8 +107,7 @@
     # an entry loads its modules each caller is refused, tries once more
     # elsewhere, is refused there too and gives up for good: 366 requests of
     # one day at 79 machines.
-    names = ("callers", "ready", "control", "inner")
-    ports = dict(zip(names, platform_world.free_ports(4)))
+    ports = platform_world.new_ports()
     text = platform_world.SETTINGS.format(
         node="entry-1",
         ip=IP,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -175,8 +175,7 @@
         self.sent_with = {}
         self._count = 0
         self._stack = contextlib.ExitStack()
-        names = ("callers", "ready", "control", "inner")
-        self.ports = dict(zip(names, platform_world.free_ports(4)))
+        self.ports = platform_world.new_ports()
         base = self.rng.randrange(10, 250)
         ips = [f"127.0.{base}.{n + 1}" for n in range(KEEPERS + ENTRIES)]
         seeds = ",".join(
