Usage by window: decided once by the log, reported by one keeper at a time

Nothing of such duties existed.

What it is now. Instances that serve callers count what begins, by the first event of a stream or the sending of a plain request, in windows of the time of day, and tell the holder of the duty twice a second; undecided windows are told again until they are decided, and whole to a new holder. The holder proposes a window's counts to the quorum log once all have told it, at the latest 0.7 of the time in which it is due; the first decision stays and is what is sent, and sent again, until it is taken. The holder is a keeper with a lease in the log (the leases of orders, with terms of their own); the number of the log's entry that gave it the lease is the fencing number. The lease is looked at when the connection stands; the call is bounded and reset. A successor waits lease, call and half of what the platform's turn is longer than a call.

Weighed: the log's leader as holder with its term as number (each election changes the holder, whether the old one is well or not; no entries), and a lease that is renewed only where there is something to do (kept: some two entries a window; a holder stays through elections).

Ruled out: the usage ledger as source.

A test of the wait fails without its spare time; the state machine alone did not find that.

On the way: the client of orders and that of duties share the call under a lease.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -44,6 +44,7 @@
             reducer.state.orders.lease, clock, self.submit
         )
         self._usage_disk = None
+        self._duty_client = None
         self._pools = []
         self._queue = collections.deque()
         self._busy = False
@@ -59,6 +60,7 @@
             effects.Cancel: self._cancel,
             effects.DropConnections: self._drop_connections,
             effects.GiveOrder: self._give_order,
+            effects.PerformDuty: self._perform_duty,
             effects.SendPeer: self._send_peer,
             effects.WriteAnswered: self._answer_write,
             effects.VoterAnswered: self._answer_voter_change,
@@ -88,14 +90,19 @@
         """Have ``pool`` drop its connections to servers that are gone."""
         self._pools.append(pool)
 
+    def attach_duty_client(self, client):
+        """Make calls to the platform through ``client``."""
+        self._duty_client = client
+
     def start(self, address):
         """Tell the reducer where this instance is reached and tick on."""
-        self._begin_day()
+        self._read_clock()
         self.submit(events.Started(address))
         return gevent.spawn(self._tick_forever)
 
-    def _begin_day(self):
-        """Tell the reducer the UTC date, by which usage is kept."""
+    def _read_clock(self):
+        """Tell the reducer the time of day, by which usage is kept."""
+        self.submit(events.ClockRead(time.time()))
         day = time.strftime("%Y-%m-%d", time.gmtime())
         if day != self._day:
             self._day = day
@@ -163,7 +170,7 @@
         """Tick at once, since the seeds are greeted then, and on."""
         hurried_until = self.clock.now() + START_SECONDS
         while True:
-            self._begin_day()
+            self._read_clock()
             try:
                 self._run(self.reducer.tick(self.clock.now()))
             except Exception as exc:
@@ -230,6 +237,9 @@
     def _give_order(self, effect):
         gevent.spawn(self._order_client.give, effect)
 
+    def _perform_duty(self, effect):
+        gevent.spawn(self._duty_client.perform, effect)
+
     def _send_peer(self, effect):
         self._peer_link.send(effect.address, effect.message)
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -9,6 +9,7 @@
 from .. import sentinels
 from . import answers
 from . import attainment
+from . import begun
 from . import claim_rounds
 from ..coordination import claim_entries
 from ..coordination import claims as claims_module
@@ -50,6 +51,7 @@
         claimer.listener = self
         self._paused = []
         self._early = early_requests.EarlyRequests()
+        self._begun = begun.Begun(state.duties)
         self.lives = {}
 
     def handlers(self):
@@ -358,6 +360,7 @@
         self._policy.first_output(event.request_id, now)
         if held.first_output:
             return []
+        self._begun.first_output(held, now)
         held.first_output = now
         out = [
             measures.since_received(held.work, reports.Metric.FIRST_TOKEN, now)
@@ -404,6 +407,7 @@
         held = self._current(event)
         if held is None:
             return []
+        self._begun.broke_off(held, now)
         self._release(held, now, failed=True)
         self._count(held.work, 0, 0, wasted=event.relayed)
         if not held.work.repeatable:
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
@@ -0,0 +1,160 @@
+"""Which servers the holder of the platform's duties orders, and when.
+
+A part of the duties component.  It looks at what serves, asks
+:mod:`..decisions.server_counts` what to keep, and has each change of an
+order written to the log before it is given, so that the next holder goes on
+from there.
+"""
+
+from .. import effects
+from ..coordination import server_counts
+from ..decisions import server_counts as decision
+
+INTERVAL = 0.5
+# What is found counts as needed once it has stayed the same for this long:
+# servers announce themselves every second or so.
+SETTLED_SECONDS = 2.0
+# After its own start an instance has heard of all servers that there are.
+INFORMED_SECONDS = 4.0
+# An order whose servers do not come is given again once the time that they
+# take to start is over by this much.
+OVERDUE_SECONDS = 3.0
+NEVER = float("inf")
+
+
+class ServerOrders:
+    """Keeps the orders of all services in line with what serves."""
+
+    def __init__(self, state, propose):
+        self._state = state
+        self._ordered = state.duties.ordered
+        self._propose = propose
+        self._found = {}
+        self._proposed = set()
+        self._given = {}
+        self._due = {}
+        self._next_call = {}
+        self._next_look = 0.0
+        self._informed_at = None
+
+    def tick(self, now):
+        """Return the effects of orders that change."""
+        if self._informed_at is None:
+            self._informed_at = now + INFORMED_SECONDS
+        if now < self._next_look:
+            return []
+        self._next_look = now + INTERVAL
+        out = []
+        for service in self._services():
+            for domain, serving in self._serving(service.name, now).items():
+                out.extend(self._look(service, domain, serving, now))
+        return out
+
+    def _services(self):
+        table = self._state.routing.table
+        if table is None:
+            return []
+        return [item for item in table.revision.services if item.scaling]
+
+    def _serving(self, service, now):
+        """Return the :class:`decision.Stock` of each failure domain.
+
+        A domain of which no server at all is heard may be cut off, and is
+        left out.
+        """
+        found = {}
+        for held in self._state.registry.serving(now):
+            announcement = held.announcement
+            if announcement.service != service:
+                continue
+            domain = announcement.failure_domain
+            stock = found.setdefault(domain, decision.Stock())
+            if announcement.spot:
+                stock.spot += 1
+            else:
+                stock.regular += 1
+        return found
+
+    def _look(self, service, domain, serving, now):
+        regular = server_counts.Group(service.name, domain, False)
+        spot = server_counts.Group(service.name, domain, True)
+        last = self._ordered.last(regular)
+        settled = self._has_settled(regular, serving.regular, now)
+        if now < self._informed_at or (last is None and not settled):
+            return []
+        needed = last.needed if last else serving.regular
+        wanted = decision.plan(service.scaling, needed, serving)
+        self._note_missing(spot, serving.spot, service.scaling)
+        self._note_missing(regular, serving.regular, service.scaling)
+        out = []
+        for group, count in ((spot, wanted.spot), (regular, wanted.regular)):
+            out.extend(self._order(group, count, needed, serving, now))
+        return out
+
+    def _note_missing(self, group, serving, scaling):
+        """Have an order given again whose servers did not come."""
+        last = self._ordered.last(group)
+        given = self._given.get(group)
+        if last is None or given is None or serving >= last.count:
+            self._due.pop(group, None)
+        else:
+            self._due[group] = given + scaling.boot_seconds + OVERDUE_SECONDS
+
+    def _has_settled(self, group, count, now):
+        """Tell whether as many have served for a while."""
+        before, since = self._found.get(group, (None, now))
+        if before != count:
+            self._found[group] = (count, now)
+            return False
+        return now - since >= SETTLED_SECONDS
+
+    def _order(self, group, count, needed, serving, now):
+        last = self._ordered.last(group)
+        unchanged = last is not None and last.count == count
+        if unchanged or group in self._proposed:
+            return []
+        self._proposed.add(group)
+        order = server_counts.CountOrder(group, count, needed)
+        fields = {
+            "service": group.service,
+            "failure_domain": group.failure_domain,
+            "spot": group.spot,
+            "count": count,
+            "before": last.count if last else None,
+            "needed": needed,
+            "regular_serving": serving.regular,
+            "spot_serving": serving.spot,
+        }
+
+        def settled(found, now):
+            self._proposed.discard(group)
+            self._given.pop(group, None)
+            return []
+
+        return [
+            effects.Log("info", "servers ordered", fields),
+            *self._propose(order, now, settled),
+        ]
+
+    # -- giving the orders ------------------------------------------------
+
+    def next(self, now):
+        """Return the call that is due, or ``None``."""
+        for group, order in self._ordered.orders.items():
+            if now < self._next_call.get(group, 0.0):
+                continue
+            if group in self._given and now < self._due.get(group, NEVER):
+                continue
+            version = self._ordered.versions[group]
+            return effects.SetServerCount(group, order.count, version)
+        return None
+
+    def took(self, call, now):
+        """Take note that the platform has an order."""
+        if self._ordered.versions.get(call.group) == call.version:
+            self._given[call.group] = now
+        self._next_call.pop(call.group, None)
+
+    def put_off(self, call, until):
+        """Give an order again at ``until``."""
+        self._next_call[call.group] = until
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -16,6 +16,7 @@
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
+from . import duties_state
 from . import orders_state
 from ..resources import store
 from . import revisions
@@ -44,7 +45,8 @@
     component, ``routing`` the revisions component, ``loads`` the server loads
     component, ``usage`` the usage
     component, into which the request
-    component counts, ``orders`` the orders component.
+    component counts, ``orders`` the orders component, ``duties`` the
+    duties component.
     """
 
     identity: Identity
@@ -58,6 +60,7 @@
     orders: orders_state.OrdersState
     routing: revisions.RoutingState
     loads: server_loads.LoadTable
+    duties: duties_state.DutiesState
     draining: bool = False
 
 
@@ -70,6 +73,7 @@
     log_options=quorum_log_options.DEFAULT,
     routing_options=revisions.RoutingOptions(),
     longest_lease=servers.LONGEST_LEASE,
+    duty_options=duties_state.DutyOptions(),
 ):
     """Return the state of an instance that knows only its seeds.
 
@@ -100,4 +104,5 @@
         orders_state.new_orders_state(identity),
         revisions.RoutingState(routing_options),
         server_loads.LoadTable(),
+        duties_state.new_duties_state(identity, duty_options),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -15,6 +15,7 @@
 from . import server_loads
 from . import servers
 from . import usage
+from . import usage_windows
 from . import vouches
 
 ALL = (
@@ -35,6 +36,7 @@
     usage.UsageRows,
     usage.UsageHave,
     usage.UsageCheckpoint,
+    usage_windows.WindowReport,
     *quorum_log_messages.ALL,
     quorum_log_voters.VoterRequest,
     quorum_log_voters.VoterReply,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/leases.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/leases.py
@@ -1,9 +1,10 @@
-"""Who may give orders to the engines of a failure domain.
+"""Who may act alone: give orders to engines, or call the platform.
 
-One instance of a failure domain holds the right at a time.  The quorum log
-decides who: :class:`LeaseTable` is applied entry by entry on every
-instance, and the fencing number of a holder is the log position at which
-it took over, so that it grows with every holder.
+There is one lease for the orders of each failure domain and one for the
+calls to the platform; what a lease is for is its *subject*.  One instance
+holds it at a time.  The quorum log decides who: :class:`LeaseTable` is
+applied entry by entry on every instance, and the fencing number of a holder
+is the log position at which it took over, so that it grows with every holder.
 
 The log has no clock, so the table knows no time.  Time is counted twice, by
 those who need it, each on its own monotonic clock:
@@ -38,8 +39,39 @@
 RENEW_BELOW = 0.5
 
 
+class LeaseTerms(msgspec.Struct, frozen=True):
+    """What holds for the leases of one kind of subject, in seconds.
+
+    ``lease`` is how long a grant lasts and ``longest_call`` how long what it
+    allows may be under way.  ``turn`` guards those who look at nothing but
+    the order of calls: within so long, nobody acts, is followed by another
+    and acts again.
+    """
+
+    lease: float = LEASE
+    longest_call: float = LONGEST_ORDER
+    turn: float = 0.0
+
+    def wait(self):
+        """Return how long a new holder waits before it acts.
+
+        Its predecessor's last call is over by then.  With a wait of lease,
+        call and ``x`` an instance that acts again after another was granted
+        the lease at least wait less lease after that one, hence acts at
+        least call and twice ``x`` after its own last call.
+        """
+        spare = max(0.0, self.turn - self.longest_call) / 2.0
+        seconds = self.lease + self.longest_call + spare
+        return seconds * (1.0 + CLOCK_ERROR)
+
+
+ORDER_TERMS = LeaseTerms()
+
+
 class LeaseRequest(msgspec.Struct, tag="lease"):
-    """A log entry: ``holder`` asks for the orders of a failure domain.
+    """A log entry: ``holder`` asks for the lease of a subject.
+
+    Its subject is written as ``failure_domain``.
 
     ``replaces`` is the fencing number that it takes for the present one:
     of several that ask to replace the same holder, the log grants the
@@ -47,14 +79,14 @@
     which no longer knows what it had under way, from the one before.
     """
 
-    failure_domain: str
+    subject: str = msgspec.field(name="failure_domain")
     holder: str
     incarnation: int
     replaces: int
 
 
 class Holding(msgspec.Struct):
-    """Who holds a failure domain's orders, by the log."""
+    """Who holds the lease of a subject, by the log."""
 
     holder: str = ""
     incarnation: int = 0
@@ -74,20 +106,20 @@
 
 
 class LeaseTable:
-    """The holders of all failure domains; a pure function of the log."""
+    """The holders of all subjects; a pure function of the log."""
 
     __slots__ = ("holdings",)
 
     def __init__(self):
         self.holdings = {}
 
-    def holding(self, failure_domain):
-        """Return who holds the orders of a failure domain."""
-        return self.holdings.get(failure_domain) or Holding()
+    def holding(self, subject):
+        """Return who holds the lease of a subject."""
+        return self.holdings.get(subject) or Holding()
 
     def apply(self, version, request):
         """Apply the request that the log has at ``version``."""
-        present = self.holding(request.failure_domain)
+        present = self.holding(request.subject)
         if _same_holder(present, request):
             return LeaseResult(True, False, present)
         if request.replaces != present.fencing:
@@ -98,7 +130,7 @@
             f"{version} after {present.fencing}",
         )
         taken = Holding(request.holder, request.incarnation, version)
-        self.holdings[request.failure_domain] = taken
+        self.holdings[request.subject] = taken
         return LeaseResult(True, True, taken)
 
     def snapshot(self):
@@ -132,14 +164,19 @@
 
 
 class LeaseHolder:
-    """One instance's side of the lease of its own failure domain."""
+    """One instance's side of a lease; the subject is its failure domain.
 
-    __slots__ = ("_identity", "_asked_at", "grant")
+    Another ``subject`` may be named, with ``terms`` of its own.
+    """
 
-    def __init__(self, identity):
+    __slots__ = ("terms", "grant", "_identity", "_subject", "_asked_at")
+
+    def __init__(self, identity, subject="", terms=ORDER_TERMS):
+        self.terms = terms
+        self.grant = None
         self._identity = identity
+        self._subject = subject
         self._asked_at = None
-        self.grant = None
 
     def ask(self, present, now):
         """Return the request to put into the log, at ``now``.
@@ -149,7 +186,7 @@
         """
         self._asked_at = now
         return LeaseRequest(
-            self._identity.failure_domain,
+            self._subject or self._identity.failure_domain,
             self._identity.instance,
             self._identity.incarnation,
             present.fencing,
@@ -170,7 +207,7 @@
         if result is None or not result.granted:
             self.grant = None
             return
-        valid_until = asked_at + LEASE * (1.0 - CLOCK_ERROR)
+        valid_until = asked_at + self.terms.lease * (1.0 - CLOCK_ERROR)
         unchecked_from = self._unchecked_from(result, now)
         self.grant = Grant(result.holding.fencing, valid_until, unchecked_from)
 
@@ -181,8 +218,7 @@
         # A grant that is not a renewal of the one in hand may follow
         # another holder, or this instance's own earlier lease of which an
         # order is still under way.  Wait out both.
-        wait = (LEASE + LONGEST_ORDER) * (1.0 + CLOCK_ERROR)
-        return now + wait
+        return now + self.terms.wait()
 
     def superseded(self, holding):
         """Give up the lease when the log names another holder."""
@@ -193,10 +229,11 @@
         """Tell whether a holder with work to do should ask again."""
         if self.grant is None:
             return True
-        return self.grant.valid_until - now < LEASE * RENEW_BELOW
+        left = self.grant.valid_until - now
+        return left < self.terms.lease * RENEW_BELOW
 
     def may_order(self, checks_fencing, now):
-        """Tell whether an order may be sent at ``now``.
+        """Tell whether an order, or a call, may be sent at ``now``.
 
         It is asked at the last moment before sending, after the connection
         stands, so that a pause of the process before it is noticed.
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -159,6 +159,11 @@
         """Tell whether the state here may be served from."""
         return self._start.ready
 
+    @property
+    def voters(self):
+        """Return the keepers that vote, as the log has them."""
+        return self._core.log.voters
+
     def stale(self, now):
         """Tell whether a majority has not been heard of for a while."""
         return self._freshness.stale(now)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
@@ -14,6 +14,8 @@
 from . import leases
 from ..resources import changes
 from ..resources import revisions
+from . import server_counts
+from . import usage_windows
 
 
 class Voter(msgspec.Struct, frozen=True, order=True):
@@ -54,6 +56,8 @@
     revisions.Revision,
     downloads.DownloadEntry,
     leases.LeaseRequest,
+    usage_windows.WindowDecision,
+    server_counts.CountOrder,
 )
 
 Body = typing.Union[ALL]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -4,6 +4,9 @@
 from .config import ReplaceLog
 from .config import VoterAnswered
 from .config import WriteAnswered
+from .duties import PerformDuty
+from .duties import ReportUsage
+from .duties import SetServerCount
 from .orders import GiveOrder
 from .peers import SendPeer
 from .reports import Log
@@ -29,11 +32,14 @@
     "GiveOrder",
     "Log",
     "Measure",
+    "PerformDuty",
     "Refuse",
     "ReplaceLog",
     "ReplaceUsage",
     "Replay",
+    "ReportUsage",
     "SendPeer",
+    "SetServerCount",
     "VoterAnswered",
     "WriteAnswered",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -11,6 +11,9 @@
 from .config import StorageFailed
 from .config import VoterChangeAsked
 from .config import WriteSubmitted
+from .duties import ClockRead
+from .duties import DutyAnswer
+from .duties import DutyAnswered
 from .orders import CacheChanged
 from .orders import OrderAnswer
 from .orders import OrderAnswered
@@ -38,7 +41,10 @@
     "AttemptFailed",
     "CacheChanged",
     "CallerGone",
+    "ClockRead",
     "DayBegan",
+    "DutyAnswer",
+    "DutyAnswered",
     "CutShort",
     "FirstOutput",
     "Left",
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -14,6 +14,8 @@
 from .components import claims
 from .components import cluster_view
 from .components import configuration
+from .components import duties
+from .components import duties_state
 from .components import members
 from .components import orders
 from .components import renewals
@@ -23,6 +25,7 @@
 from .components import server_loads
 from .components import state as state_module
 from .components import usage
+from .components import usage_windows
 from .coordination import quorum_log_options
 from .coordination import servers
 from .decisions import adaptive
@@ -97,6 +100,7 @@
     log_options=quorum_log_options.DEFAULT,
     routing_options=revisions.RoutingOptions(),
     longest_lease=servers.LONGEST_LEASE,
+    duty_options=duties_state.DutyOptions(),
     new_policy=None,
 ):
     """Return the reducer of an instance, put together from its parts.
@@ -109,7 +113,8 @@
     memory.  ``keeps_usage`` tells that there is a disk for usage and
     ``log_options`` what else is chosen about the log;
     ``routing_options`` says how recent state must be to be acted on,
-    ``longest_lease`` how long a silent backend server is taken for alive.
+    ``longest_lease`` how long a silent backend server is taken for alive,
+    ``duty_options`` what the platform asks of whoever calls it.
     ``new_policy(rng, view, state)`` makes the policy where ``policy`` is
     not given.
     """
@@ -122,6 +127,7 @@
         log_options,
         routing_options,
         longest_lease,
+        duty_options,
     )
     if new_policy is not None:
         view = cluster_view.StateView(state)
@@ -141,6 +147,7 @@
         renewing,
         backend_servers.BackendServers(state, chosen, renewing),
         usage.Usage(state, keeps_usage),
+        usage_windows.UsageWindows(state),
         configuration.Configuration(state),
         revisions.Revisions(state, configuration.answer_to),
         voting,
@@ -148,6 +155,7 @@
         server_loads.ServerLoads(state, chosen),
         serving,
         orders.Orders(state),
+        duties.Duties(state),
         caches.Caches(state),
     ]
     # Every applier is registered by now, as the replay needs them all.
--- a/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
@@ -26,7 +26,8 @@
     """One announcement; ``(epoch, sequence)`` orders those of a server.
 
     ``lease`` is in seconds: how long the server may be taken for alive
-    without hearing from it again.
+    without hearing from it again.  A ``spot`` server may be taken away by
+    the platform at short notice.
     """
 
     backend_server: str
@@ -44,6 +45,7 @@
     leaving: bool = False
     checks_fencing: bool = False
     lease: float = 3.0
+    spot: bool = False
 
     def order(self):
         """Return the pair by which a newer announcement is told."""
--- a/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
@@ -54,12 +54,30 @@
     tokens_per_event: int = 1
 
 
+class Scaling(msgspec.Struct):
+    """Servers of a service that can be ordered, by failure domain.
+
+    ``fewest`` and ``most`` bound those of both kinds together in a domain.
+    A new server serves ``boot_seconds`` after its order; a spot server costs
+    ``spot_price`` of a regular one and may be taken away at any time.
+    """
+
+    fewest: int
+    most: int
+    boot_seconds: float = 0.0
+    spot_price: float = 1.0
+
+
 class Service(msgspec.Struct):
-    """One service; ``max_connections`` is over all instances."""
+    """One service; ``max_connections`` is over all instances.
+
+    Without ``scaling`` the number of its servers is not ours to choose.
+    """
 
     name: str
     max_connections: int = 0
     engine: Engine | None = None
+    scaling: Scaling | None = None
 
 
 class Organisation(msgspec.Struct):
--- a/tests/cover/test_order_leases.py
+++ b/tests/cover/test_order_leases.py
@@ -18,8 +18,9 @@
 RATES = (1.005, 0.995)
 # How much of the longest time an order may be under way it takes.
 DELAYS = (0.0, 0.99)
-TICK = 0.25
-TICKS = tuple(int(part * leases.LEASE / TICK) for part in (0.1, 0.45, 1, 1.3))
+# Parts of a lease in which time moves on, and how finely.
+TICK_PART = 1 / 80
+TICKS = tuple(int(part / TICK_PART) for part in (0.1, 0.45, 1, 1.3))
 
 
 @dataclasses.dataclass
@@ -30,6 +31,7 @@
     index: int
     offset: float
     rate: float
+    terms: leases.LeaseTerms = leases.ORDER_TERMS
     incarnation: int = 1
     holder: leases.LeaseHolder = None
 
@@ -41,7 +43,7 @@
         identity = dandeliontrail.Identity(
             self.name, "fd1", "r1", self.incarnation
         )
-        self.holder = leases.LeaseHolder(identity)
+        self.holder = leases.LeaseHolder(identity, "fd1", self.terms)
 
     def now(self, real):
         return self.offset + self.rate * real
@@ -65,6 +67,8 @@
     clocks run at rates up to 1% apart, answers are lost or late.
     """
 
+    terms = leases.ORDER_TERMS
+
     def __init__(self):
         super().__init__()
         self.real = 0.0
@@ -75,7 +79,7 @@
         self.orders = []
         self.highest = 0
         self.instances = [
-            Instance(f"i{index}", index, index * 100.0, rate)
+            Instance(f"i{index}", index, index * 100.0, rate, self.terms)
             for index, rate in enumerate(RATES)
         ]
         for instance in self.instances:
@@ -91,7 +95,7 @@
     def time_passes(self, ticks, delays):
         """Let everyone order as long as it may, each with its delay."""
         for _ in range(ticks):
-            self.real += TICK
+            self.real += self.terms.lease * TICK_PART
             for instance, delay in zip(self.instances, delays, strict=True):
                 self.renew(instance)
                 self.send_order(instance, delay)
@@ -106,15 +110,19 @@
     def send_order(self, instance, delay):
         if not instance.holder.may_order(False, instance.now(self.real)):
             return
-        at = self.real + delay * leases.LONGEST_ORDER / instance.rate
-        self.orders.append((at, instance.holder.grant.fencing))
+        at = self.real + delay * self.terms.longest_call / instance.rate
+        self.orders.append((at, instance.holder.grant.fencing, instance.name))
 
     def deliver_orders(self):
         due = sorted(item for item in self.orders if item[0] <= self.real)
         self.orders = [item for item in self.orders if item[0] > self.real]
-        for _, fencing in due:
+        for at, fencing, name in due:
             assert fencing >= self.highest, "orders of two holders mixed"
             self.highest = fencing
+            self.arrived(at, name)
+
+    def arrived(self, at, name):
+        """Judge an order beyond its fencing number."""
 
     @stateful.rule(index=which, fate=st.sampled_from(FATES))
     def ask(self, index, fate):
@@ -168,9 +176,41 @@
 TestOrdersDoNotInterleave = OrdersDoNotInterleave.TestCase
 
 
+class CallsDoNotTakeTurns(OrdersDoNotInterleave):
+    """Two keepers call the platform by turns, one after the other.
+
+    What a user sees: the platform counts two callers as fighting, though
+    their fencing numbers only grow.  Cause: a lease that goes there and back
+    quicker than the platform's own idea of a lease lasts.
+    """
+
+    terms = leases.LeaseTerms(1.5, 1.0, 3.0)
+
+    def __init__(self):
+        super().__init__()
+        self.last_call = {}
+        self.last_caller = ""
+
+    def arrived(self, at, name):
+        before = self.last_call.get(name)
+        if before is not None and self.last_caller != name:
+            assert at - before >= self.terms.turn, "by turns"
+        self.last_call[name] = at
+        self.last_caller = name
+
+
+CallsDoNotTakeTurns.TestCase.settings = hypothesis.settings(
+    max_examples=500, stateful_step_count=30
+)
+TestCallsDoNotTakeTurns = CallsDoNotTakeTurns.TestCase
+
+
+def make_identity(name):
+    return dandeliontrail.Identity(name, "fd1", "r1", 1)
+
+
 def make_holder(name):
-    identity = dandeliontrail.Identity(name, "fd1", "r1", 1)
-    return leases.LeaseHolder(identity)
+    return leases.LeaseHolder(make_identity(name))
 
 
 def test_successor_waits_for_an_engine_that_does_not_check():
@@ -197,6 +237,34 @@
     assert not first.may_order(True, 10.1)
 
 
+def ask_and_answer(table, holder, version, now):
+    request = holder.ask(table.holding("fd1"), now)
+    holder.answered(table.apply(version, request), now)
+
+
+def test_holders_that_take_turns_do_so_slowly():
+    # A holder is cut off and its successor acts; right after the successor
+    # asked for its lease the last time, the first one is granted it again.
+    # The platform must not see first, second and first within its three
+    # seconds, though the first's last call was late and its next is prompt.
+    terms = CallsDoNotTakeTurns.terms
+    table = leases.LeaseTable()
+    first, second = (
+        leases.LeaseHolder(make_identity(name), "fd1", terms)
+        for name in ("i1", "i2")
+    )
+    for version, now in ((1, 0.0), (2, 10.0)):
+        ask_and_answer(table, first, version, now)
+    last_call = first.grant.valid_until + terms.longest_call
+    ask_and_answer(table, second, 3, 10.0)
+    wait = second.grant.unchecked_from
+    ask_and_answer(table, second, 4, wait - terms.lease * 0.98)
+    assert second.may_order(False, wait)
+    first.superseded(table.holding("fd1"))
+    ask_and_answer(table, first, 5, wait - terms.lease * 0.98)
+    assert first.grant.unchecked_from - last_call >= terms.turn
+
+
 def test_lease_counts_from_before_it_was_asked_for():
     # The log's answer reaches the holder after 15 of its 20 seconds.  A
     # successor may have been granted right after it, and waits from then
