Servers are ordered: spot ones in place of regular ones, under the same lease

A pure decision (decisions/server_counts) says how many of each kind to keep in a failure domain: as many as were found there first, all but one of them spot; regular ones stand in for spot ones that do not serve. Orders are log entries before they are given, so that the next holder goes on from them; a failure domain of which no server is heard is left alone.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/duty_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/duty_client.py
@@ -31,16 +31,20 @@
 class DutyClient:
     """Carries out :class:`dandeliontrail.effects.PerformDuty`."""
 
-    def __init__(self, duties, clock, submit, url, dialect):
+    def __init__(self, host, url, dialect):
+        duties = host.state.duties
         self._checks_fencing = duties.options.checks_fencing
-        self._calls = leased_call.LeasedCall(duties.lease, clock)
-        self._submit = submit
+        self._calls = leased_call.LeasedCall(duties.lease, host.clock)
+        self._submit = host.submit
+        self._counters = host.metrics.counters
         self._url = url
         self._dialect = dialect
 
     def perform(self, effect):
         """Make one call and submit its answer as an event."""
         answer, detail = self._send(effect)
+        name = f'platform_calls_total{{answer="{answer.value}"}}'
+        self._counters[name] += 1
         self._submit(
             events.DutyAnswered(effect.call, effect.fencing, answer, detail)
         )
--- a/packages/dandeliontrail/src/dandeliontrail/components/usage_windows.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage_windows.py
@@ -42,6 +42,8 @@
 
     def tick(self, now):
         """Tell what is new, and all that is open from time to time."""
+        if not self._duties.options.reports_usage:
+            return []
         if not self._duties.clock.known:
             return []
         out = self._settle()
--- /dev/null
+++ b/tests/cover/test_server_counts.py
@@ -0,0 +1,221 @@
+"""Servers that are paid for by the second, and may be taken away."""
+
+import hypothesis
+import hypothesis.strategies as st
+
+from dandeliontrail.components import server_orders
+from dandeliontrail.coordination import server_counts as ordered_counts
+from dandeliontrail.decisions import server_counts
+from dandeliontrail import effects
+from dandeliontrail import events
+from dandeliontrail.resources import announcements
+from dandeliontrail.resources import revisions
+
+from tests.cover import test_platform_duties
+
+SCALING = revisions.Scaling(1, 30, 4.0, 0.22)
+Stock = server_counts.Stock
+BOOT_SECONDS = SCALING.boot_seconds
+HALF = 0.5
+
+
+@hypothesis.given(
+    st.integers(0, 40),
+    st.integers(0, 40),
+    st.integers(0, 40),
+    st.integers(0, 5),
+    st.integers(6, 60),
+)
+def test_bounds_of_the_configuration_hold(needed, regular, spot, least, most):
+    scaling = revisions.Scaling(least, most, 4.0, 0.22)
+    made = server_counts.plan(scaling, needed, Stock(regular, spot))
+    assert least <= made.regular + made.spot <= most
+    assert made.regular >= min(needed, server_counts.KEPT_REGULAR)
+
+
+def test_kinds_change_without_a_moment_of_fewer_servers():
+    # All spot servers are ordered while every regular one still serves, and
+    # regular ones go only as spot ones have come.
+    for spot in range(5):
+        made = server_counts.plan(SCALING, 5, Stock(5, spot))
+        assert made == Stock(5 - spot, 4)
+
+
+def test_regular_servers_stand_in_for_those_taken_away():
+    assert server_counts.plan(SCALING, 5, Stock(1, 0)) == Stock(5, 4)
+
+
+def test_dear_spot_servers_are_not_ordered():
+    scaling = revisions.Scaling(1, 30, 4.0, 1.0)
+    assert server_counts.plan(scaling, 5, Stock(5, 0)) == Stock(5, 0)
+
+
+DOMAINS = ("fd1", "fd2", "fd3")
+IN_EACH = 5
+
+
+def group_of(domain, spot):
+    return ordered_counts.Group("llm", domain, spot)
+
+
+class Platform:
+    """A stand-in that keeps the servers that are ordered, and bills them.
+
+    ``gone`` are failure domains whose spot servers were taken away: there
+    are none to be had there.  ``bill`` is in seconds of regular servers.
+    """
+
+    def __init__(self, keeper):
+        self.keeper = keeper
+        self.wanted = {group_of(item, False): IN_EACH for item in DOMAINS}
+        self.serving = {group: [] for group in self.wanted}
+        self.starting = []
+        self.gone = set()
+        self.bill = 0.0
+        self.made = 0
+        self.calls = []
+        keeper.answer = self.call
+        for group in self.wanted:
+            for _ in range(IN_EACH):
+                self.start(group)
+
+    def call(self, call):
+        if not isinstance(call, effects.SetServerCount):
+            return events.DutyAnswer.TAKEN
+        group = call.group
+        if group.spot and group.failure_domain in self.gone and call.count:
+            return events.DutyAnswer.REFUSED
+        self.calls.append(call)
+        self.wanted[group] = call.count
+        return events.DutyAnswer.TAKEN
+
+    def start(self, group):
+        self.made += 1
+        self.serving.setdefault(group, []).append(f"s{self.made}")
+
+    def stop(self, group, count):
+        for _ in range(count):
+            self.announce(group, self.serving[group].pop(), leaving=True)
+
+    def take_away(self, domain):
+        group = group_of(domain, True)
+        self.gone.add(domain)
+        self.wanted[group] = 0
+        self.stop(group, len(self.serving[group]))
+
+    def run(self, seconds, cut=()):
+        """Let time pass; nobody hears the servers in a domain that is cut."""
+        for _ in range(round(seconds / HALF)):
+            self.change()
+            for group, names in self.serving.items():
+                if group.failure_domain not in cut:
+                    for name in names:
+                        self.announce(group, name)
+            self.keeper.run(HALF)
+
+    def change(self):
+        now = self.keeper.now
+        for item in [item for item in self.starting if item[0] <= now]:
+            self.starting.remove(item)
+            self.start(item[1])
+        for group, count in self.wanted.items():
+            serving = len(self.serving.setdefault(group, []))
+            coming = sum(1 for _, item in self.starting if item == group)
+            self.stop(group, max(0, serving - count))
+            for _ in range(count - serving - coming):
+                self.starting.append((now + BOOT_SECONDS, group))
+        for group, names in self.serving.items():
+            price = SCALING.spot_price if group.spot else 1.0
+            self.bill += HALF * len(names) * price
+
+    def announce(self, group, name, leaving=False):
+        made = announcements.Announcement(
+            name,
+            1,
+            round(self.keeper.now / HALF),
+            "model_engine",
+            "http://127.0.0.1:1",
+            failure_domain=group.failure_domain,
+            service=group.service,
+            spot=group.spot,
+            leaving=leaving,
+        )
+        self.keeper.apply(events.Announced(made))
+
+    def count(self, domain, spot):
+        return len(self.serving.get(group_of(domain, spot), []))
+
+    def total(self):
+        return sum(len(names) for names in self.serving.values())
+
+
+def scaled():
+    """Return the platform of a keeper with a service that can be scaled."""
+    keeper = test_platform_duties.Keeper()
+    service = revisions.Service("llm", scaling=SCALING)
+    revision = revisions.Revision(1, "{}", services=[service])
+    keeper.apply(events.RevisionSubmitted("w", revision))
+    return Platform(keeper)
+
+
+def test_most_servers_become_spot_servers_and_none_is_missed():
+    platform = scaled()
+    for _ in range(60):
+        platform.run(HALF)
+        assert platform.total() >= len(DOMAINS) * IN_EACH
+    for domain in DOMAINS:
+        assert platform.count(domain, spot=False) == 1
+        assert platform.count(domain, spot=True) == IN_EACH - 1
+    began = platform.bill
+    platform.run(10.0)
+    regular = 10.0 * len(DOMAINS) * IN_EACH
+    assert platform.bill - began < regular * 0.4
+
+
+def test_failure_domain_serves_on_when_its_spot_servers_are_taken_away():
+    # All spot servers of a failure domain are taken at once, and for ten
+    # seconds there are none to be had.  Its callers go on with the one
+    # regular server, and with as many as before once others have started.
+    platform = scaled()
+    platform.run(20.0)
+    platform.take_away("fd2")
+    platform.run(1.0)
+    assert platform.count("fd2", spot=False) == 1
+    platform.run(BOOT_SECONDS + 1.0)
+    assert platform.count("fd2", spot=False) == IN_EACH
+    platform.gone.clear()
+    platform.run(20.0)
+    assert platform.count("fd2", spot=True) == IN_EACH - 1
+    assert platform.count("fd2", spot=False) == 1
+
+
+def test_cut_changes_no_order():
+    # A failure domain is cut off from the keepers for half a minute: nothing
+    # is heard of its servers, which serve on.  Nothing may be ordered for it
+    # by what is not known.
+    platform = scaled()
+    platform.run(20.0)
+    given = len(platform.calls)
+    platform.run(30.0, cut=("fd3",))
+    assert [item.group for item in platform.calls[given:]] == []
+
+
+def test_next_holder_goes_on_from_the_last_order():
+    # The holder is lost; its successor finds some of the servers only.  What
+    # is needed stands in the log, and is not what the successor finds.
+    platform = scaled()
+    platform.run(20.0)
+    ordered = platform.keeper.state.duties.ordered
+    fresh = ordered_counts.OrderedCounts()
+    fresh.restore(ordered.snapshot())
+    last = fresh.last(group_of("fd1", False))
+    assert (last.count, last.needed) == (1, IN_EACH)
+
+
+def test_nothing_is_ordered_by_what_an_instance_finds_as_it_starts():
+    # A keeper starts and has heard of two servers of five: these are not
+    # all that are needed.
+    platform = scaled()
+    platform.serving[group_of("fd1", False)] = ["s1", "s2"]
+    platform.run(server_orders.INFORMED_SECONDS - 1.0)
+    assert platform.calls == []
