--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -267,6 +267,7 @@
             *incoming.headers,
             *self._dialect.attempt_headers(attempt),
         ]
+        self._upstream.wait_at_most(dispatch.patience.first)
         self._upstream.send(
             incoming.method, incoming.target, headers, self._body
         )
@@ -351,6 +352,7 @@
                 if not self._events_passed:
                     self._first_output()
                 self._events_passed += 1
+                self._upstream.wait_at_most(self._dispatch.patience.between)
                 return whole
 
     def _stream(self, data):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/upstream.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/upstream.py
@@ -44,6 +44,13 @@
         except connections_module.FAILURES as exc:
             raise NotSent(f"{type(exc).__name__}: {exc}")
 
+    def wait_at_most(self, seconds):
+        """Take the exchange for broken after so long without a byte.
+
+        ``None`` waits for as long as the caller does.
+        """
+        self._conn.sock.settimeout(seconds)
+
     def send(self, method, target, headers, body):
         """Send the whole request; the server may begin from here on."""
         lines = [f"{method} {target} HTTP/1.1"]
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -15,6 +15,7 @@
 from ..coordination import claims as claims_module
 from ..coordination import server_loads
 from ..coordination import usage
+from ..decisions import patience
 from ..decisions import work as work_module
 from . import early_requests
 from ..effects import reports
@@ -212,6 +213,9 @@
                 announcement.url,
                 work.start_priority if work.routed else work.priority,
                 work.repeatable,
+                patience.of_attempt(work, held.begun)
+                if work.routed
+                else patience.ENDLESS,
             ),
             answers.decision(
                 work,
--- a/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
@@ -4,10 +4,14 @@
 
 from .. import sentinels
 from ..coordination import claims
+from ..decisions import patience as patience_module
 
 
 class Dispatch(msgspec.Struct):
-    """Send the request to a backend server, as attempt ``attempt``."""
+    """Send the request to a backend server, as attempt ``attempt``.
+
+    After ``patience`` without a byte the attempt counts as failed.
+    """
 
     request_id: str
     attempt: int
@@ -15,6 +19,7 @@
     url: str
     priority: int
     repeatable: bool = True
+    patience: patience_module.Patience = patience_module.ENDLESS
 
 
 class Replay(msgspec.Struct):
--- /dev/null
+++ b/tests/cover/test_silent_servers.py
@@ -0,0 +1,97 @@
+"""Servers that fall silent with a request at work."""
+
+import gevent
+import pytest
+
+from tests.common import platform_world
+from tests.cover import test_forwarding
+
+ROUTES = (
+    platform_world.route(
+        "chat", "streaming", resumable=True, gap_aim_ms=300, timeout_ms=4000
+    ),
+    platform_world.route(
+        "report", "streaming", gap_aim_ms=300, max_attempts=1
+    ),
+    platform_world.route("read", "safe", timeout_ms=4000),
+)
+
+
+@pytest.fixture
+def made():
+    with platform_world.PlatformWorld() as found:
+        declared = platform_world.manifest(1, ROUTES)
+        assert found.apply(declared).status == 200
+        yield found
+
+
+def silent_after(last):
+    """Return a script that sends events up to ``last`` and nothing more."""
+    begin = test_forwarding.streams(1, last, "open")
+
+    def script(server, sock, head):
+        if last:
+            begin(server, sock, head)
+        gevent.sleep(10.0)
+
+    return script
+
+
+def mute(server, sock, head):
+    gevent.sleep(10.0)
+
+
+def answers(server, sock, head):
+    sock.sendall(
+        platform_world.whole(200, b"whole", platform_world.id_of(head))
+    )
+
+
+def served_by_both(made, script, whole, path):
+    """Return the replies to requests of which some meet a silent server."""
+    entry = made.entry()
+    servers = [made.server(item) for item in (script, whole)]
+    for server in servers:
+        made.knows(entry, server)
+    replies = [
+        made.call(entry, "POST", path, f"r{number}", body=b"{}")
+        for number in range(4)
+    ]
+    return servers, replies
+
+
+@pytest.mark.parametrize("last", [0, 3])
+def test_a_stream_goes_on_when_its_server_falls_silent(made, last):
+    # A failure domain is cut off with streams under way: their connections
+    # stay open and nothing comes any more.  A caller waited until its time
+    # was up, though another server could go on after the last event.
+    servers, replies = served_by_both(
+        made, silent_after(last), test_forwarding.streams(1, 9), "/chat/"
+    )
+    assert servers[0].ran
+    for reply in replies:
+        expected = [f"id: {place}" for place in range(1, 10)]
+        assert test_forwarding.pieces(reply) == expected
+        assert reply.whole
+
+
+def test_a_lost_answer_is_asked_for_elsewhere(made):
+    # A server runs a lookup and its answer is lost on the way.
+    servers, replies = served_by_both(made, mute, answers, "/read/")
+    assert servers[0].ran
+    assert [reply.status for reply in replies] == [200] * 4
+
+
+def test_what_may_run_once_is_waited_for(made):
+    # A report that may not be repeated pauses for longer than its route
+    # allows: it is late, and it is the only one there will ever be.
+    def pauses(server, sock, head):
+        sock.sendall(platform_world.stream_head(platform_world.id_of(head)))
+        for number in (1, 2):
+            sock.sendall(platform_world.chunk(platform_world.event(number)))
+            gevent.sleep(0.7)
+        sock.sendall(platform_world.END)
+
+    servers, replies = served_by_both(made, pauses, pauses, "/report/")
+    assert sum(len(server.ran) for server in servers) == len(replies)
+    assert all(reply.whole for reply in replies)
