--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/pure_nodes.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/pure_nodes.py
@@ -50,7 +50,7 @@
 class Node:
     """One reducer, its clock and what it spent."""
 
-    def __init__(self, name, domain, region, seeds, rng, skew=0.0):
+    def __init__(self, name, domain, region, seeds, rng, skew=0.0, **options):
         self.name = name
         self.domain = domain
         self.skew = skew
@@ -61,7 +61,9 @@
         identity = dandeliontrail.Identity(
             name, domain, region, rng.randrange(1, 1 << 40)
         )
-        self.reducer = dandeliontrail.new_reducer(identity, rng, seeds)
+        self.reducer = dandeliontrail.new_reducer(
+            identity, rng, seeds, **options
+        )
 
     @property
     def state(self):
@@ -84,12 +86,23 @@
         self._order = 0
         self._steps = 0
 
-    def add(self, name, domain="fd1", region="r1", seeds=None, skew=0.0):
-        """Start a node that knows some of those already there."""
+    def add(
+        self,
+        name,
+        domain="fd1",
+        region="r1",
+        seeds=None,
+        skew=0.0,
+        **options,
+    ):
+        """Start a node that knows some of those already there.
+
+        ``options`` are those of ``dandeliontrail.new_reducer``.
+        """
         if seeds is None:
             seeds = [item for item in list(self.nodes)[:3] if item != name]
         rng = random.Random(self.rng.random())
-        node = Node(name, domain, region, seeds, rng, skew)
+        node = Node(name, domain, region, seeds, rng, skew, **options)
         self.nodes[name] = node
         self.apply(node, events.Started(name))
         return node
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -17,6 +17,7 @@
 from .. import interfaces
 from ..coordination import leases
 from ..coordination import member_records
+from ..coordination import usage
 from ..coordination import usage_windows
 from . import duties_state
 from . import server_orders
@@ -186,6 +187,7 @@
         if not clock.known:
             return []
         decided = self._duties.decided
+        self._tell_itself(clock.at(now))
         self._reported.settle(-1 if decided.last is None else decided.last)
         window = self._next_window(clock.at(now))
         ended = clock.at(now) - (window + 1) * self._options.window
@@ -211,6 +213,17 @@
             *self._propose(decision, now, self._window_settled),
         ]
 
+    def _tell_itself(self, moment):
+        """Take in what began here, where a keeper serves callers too."""
+        windows = self._duties.counter.open_windows()
+        if not windows:
+            return
+        own = self._state.identity
+        publisher = usage.Publisher(own.instance, own.incarnation)
+        self._reported.merge(
+            usage_windows.WindowReport(publisher, moment, windows)
+        )
+
     def _next_window(self, moment):
         last = self._duties.decided.last
         if last is not None:
--- a/tests/cover/test_platform_duties.py
+++ b/tests/cover/test_platform_duties.py
@@ -180,6 +180,14 @@
     }
 
 
+def test_keeper_that_serves_callers_reports_them_too():
+    keeper = Keeper()
+    keeper.run(1.0)
+    keeper.state.duties.counter.count("lab", START + 0.5)
+    keeper.run(6.0)
+    assert keeper.reports() == {keeper.first_window(): {"lab": 1}}
+
+
 def decided(window, counts, taken):
     return usage_windows.WindowDecision(window, counts, taken)
 
