--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -137,9 +137,7 @@
     """Return a socket connected to ``host:port`` within so many seconds.
 
     An address that is a number already is not looked up: gevent asks its
-    thread pool, which takes two changes of thread and the wait for them.  A
-    connection to a number takes 0.09 ms of processor time, by way of the pool
-    0.21 (four times 500 on loopback, beside other work).
+    thread pool, which takes two changes of thread and the wait for them.
     """
     host, port = address.rsplit(":", 1)
     host = host.strip("[]")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/packing.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/packing.py
@@ -11,8 +11,7 @@
 
 # Below this the headers weigh as much as what is gained.
 COMPRESS_ABOVE = 1024
-# The fastest: 2.6 ms for that entry, and 1.6 ms to unpack it; 0.09 and
-# 0.01 ms for a relay's answer of 2.2 KB, beside other work.
+# The fastest: batches are many and small.
 LEVEL = 1
 ENCODING = "deflate"
 # A batch may grow to this when it is unpacked; more is no batch of ours.
--- a/packages/dandeliontrail/src/dandeliontrail/components/early_requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/early_requests.py
@@ -8,8 +8,8 @@
 bounded: an instance that is cut off does not get it soon.
 """
 
-# How long requests wait for the state: twice what a start took at the most
-# (0.55 s from listening to serving, of 25 starts in the users' deployment).
+# How long requests wait for the state: well above the time from listening to
+# serving of a calm start.
 PATIENCE = 1.0
 # The part of its time that a request may spend so: it has to run as well.
 PATIENCE_PART = 0.4
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -19,9 +19,8 @@
 # only: they may have begun to serve, or never will.
 OTHERS_INTERVAL = 3.0
 # Between two messages through relays while there is work: a load is two such
-# steps old at the most.  Played without sockets at 90 instances, loads of
-# 0.27 s in place of 0.4 s had 0.70 of the longest prompts on time in place of
-# 0.65.  An instance without work asks at ``REPEAT_INTERVAL``.
+# steps old at the most, and older ones send many instances to one engine.  An
+# instance without work asks at ``REPEAT_INTERVAL``.
 RELAY_INTERVAL = 0.2
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/domain_silence.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/domain_silence.py
@@ -6,16 +6,13 @@
 
 # A failure domain has fallen silent once nothing was heard of any instance
 # there for so many times the usual gap between two volleys of its messages,
-# and for so long at least; with three instances that tell of their work these
-# are 0.1 s apart, through relays 0.2 s.  After a while the silence tells
-# nothing more: instances may all be down where servers are not.
+# and for so long at least.  After a while the silence tells nothing more: instances may all be down where servers are not.
 SILENT_GAPS = 3.0
 LEAST_SILENCE = 0.3
 MOST_SILENCE = 3.0
 # Messages closer together than this are one volley: at each heartbeat all
-# instances of a domain speak within a tick, and counted one by one they made
-# the usual gap so small that calm domains were taken for silent, 36 times in
-# the 8 s before traffic with seven instances in three domains.
+# instances of a domain speak within a tick, and counted one by one they make
+# the usual gap so small that calm domains are taken for silent.
 VOLLEY_SECONDS = 0.05
 # Until two volleys were heard: heartbeats are a second apart.
 FIRST_GAP = 1.0
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_leader.py
@@ -24,8 +24,7 @@
 # What is on its way to a follower is sent again once it must have arrived
 # over a link so slow, and at each heartbeat only below the second figure.
 # Sent again at each heartbeat, large entries pile up five times a second
-# before every follower that decodes slowly: 8.4 MB for an entry of 1 MB that
-# takes 1.5 s to arrive, 3.2 MB with this (``test_large_entries``).
+# before every follower that decodes slowly (``test_large_entries``).
 SLOW_LINK_BYTES = 500_000.0
 SMALL_BYTES = 32 * 1024
 # A leader that has not heard from a majority for this long steps down, so
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_start.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_start.py
@@ -13,8 +13,7 @@
 ASK_INTERVAL = 0.3
 # The keepers are asked more often than all others, for so long after the
 # start: what a majority confirmed after the start is with them first, and
-# callers wait for it.  Asked every 0.3 s, an entry had its state 0.50 s after
-# it listened (0.40 to 0.55 s, ten starts in the users' deployment).
+# callers wait for it.
 KEEPERS_INTERVAL = 0.05
 KEEPERS_SECONDS = 2.0
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -29,12 +29,10 @@
 # prompt, so that it gets next to nothing.
 TOKENS_PER_FAILURE = 20_000.0
 # Long prompts that share a part choose among so many engines, the first two
-# in the order of a hash.  With all engines to choose from, 90 instances that
-# hear of one another's work half a second late send each part to whichever
-# engine seemed idle last: played without sockets at the size of 90 instances
-# and 45 engines (``tests.common.prompt_world``), engines read 23 million
-# tokens of shared parts again in 25 s and 0.30 of the longest prompts were on
-# time; with two to choose from, 9 million and 0.65.
+# in the order of a hash.  With all engines to choose from, many instances that
+# hear of one another's work late send each part to whichever engine seemed
+# idle last, and all engines read the same parts again
+# (``tests.common.prompt_world`` plays it).
 HOMES = 2
 # An engine that lacks shared parts counts as having so many times their
 # tokens to do.  It is taken where the one that holds them is more than a
@@ -55,8 +53,7 @@
 # to leave the engines kept for close streams, and a step more for each
 # request that waits there before.  Made for a burst of close streams, which
 # fill the engines kept for them while the others have half of their slots
-# free: without it 106 of 212 first tokens of such a burst came after 200 ms,
-# at 98 requests for 64 slots; those sent elsewhere, 11 of 173.
+# free.
 FULL_TOKENS = 12_000.0
 TOKENS_PER_WAITING = 1_000.0
 
