--- a/packages/dandeliontrail/src/dandeliontrail/coordination/domain_silence.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/domain_silence.py
@@ -6,7 +6,8 @@
 
 # A failure domain has fallen silent once nothing was heard of any instance
 # there for so many times the usual gap between two volleys of its messages,
-# and for so long at least.  After a while the silence tells nothing more: instances may all be down where servers are not.
+# and for so long at least.  After a while the silence tells nothing more:
+# instances may all be down where servers are not.
 SILENT_GAPS = 3.0
 LEAST_SILENCE = 0.3
 MOST_SILENCE = 3.0
--- /dev/null
+++ b/tests/cover/test_platform_calls.py
@@ -0,0 +1,166 @@
+"""How calls to the platform look on the wire, and what becomes of them."""
+
+import types
+
+import dandeliontrail
+from dandeliontrail.components import duties_state
+from dandeliontrail.coordination import leases
+from dandeliontrail.coordination import server_counts
+from dandeliontrail import effects
+from dandeliontrail import events
+from dandeliontrail_node import clock
+from dandeliontrail_node import duty_client
+from dandeliontrail_node import metrics
+from dandeliontrail_platform import duties
+from dandeliontrail_platform import settings_file
+import gevent
+from gevent import pywsgi
+import msgspec
+import pytest
+
+from tests.common import platform_world
+
+ANSWERS = events.DutyAnswer
+REPORT = effects.ReportUsage(353445120, {"hule930": 412, "fida11": 7})
+SCALE = effects.SetServerCount(
+    server_counts.Group("huvo11a", "sandybay-a", True), 6, 9
+)
+
+
+class Platform:
+    """A stand-in that keeps what it is sent and answers by script."""
+
+    def __init__(self):
+        self.got = []
+        self.status = "200 OK"
+        self.seconds = 0.0
+        self.server = pywsgi.WSGIServer(("127.0.0.1", 0), self, log=None)
+        self.server.start()
+        self.url = f"http://127.0.0.1:{self.server.server_port}"
+
+    def __call__(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        self.got.append(
+            (
+                environ["PATH_INFO"],
+                environ["HTTP_X_DANDELIONTRAIL_DUTY_HOLDER"],
+                environ["HTTP_X_DANDELIONTRAIL_FENCING_TOKEN"],
+                msgspec.json.decode(body),
+            )
+        )
+        gevent.sleep(self.seconds)
+        start_response(self.status, [])
+        return [b"{}"]
+
+
+class Caller:
+    """A keeper that holds the lease, as far as its client is concerned."""
+
+    def __init__(self, platform):
+        identity = dandeliontrail.Identity("k1", "fd1", "r1", 1)
+        options = duties_state.DutyOptions(
+            reports_usage=True, terms=leases.LeaseTerms(1.5, 0.4, 3.0)
+        )
+        state = duties_state.new_duties_state(identity, options)
+        self.lease = state.lease
+        self.clock = clock.MonotonicClock()
+        self.answers = []
+        self.metrics = metrics.Metrics()
+        self.state = types.SimpleNamespace(duties=state)
+        self.client = duty_client.DutyClient(
+            self, platform.url, duties.PlatformDuties("core-a-1")
+        )
+        self.hold(12, 0.0)
+
+    def submit(self, event):
+        self.answers.append(event)
+
+    def hold(self, fencing, since):
+        now = self.clock.now()
+        self.lease.grant = leases.Grant(fencing, now + 1.0, now + since)
+
+    def call(self, call, fencing=12):
+        self.client.perform(effects.PerformDuty(call, fencing))
+        return self.answers[-1].answer
+
+
+@pytest.fixture
+def platform():
+    found = Platform()
+    yield found
+    found.server.stop(0.1)
+
+
+def test_calls_look_as_the_platform_reads_them(platform):
+    caller = Caller(platform)
+    assert caller.call(REPORT) is ANSWERS.TAKEN
+    assert caller.call(SCALE) is ANSWERS.TAKEN
+    counts = {"window_index": 353445120, "counts": REPORT.counts}
+    wanted = {
+        "service": "huvo11a",
+        "zone": "sandybay-a",
+        "desired_count": 6,
+        "spot": True,
+    }
+    assert platform.got == [
+        ("/usage", "core-a-1", "12", counts),
+        ("/scale", "core-a-1", "12", wanted),
+    ]
+    name = 'platform_calls_total{answer="taken"}'
+    assert caller.metrics.counters[name] == 2
+
+
+@pytest.mark.parametrize(
+    ("status", "answer"),
+    [
+        ("409 Conflict", ANSWERS.REFUSED),
+        ("429 Too Many", ANSWERS.BUSY),
+        ("500 Broken", ANSWERS.NO_ANSWER),
+    ],
+)
+def test_answers_are_told_apart(platform, status, answer):
+    platform.status = status
+    assert Caller(platform).call(SCALE) is answer
+
+
+def test_a_call_without_an_answer_is_given_up_in_its_time(platform):
+    platform.seconds = 2.0
+    caller = Caller(platform)
+    began = caller.clock.now()
+    assert caller.call(REPORT) is ANSWERS.NO_ANSWER
+    assert caller.clock.now() - began < 1.0
+
+
+@pytest.mark.parametrize(("fencing", "since"), [(13, 0.0), (12, 0.5)])
+def test_nothing_is_sent_under_a_lease_that_is_no_longer_held(
+    platform, fencing, since
+):
+    # A process is paused with a call in hand.  When it goes on, the lease is
+    # another's, or was granted anew and its wait is not over.
+    caller = Caller(platform)
+    caller.hold(fencing, since)
+    assert caller.call(REPORT) is ANSWERS.NOT_SENT
+    assert platform.got == []
+
+
+def test_the_settings_say_which_calls_are_made():
+    text = platform_world.SETTINGS.format(
+        node="n1",
+        ip="127.0.0.1",
+        zone="z1",
+        callers=1,
+        ready=2,
+        control=3,
+        inner=4,
+        seed="",
+        data_dir="",
+        revoke_ms=5000,
+        tolerated=1,
+    )
+    none = duties.options(settings_file.parse(text).duties)
+    assert not none.any
+    text += "cloud_api.address=10.200.0.1:80\ncloud_api.duties=usage\n"
+    text += "bounds.usage_window_s=5\nbounds.lease_ms=3000\n"
+    some = duties.options(settings_file.parse(text).duties)
+    assert (some.reports_usage, some.orders_servers) == (True, False)
+    assert (some.window, some.terms.lease, some.terms.turn) == (5.0, 1.5, 3.0)
