--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/duty_views.py
@@ -0,0 +1,65 @@
+"""What operators see of the calls to the platform."""
+
+import msgspec
+
+from dandeliontrail.components import duties_state
+
+
+class ServerOrderView(msgspec.Struct):
+    """The servers of one service and kind in one failure domain.
+
+    ``ordered`` is the last order, ``serving`` what is heard of; ``needed``
+    are those of both kinds together.
+    """
+
+    name: str
+    service: str
+    failure_domain: str
+    kind: str
+    ordered: int
+    serving: int
+    needed: int
+
+
+def server_orders(host):
+    """Return the last order of each group of servers."""
+    now = host.clock.now()
+    serving = [item.announcement for item in host.state.registry.serving(now)]
+    ordered = host.state.duties.ordered
+    return [
+        _order_view(group, ordered.orders[group], serving)
+        for group in sorted(ordered.orders)
+    ]
+
+
+def _order_view(group, order, serving):
+    kind = "spot" if group.spot else "regular"
+    heard = sum(
+        item.service == group.service
+        and item.failure_domain == group.failure_domain
+        and item.spot == group.spot
+        for item in serving
+    )
+    return ServerOrderView(
+        f"{group.service}.{group.failure_domain}.{kind}",
+        group.service,
+        group.failure_domain,
+        kind,
+        order.count,
+        heard,
+        order.needed,
+    )
+
+
+def gauges(state):
+    """Return the numbers of the platform's duties, by name."""
+    if not state.duties.options.any:
+        return {}
+    holding = state.orders.leases.holding(duties_state.SUBJECT)
+    decided = state.duties.decided
+    return {
+        "duties_held": int(holding.holder == state.identity.instance),
+        "duties_fencing": holding.fencing,
+        "usage_windows_untaken": len(decided.counts),
+        "usage_window_decided": -1 if decided.last is None else decided.last,
+    }
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/read_only.py
@@ -10,6 +10,7 @@
 from dandeliontrail.resources import checks
 
 from .. import wsgi
+from . import duty_views
 from . import placement_status
 
 
@@ -233,9 +234,10 @@
         "keeper_stopped": int(status.keeper_stopped),
         "confirmed_ago_seconds": status.confirmed_ago,
     }
+    named = {f"configuration_{name}": gauges[name] for name in gauges}
+    named.update(duty_views.gauges(host.state))
     return "".join(
-        f"dandeliontrail_configuration_{name} {value}\n"
-        for name, value in gauges.items()
+        f"dandeliontrail_{name} {value}\n" for name, value in named.items()
     )
 
 
@@ -257,6 +259,11 @@
     return Listing("backendservers", host.state.store.version, items)
 
 
+def _server_orders(host):
+    items = duty_views.server_orders(host)
+    return Listing("serverorders", host.state.store.version, items)
+
+
 def _instances(host):
     now = host.clock.now()
     own = host.state.identity
@@ -349,6 +356,7 @@
 _READERS = {
     "backendservers": _servers,
     "instances": _instances,
+    "serverorders": _server_orders,
     "usage": _usage,
     "histograms": _histograms,
     "history": _history,
--- a/tests/cover/test_server_counts.py
+++ b/tests/cover/test_server_counts.py
@@ -1,5 +1,7 @@
 """Servers that are paid for by the second, and may be taken away."""
 
+import types
+
 import hypothesis
 import hypothesis.strategies as st
 
@@ -10,6 +12,7 @@
 from dandeliontrail import events
 from dandeliontrail.resources import announcements
 from dandeliontrail.resources import revisions
+from dandeliontrail_node.listeners import duty_views
 
 from tests.cover import test_platform_duties
 
@@ -212,6 +215,21 @@
     assert (last.count, last.needed) == (1, IN_EACH)
 
 
+def test_operators_see_what_is_ordered_and_what_serves():
+    platform = scaled()
+    platform.run(20.0)
+    keeper = platform.keeper
+    host = types.SimpleNamespace(
+        state=keeper.state, clock=types.SimpleNamespace(now=lambda: keeper.now)
+    )
+    views = duty_views.server_orders(host)
+    shown = [(item.kind, item.ordered, item.serving) for item in views[:2]]
+    assert shown == [("regular", 1, 1), ("spot", IN_EACH - 1, IN_EACH - 1)]
+    assert views[0].name == "llm.fd1.regular"
+    numbers = duty_views.gauges(keeper.state)
+    assert numbers["duties_held"] == 1
+
+
 def test_nothing_is_ordered_by_what_an_instance_finds_as_it_starts():
     # A keeper starts and has heard of two servers of five: these are not
     # all that are needed.
