--- a/packages/dandeliontrail/src/dandeliontrail/components/usage_windows.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage_windows.py
@@ -65,11 +65,11 @@
         if holding.fencing != self._told:
             self._told = holding.fencing
             self._next_tell = self._next_repeat = now
+        if now < self._next_tell:
+            return out
         relay = self._relay()
         goes_along = not relay or self._state.loads.told_relay_at == now
-        if now < self._next_tell or not (
-            goes_along or now >= self._next_tell + ALONE_INTERVAL
-        ):
+        if not goes_along and now < self._next_tell + ALONE_INTERVAL:
             return out
         self._next_tell = now + TELL_INTERVAL
         reports, self._passing = self._passing, []
