--- a/packages/dandeliontrail/src/dandeliontrail/coordination/member_records.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/member_records.py
@@ -40,6 +40,9 @@
     records: list[MemberRecord]
 
 
+GONE = (Standing.FAILED, Standing.LEFT)
+
+
 class Member(msgspec.Struct):
     """Another instance as it is seen from here.
 
@@ -95,7 +98,7 @@
 
     def gone(self):
         """Tell whether it has left or is taken for failed."""
-        return self.standing in (Standing.FAILED, Standing.LEFT)
+        return self.record.standing in GONE
 
 
 class Change(enum.Enum):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_catch_up.py
@@ -33,6 +33,7 @@
         self._core = core
         self._neighbours = neighbours
         self._ahead = {}
+        self._highest = 0
         self._asked = None
         self._asked_at = float("-inf")
         self._wait = FETCH_SECONDS
@@ -42,6 +43,7 @@
     def hear(self, name, applied):
         """Take note of how far another instance is."""
         self._ahead[name] = applied
+        self._highest = max(self._highest, applied)
 
     def most(self, names):
         """Return the highest version heard of from any of ``names``."""
@@ -50,17 +52,7 @@
     def tick(self, now):
         """Fetch where this instance is behind one that is reachable."""
         core = self._core
-        alive = self._neighbours.alive(now)
-        self._ahead = {
-            name: applied
-            for name, applied in self._ahead.items()
-            if name in alive
-        }
-        sources = [
-            name
-            for name in sorted(self._ahead)
-            if self._ahead[name] > core.commit
-        ]
+        sources = self._sources(now)
         if not sources or core.role is core_module.Role.LEADER:
             self._behind_since = None
             return
@@ -75,6 +67,25 @@
             self._wait = min(2 * self._wait, LONGEST_FETCH_SECONDS)
         self._ask(self._choose(sources), now)
 
+    def _sources(self, now):
+        """Return who is ahead and reachable, by name.
+
+        Nearly always nobody is ahead, and who is reachable is not asked:
+        that takes a look at every other instance.
+        """
+        commit = self._core.commit
+        if self._highest <= commit:
+            return []
+        alive = self._neighbours.alive(now)
+        self._ahead = {
+            name: applied
+            for name, applied in self._ahead.items()
+            if name in alive
+        }
+        return [
+            name for name in sorted(self._ahead) if self._ahead[name] > commit
+        ]
+
     def _choose(self, sources):
         """Prefer the own failure domain, and whoever was not asked last."""
         near = self._neighbours.same_domain
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_proving.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_proving.py
@@ -75,8 +75,8 @@
             return self._near
         if leader in names and self._answered:
             return leader
-        alive = [name for name in names if name in self._neighbours.alive(now)]
-        pool = alive or names
+        reachable = self._neighbours.alive(now)
+        pool = [name for name in names if name in reachable] or names
         return self._core.rng.choice(pool) if pool else ""
 
     def _near_keeper(self, names, now):
