A start does not look for plugins of gevent

Cause: gevent announces its patches to plugins, and to find them loads the reader of package metadata (with mail, archives and text wrapping) and reads the folder of each installed package.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/main.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/main.py
@@ -4,9 +4,9 @@
 
 early_hangup.hold()
 
-from gevent import monkey  # noqa: E402
+from . import cooperative  # noqa: E402
 
-monkey.patch_all()
+cooperative.patch()
 
 import pathlib  # noqa: E402
 import sys  # noqa: E402
--- a/tests/cover/test_start_costs.py
+++ b/tests/cover/test_start_costs.py
@@ -7,7 +7,7 @@
 ROOT = pathlib.Path(__file__).parents[2]
 # Each takes a part of the 0.3 s of processor time of a start, twice that on
 # a machine with half a core, in which callers find nobody listening.
-NEEDLESS = ("yaml", "gevent.subprocess")
+NEEDLESS = ("yaml", "gevent.subprocess", "importlib.metadata", "zipfile")
 
 
 def test_a_start_loads_nothing_that_the_program_does_not_use():
