Windows and orders of servers are parts of the duties, each with one job

A part says when its call is due and what its answers mean; the component holds the lease and makes the calls. No behaviour changes, but for a call whose client fails in an unforeseen way: it ends (test).

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/duty_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/duty_client.py
@@ -2,6 +2,7 @@
 
 import abc
 
+import gevent
 import msgspec
 
 from dandeliontrail import events
@@ -62,7 +63,9 @@
             )
         except leased_call.MayNotCall:
             return ANSWERS.NOT_SENT, "lease"
-        except leased_call.FAILURES as exc:
+        except (Exception, gevent.Timeout) as exc:
+            # Whatever went wrong, the reducer must hear of the end of the
+            # call: it makes no other one before.
             return ANSWERS.NO_ANSWER, f"{type(exc).__name__}: {exc}"
         return _answer(status), f"{status} {text[:200].decode('latin-1')}"
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -6,10 +6,9 @@
 do, so that an idle system writes nothing to the log.
 
 Guards: two holders that act against each other or by turns (the lease, its
-wait and its fencing number), a window that is reported twice with different
-counts (the log decides each window once, and only then is it sent), a call
-that was lost (repeated, as it was decided), a platform that only some
-keepers reach (the lease is handed over).
+wait and its fencing number), a call that was lost (made again), a platform
+that only some keepers reach (the lease is handed over).  What is called, and
+when, is for the parts: :mod:`.window_decisions` and :mod:`.server_orders`.
 """
 
 from .. import effects
@@ -17,17 +16,11 @@
 from .. import interfaces
 from ..coordination import leases
 from ..coordination import member_records
-from ..coordination import usage
 from ..coordination import usage_windows
 from . import duties_state
 from . import server_orders
+from . import window_decisions
 
-# A window is decided once everybody told all of it, and no sooner than this
-# after its end, by when the last tellings of a calm moment have come.
-SETTLING = 0.3
-# Instances that are cut off, or gone, are waited for this part of the time
-# in which a window is due; the rest is for its way to the platform.
-WAITING_PART = 0.7
 # A call without an answer is made again after this long.
 REPEAT_AFTER = 0.5
 # What the platform refuses may be had later: servers of a kind of which there
@@ -43,24 +36,25 @@
 
 
 class Duties(interfaces.Component):
-    """Holds the lease, decides windows and makes the calls."""
+    """Holds the lease and makes the calls of its parts."""
 
     def __init__(self, state):
         self._state = state
         self._log = state.log
-        self._duties = state.duties
         self._options = state.duties.options
         self._lease = state.duties.lease
-        self._reported = usage_windows.ReportedWindows()
         self._proposals = 0
-        self._deciding = False
         self._calling = None
-        self._next_call = {}
-        self._taken = set()
         self._unanswered_since = None
         self._seen = None
         self._leads_since = None
-        self._servers = server_orders.ServerOrders(state, self._propose)
+        self._windows = window_decisions.WindowDecisions(state, self._propose)
+        servers = server_orders.ServerOrders(state, self._propose)
+        # Reports have a time by which they are due, so they go first.
+        self._parts = {
+            effects.ReportUsage: self._windows,
+            effects.SetServerCount: servers,
+        }
         duties_state.register(state.log, state.duties)
 
     def handlers(self):
@@ -78,16 +72,22 @@
         out = self._follow_holding()
         if not self._is_ours(now):
             return out
-        if self._holds():
-            out.extend(self._decide(now))
-            out.extend(self._order_servers(now))
+        if not self._holds():
+            return out + self._renew(now)
+        for part in self._parts.values():
+            out.extend(part.tick(now))
         call = self._next(now)
-        if call is not None or not self._holds():
+        if call is not None:
             out.extend(self._renew(now))
-        if call is not None and self._may_call(now):
-            out.append(self._perform(call))
+            if self._may_call(now):
+                out.append(self._perform(call))
         return out
 
+    def _told(self, source, message, now):
+        if self._holds():
+            self._windows.told(message)
+        return []
+
     # -- who acts ---------------------------------------------------------
 
     def _is_keeper(self):
@@ -173,112 +173,15 @@
             self._options.checks_fencing, now
         )
 
-    # -- windows of usage -------------------------------------------------
-
-    def _told(self, source, message, now):
-        if self._holds():
-            self._reported.merge(message)
-        return []
-
-    def _decide(self, now):
-        """Propose the counts of the next window that is complete."""
-        clock = self._duties.clock
-        if self._deciding or not self._options.reports_usage:
-            return []
-        if not clock.known:
-            return []
-        decided = self._duties.decided
-        self._tell_itself(clock.at(now))
-        self._reported.settle(-1 if decided.last is None else decided.last)
-        window = self._next_window(clock.at(now))
-        ended = clock.at(now) - (window + 1) * self._options.window
-        if ended < SETTLING:
-            return []
-        untold = self._untold((window + 1) * self._options.window)
-        if untold and ended < self._options.late * WAITING_PART:
-            return []
-        counts = self._reported.sums(window)
-        self._deciding = True
-        decision = usage_windows.WindowDecision(
-            window, counts, self._taken_through(window)
-        )
-        fields = {
-            "window": window,
-            "requests": sum(counts.values()),
-            "organisations": len(counts),
-            "ended_ago": round(ended, 2),
-            "untold": untold[:8],
-        }
-        return [
-            effects.Log("info", "usage window decided", fields),
-            *self._propose(decision, now, self._window_settled),
-        ]
-
-    def _tell_itself(self, moment):
-        """Take in what began here, where a keeper serves callers too."""
-        windows = self._duties.counter.open_windows()
-        if not windows:
-            return
-        own = self._state.identity
-        publisher = usage.Publisher(own.instance, own.incarnation)
-        self._reported.merge(
-            usage_windows.WindowReport(publisher, moment, windows)
-        )
-
-    def _next_window(self, moment):
-        last = self._duties.decided.last
-        if last is not None:
-            return last + 1
-        present = self._duties.counter.window_at(moment)
-        earliest = self._reported.earliest()
-        return present if earliest is None else min(present, earliest)
-
-    def _untold(self, moment):
-        """Return who may have counted before a moment and has not told.
-
-        Keepers serve no callers.  An instance that is taken for failed may
-        be cut off and count on, or it was killed and starts again.
-        """
-        keepers = {item.name for item in self._log.voters}
-        return [
-            name
-            for name, member in self._state.members.members.items()
-            if name not in keepers
-            and member.standing is not LEFT
-            and not self._reported.told_through(name, moment)
-        ]
-
-    def _window_settled(self, settled, now):
-        self._deciding = False
-        return []
-
-    def _taken_through(self, window):
-        """Return the last window of those taken without a gap."""
-        decided = self._duties.decided
-        through = window - 1 if decided.taken is None else decided.taken
-        while through + 1 in self._taken:
-            through += 1
-        self._taken = {item for item in self._taken if item > through}
-        return through
-
-    def _order_servers(self, now):
-        if not self._options.orders_servers:
-            return []
-        return self._servers.tick(now)
-
     # -- calls ------------------------------------------------------------
 
     def _next(self, now):
         """Return the call that is due, or ``None``."""
-        if not self._holds():
-            return None
-        for window in sorted(self._duties.decided.counts):
-            if window in self._taken:
-                continue
-            if now >= self._next_call.get(window, 0.0):
-                counts = self._duties.decided.counts[window]
-                return effects.ReportUsage(window, counts)
-        return self._servers.next(now)
+        for part in self._parts.values():
+            call = part.next(now)
+            if call is not None:
+                return call
+        return None
 
     def _perform(self, call):
         self._calling = call
@@ -287,39 +190,27 @@
     def _answered(self, event, now):
         self._calling = None
         call = event.call
+        part = self._parts[type(call)]
         fields = {
             "fencing": event.fencing,
             "answer": event.answer.value,
             "detail": event.detail,
-            **_told_of(call),
+            **part.fields(call),
         }
         if event.answer is Answer.TAKEN:
             self._unanswered_since = None
-            self._took(call, now)
+            part.took(call, now)
             return [effects.Log("info", "platform called", fields)]
         if event.answer is Answer.REFUSED:
             self._unanswered_since = None
-            self._put_off(call, now + REFUSED_REPEAT_AFTER)
+            part.put_off(call, now + REFUSED_REPEAT_AFTER)
             return [effects.Log("warning", "platform refused a call", fields)]
-        self._put_off(call, now + REPEAT_AFTER)
+        part.put_off(call, now + REPEAT_AFTER)
         out = [effects.Log("warning", "platform not reached", fields)]
         if event.answer is Answer.NO_ANSWER:
             out.extend(self._note_unanswered(now))
         return out
 
-    def _took(self, call, now):
-        if isinstance(call, effects.SetServerCount):
-            self._servers.took(call, now)
-            return
-        self._taken.add(call.window)
-        self._next_call.pop(call.window, None)
-
-    def _put_off(self, call, until):
-        if isinstance(call, effects.SetServerCount):
-            self._servers.put_off(call, until)
-            return
-        self._next_call[call.window] = until
-
     def _note_unanswered(self, now):
         """Hand the lease to another keeper after a while without answers."""
         if self._unanswered_since is None:
@@ -355,18 +246,5 @@
         return found[0] if found else None
 
 
-def _told_of(call):
-    """Return the fields of the log line about a call."""
-    if isinstance(call, effects.SetServerCount):
-        group = call.group
-        return {
-            "service": group.service,
-            "failure_domain": group.failure_domain,
-            "spot": group.spot,
-            "count": call.count,
-        }
-    return {"window": call.window, "requests": sum(call.counts.values())}
-
-
 def _no_effects(settled, now):
     return []
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
@@ -9,6 +9,7 @@
 from .. import effects
 from ..coordination import server_counts
 from ..decisions import server_counts as decision
+from . import duty_part
 
 INTERVAL = 0.5
 # What is found counts as needed once it has stayed the same for this long:
@@ -22,7 +23,7 @@
 NEVER = float("inf")
 
 
-class ServerOrders:
+class ServerOrders(duty_part.DutyPart):
     """Keeps the orders of all services in line with what serves."""
 
     def __init__(self, state, propose):
@@ -39,6 +40,8 @@
 
     def tick(self, now):
         """Return the effects of orders that change."""
+        if not self._state.duties.options.orders_servers:
+            return []
         if self._informed_at is None:
             self._informed_at = now + INFORMED_SECONDS
         if now < self._next_look:
@@ -158,3 +161,13 @@
     def put_off(self, call, until):
         """Give an order again at ``until``."""
         self._next_call[call.group] = until
+
+    def fields(self, call):
+        """Return what the log says of an order."""
+        group = call.group
+        return {
+            "service": group.service,
+            "failure_domain": group.failure_domain,
+            "spot": group.spot,
+            "count": call.count,
+        }
--- a/tests/cover/test_platform_calls.py
+++ b/tests/cover/test_platform_calls.py
@@ -10,6 +10,7 @@
 from dandeliontrail import events
 from dandeliontrail_node import clock
 from dandeliontrail_node import duty_client
+from dandeliontrail_node import leased_call
 from dandeliontrail_node import metrics
 from dandeliontrail_platform import duties
 from dandeliontrail_platform import settings_file
@@ -131,6 +132,18 @@
     assert caller.clock.now() - began < 1.0
 
 
+def test_a_fault_of_the_client_ends_the_call(platform, monkeypatch):
+    # What nobody thought of goes wrong while a call is made.  Without its end
+    # the keeper waits for it for good, and no window is reported any more.
+    def fails(*args):
+        raise ValueError("unforeseen")
+
+    caller = Caller(platform)
+    monkeypatch.setattr(leased_call.LeasedCall, "post", fails)
+    assert caller.call(REPORT) is ANSWERS.NO_ANSWER
+    assert "unforeseen" in caller.answers[-1].detail
+
+
 @pytest.mark.parametrize(("fencing", "since"), [(13, 0.0), (12, 0.5)])
 def test_nothing_is_sent_under_a_lease_that_is_no_longer_held(
     platform, fencing, since
