A holder of the platform's duties that is a keeper no more is followed

Cause: a keeper whose disk failed, and that another has replaced, still runs and is heard of, so nobody took over from it, and it did not act: no window would be reported for good. Found by reading; the test fails without the change. Beliefs' log lines are made where all others are (answers).

--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -187,3 +187,21 @@
             "proven_ago": _rounded(state.log.proven_ago(now)),
         },
     )
+
+
+def beliefs(found):
+    """Return the log lines of what a policy came to believe of servers."""
+    return [
+        effects.Log(
+            "info",
+            item.text,
+            {
+                "backend_server": item.server,
+                "failure_share": item.failure_share,
+                "seconds": min(item.seconds, 3600.0),
+                "server_domain": item.domain,
+                "important": True,
+            },
+        )
+        for item in found
+    ]
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -66,7 +66,8 @@
 
     def tick(self, now):
         """Do what is due, where this instance is the one to do it."""
-        if not self._options.any or not self._is_keeper():
+        own = self._state.identity.instance
+        if not self._options.any or not self._is_keeper(own):
             return []
         self._note_leading(now)
         out = self._follow_holding()
@@ -90,9 +91,8 @@
 
     # -- who acts ---------------------------------------------------------
 
-    def _is_keeper(self):
-        own = self._state.identity.instance
-        return any(item.name == own for item in self._log.voters)
+    def _is_keeper(self, name):
+        return any(item.name == name for item in self._log.voters)
 
     def _holding(self):
         return self._state.orders.leases.holding(duties_state.SUBJECT)
@@ -124,15 +124,17 @@
             self._leads_since = now
 
     def _is_gone(self, holder, now):
-        """Tell whether a holder is not heard of, as the leader knows it.
+        """Tell whether a holder is no keeper or not heard of by the leader.
 
-        Keepers hear of one another through the log's messages, which go
+        One that is a keeper no more may be well, and does not act.  Keepers hear of one another through the log's messages, which go
         between the leader and each other one: who has just begun to lead
         has heard nothing of the holder yet.
         """
         member = self._state.members.members.get(holder)
         if member is None or member.standing is LEFT:
             return True
+        if not self._is_keeper(holder):
+            return True
         heard = max(member.heard, self._leads_since)
         return now - heard >= HOLDER_SILENT_AFTER
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -78,29 +78,12 @@
             held = self.lives.get(request_id)
             if held:
                 self._policy.requeue(held.work, now)
-        out = self._beliefs()
+        out = answers.beliefs(self._policy.take_beliefs())
         ready = intake.has_state(self._state)
         for event, received in self._early.due(ready, now):
             out.extend(self._take_routed(event, received, now))
         return out + self._decide(now)
 
-    def _beliefs(self):
-        """Return the log lines of what the policy learnt of servers."""
-        return [
-            effects.Log(
-                "info",
-                item.text,
-                {
-                    "backend_server": item.server,
-                    "failure_share": item.failure_share,
-                    "seconds": min(item.seconds, 3600.0),
-                    "server_domain": item.domain,
-                    "important": True,
-                },
-            )
-            for item in self._policy.take_beliefs()
-        ]
-
     def _received(self, event, now):
         work = intake.work_of(self._state, event, now)
         if not work:
--- a/tests/cover/test_duty_holders.py
+++ b/tests/cover/test_duty_holders.py
@@ -1,5 +1,7 @@
 """One keeper at a time calls the platform, whatever fails meanwhile."""
 
+from dandeliontrail.coordination import quorum_log_voters
+from dandeliontrail import events
 import hypothesis
 import hypothesis.strategies as st
 import pytest
@@ -90,6 +92,22 @@
     check_exact(made)
 
 
+def test_holder_that_is_a_keeper_no_more_is_followed(made):
+    # The holder's disk failed and another keeper took its place.  It still
+    # runs and is heard of, but acts no more: without a successor no window
+    # would be reported for good.
+    made.serve(12.0)
+    holder = made.holder()
+    other = next(name for name in duty_world.KEEPERS if name != holder)
+    removed = events.VoterChangeAsked(
+        "r1", quorum_log_voters.VoterAction.REMOVE, holder
+    )
+    made.apply(made.nodes[other], removed)
+    made.serve(40.0)
+    assert made.holder() != holder
+    check_exact(made)
+
+
 def test_windows_are_sent_after_a_time_without_the_platform(made):
     # The platform answers nobody for twenty seconds, and takes what it gets
     # late.  Every window is told in the end, as it was decided.
