--- a/packages/dandeliontrail/src/dandeliontrail/components/window_decisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/window_decisions.py
@@ -17,6 +17,7 @@
 # Instances that are cut off, or gone, are waited for this part of the time
 # in which a window is due; the rest is for its way to the platform.
 WAITING_PART = 0.7
+FAILED = member_records.Standing.FAILED
 LEFT = member_records.Standing.LEFT
 
 
@@ -54,7 +55,7 @@
         ended_ago = moment - end
         if ended_ago < SETTLING:
             return []
-        untold = self._untold(end)
+        untold = self._untold(end, now)
         if untold and ended_ago < self._options.late * WAITING_PART:
             return []
         return self._decide(window, ended_ago, untold, now)
@@ -98,11 +99,12 @@
         earliest = self._reported.earliest()
         return present if earliest is None else min(present, earliest)
 
-    def _untold(self, moment):
+    def _untold(self, moment, now):
         """Return who may have counted before a moment and has not told.
 
         Keepers serve no callers.  An instance that is taken for failed may
-        be cut off and count on, or it was killed and starts again.
+        be cut off and count on, or it was killed and starts again; after a
+        while it is gone, or what it counts is late in any case.
         """
         keepers = {item.name for item in self._log.voters}
         return [
@@ -110,9 +112,14 @@
             for name, member in self._state.members.members.items()
             if name not in keepers
             and member.standing is not LEFT
+            and not self._is_gone(member, now)
             and not self._reported.told_through(name, moment)
         ]
 
+    def _is_gone(self, member, now):
+        lately = now - member.since < self._options.late
+        return member.standing is FAILED and not lately
+
     def _taken_through(self, window):
         """Return the last window of those taken without a gap."""
         decided = self._duties.decided
--- a/tests/cover/test_duty_holders.py
+++ b/tests/cover/test_duty_holders.py
@@ -108,6 +108,17 @@
     check_exact(made)
 
 
+def test_instance_that_is_gone_for_good_is_not_waited_for(made):
+    # An instance was taken away without a word.  Each window waited for it
+    # until little of its time was left, for a day.
+    made.serve(12.0)
+    made.kill("i1")
+    made.serve(50.0)
+    last = max(made.platform.taken)
+    ended = (last + 1) * duty_world.WINDOW - duty_world.START
+    assert made.platform.taken_at[last] - ended < 2.0
+
+
 def test_windows_are_sent_after_a_time_without_the_platform(made):
     # The platform answers nobody for twenty seconds, and takes what it gets
     # late.  Every window is told in the end, as it was decided.
