--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -126,9 +126,10 @@
     def _is_gone(self, holder, now):
         """Tell whether a holder is no keeper or not heard of by the leader.
 
-        One that is a keeper no more may be well, and does not act.  Keepers hear of one another through the log's messages, which go
-        between the leader and each other one: who has just begun to lead
-        has heard nothing of the holder yet.
+        One that is a keeper no more may be well, and does not act.  Keepers
+        hear of one another through the log's messages, which go between the
+        leader and each other one: who has just begun to lead has heard
+        nothing of the holder yet.
         """
         member = self._state.members.members.get(holder)
         if member is None or member.standing is LEFT:
