A request that is tried again is counted once and still has its first output

Cause: what marked a request as counted was the time of its first output, so that one whose first server crashed had no figure in the histogram of its class. The mark is its own now (test first failed with 'first_output' set).

--- a/packages/dandeliontrail/src/dandeliontrail/components/begun.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/begun.py
@@ -28,14 +28,13 @@
         usual = self._learn(held.work.service, took)
         self._count(held, now - min(took, usual))
 
-    def broke_off(self, held, now):
+    def broke_off(self, held):
         """Count a plain request whose answer did not come.
 
         A stream that broke off before its first event waited for its engine.
         """
-        if not held.first_output and not held.work.streamed:
+        if not held.work.streamed:
             self._count(held, held.dispatched)
-            held.first_output = now
 
     def _learn(self, service, took):
         usual = self._quickest.get(service, took)
@@ -47,6 +46,7 @@
         clock = self._duties.clock
         if not self._duties.options.reports_usage or not clock.known:
             return
-        if held.work.organisation:
+        if held.work.organisation and not held.counted:
+            held.counted = True
             began = clock.at(moment)
             self._duties.counter.count(held.work.organisation, began)
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -70,7 +70,7 @@
     by the server's own word.  ``arrivals`` counts the servers that it
     reached, whether they ran it or not; it never falls.  ``first_output`` is
     zero until there is one.  ``claimed`` tells that the right to run its
-    idempotency key was granted.
+    idempotency key was granted, ``counted`` that it is in a window of usage.
     """
 
     work: work_module.Work
@@ -82,6 +82,7 @@
     first_output: float = 0.0
     claimed: bool = False
     arrivals: int = 0
+    counted: bool = False
 
     def move(self, phase):
         """Enter ``phase``, which the table must allow."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -394,7 +394,7 @@
         held = self._current(event)
         if held is None:
             return []
-        self._begun.broke_off(held, now)
+        self._begun.broke_off(held)
         self._release(held, now, failed=True)
         self._count(held.work, 0, 0, wasted=event.relayed)
         if not held.work.repeatable:
