--- a/packages/dandeliontrail-node/src/dandeliontrail_node/cooperative.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/cooperative.py
@@ -9,9 +9,9 @@
 
     gevent announces each patch to plugins that installed packages declare.
     To find them it loads the reader of package metadata, and with it those of
-    mail and archives, and reads every package's folder: a fifth of a start, in
-    which callers find nobody listening.  No package here declares any.
-    ``options`` are those of ``gevent.monkey.patch_all``.
+    mail and archives, and reads every package's folder, while callers find
+    nobody listening.  No package here declares any.  ``options`` are those of
+    ``gevent.monkey.patch_all``.
     """
     events.notify_and_call_entry_points = events.notify
     monkey.patch_all(**options)
