One proposer beside the log for duties and orders; usage's report in one place

Clean-up without change of behaviour: `Duties` and `Orders` each made ids for their log entries, two components each built an instance's report of usage, a call under way was stored though only its being there was asked for, and the time of day was read and told at each tick where no usage is reported. The tests of orders, duties and usage passed on it.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -102,7 +102,8 @@
 
     def _read_clock(self):
         """Tell the reducer the time of day, by which usage is kept."""
-        self.submit(events.ClockRead(time.time()))
+        if self.state.duties.options.reports_usage:
+            self.submit(events.ClockRead(time.time()))
         day = time.strftime("%Y-%m-%d", time.gmtime())
         if day != self._day:
             self._day = day
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -18,6 +18,7 @@
 from ..coordination import member_records
 from ..coordination import usage_windows
 from . import duties_state
+from . import proposer
 from . import server_orders
 from . import window_decisions
 
@@ -43,8 +44,8 @@
         self._log = state.log
         self._options = state.duties.options
         self._lease = state.duties.lease
-        self._proposals = 0
-        self._calling = None
+        self._propose = proposer.Proposer(state, "duties").propose
+        self._calling = False
         self._unanswered_since = None
         self._seen = None
         self._leads_since = None
@@ -163,16 +164,8 @@
         self._lease.answered(settled.result, now)
         return []
 
-    def _propose(self, entry, now, settled):
-        own = self._state.identity
-        self._proposals += 1
-        proposal_id = (
-            f"duties/{own.instance}/{own.incarnation}/{self._proposals}"
-        )
-        return self._log.propose(entry, proposal_id, now, settled)
-
     def _may_call(self, now):
-        return self._calling is None and self._lease.may_order(
+        return not self._calling and self._lease.may_order(
             self._options.checks_fencing, now
         )
 
@@ -187,11 +180,11 @@
         return None
 
     def _perform(self, call):
-        self._calling = call
+        self._calling = True
         return effects.PerformDuty(call, self._lease.grant.fencing)
 
     def _answered(self, event, now):
-        self._calling = None
+        self._calling = False
         call = event.call
         part = self._parts[type(call)]
         fields = {
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties_state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties_state.py
@@ -5,6 +5,7 @@
 from ..coordination import leases
 from ..coordination import server_counts
 from ..coordination import true_time
+from ..coordination import usage
 from ..coordination import usage_windows
 from . import orders_state
 
@@ -63,6 +64,12 @@
     )
 
 
+def report_of(identity, through, windows):
+    """Return what an instance tells of its ``windows`` up to ``through``."""
+    publisher = usage.Publisher(identity.instance, identity.incarnation)
+    return usage_windows.WindowReport(publisher, through, windows)
+
+
 def register(log, state):
     """Have the log's entries about duties applied to ``state``."""
     decided = orders_state.TableApplier(
--- a/packages/dandeliontrail/src/dandeliontrail/components/orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/orders.py
@@ -21,6 +21,7 @@
 from . import download_slots
 from . import orders_state
 from . import placements
+from . import proposer
 
 INTERVAL = 1.0
 # Downloads from the weight store at a time, over all instances, where the
@@ -44,7 +45,7 @@
         self._log = state.log
         self._orders = state.orders
         self._lease = state.orders.lease
-        self._proposals = 0
+        self._propose = proposer.Proposer(state, "orders").propose
         orders_state.register(state.log, state.orders)
         self._awaited = {}
         self._refused_until = {}
@@ -161,19 +162,6 @@
         request = self._lease.ask(self._holding(), now)
         return self._propose(request, now, self._leased)
 
-    def _propose(self, entry, now, answered):
-        """Put ``entry`` into the log under an id of its own.
-
-        A lease that is asked for again is a new request with a new start
-        of its time, so that no two may share an id.
-        """
-        own = self._state.identity
-        self._proposals += 1
-        proposal_id = (
-            f"orders/{own.instance}/{own.incarnation}/{self._proposals}"
-        )
-        return self._log.propose(entry, proposal_id, now, answered)
-
     def _leased(self, settled, now):
         """Take in the log's answer to a lease request."""
         result = settled.result
--- a/packages/dandeliontrail/src/dandeliontrail/components/usage_windows.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/usage_windows.py
@@ -13,7 +13,6 @@
 from .. import effects
 from .. import events
 from .. import interfaces
-from ..coordination import usage
 from ..coordination import usage_windows
 from . import duties_state
 
@@ -128,8 +127,7 @@
             return None
         self._told_through = through
         own = self._state.identity
-        publisher = usage.Publisher(own.instance, own.incarnation)
-        return usage_windows.WindowReport(publisher, through, windows)
+        return duties_state.report_of(own, through, windows)
 
     def _settle(self):
         """Forget what is decided, and log what came too late for it."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/window_decisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/window_decisions.py
@@ -7,8 +7,8 @@
 
 from .. import effects
 from ..coordination import member_records
-from ..coordination import usage
 from ..coordination import usage_windows
+from . import duties_state
 from . import duty_part
 
 # A window is decided once everybody told all of it, and no sooner than this
@@ -88,8 +88,7 @@
         if not windows:
             return
         own = self._state.identity
-        publisher = usage.Publisher(own.instance, own.incarnation)
-        self.told(usage_windows.WindowReport(publisher, moment, windows))
+        self.told(duties_state.report_of(own, moment, windows))
 
     def _next_window(self, moment):
         last = self._duties.decided.last
