Servers are ordered sooner, at the start and by a new holder

Three waits stood behind one another: the holder listened anew for 4 s from when it took over, though it may have run for minutes; a count had to stay the same for 2 s; and the very first holder of a log waited for a predecessor that cannot be. Ruled out: the platform (calls are answered within 0.1 s), the log (0.1 s).

Now spot servers are ordered for what is found so far, since that takes nothing away, and grow with it; regular ones are given up by what is known for sure, as before. An instance counts as informed 4 s after its own start. The first holder of a lease that only keepers hold follows nobody (keepers end with their log).

--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -50,11 +50,11 @@
         self._seen = None
         self._leads_since = None
         self._windows = window_decisions.WindowDecisions(state, self._propose)
-        servers = server_orders.ServerOrders(state, self._propose)
+        self._servers = server_orders.ServerOrders(state, self._propose)
         # Reports have a time by which they are due, so they go first.
         self._parts = {
             effects.ReportUsage: self._windows,
-            effects.SetServerCount: servers,
+            effects.SetServerCount: self._servers,
         }
         duties_state.register(state.log, state.duties)
 
@@ -67,6 +67,7 @@
 
     def tick(self, now):
         """Do what is due, where this instance is the one to do it."""
+        self._servers.lives(now)
         own = self._state.identity.instance
         if not self._options.any or not self._is_keeper(own):
             return []
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties_state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties_state.py
@@ -9,6 +9,9 @@
 from ..coordination import usage_windows
 from . import orders_state
 
+# For a platform that is told nothing of its own: calls of a second, and no two
+# holders that act by turns within three.
+TERMS = leases.LeaseTerms(1.5, 1.0, 3.0, by_keepers=True)
 # The subject of the one lease over all calls to the platform; a failure
 # domain, which is a subject too, has no such name.
 SUBJECT = "/platform"
@@ -29,7 +32,7 @@
     window: float = 60.0
     late: float = 120.0
     checks_fencing: bool = False
-    terms: leases.LeaseTerms = leases.LeaseTerms(1.5, 1.0, 3.0)
+    terms: leases.LeaseTerms = TERMS
 
     @property
     def any(self):
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
@@ -38,12 +38,15 @@
         self._next_look = 0.0
         self._informed_at = None
 
+    def lives(self, now):
+        """Take note that this instance runs, whoever holds the duty."""
+        if self._informed_at is None:
+            self._informed_at = now + INFORMED_SECONDS
+
     def tick(self, now):
         """Return the effects of orders that change."""
         if not self._state.duties.options.orders_servers:
             return []
-        if self._informed_at is None:
-            self._informed_at = now + INFORMED_SECONDS
         if now < self._next_look:
             return []
         self._next_look = now + INTERVAL
@@ -79,19 +82,32 @@
         return found
 
     def _look(self, service, domain, serving, now):
+        """Compare what is ordered with what should be.
+
+        As long as nothing is ordered, the servers that were found are some of
+        those that are needed: spot ones are ordered for them at once, since
+        each second until these have started is paid for at the full price.
+        Regular ones are given up only by what is known for sure.
+        """
         regular = server_counts.Group(service.name, domain, False)
         spot = server_counts.Group(service.name, domain, True)
         last = self._ordered.last(regular)
         settled = self._has_settled(regular, serving.regular, now)
-        if now < self._informed_at or (last is None and not settled):
+        informed = now >= self._informed_at
+        if last is not None and not informed:
             return []
-        needed = last.needed if last else serving.regular
+        known = last or self._ordered.last(spot)
+        needed = known.needed if known else 0
+        if last is None:
+            needed = max(needed, serving.regular)
         wanted = decision.plan(service.scaling, needed, serving)
         self._note_missing(spot, serving.spot, service.scaling)
         self._note_missing(regular, serving.regular, service.scaling)
-        out = []
-        for group, count in ((spot, wanted.spot), (regular, wanted.regular)):
-            out.extend(self._order(group, count, needed, serving, now))
+        out = self._order(spot, wanted.spot, needed, serving, now)
+        if last is not None or (settled and informed):
+            out.extend(
+                self._order(regular, wanted.regular, needed, serving, now)
+            )
         return out
 
     def _note_missing(self, group, serving, scaling):
@@ -113,8 +129,11 @@
 
     def _order(self, group, count, needed, serving, now):
         last = self._ordered.last(group)
-        unchanged = last is not None and last.count == count
-        if unchanged or group in self._proposed:
+        # Without any order there are regular servers, and no spot ones.
+        before = 0 if group.spot else None
+        if last is not None:
+            before = last.count
+        if before == count or group in self._proposed:
             return []
         self._proposed.add(group)
         order = server_counts.CountOrder(group, count, needed)
@@ -123,7 +142,7 @@
             "failure_domain": group.failure_domain,
             "spot": group.spot,
             "count": count,
-            "before": last.count if last else None,
+            "before": before,
             "needed": needed,
             "regular_serving": serving.regular,
             "spot_serving": serving.spot,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/leases.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/leases.py
@@ -45,12 +45,15 @@
     ``lease`` is how long a grant lasts and ``longest_call`` how long what it
     allows may be under way.  ``turn`` guards those who look at nothing but
     the order of calls: within so long, nobody acts, is followed by another
-    and acts again.
+    and acts again.  ``by_keepers`` tells that only keepers hold the lease:
+    they end with the log that they keep, so that the first holder by a log
+    follows nobody.
     """
 
     lease: float = LEASE
     longest_call: float = LONGEST_ORDER
     turn: float = 0.0
+    by_keepers: bool = False
 
     def wait(self):
         """Return how long a new holder waits before it acts.
@@ -169,7 +172,14 @@
     Another ``subject`` may be named, with ``terms`` of its own.
     """
 
-    __slots__ = ("terms", "grant", "_identity", "_subject", "_asked_at")
+    __slots__ = (
+        "terms",
+        "grant",
+        "_identity",
+        "_subject",
+        "_asked_at",
+        "_replaces",
+    )
 
     def __init__(self, identity, subject="", terms=ORDER_TERMS):
         self.terms = terms
@@ -177,6 +187,7 @@
         self._identity = identity
         self._subject = subject
         self._asked_at = None
+        self._replaces = 0
 
     def ask(self, present, now):
         """Return the request to put into the log, at ``now``.
@@ -185,6 +196,7 @@
         the lease counts from, and must not be mistaken for another's.
         """
         self._asked_at = now
+        self._replaces = present.fencing
         return LeaseRequest(
             self._subject or self._identity.failure_domain,
             self._identity.instance,
@@ -215,6 +227,8 @@
         held = self.grant
         if held and held.fencing == result.holding.fencing:
             return held.unchecked_from
+        if self.terms.by_keepers and result.taken_over and not self._replaces:
+            return now
         # A grant that is not a renewal of the one in hand may follow
         # another holder, or this instance's own earlier lease of which an
         # order is still under way.  Wait out both.
