A reserve of spot servers, as many as one failure domain may lose

Cause: bursts of the longest prompts come at once to engines that are half idle but whose memory just holds the shared parts. Ruled out: homes of a part, room to read, order of the queue, prompts that read anew after a wait (docs/design/shifted-work.md has each).

Now each failure domain orders spot servers so that the others do without it when all of its own are taken away; the reserve makes up for what one domain lacks, and regular servers stand in where fewer than are needed serve in all.

--- a/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
@@ -52,8 +52,7 @@
         self._next_look = now + INTERVAL
         out = []
         for service in self._services():
-            for domain, serving in self._serving(service.name, now).items():
-                out.extend(self._look(service, domain, serving, now))
+            out.extend(self._look(service, now))
         return out
 
     def _services(self):
@@ -81,7 +80,7 @@
                 stock.regular += 1
         return found
 
-    def _look(self, service, domain, serving, now):
+    def _look(self, service, now):
         """Compare what is ordered with what should be.
 
         As long as nothing is ordered, the servers that were found are some of
@@ -89,26 +88,51 @@
         each second until these have started is paid for at the full price.
         Regular ones are given up only by what is known for sure.
         """
-        regular = server_counts.Group(service.name, domain, False)
-        spot = server_counts.Group(service.name, domain, True)
+        serving = self._serving(service.name, now)
+        needed = {
+            domain: self._needed(service.name, domain, stock)
+            for domain, stock in serving.items()
+        }
+        ordered = self._ordered.domains(service.name)
+        domains = len(ordered | needed.keys())
+        wanted = decision.plan(service.scaling, needed, serving, domains)
+        out = []
+        for domain, stock in serving.items():
+            regular = server_counts.Group(service.name, domain, False)
+            spot = server_counts.Group(service.name, domain, True)
+            may_fall = self._is_known(regular, stock, now)
+            if self._ordered.last(regular) and now < self._informed_at:
+                continue
+            self._note_missing(spot, stock.spot, service.scaling)
+            self._note_missing(regular, stock.regular, service.scaling)
+            counts = [(spot, wanted[domain].spot)]
+            if may_fall:
+                counts.append((regular, wanted[domain].regular))
+            for group, count in counts:
+                out.extend(
+                    self._order(group, count, needed[domain], stock, now)
+                )
+        return out
+
+    def _needed(self, service, domain, serving):
+        """Return how many servers a failure domain needs.
+
+        That is what was found before anything was ordered.
+        """
+        regular = server_counts.Group(service, domain, False)
+        spot = server_counts.Group(service, domain, True)
         last = self._ordered.last(regular)
+        if last is not None:
+            return last.needed
+        last = self._ordered.last(spot)
+        return max(last.needed if last else 0, serving.regular)
+
+    def _is_known(self, regular, serving, now):
+        """Tell whether it is known how many regular servers there are."""
         settled = self._has_settled(regular, serving.regular, now)
-        informed = now >= self._informed_at
-        if last is not None and not informed:
-            return []
-        known = last or self._ordered.last(spot)
-        needed = known.needed if known else 0
-        if last is None:
-            needed = max(needed, serving.regular)
-        wanted = decision.plan(service.scaling, needed, serving)
-        self._note_missing(spot, serving.spot, service.scaling)
-        self._note_missing(regular, serving.regular, service.scaling)
-        out = self._order(spot, wanted.spot, needed, serving, now)
-        if last is not None or (settled and informed):
-            out.extend(
-                self._order(regular, wanted.regular, needed, serving, now)
-            )
-        return out
+        if self._ordered.last(regular) is not None:
+            return True
+        return settled and now >= self._informed_at
 
     def _note_missing(self, group, serving, scaling):
         """Have an order given again whose servers did not come."""
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_counts.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_counts.py
@@ -55,6 +55,14 @@
         """Return the last order of a group, or ``None``."""
         return self.orders.get(group)
 
+    def domains(self, service):
+        """Return the failure domains that have orders of ``service``."""
+        return {
+            group.failure_domain
+            for group in self.orders
+            if group.service == service
+        }
+
     def snapshot(self):
         """Return the state for a checkpoint."""
         return [
