A reserve is shared out once all failure domains are known

Cause: with two of three failure domains found, the reserve of each was as many as are needed there (9 spot servers ordered where 7 were left a second later), and a domain that is found later would have had the reserve of all others ordered away for two seconds, with what those engines hold. Orders only grow now until each domain's regular servers are known; two tests failed first.

--- a/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
@@ -93,8 +93,11 @@
             domain: self._needed(service.name, domain, stock)
             for domain, stock in serving.items()
         }
-        ordered = self._ordered.domains(service.name)
-        domains = len(ordered | needed.keys())
+        known = self._ordered.domains(service.name)
+        # A reserve is shared out among all failure domains, once none of them
+        # has only just been found; until then orders only grow.
+        complete = needed.keys() <= known
+        domains = len(known) if complete else 1
         wanted = decision.plan(service.scaling, needed, serving, domains)
         out = []
         for domain, stock in serving.items():
@@ -105,7 +108,10 @@
                 continue
             self._note_missing(spot, stock.spot, service.scaling)
             self._note_missing(regular, stock.regular, service.scaling)
-            counts = [(spot, wanted[domain].spot)]
+            of_spot = wanted[domain].spot
+            if not complete:
+                of_spot = max(of_spot, self._last_count(spot))
+            counts = [(spot, of_spot)]
             if may_fall:
                 counts.append((regular, wanted[domain].regular))
             for group, count in counts:
@@ -114,6 +120,10 @@
                 )
         return out
 
+    def _last_count(self, group):
+        last = self._ordered.last(group)
+        return last.count if last is not None else 0
+
     def _needed(self, service, domain, serving):
         """Return how many servers a failure domain needs.
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_counts.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_counts.py
@@ -56,11 +56,14 @@
         return self.orders.get(group)
 
     def domains(self, service):
-        """Return the failure domains that have orders of ``service``."""
+        """Return the failure domains whose servers of ``service`` are known.
+
+        That is those for which regular servers were ordered.
+        """
         return {
             group.failure_domain
             for group in self.orders
-            if group.service == service
+            if group.service == service and not group.spot
         }
 
     def snapshot(self):
