--- a/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -26,7 +26,7 @@
 # An engine is kept for so many close streams, in parts of its slots.  More,
 # and their own prompts, read beside them, make their pauses long; then they
 # last longer too, and another engine is kept.
-CLOSE_SLOTS_PART = 0.25
+CLOSE_SLOTS_PART = 0.5
 # A kept engine is given back once one fewer would be filled to this part.
 GIVE_BACK_PART = 0.8
 # No more than the usual part is kept while the others have so many prompt
@@ -112,7 +112,7 @@
     >>> len(groups.members(close=False))
     16
     >>> for second in range(60):
-    ...     groups.resize(lambda name: 32, lambda name: 0, 64, float(second))
+    ...     groups.resize(lambda name: 40, lambda name: 0, 64, float(second))
     >>> len(groups.members(close=False))
     10
     """
