One renewal, one look at a lease before sending, one count of servers, one set of voters' names

Read once more, no change of behaviour: - Orders and duties asked for their lease in the same lines; the proposer that both have does it now. - Whether a call may still go out under its fencing number stood in the client and in the stand-in of its tests; the lease tells it now. - Servers were counted by service, failure domain and kind in the view for operators, once for each group, and by the orders, once for each service; one count of what is announced serves both, taken once. - The names of the keepers that vote were built from the log in seven places. - The look at orders did three things; which orders to compare is a method of its own, and one that noted changes as it answered a question is gone. - Two tests of leases made their holders in the same lines.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/leased_call.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/leased_call.py
@@ -49,21 +49,14 @@
                 sock = pool.get_socket()
                 _bound(sock, seconds)
                 pool.return_socket(sock)
-                if not self._may_send(fencing, checks_fencing):
+                now = self._clock.now()
+                if not self._lease.may_send(fencing, checks_fencing, now):
                     raise MayNotCall()
                 response = client.post(path, body, headers)
                 return response.status_code, response.read()
         finally:
             client.close()
 
-    def _may_send(self, fencing, checks_fencing):
-        grant = self._lease.grant
-        return (
-            grant is not None
-            and grant.fencing == fencing
-            and self._lease.may_order(checks_fencing, self._clock.now())
-        )
-
 
 def _bound(sock, seconds):
     """Let nothing of a call arrive after its time.
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/duty_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/duty_views.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from dandeliontrail.components import duties_state
+from dandeliontrail.coordination import server_counts
 
 
 class ServerOrderView(msgspec.Struct):
@@ -24,29 +25,25 @@
 def server_orders(host):
     """Return the last order of each group of servers."""
     now = host.clock.now()
-    serving = [item.announcement for item in host.state.registry.serving(now)]
+    serving = server_counts.count(
+        item.announcement for item in host.state.registry.serving(now)
+    )
     ordered = host.state.duties.ordered
     return [
-        _order_view(group, ordered.orders[group], serving)
+        _order_view(group, ordered.orders[group], serving[group])
         for group in sorted(ordered.orders)
     ]
 
 
 def _order_view(group, order, serving):
     kind = "spot" if group.spot else "regular"
-    heard = sum(
-        item.service == group.service
-        and item.failure_domain == group.failure_domain
-        and item.spot == group.spot
-        for item in serving
-    )
     return ServerOrderView(
         f"{group.service}.{group.failure_domain}.{kind}",
         group.service,
         group.failure_domain,
         kind,
         order.count,
-        heard,
+        serving,
         order.needed,
     )
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/duties.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/duties.py
@@ -44,7 +44,8 @@
         self._log = state.log
         self._options = state.duties.options
         self._lease = state.duties.lease
-        self._propose = proposer.Proposer(state, "duties").propose
+        self._proposer = proposer.Proposer(state, "duties")
+        self._propose = self._proposer.propose
         self._calling = False
         self._unanswered_since = None
         self._seen = None
@@ -94,7 +95,7 @@
     # -- who acts ---------------------------------------------------------
 
     def _is_keeper(self, name):
-        return any(item.name == name for item in self._log.voters)
+        return name in self._log.voter_names()
 
     def _holding(self):
         return self._state.orders.leases.holding(duties_state.SUBJECT)
@@ -156,10 +157,9 @@
         return [effects.Log("info", "platform duties are held", fields)]
 
     def _renew(self, now):
-        if self._lease.asking() or not self._lease.renewal_due(now):
-            return []
-        request = self._lease.ask(self._holding(), now)
-        return self._propose(request, now, self._leased)
+        return self._proposer.renew(
+            self._lease, self._holding(), now, self._leased
+        )
 
     def _leased(self, settled, now):
         self._lease.answered(settled.result, now)
@@ -232,7 +232,7 @@
 
     def _successor(self, now):
         """Return a keeper in another failure domain, if there is any."""
-        keepers = {item.name for item in self._log.voters}
+        keepers = self._log.voter_names()
         found = [
             member
             for member in self._state.members.alive(now)
--- a/packages/dandeliontrail/src/dandeliontrail/components/orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/orders.py
@@ -45,7 +45,8 @@
         self._log = state.log
         self._orders = state.orders
         self._lease = state.orders.lease
-        self._propose = proposer.Proposer(state, "orders").propose
+        self._proposer = proposer.Proposer(state, "orders")
+        self._propose = self._proposer.propose
         orders_state.register(state.log, state.orders)
         self._awaited = {}
         self._refused_until = {}
@@ -157,10 +158,9 @@
         return self._slots.drop_unplanned(planned, fencing, now)
 
     def _renew(self, now):
-        if self._lease.asking() or not self._lease.renewal_due(now):
-            return []
-        request = self._lease.ask(self._holding(), now)
-        return self._propose(request, now, self._leased)
+        return self._proposer.renew(
+            self._lease, self._holding(), now, self._leased
+        )
 
     def _leased(self, settled, now):
         """Take in the log's answer to a lease request."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/proposer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/proposer.py
@@ -22,3 +22,9 @@
         self._count += 1
         proposal_id = f"{self._prefix}/{self._count}"
         return self._log.propose(entry, proposal_id, now, settled)
+
+    def renew(self, lease, holding, now, settled):
+        """Ask for a lease, where it is time to and nothing was asked yet."""
+        if lease.asking() or not lease.renewal_due(now):
+            return []
+        return self.propose(lease.ask(holding, now), now, settled)
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_orders.py
@@ -50,9 +50,12 @@
         if now < self._next_look:
             return []
         self._next_look = now + INTERVAL
+        heard = server_counts.count(
+            item.announcement for item in self._state.registry.serving(now)
+        )
         out = []
         for service in self._services():
-            out.extend(self._look(service, now))
+            out.extend(self._look(service, heard, now))
         return out
 
     def _services(self):
@@ -61,34 +64,13 @@
             return []
         return [item for item in table.revision.services if item.scaling]
 
-    def _serving(self, service, now):
-        """Return the :class:`decision.Stock` of each failure domain.
-
-        A domain of which no server at all is heard may be cut off, and is
-        left out.
-        """
-        found = {}
-        for held in self._state.registry.serving(now):
-            announcement = held.announcement
-            if announcement.service != service:
-                continue
-            domain = announcement.failure_domain
-            stock = found.setdefault(domain, decision.Stock())
-            if announcement.spot:
-                stock.spot += 1
-            else:
-                stock.regular += 1
-        return found
-
-    def _look(self, service, now):
+    def _look(self, service, heard, now):
         """Compare what is ordered with what should be.
 
-        As long as nothing is ordered, the servers that were found are some of
-        those that are needed: spot ones are ordered for them at once, since
-        each second until these have started is paid for at the full price.
-        Regular ones are given up only by what is known for sure.
+        ``heard`` counts the servers of each group.  A failure domain of which
+        no server at all is heard may be cut off, and is left as it is.
         """
-        serving = self._serving(service.name, now)
+        serving = _by_domain(service.name, heard)
         needed = {
             domain: self._needed(service.name, domain, stock)
             for domain, stock in serving.items()
@@ -99,27 +81,44 @@
         complete = needed.keys() <= known
         domains = len(known) if complete else 1
         wanted = decision.plan(service.scaling, needed, serving, domains)
+        if not complete:
+            self._grow_only(service.name, wanted)
         out = []
         for domain, stock in serving.items():
             regular = server_counts.Group(service.name, domain, False)
             spot = server_counts.Group(service.name, domain, True)
-            may_fall = self._is_known(regular, stock, now)
-            if self._ordered.last(regular) and now < self._informed_at:
-                continue
-            self._note_missing(spot, stock.spot, service.scaling)
-            self._note_missing(regular, stock.regular, service.scaling)
-            of_spot = wanted[domain].spot
-            if not complete:
-                of_spot = max(of_spot, self._last_count(spot))
-            counts = [(spot, of_spot)]
-            if may_fall:
-                counts.append((regular, wanted[domain].regular))
+            counts = self._counts(regular, spot, wanted[domain], stock, now)
+            if counts:
+                self._note_missing(spot, stock.spot, service.scaling)
+                self._note_missing(regular, stock.regular, service.scaling)
             for group, count in counts:
                 out.extend(
                     self._order(group, count, needed[domain], stock, now)
                 )
         return out
 
+    def _counts(self, regular, spot, wanted, serving, now):
+        """Return the orders to compare, as pairs of group and count.
+
+        As long as nothing is ordered, the servers that were found are some of
+        those that are needed: spot ones are ordered for them at once, since
+        each second until these have started is paid for at the full price.
+        Regular ones are given up only by what is known for sure.
+        """
+        settled = self._has_settled(regular, serving.regular, now)
+        ordered = self._ordered.last(regular) is not None
+        informed = now >= self._informed_at
+        if ordered and not informed:
+            return []
+        if ordered or (settled and informed):
+            return [(spot, wanted.spot), (regular, wanted.regular)]
+        return [(spot, wanted.spot)]
+
+    def _grow_only(self, service, wanted):
+        for domain, stock in wanted.items():
+            spot = server_counts.Group(service, domain, True)
+            stock.spot = max(stock.spot, self._last_count(spot))
+
     def _last_count(self, group):
         last = self._ordered.last(group)
         return last.count if last is not None else 0
@@ -137,13 +136,6 @@
         last = self._ordered.last(spot)
         return max(last.needed if last else 0, serving.regular)
 
-    def _is_known(self, regular, serving, now):
-        """Tell whether it is known how many regular servers there are."""
-        settled = self._has_settled(regular, serving.regular, now)
-        if self._ordered.last(regular) is not None:
-            return True
-        return settled and now >= self._informed_at
-
     def _note_missing(self, group, serving, scaling):
         """Have an order given again whose servers did not come."""
         last = self._ordered.last(group)
@@ -224,3 +216,17 @@
             "spot": group.spot,
             "count": call.count,
         }
+
+
+def _by_domain(service, heard):
+    """Return the :class:`decision.Stock` of each failure domain."""
+    found = {}
+    for group, count in heard.items():
+        if group.service != service:
+            continue
+        stock = found.setdefault(group.failure_domain, decision.Stock())
+        if group.spot:
+            stock.spot = count
+        else:
+            stock.regular = count
+    return found
--- a/packages/dandeliontrail/src/dandeliontrail/components/window_decisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/window_decisions.py
@@ -105,7 +105,7 @@
         be cut off and count on, or it was killed and starts again; after a
         while it is gone, or what it counts is late in any case.
         """
-        keepers = {item.name for item in self._log.voters}
+        keepers = self._log.voter_names()
         return [
             name
             for name, member in self._state.members.members.items()
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/leases.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/leases.py
@@ -255,3 +255,11 @@
         if self.grant is None or now >= self.grant.valid_until:
             return False
         return checks_fencing or now >= self.grant.unchecked_from
+
+    def may_send(self, fencing, checks_fencing, now):
+        """Tell whether what was decided under ``fencing`` may go out still."""
+        return (
+            self.grant is not None
+            and self.grant.fencing == fencing
+            and self.may_order(checks_fencing, now)
+        )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -159,10 +159,9 @@
         """Tell whether the state here may be served from."""
         return self._start.ready
 
-    @property
-    def voters(self):
-        """Return the keepers that vote, as the log has them."""
-        return self._core.log.voters
+    def voter_names(self):
+        """Return the names of the keepers that vote, as the log has them."""
+        return self._core.voter_names()
 
     def stale(self, now):
         """Tell whether a majority has not been heard of for a while."""
@@ -249,7 +248,7 @@
         if not ask:
             return []
         question = self._progress(now, asks=True, ask=ask)
-        names = {item.name for item in self._core.log.voters}
+        names = self._core.voter_names()
         found = [
             self._neighbours.address_of(name)
             for name in sorted(names | self._bootstrap)
@@ -433,7 +432,7 @@
         addresses = self._neighbours.addresses()
         if len(addresses) > ASKED_AT_ONCE:
             addresses = self._core.rng.sample(addresses, ASKED_AT_ONCE)
-            names = {item.name for item in self._core.log.voters}
+            names = self._core.voter_names()
             for name in sorted(names | self._bootstrap):
                 address = self._neighbours.address_of(name)
                 if address and address not in addresses:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
@@ -115,6 +115,10 @@
         """Return the voters beside this one."""
         return [item for item in self.log.voters if item != self.me]
 
+    def voter_names(self):
+        """Return the names of the keepers that vote, as the log has them."""
+        return {item.name for item in self.log.voters}
+
     def rest(self):
         """Return to the role of one that neither leads nor stands."""
         voter = self.is_voter()
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
@@ -110,7 +110,7 @@
 
     def _spares(self, now):
         """Return the keepers that could become voters, by name."""
-        names = {voter.name for voter in self._core.log.voters}
+        names = self._core.voter_names()
         alive = self._neighbours.alive(now)
         return [
             entries.Voter(name, folder)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_spreading.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_spreading.py
@@ -62,7 +62,7 @@
 
     def _told_first(self, now):
         core = self._core
-        voters = {item.name for item in core.log.voters}
+        voters = core.voter_names()
         others = sorted(self._neighbours.alive(now) - voters)
         near = [name for name in others if self._neighbours.same_domain(name)]
         if not core.is_voter():
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_counts.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_counts.py
@@ -4,6 +4,8 @@
 next goes on from the last order and not from nothing.
 """
 
+import collections
+
 import msgspec
 
 
@@ -18,6 +20,14 @@
     spot: bool
 
 
+def count(announcements):
+    """Return how many servers there are, by :class:`Group`."""
+    return collections.Counter(
+        Group(item.service, item.failure_domain, item.spot)
+        for item in announcements
+    )
+
+
 class CountOrder(msgspec.Struct, tag="server_count"):
     """A log entry: ``count`` servers are wanted in a group.
 
--- a/packages/dandeliontrail/src/dandeliontrail/effects/orders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/orders.py
@@ -8,7 +8,7 @@
 class GiveOrder(msgspec.Struct):
     """Send ``order`` to the engine at ``url``.
 
-    Whoever carries it out asks ``LeaseHolder.may_order`` once more after
+    Whoever carries it out asks ``LeaseHolder.may_send`` once more after
     the connection stands, right before the first byte.
     """
 
--- a/tests/common/duty_world.py
+++ b/tests/common/duty_world.py
@@ -194,9 +194,7 @@
             self.later(0.01, lambda: self._send_call(node, effect))
             return
         lease = node.state.duties.lease
-        grant = lease.grant
-        may = grant is not None and grant.fencing == effect.fencing
-        if not may or not lease.may_order(False, self.now):
+        if not lease.may_send(effect.fencing, False, self.now):
             self._answer(node, effect, events.DutyAnswer.NOT_SENT)
             return
         slow = self.slowness >= TERMS.longest_call
--- a/tests/cover/test_order_leases.py
+++ b/tests/cover/test_order_leases.py
@@ -242,6 +242,13 @@
     holder.answered(table.apply(version, request), now)
 
 
+def two_holders(terms):
+    return [
+        leases.LeaseHolder(make_identity(name), "fd1", terms)
+        for name in ("i1", "i2")
+    ]
+
+
 def test_holders_that_take_turns_do_so_slowly():
     # A holder is cut off and its successor acts; right after the successor
     # asked for its lease the last time, the first one is granted it again.
@@ -249,10 +256,7 @@
     # seconds, though the first's last call was late and its next is prompt.
     terms = CallsDoNotTakeTurns.terms
     table = leases.LeaseTable()
-    first, second = (
-        leases.LeaseHolder(make_identity(name), "fd1", terms)
-        for name in ("i1", "i2")
-    )
+    first, second = two_holders(terms)
     for version, now in ((1, 0.0), (2, 10.0)):
         ask_and_answer(table, first, version, now)
     last_call = first.grant.valid_until + terms.longest_call
@@ -271,10 +275,7 @@
     # holder that is known waits for its predecessor as ever.
     terms = CallsDoNotTakeTurns.terms
     table = leases.LeaseTable()
-    first, second = (
-        leases.LeaseHolder(make_identity(name), "fd1", terms)
-        for name in ("i1", "i2")
-    )
+    first, second = two_holders(terms)
     ask_and_answer(table, first, 1, 0.0)
     assert first.may_order(False, 0.1)
     ask_and_answer(table, second, 2, 0.2)
