--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/events_splitter.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/events_splitter.py
@@ -19,13 +19,16 @@
 
 
 class EventsSplitter:
-    """Gathers bytes and gives them out as whole events."""
+    """Gathers the bytes of one server and gives them out as whole events.
+
+    ``last_id`` names the event after which the server goes on.
+    """
 
     __slots__ = ("_rest", "last_id")
 
-    def __init__(self):
+    def __init__(self, last_id=""):
         self._rest = b""
-        self.last_id = ""
+        self.last_id = last_id
 
     def feed(self, data):
         """Return the events that ``data`` completes, as one piece of bytes."""
@@ -45,10 +48,6 @@
         """Tell whether part of an event has come."""
         return bool(self._rest)
 
-    def drop_rest(self):
-        """Forget the part of an event that a server broke off in."""
-        self._rest = b""
-
 
 def _last_end(data):
     """Return where the last whole event in ``data`` ends, zero for none."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -4,6 +4,10 @@
 it there, and passes the answer on.  Three things can end the wait at any
 moment: the deadline of the route, a caller that leaves, and the end of the
 instance.
+
+A server that falls silent keeps its attempt.  Beside it another server may be
+asked; whichever speaks first has the request, and the other is let go then
+and no sooner.
 """
 
 import contextlib
@@ -19,14 +23,13 @@
 from .. import problems
 from .. import tokens
 from .. import wsgi
+from . import attempt as attempt_module
 from . import caller_watch
-from . import connections as connections_module
-from . import dialect as dialect_module
 from . import events_splitter
 from . import exchange as exchange_module
+from . import readers as readers_module
 from . import upstream as upstream_module
 
-EVENT_STREAM = "text/event-stream"
 # Headers that concern one connection only (RFC 9110, section 7.6.1) or that
 # the server of the caller writes itself.
 HOP_HEADERS = frozenset(
@@ -45,24 +48,33 @@
 )
 
 
+# How an attempt fails; the reducer decides what becomes of the request.
+FAILURES = (
+    upstream_module.NotSent,
+    upstream_module.Broken,
+    attempt_module.NotExecuted,
+    attempt_module.ServerFailed,
+    events_splitter.EventTooLong,
+)
+
+
 class Forwarder:
     """One request and its answer."""
 
     def __init__(self, host, connections, dialect, incoming, body, sock):
         self._host = host
-        self._connections = connections
         self._dialect = dialect
         self._incoming = incoming
-        self._body = body
+        self._sending = attempt_module.Sending(
+            host, connections, dialect, incoming, body
+        )
         self._sock = sock
         self._exchange = exchange_module.Exchange(incoming.request_id)
-        self._splitter = events_splitter.EventsSplitter()
-        self._upstream = None
-        self._dispatch = None
+        self._attempt = None
         self._kept = None
         self._deadline = 0.0
         self._events_passed = 0
-        self._spoke = False
+        self._last_id = ""
         self._stack = contextlib.ExitStack()
         self._open = True
 
@@ -72,26 +84,26 @@
         """Return the reply's iterable."""
         try:
             self._begin()
-            answer, first = self._first_answer()
+            output = self._next_output()
         except BaseException as exc:
             problem = self._ended_by(exc)
             self._close()
             if problem is None:
                 raise
             return self._refuse(start_response, problem)
+        answer = output.answer
         headers = [
             (name, value)
             for name, value in answer.headers
             if name.lower() not in HOP_HEADERS
         ]
         status = wsgi.status_line(answer.status)
-        if first is None:
-            body = self._kept[1]
-            headers.append(("Content-Length", str(len(body))))
+        if output.events is None:
+            headers.append(("Content-Length", str(len(output.body))))
             start_response(status, headers)
-            return _Written(body, self._close)
+            return _Written(output.body, self._close)
         start_response(status, headers)
-        return self._stream(first)
+        return self._stream(output.events)
 
     def _begin(self):
         """Submit the request; it counts from the last byte of its head."""
@@ -113,7 +125,7 @@
                 incoming.max_output_tokens,
                 random.random(),
                 fingerprints.of_content(
-                    incoming.method, incoming.target, self._body
+                    incoming.method, incoming.target, self._sending.body
                 ),
             )
         )
@@ -179,193 +191,209 @@
         if self._open:
             self._open = False
             self._stack.close()
-            self._release()
+            self._let_go()
 
     # -- attempts ---------------------------------------------------------
 
-    def _first_answer(self):
-        """Return the head of the answer, and its first events of a stream.
-
-        For an answer that is no stream its whole body is kept and the
-        second is ``None``.
-        """
-        while self._next_dispatch():
-            found = self._attempted(self._begin_answer)
-            if found is not None:
-                return found
-        return self._kept[0], None
-
-    def _begin_answer(self):
-        answer = self._attempt()
-        if _is_stream(answer):
-            return answer, self._next_events()
-        self._take_whole(answer)
-        return answer, None
-
-    def _attempted(self, call):
-        """Return what ``call`` makes of one attempt, ``None`` if it failed.
+    def _next_output(self):
+        """Return the next output, of another server where one failed.
 
-        The reducer has been told by then how it failed.
+        Where a server answered with a failure of its own and there is no
+        going elsewhere, that answer is the caller's.
         """
-        try:
-            return call()
-        except upstream_module.NotSent as exc:
-            self._not_begun(False, str(exc))
-        except _NotExecuted as exc:
-            self._not_begun(True, str(exc), exc.gone)
-        except _ServerFailed as exc:
-            self._failed(str(exc), exc.status)
-        except upstream_module.Broken as exc:
-            self._failed(str(exc), closed=exc.closed)
-        except events_splitter.EventTooLong as exc:
-            self._failed(str(exc))
-        return None
+        while True:
+            if self._attempt is None and not self._next_attempt():
+                return self._kept
+            output = self._read()
+            if output is not None:
+                return self._accepted(output)
 
-    def _next_dispatch(self):
-        """Wait for where to go; a refusal is raised as its problem.
+    def _next_attempt(self):
+        """Wait for where to go; return false where the caller gets ``_kept``.
 
-        Where a server answered with a failure of its own and there is no
-        going elsewhere, that answer is the caller's, and this returns
-        false.  In the middle of a stream it is of no use.
+        A refusal is raised as its problem.  In the middle of a stream a kept
+        answer is of no use.
         """
-        self._release()
-        effect = self._exchange.get()
+        effect = self._next_item(readers_module.Heard, effects.Withdraw)
         if isinstance(effect, effects.Dispatch):
-            self._dispatch = effect
             self._limit()
+            self._attempt = self._attempt_of(effect)
             return True
-        refused = isinstance(effect, effects.Refuse)
-        if refused and self._kept is not None and not self._events_passed:
+        if isinstance(effect, effects.Refuse) and (
+            self._kept is not None and not self._events_passed
+        ):
             return False
-        if effect is None:
-            raise problems.internal_problem(self._incoming.request_id)
-        raise problems.problem_of(effect)
+        raise self._problem_of(effect)
 
-    def _attempt(self):
-        """Send the request to the server chosen; return the answer's head."""
-        dispatch = self._dispatch
-        incoming = self._incoming
-        self._spoke = False
-        self._upstream = upstream_module.Upstream(
-            self._connections,
-            connections_module.address_of(dispatch.url),
-            self._dialect,
-            incoming.request_id,
+    def _next_item(self, *out_of_date):
+        """Return what is next in the mailbox, but for what is out of date.
+
+        Attempts may have been let go since the reducer or a reader put in
+        something about them.
+        """
+        while True:
+            item = self._exchange.get()
+            if isinstance(item, effects.Dispatch) and (
+                not self._host.is_current(item)
+            ):
+                continue
+            if not isinstance(item, out_of_date):
+                return item
+
+    def _problem_of(self, effect):
+        if isinstance(effect, effects.Refuse):
+            return problems.problem_of(effect)
+        return problems.internal_problem(self._incoming.request_id)
+
+    def _attempt_of(self, dispatch):
+        return attempt_module.Attempt(
+            self._sending,
+            dispatch,
+            self._deadline,
+            self._last_id,
+            resuming=self._events_passed > 0,
         )
-        self._upstream.connect()
-        life = self._host.life(incoming.request_id)
-        if life is None:
-            # The instance ended the request while the connection was made,
-            # and its caller is told that nothing ran: nothing may be sent.
+
+    def _read(self):
+        """Return an output, ``None`` where the attempt failed.
+
+        The reducer has been told by then how it failed.
+        """
+        try:
+            return self._attempt.next()
+        except upstream_module.Silent:
+            return self._heard_first(self._attempt)
+        except attempt_module.Superseded:
             # ``CutOff`` is on its way and ends this wait.
-            self._next_dispatch()
-            raise problems.internal_problem(incoming.request_id)
-        self._host.submit(
-            events.AttemptBegan(incoming.request_id, dispatch.attempt)
-        )
-        attempt = dialect_module.Attempt(
-            dispatch.backend_server,
-            life.work.organisation,
-            dispatch.priority,
-            max(0.0, self._deadline - time.monotonic()),
-            self._splitter.last_id or incoming.last_event_id,
-            bool(incoming.parts),
-        )
-        headers = [
-            *incoming.headers,
-            *self._dialect.attempt_headers(attempt),
-        ]
-        self._upstream.wait_at_most(dispatch.patience.first)
-        self._upstream.send(
-            incoming.method, incoming.target, headers, self._body
-        )
-        answer = self._upstream.head()
-        if self._dialect.not_executed(answer):
-            raise _NotExecuted(answer, self._dialect.is_other_server(answer))
-        return answer
+            raise self._problem_of(self._exchange.get())
+        except FAILURES as exc:
+            self._failed(self._attempt, exc)
+            self._attempt = None
+        return None
 
-    def _take_whole(self, answer):
-        """Take in a whole answer as the caller's.
+    def _heard_first(self, silent):
+        """Wait for a silent server, and for another one beside it.
 
-        A failure of a request that may be repeated is tried elsewhere, and
-        kept in case that there is no elsewhere.
+        Returns the first output of either, or ``None`` where both failed.
         """
-        body = self._upstream.whole_body()
-        self._first_output()
-        self._kept = (answer, body)
-        if answer.status >= 500 and self._dispatch.repeatable:
-            raise _ServerFailed(answer.status)
-        self._finished(0)
-
-    def _not_begun(self, server_said, detail, gone=False):
-        dispatch = self._dispatch
-        self._release()
-        self._host.submit(
-            events.NotBegun(
-                dispatch.request_id,
-                dispatch.attempt,
-                server_said,
-                detail=detail,
-                gone=gone,
-            )
-        )
+        silent.be_patient(None)
+        waited_for = {silent.number: silent}
+        with readers_module.Readers(self._exchange) as readers:
+            readers.read(silent)
+            self._submit(events.AttemptSilent, silent)
+            while waited_for:
+                item = self._next_item()
+                if isinstance(item, readers_module.Heard):
+                    output = self._heard(item, waited_for)
+                    if output is not None:
+                        return output
+                elif isinstance(item, effects.Dispatch):
+                    self._hedge(item, waited_for, readers)
+                elif isinstance(item, effects.Withdraw):
+                    self._withdraw(item, waited_for)
+                else:
+                    raise self._problem_of(item)
+        self._attempt = None
+        return None
 
-    def _failed(self, detail, answered=0, closed=False):
-        dispatch = self._dispatch
-        self._release()
-        self._host.submit(
-            events.AttemptFailed(
-                dispatch.request_id,
-                dispatch.attempt,
-                self._events_passed,
-                detail,
-                answered,
-                closed,
-            )
-        )
+    def _hedge(self, dispatch, waited_for, readers):
+        """Ask another server, beside the silent one."""
+        attempt = self._attempt_of(dispatch)
+        waited_for[attempt.number] = attempt
+        self._stack.callback(attempt.close)
+        readers.read(attempt)
 
-    def _first_output(self):
-        self._host.submit(
-            events.FirstOutput(
-                self._dispatch.request_id, self._dispatch.attempt
+    def _withdraw(self, withdraw, waited_for):
+        attempt = waited_for.pop(withdraw.attempt, None)
+        if attempt is not None:
+            attempt.close()
+
+    def _heard(self, heard, waited_for):
+        """Return the output of an attempt; the others are let go.
+
+        ``None`` where it failed, or had been let go before.
+        """
+        attempt = heard.attempt
+        if waited_for.pop(attempt.number, None) is None:
+            return None
+        if isinstance(heard.error, attempt_module.Superseded):
+            return None
+        if heard.error is not None:
+            if not isinstance(heard.error, FAILURES):
+                raise heard.error
+            self._failed(attempt, heard.error)
+            return None
+        self._submit(events.AttemptSpoke, attempt)
+        for other in waited_for.values():
+            other.close()
+        self._attempt = attempt
+        return heard.output
+
+    def _accepted(self, output):
+        """Take an output as the caller's."""
+        attempt = self._attempt
+        if not attempt.spoke and output.events != b"":
+            # Of each attempt: this engine has read the prompt.
+            attempt.spoke = True
+            self._submit(events.FirstOutput, attempt)
+        if output.events is None:
+            self._finished(0)
+        elif output.events:
+            self._events_passed += 1
+            self._last_id = attempt.last_id
+            attempt.be_patient(attempt.dispatch.patience.between)
+        return output
+
+    def _failed(self, attempt, exc):
+        """Tell the reducer how an attempt failed, and let go of it."""
+        attempt.close()
+        if isinstance(exc, upstream_module.NotSent):
+            self._submit(
+                events.NotBegun, attempt, server_said=False, detail=str(exc)
+            )
+            return
+        if isinstance(exc, attempt_module.NotExecuted):
+            self._submit(
+                events.NotBegun,
+                attempt,
+                server_said=True,
+                detail=str(exc),
+                gone=exc.gone,
             )
+            return
+        answered = 0
+        if isinstance(exc, attempt_module.ServerFailed):
+            self._submit(events.FirstOutput, attempt)
+            self._kept = exc.output
+            answered = exc.output.answer.status
+        self._submit(
+            events.AttemptFailed,
+            attempt,
+            relayed=self._events_passed,
+            detail=str(exc),
+            answered=answered,
+            closed=getattr(exc, "closed", False),
         )
 
+    def _submit(self, kind, attempt, **fields):
+        request_id = self._incoming.request_id
+        self._host.submit(kind(request_id, attempt.number, **fields))
+
     def _finished(self, output_tokens):
-        self._host.submit(
-            events.AnswerFinished(
-                self._dispatch.request_id,
-                self._dispatch.attempt,
-                self._incoming.prompt_tokens,
-                output_tokens,
-            )
+        self._submit(
+            events.AnswerFinished,
+            self._attempt,
+            prompt_tokens=self._incoming.prompt_tokens,
+            output_tokens=output_tokens,
         )
 
-    def _release(self):
-        upstream, self._upstream = self._upstream, None
-        if upstream is not None:
-            upstream.release()
+    def _let_go(self):
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.close()
 
     # -- streams ----------------------------------------------------------
 
-    def _next_events(self):
-        """Return the next whole events, ``b""`` at the stream's end."""
-        while True:
-            data = self._upstream.more()
-            if not data:
-                if self._splitter.pending:
-                    raise upstream_module.Broken("it ended within an event")
-                return b""
-            whole = self._splitter.feed(data)
-            if whole:
-                if not self._spoke:
-                    # Of each attempt: this engine has read the prompt.
-                    self._spoke = True
-                    self._first_output()
-                self._events_passed += 1
-                self._upstream.wait_at_most(self._dispatch.patience.between)
-                return whole
-
     def _stream(self, data):
         """Pass on events until the proper end, over several servers if so.
 
@@ -375,7 +403,7 @@
         try:
             while data:
                 yield data
-                data = self._continued()
+                data = self._next_output().events
             self._finished(self._events_passed)
         except GeneratorExit:
             self._caller_left()
@@ -386,25 +414,6 @@
         finally:
             self._close()
 
-    def _continued(self):
-        """Return the next events, from another server where one failed."""
-        found = self._attempted(self._next_events)
-        while found is None:
-            self._splitter.drop_rest()
-            self._next_dispatch()
-            found = self._attempted(self._resume)
-        return found
-
-    def _resume(self):
-        """Go on with the stream after its last event; return the next."""
-        answer = self._attempt()
-        if answer.status != 200 or not _is_stream(answer):
-            self._upstream.whole_body()
-            raise upstream_module.Broken(
-                f"not resumed: the server answered {answer.status}"
-            )
-        return self._next_events()
-
 
 class _Written:
     """A whole body; the request is in flight until it has been written."""
@@ -421,28 +430,3 @@
 
 class _Overdue(wsgi.Aborted):
     """The deadline passed."""
-
-
-class _NotExecuted(Exception):
-    """The server says that it did not run the request.
-
-    ``gone`` tells that it is another server than the one that was meant.
-    """
-
-    def __init__(self, answer, gone):
-        super().__init__(f"the server answered {answer.status}, not run")
-        self.gone = gone
-
-
-class _ServerFailed(Exception):
-    """The server answered with a failure of its own."""
-
-    def __init__(self, status):
-        super().__init__(f"the server answered {status}")
-        self.status = status
-
-
-def _is_stream(answer):
-    return answer.status == 200 and answer.get("content-type").startswith(
-        EVENT_STREAM
-    )
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/upstream.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/upstream.py
@@ -5,6 +5,8 @@
 anything else that goes wrong, it may have.
 """
 
+import errno
+
 import gevent
 
 from . import answer_parser
@@ -33,6 +35,10 @@
         self.closed = closed
 
 
+class Silent(Exception):
+    """No byte came for as long as was to be waited; nothing is lost."""
+
+
 class Upstream:
     """One request on its way to one server, and its answer."""
 
@@ -43,6 +49,7 @@
         self._request_id = request_id
         self._conn = None
         self._parser = answer_parser.AnswerParser()
+        self._unsent = memoryview(b"")
         self.answer = None
 
     def connect(self):
@@ -53,30 +60,42 @@
             raise NotSent(f"{type(exc).__name__}: {exc}")
 
     def wait_at_most(self, seconds):
-        """Take the exchange for broken after so long without a byte.
+        """Raise :class:`Silent` after so long without a byte either way.
 
-        ``None`` waits for as long as the caller does.
+        Whatever raised it may then be called again.  ``None`` waits for as
+        long as the caller does.
         """
         self._conn.sock.settimeout(seconds)
 
-    def send(self, method, target, headers, body):
-        """Send the whole request; the server may begin from here on."""
+    def prepare(self, method, target, headers, body):
+        """Put together what :meth:`send` sends."""
         lines = [f"{method} {target} HTTP/1.1"]
         lines.extend(f"{name}: {value}" for name, value in headers)
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        self._unsent = memoryview(head + body)
+
+    def send(self):
+        """Send what is left to be sent; the server may begin from here on."""
         try:
-            self._conn.sock.sendall(head + body)
+            while self._unsent:
+                sent = self._conn.sock.send(self._unsent)
+                self._unsent = self._unsent[sent:]
+        except TimeoutError as exc:
+            if not _is_of_kernel(exc):
+                raise Silent("sending") from exc
+            raise _broken("sending", exc)
         except FAILURES as exc:
             # The server may have answered before it had all, and closed.
+            self._unsent = memoryview(b"")
             if not self._answered_early():
                 raise _broken("sending", exc)
 
     def _answered_early(self):
         try:
             self._feed()
-        except (Broken, *FAILURES):
+        except (Broken, Silent, *FAILURES):
             return False
         return bool(self._parser.answers)
 
@@ -125,6 +144,10 @@
         try:
             data = self._conn.sock.recv(connections_module.RECEIVE_BYTES)
             self._parser.feed(data)
+        except TimeoutError as exc:
+            if not _is_of_kernel(exc):
+                raise Silent("reading") from exc
+            raise _broken("reading", exc)
         except FAILURES as exc:
             if self.answer is not None and self.answer.complete:
                 # What came after the answer is no answer to anything.
@@ -159,6 +182,11 @@
             conn.close()
 
 
+def _is_of_kernel(exc):
+    """Tell whether the kernel gave a connection up, and not the wait."""
+    return exc.errno == errno.ETIMEDOUT
+
+
 def _broken(doing, exc, at_end=False):
     """Return how the exchange broke off, by a failure of the connection."""
     closed = at_end or isinstance(exc, ConnectionError)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -183,6 +183,15 @@
         """Return the life of a request that has not ended, or ``None``."""
         return self.reducer.lives.get(request_id)
 
+    def is_current(self, dispatch):
+        """Tell whether a dispatch still stands.
+
+        What it is about may have ended, or have been let go, since the reducer
+        decided it.
+        """
+        life = self.life(dispatch.request_id)
+        return life is not None and life.has_attempt(dispatch.attempt)
+
     def attach(self, exchange):
         """Route effects for a request to its exchange."""
         self._exchanges[exchange.request_id] = exchange
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -182,6 +182,25 @@
     return None if seconds is None else round(seconds, 3)
 
 
+def attempt_line(held, message, now):
+    """Return a log line about the present attempt of a request."""
+    hedge = held.hedge
+    return effects.Log(
+        "info",
+        message,
+        {
+            "request_id": held.work.request_id,
+            "attempt": held.attempt,
+            "backend_server": held.server,
+            "since_dispatched_ms": round((now - held.dispatched) * 1000.0, 1),
+            "begun": held.begun,
+            "seeking": held.seeking,
+            "beside": hedge.server if hedge else "",
+            "important": True,
+        },
+    )
+
+
 def turned_away(state, event, nothing, now):
     """Return the log line of a request that no route or key lets in."""
     return effects.Log(
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
@@ -0,0 +1,99 @@
+"""A server beside one that is silent, for requests that may be repeated.
+
+Guards against the end of an answer that its server would still have given: a
+silent server is let go only once another one speaks.  Until then the request
+has two attempts, of which each is counted where it is; what both have in
+common, such as how many servers it may reach, is in :mod:`.life`.
+"""
+
+from .. import effects
+from ..decisions import work as work_module
+
+# A repeatable request is tried on this many servers: with one in twenty
+# attempts lost, four failures in a row are one in 160,000.
+MOST_ATTEMPTS = 4
+# So many servers may turn a request away: before its caller is told, and apart
+# from that before none is asked beside a silent one any more.
+MOST_REJECTIONS = 3
+
+
+class Hedges:
+    """Seeks, sends and lets go of the attempts beside silent ones."""
+
+    __slots__ = ("_policy", "_ends")
+
+    def __init__(self, policy, ends):
+        self._policy = policy
+        self._ends = ends
+
+    def seek(self, held, now):
+        """Look for another server, if the request may reach one more."""
+        work = held.work
+        if held.seeking or held.hedge is not None:
+            return
+        most = work.max_attempts or MOST_ATTEMPTS
+        if not work.repeatable or held.begun >= most:
+            return
+        if held.hedges_rejected >= MOST_REJECTIONS:
+            return
+        if self._ends.holds(work.fingerprint, now):
+            return
+        work.avoid.add(held.server)
+        held.seeking = True
+        self._policy.seek(work, now)
+
+    def drop(self, held, now):
+        """Let go of what is beside the first attempt; return the hedge.
+
+        ``None`` where nothing was sent: a server that was sought is no longer.
+        """
+        if held.seeking:
+            held.seeking = False
+            self._policy.stop_seeking(held.work.request_id)
+        hedge, held.hedge = held.hedge, None
+        if hedge is not None:
+            self._ended(held, hedge.server, now, wasted=True)
+        return hedge
+
+    def withdraw(self, held, now):
+        """Return the effects of letting go on the reducer's own account."""
+        hedge = self.drop(held, now)
+        if hedge is None:
+            return []
+        return [effects.Withdraw(held.work.request_id, hedge.number)]
+
+    def took_over(self, held, now):
+        """Make the hedge the one attempt, since it spoke first.
+
+        Returns the server that is let go.
+        """
+        silent = held.server
+        held.take_over()
+        self._ended(held, silent, now, failed=True)
+        return silent
+
+    def not_begun(self, held, event, now):
+        """Take note that the hedge did not begin, and seek on."""
+        held.unbegin_hedge()
+        self._failed(
+            held,
+            now,
+            refused=event.server_said,
+            unreachable=not event.server_said,
+            gone=event.gone,
+        )
+
+    def failed(self, held, event, now):
+        """Take note that the hedge broke off, and seek on."""
+        self._ends.ended_under(held.hedge, event, now)
+        self._failed(held, now)
+
+    def _failed(self, held, now, **how):
+        hedge, held.hedge = held.hedge, None
+        held.work.avoid.add(hedge.server)
+        self._ended(held, hedge.server, now, failed=True, **how)
+        self.seek(held, now)
+
+    def _ended(self, held, server, now, **how):
+        ended = work_module.Ended(held.work.request_id, server, **how)
+        self._policy.ended(ended, now)
--- a/packages/dandeliontrail/src/dandeliontrail/components/life.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/life.py
@@ -65,16 +65,37 @@
 WAITING = frozenset({Phase.RECEIVED, Phase.CLAIMING, Phase.QUEUED})
 
 
+class Hedge(msgspec.Struct):
+    """An attempt beside one whose server is silent.
+
+    ``began`` tells that it may have begun, ``incarnation`` is the server's
+    name and epoch.
+    """
+
+    work: work_module.Work
+    number: int
+    server: str
+    incarnation: tuple
+    dispatched: float
+    began: bool = False
+    output_at: float = 0.0
+
+
 class Life(msgspec.Struct):
     """One request from its arrival to its outcome.
 
     ``begun`` counts the attempts that may have begun; it never falls but
     by the server's own word.  ``arrivals`` counts the servers that it
-    reached, whether they ran it or not; it never falls.  ``first_output`` is
-    zero until there is one.  ``claimed`` tells that the right to run its
-    idempotency key was granted, ``counted`` that it is in a window of usage.
+    reached, whether they ran it or not, but for hedges that did not.
+    ``first_output`` is zero until there is one.  ``claimed`` tells that the
+    right to run its idempotency key was granted, ``counted`` that it is in a
+    window of usage.
     ``incarnation`` is the server's name and epoch, ``output_at`` when the
-    present attempt had its first output, zero until then.
+    present attempt had its first output, zero until then.  ``attempt`` is the
+    number of the present attempt, ``dispatches`` that of the latest one;
+    ``seeking`` tells that a server is sought beside a silent one, ``hedge`` is
+    the attempt there, and ``hedges_rejected`` how many servers turned such an
+    attempt away.
     """
 
     work: work_module.Work
@@ -89,6 +110,10 @@
     counted: bool = False
     incarnation: tuple = ("", 0)
     output_at: float = 0.0
+    dispatches: int = 0
+    seeking: bool = False
+    hedge: Hedge | None = None
+    hedges_rejected: int = 0
 
     def move(self, phase):
         """Enter ``phase``, which the table must allow."""
@@ -112,9 +137,70 @@
         )
         self.phase = phase
 
+    def has_attempt(self, number):
+        """Tell whether an attempt is the present one, or the hedge."""
+        if self.hedge is not None and self.hedge.number == number:
+            return True
+        return self.attempt == number
+
+    def dispatch(self, server, incarnation, now):
+        """Take note of the server that the request is given to."""
+        self.move(Phase.DISPATCHED)
+        self.dispatches += 1
+        self.attempt = self.dispatches
+        self.server = server
+        self.incarnation = incarnation
+        self.dispatched = now
+        self.output_at = 0.0
+
+    def dispatch_hedge(self, server, incarnation, now):
+        """Take note of the server that is asked beside the silent one."""
+        invariants.check(
+            self.work.repeatable and self.hedge is None,
+            "one-hedge-of-repeatable-work",
+            f"{self.work.request_id} to {server}",
+        )
+        self.dispatches += 1
+        self.seeking = False
+        self.hedge = Hedge(
+            self.work, self.dispatches, server, incarnation, now
+        )
+
+    def take_over(self):
+        """Make the hedge the present attempt."""
+        hedge, self.hedge = self.hedge, None
+        if self.phase is not Phase.QUEUED:
+            self.move(Phase.QUEUED)
+        self.move(Phase.DISPATCHED)
+        if hedge.began:
+            self.move(Phase.MAY_HAVE_BEGUN)
+        self.attempt = hedge.number
+        self.server = hedge.server
+        self.incarnation = hedge.incarnation
+        self.dispatched = hedge.dispatched
+        self.output_at = 0.0
+
     def begin(self):
         """Take note that the present attempt may have begun."""
         self.move(Phase.MAY_HAVE_BEGUN)
+        self._count_begun()
+
+    def begin_hedge(self):
+        """Take note that the hedge may have begun."""
+        self.hedge.began = True
+        self._count_begun()
+
+    def unbegin_hedge(self):
+        """Take back the hedge on the server's own word.
+
+        It leaves no mark on how often the request itself was turned away.
+        """
+        if self.hedge.began:
+            self.begun -= 1
+            self.arrivals -= 1
+            self.hedges_rejected += 1
+
+    def _count_begun(self):
         self.begun += 1
         self.arrivals += 1
         invariants.check(
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -19,18 +19,14 @@
 from ..decisions import work as work_module
 from . import early_requests
 from ..effects import reports
+from . import hedges
 from . import intake
 from . import life
 from . import measures
 
-# A repeatable request is tried on this many servers: with one in twenty
-# attempts lost, four failures in a row are one in 160,000.
-MOST_ATTEMPTS = 4
 # A server that says "not run" is busy.  Asked again at once, it would be
 # asked as fast as it can refuse.
 PAUSE_SECONDS = 0.25
-# So many servers may turn a request away before its caller is told.
-MOST_REJECTIONS = 3
 # A caller whose request its servers turned away may find them less busy
 # after a few answers have ended, which take some tenths of a second each.
 BUSY_RETRY = 0.5
@@ -57,6 +53,7 @@
         self._paused = []
         self._early = early_requests.EarlyRequests()
         self._begun = begun.Begun(state.duties)
+        self._hedges = hedges.Hedges(policy, ends)
         self.lives = {}
 
     def handlers(self):
@@ -67,6 +64,8 @@
             events.AttemptBegan: self._began,
             events.NotBegun: self._not_begun,
             events.FirstOutput: self._first_output,
+            events.AttemptSilent: self._silent,
+            events.AttemptSpoke: self._spoke,
             events.AnswerFinished: self._finished,
             events.AttemptFailed: self._failed,
             events.CallerGone: self._caller_gone,
@@ -190,6 +189,7 @@
         for held in list(self.lives.values()):
             if held.work.fingerprint not in fingerprints:
                 continue
+            out.extend(self._hedges.withdraw(held, now))
             if held.phase is life.Phase.QUEUED:
                 self._policy.withdraw(held.work.request_id)
                 out.extend(self._refuse(held, ENDS_SERVERS, now))
@@ -206,11 +206,6 @@
 
     def _dispatch(self, held, placement, now):
         server = placement.server
-        held.move(life.Phase.DISPATCHED)
-        held.attempt += 1
-        held.server = server
-        held.dispatched = now
-        held.output_at = 0.0
         known = self._state.directory.server(server)
         work = held.work
         # The policy looks at this too, on lists that it keeps; a server
@@ -221,11 +216,21 @@
             f"{work.request_id} to {server}",
         )
         announcement = known.announcement
-        held.incarnation = (server, announcement.epoch)
+        incarnation = (server, announcement.epoch)
+        inputs = answers.inputs_of(self._state, placement.grounds, work, now)
+        if placement.hedge:
+            held.dispatch_hedge(server, incarnation, now)
+            inputs["hedge"] = True
+            measured = []
+        else:
+            held.dispatch(server, incarnation, now)
+            measured = [
+                measures.since_received(work, reports.Metric.QUEUE_WAIT, now)
+            ]
         return [
             effects.Dispatch(
                 work.request_id,
-                held.attempt,
+                held.dispatches,
                 server,
                 announcement.url,
                 work.start_priority if work.routed else work.priority,
@@ -234,13 +239,8 @@
                 if work.routed
                 else patience.ENDLESS,
             ),
-            answers.decision(
-                work,
-                "dispatched",
-                server,
-                **answers.inputs_of(self._state, placement.grounds, work, now),
-            ),
-            measures.since_received(work, reports.Metric.QUEUE_WAIT, now),
+            answers.decision(work, "dispatched", server, **inputs),
+            *measured,
         ]
 
     def _refuse(self, held, nothing, now, grounds=None):
@@ -287,13 +287,52 @@
             return None
         return held
 
+    def _hedged(self, event):
+        """Return the life that has the event's attempt as its hedge."""
+        held = self.lives.get(event.request_id)
+        if held is None or held.hedge is None:
+            return None
+        return held if held.hedge.number == event.attempt else None
+
     def _began(self, event, now):
         held = self._current(event)
         if held:
             held.begin()
+        elif hedged := self._hedged(event):
+            hedged.begin_hedge()
         return []
 
+    def _silent(self, event, now):
+        """Look for another server beside one that is silent."""
+        held = self._current(event)
+        if held is None:
+            return []
+        self._hedges.seek(held, now)
+        out = [answers.attempt_line(held, "attempt silent", now)]
+        return out + (self._decide(now) if held.seeking else [])
+
+    def _spoke(self, event, now):
+        """Let go of the other one of two attempts."""
+        hedged = self._hedged(event)
+        if hedged:
+            self._begun.broke_off(hedged)
+            out = [answers.attempt_line(hedged, "attempt overtaken", now)]
+            silent = self._hedges.took_over(hedged, now)
+            return out + self._cancel(hedged, silent) + self._decide(now)
+        held = self._current(event)
+        if held is None:
+            return []
+        out = [answers.attempt_line(held, "attempt spoke again", now)]
+        hedge = self._hedges.drop(held, now)
+        if hedge is None:
+            return out
+        return out + self._cancel(held, hedge.server) + self._decide(now)
+
     def _not_begun(self, event, now):
+        hedged = self._hedged(event)
+        if hedged:
+            self._hedges.not_begun(hedged, event, now)
+            return self._decide(now)
         held = self._current(event)
         if held is None:
             return []
@@ -306,6 +345,8 @@
             gone=event.gone,
         )
         held.unbegin()
+        if self._goes_on_beside(held):
+            return self._decide(now)
         if held.work.routed:
             return self._try_elsewhere(held, now, counts=event.server_said)
         if event.server_said:
@@ -313,6 +354,16 @@
             return self._pause(held, pause, now) + self._decide(now)
         return self._try_again(held, now)
 
+    def _goes_on_beside(self, held):
+        """Leave a request to its hedge, if it has one."""
+        if held.hedge is not None:
+            held.take_over()
+            return True
+        if held.seeking:
+            held.seeking = False
+            self._policy.stop_seeking(held.work.request_id)
+        return False
+
     def _try_again(self, held, now, begun=False):
         """Queue a request for another server, or end it.
 
@@ -321,7 +372,7 @@
         held.work.avoid.add(held.server)
         if self._ends.holds(held.work.fingerprint, now):
             return self._refuse(held, ENDS_SERVERS, now) + self._decide(now)
-        if held.attempt >= MOST_ATTEMPTS:
+        if held.dispatches >= hedges.MOST_ATTEMPTS:
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
             return self._refuse(held, nothing, now) + self._decide(now)
         if self._all_avoided(held.work):
@@ -348,7 +399,10 @@
         if self._ends.holds(work.fingerprint, now):
             return self._refuse(held, ENDS_SERVERS, now) + self._decide(now)
         rejected = held.arrivals - held.begun
-        if held.begun >= work.max_attempts or rejected >= MOST_REJECTIONS:
+        if (
+            held.begun >= work.max_attempts
+            or rejected >= hedges.MOST_REJECTIONS
+        ):
             return self._give_up(held, now)
         if not counts:
             self._policy.requeue(work, now)
@@ -398,6 +452,7 @@
         held = self._current(event)
         if held is None:
             return []
+        self._hedges.drop(held, now)
         held.move(life.Phase.COMPLETE)
         work = held.work
         del self.lives[work.request_id]
@@ -431,6 +486,10 @@
         the caller has already; the engine that failed is told to stop, in
         case that only the path to it did.
         """
+        hedged = self._hedged(event)
+        if hedged:
+            self._hedges.failed(hedged, event, now)
+            return self._decide(now)
         held = self._current(event)
         if held is None:
             return []
@@ -441,15 +500,18 @@
         if not held.work.repeatable:
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
             return self._refuse(held, nothing, now) + self._decide(now)
-        out = [] if held.work.routed else self._cancel(held)
+        out = self._cancel(held, held.server)
         held.move(life.Phase.QUEUED)
+        if self._goes_on_beside(held):
+            return out + self._decide(now)
         if held.work.routed:
             return self._try_elsewhere(held, now, counts=True)
         return out + self._try_again(held, now, begun=True)
 
-    def _cancel(self, held):
-        server = self._state.directory.server(held.server)
-        if server is None:
+    def _cancel(self, held, name):
+        """Have a server stop; routed requests end with their connection."""
+        server = self._state.directory.server(name)
+        if server is None or held.work.routed:
             return []
         url = server.announcement.url
         return [effects.Cancel(held.work.request_id, url)]
@@ -510,7 +572,9 @@
         """Drop a request, wherever it is."""
         request_id = held.work.request_id
         del self.lives[request_id]
-        out = [
+        hedge = self._hedges.drop(held, now)
+        out = self._cancel(held, hedge.server) if hedge else []
+        out += [
             effects.Abandon(request_id),
             answers.decision(
                 held.work,
@@ -525,8 +589,7 @@
             self._policy.withdraw(request_id)
         else:
             self._release(held, now, wasted=True)
-            if not held.work.routed:
-                out.extend(self._cancel(held))
+            out.extend(self._cancel(held, held.server))
         begun = held.begun > 0
         held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
         out.extend(self._end_claim(held, now))
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_ends.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_ends.py
@@ -88,13 +88,16 @@
         found, self._newly_held = self._newly_held, []
         return found
 
-    def ended_under(self, life, event, now):
-        """Take note that an attempt failed, maybe with its server."""
-        fingerprint = life.work.fingerprint
+    def ended_under(self, attempt, event, now):
+        """Take note that an attempt failed, maybe with its server.
+
+        ``attempt`` is a ``life.Life``, for its present one, or a hedge.
+        """
+        fingerprint = attempt.work.fingerprint
         if not fingerprint or fingerprint in self._served:
             return
-        if crash_suspects.is_suspect(event.closed, life.output_at, now):
-            self._note(fingerprint, life.incarnation, now, Scope.ALL, now)
+        if crash_suspects.is_suspect(event.closed, attempt.output_at, now):
+            self._note(fingerprint, attempt.incarnation, now, Scope.ALL, now)
 
     def served(self, fingerprint, now):
         """Take note that a server served a request to the end."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -28,7 +28,10 @@
 
     @abc.abstractmethod
     def ended(self, ended, now):
-        """Take note of how an attempt ended."""
+        """Take note of how an attempt ended.
+
+        Work that has a hedge goes on there, where its first attempt ends.
+        """
 
     @abc.abstractmethod
     def requeue(self, work, now):
@@ -42,6 +45,17 @@
         self.requeue(work, now)
         return work
 
+    def seek(self, work, now):
+        """Look for a server beside one that has ``work`` and is silent.
+
+        :meth:`next` places it there as a hedge, without refusing it: the
+        silent server may still answer.  A policy that never does so has no
+        hedges.
+        """
+
+    def stop_seeking(self, request_id):
+        """Look for no server any more beside a silent one."""
+
     @abc.abstractmethod
     def withdraw(self, request_id):
         """Forget queued work whose caller is gone; return it or ``None``."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
@@ -60,8 +60,8 @@
         """Count a request."""
         self._requests[service].add(now)
 
-    def take(self, service, instances, now):
-        """Count a repeat and return true, unless the budget is used up.
+    def allows(self, service, instances, now):
+        """Tell whether a repeat is within the budget.
 
         The most instances ever seen share the slack: those that cannot be
         seen at present may be at work all the same.
@@ -73,8 +73,11 @@
         allowed = USED_PART * (
             limits.ratio * requests + limits.slack / self._most_instances
         )
-        repeats = self._repeats[service]
-        if repeats.within(since) + 1 > allowed:
+        return self._repeats[service].within(since) + 1 <= allowed
+
+    def take(self, service, instances, now):
+        """Count a repeat and return true, unless the budget is used up."""
+        if not self.allows(service, instances, now):
             return False
-        repeats.add(now)
+        self._repeats[service].add(now)
         return True
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -21,6 +21,7 @@
 from . import policy
 from . import read_news
 from . import retry_budget
+from . import searches
 from . import server_table
 from . import service_traits
 from . import work as work_module
@@ -69,6 +70,9 @@
         self._budget = retry_budget.RetryBudget(limits)
         self._queue = {}
         self._attempts = {}
+        # By request too: its second attempt.
+        self._hedges = {}
+        self._searches = searches.Searches()
         self._table = server_table.ServerTable(state.loads, self._kv_tokens)
         self._engines = engine_choice.EngineChoice(self._table, self._domain)
         self._news = read_news.ReadNews(self._table)
@@ -132,6 +136,14 @@
         """Forget queued work."""
         return self._queue.pop(request_id, None)
 
+    def seek(self, work, now):
+        """Look for a server beside a silent one from this round on."""
+        self._searches.begin(work, now)
+
+    def stop_seeking(self, request_id):
+        """Look for no server any more beside a silent one."""
+        self._searches.end(request_id)
+
     def waiting(self):
         """Count the queued work by class."""
         return dict(
@@ -148,11 +160,19 @@
         An engine that is too busy for a piece of work takes nothing less
         urgent in this round: it would else never be free for a long prompt.
         """
-        if not self._queue:
+        if not self._queue and not self._searches:
             return []
-        decided = []
         claimed = set()
         self._usable_now.clear()
+        due = [search.work for search in self._searches.due(now)]
+        decided = self._hedged(due, True, now, directory, claimed)
+        decided.extend(self._placed(now, directory, claimed))
+        decided.extend(self._hedged(due, False, now, directory, claimed))
+        return decided
+
+    def _placed(self, now, directory, claimed):
+        """Place or refuse what has no server."""
+        decided = []
         ahead = collections.Counter()
         queued = list(self._queue.values())
         if len(queued) > 1:
@@ -168,6 +188,38 @@
                 decided.append(item)
         return decided
 
+    def _hedged(self, due, lost, now, directory, claimed):
+        """Place what silent servers have, where others have room for it.
+
+        Made for two kinds of silence that look alike.  A stream whose server
+        is ``lost`` to this instance, as in a cut, has no other way to go on
+        and goes first.  One whose server is merely slow, as all are under
+        load, would take the room of requests that have no server at all; it
+        gets what these leave.
+        """
+        decided = []
+        for work in due:
+            if self._is_lost(work, now) is not lost:
+                continue
+            instances = self._view.instances(now)
+            if not self._budget.allows(work.service, instances, now):
+                continue
+            item = self._decide(work, now, directory, claimed, hedge=True)
+            if isinstance(item, work_module.Placement):
+                self._budget.take(work.service, instances, now)
+                self._searches.end(work.request_id)
+                decided.append(item)
+        return decided
+
+    def _is_lost(self, work, now):
+        """Tell whether the server that has ``work`` seems out of reach."""
+        attempt = self._attempts.get(work.request_id)
+        if attempt is None:
+            return True
+        return bool(attempt.held.health.pause) or self._reach.is_cut(
+            attempt.domain, now
+        )
+
     def _refuse_hopeless(self, work, ahead, now):
         """Refuse work that the queue before it will keep too long.
 
@@ -185,7 +237,7 @@
         )
         return work_module.Refusal(work, nothing, grounds)
 
-    def _decide(self, work, now, directory, claimed):
+    def _decide(self, work, now, directory, claimed, hedge=False):
         left = work.deadline - now
         servers = directory.of_service(work.service)
         if left <= 0 or (work.parts and left < LEAST_SERVICE):
@@ -200,17 +252,18 @@
             name = plain_choice.choose(
                 usable, self._table, self._domain, self._rng
             )
-            return self._place(work, name, 0.0, usable, now)
+            return self._place(work, name, 0.0, usable, now, hedge)
         traits = self._traits(work)
         chosen = self._engines.choose(work, traits, servers, usable, now)
         if not self._engines.has_room(work, traits, chosen):
-            claimed.add(chosen.name)
+            if not hedge:
+                claimed.add(chosen.name)
             return None
         if chosen.name in claimed and (
             chosen.need > engine_choice.SHORT_PROMPT
         ):
             return None
-        return self._place(work, chosen.name, chosen.need, usable, now)
+        return self._place(work, chosen.name, chosen.need, usable, now, hedge)
 
     def _usable_in_round(self, work, servers, now):
         """Return the usable servers, the same for all that avoid none."""
@@ -274,7 +327,7 @@
             traits[work.service] = found
         return found
 
-    def _place(self, work, name, need, usable, now):
+    def _place(self, work, name, need, usable, now, hedge=False):
         held = self._table.server(name)
         running, unread = self._table.others(name)
         grounds = work_module.Grounds(
@@ -299,10 +352,11 @@
         if shared:
             self._news.sent(name, list(shared), now)
         domain = usable[name].announcement.failure_domain
-        self._attempts[work.request_id] = Attempt(
+        attempts = self._hedges if hedge else self._attempts
+        attempts[work.request_id] = Attempt(
             work, name, held, domain, now, need
         )
-        return work_module.Placement(work, name, grounds)
+        return work_module.Placement(work, name, grounds, hedge)
 
     def _refusal(self, work, reason, servers):
         nothing = sentinels.Nothing(reason, NO_SERVER_RETRY)
@@ -323,7 +377,7 @@
 
     def ended(self, ended, now):
         """Take note of how an attempt ended."""
-        attempt = self._attempts.pop(ended.request_id, None)
+        attempt = self._take_attempt(ended)
         if attempt is None:
             return
         held = attempt.held
@@ -345,6 +399,17 @@
             self._answers(attempt, now)
             health.succeeded()
 
+    def _take_attempt(self, ended):
+        """Take off the attempt that ended; a hedge takes its place."""
+        request_id = ended.request_id
+        hedge = self._hedges.get(request_id)
+        if hedge is not None and hedge.server == ended.server:
+            return self._hedges.pop(request_id)
+        attempt = self._attempts.pop(request_id, None)
+        if hedge is not None:
+            self._attempts[request_id] = self._hedges.pop(request_id)
+        return attempt
+
     def _answers(self, attempt, now):
         """Take note that a server answers: it, and its domain, are there."""
         health = attempt.held.health
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -70,11 +70,15 @@
 
 
 class Placement(msgspec.Struct):
-    """The decision to give ``work`` to a backend server now."""
+    """The decision to give ``work`` to a backend server now.
+
+    ``hedge`` tells that another server, which is silent, still has it.
+    """
 
     work: Work
     server: str
     grounds: Grounds | None = None
+    hedge: bool = False
 
 
 class Refusal(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/__init__.py
@@ -18,6 +18,7 @@
 from .requests import DropConnections
 from .requests import Refuse
 from .requests import Replay
+from .requests import Withdraw
 from .usage import AppendUsage
 from .usage import ReplaceUsage
 
@@ -41,5 +42,6 @@
     "SendPeer",
     "SetServerCount",
     "VoterAnswered",
+    "Withdraw",
     "WriteAnswered",
 ]
--- a/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
@@ -10,7 +10,9 @@
 class Dispatch(msgspec.Struct):
     """Send the request to a backend server, as attempt ``attempt``.
 
-    After ``patience`` without a byte the attempt counts as failed.
+    After ``patience`` without a byte the attempt counts as silent.  One that
+    is sent while a silent one is waited for is a hedge: whichever speaks first
+    has the request.
     """
 
     request_id: str
@@ -57,6 +59,13 @@
     refusal: Refuse
 
 
+class Withdraw(msgspec.Struct):
+    """Let go of the hedge ``attempt``; the silent one is waited for on."""
+
+    request_id: str
+    attempt: int
+
+
 class Cancel(msgspec.Struct):
     """Stop the work of ``request_id`` at the server at ``url``."""
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -23,6 +23,8 @@
 from .requests import AnswerFinished
 from .requests import AttemptBegan
 from .requests import AttemptFailed
+from .requests import AttemptSilent
+from .requests import AttemptSpoke
 from .requests import CallerGone
 from .requests import CutShort
 from .requests import FirstOutput
@@ -39,6 +41,8 @@
     "AnswerFinished",
     "AttemptBegan",
     "AttemptFailed",
+    "AttemptSilent",
+    "AttemptSpoke",
     "CacheChanged",
     "CallerGone",
     "ClockRead",
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -80,6 +80,26 @@
     attempt: int
 
 
+class AttemptSilent(msgspec.Struct):
+    """Nothing came of the attempt for as long as its patience lasts.
+
+    It is waited for on; another server may be asked beside it.
+    """
+
+    request_id: str
+    attempt: int
+
+
+class AttemptSpoke(msgspec.Struct):
+    """Of a silent attempt and the one beside it, this one spoke first.
+
+    The other one has been let go.
+    """
+
+    request_id: str
+    attempt: int
+
+
 class AnswerFinished(msgspec.Struct):
     """The answer came in whole.
 
--- a/tests/common/prompt_engine.py
+++ b/tests/common/prompt_engine.py
@@ -62,6 +62,7 @@
     ``here`` those made by the present engine, ``longest`` the longest pause
     between two events, the last of which came at ``event_at``.  ``server``
     is the engine, asked at ``sent``, ``begun`` counts the engines so far.
+    ``sought`` tells that another engine is looked for beside a silent one.
     """
 
     work: object
@@ -76,10 +77,13 @@
     event_at: float = 0.0
     longest: float = 0.0
     gone: bool = False
+    sought: bool = False
 
     def elsewhere(self):
         """Return the stream as another engine will go on with it."""
-        return dataclasses.replace(self, left=0, here=0, gone=False)
+        return dataclasses.replace(
+            self, left=0, here=0, gone=False, sought=False
+        )
 
 
 class Engine:
@@ -182,6 +186,8 @@
         world = self.world
         item.made += 1
         item.here += 1
+        if item.here == 1 or item.made % self.pace.event == 1:
+            world.spoke(item)
         if item.here == 1:
             for name, tokens in item.work.parts:
                 self._keep(name, tokens)
--- a/tests/common/prompt_world.py
+++ b/tests/common/prompt_world.py
@@ -4,7 +4,8 @@
 in chunks between the tokens of their streams and keep what they have read
 until its room is needed.  What instances tell one another of their work
 arrives late, as through relays.  Callers ask, come back once after a refusal,
-and leave when their time is up, or a stream has been silent for too long.
+and leave when their time is up, or a stream has been silent for too long.  An
+engine that is silent keeps its stream until another one goes on with it.
 """
 
 import collections
@@ -131,9 +132,12 @@
             Instance(self, number, f"fd{number % 3}")
             for number in range(instances)
         ]
+        # By request: its stream, and the one beside it where it is silent.
         self.streams = {}
+        self.hedges = {}
         self.requests = []
-        self.given_up = collections.Counter()
+        self.silences = collections.Counter()
+        self.overtaken = collections.Counter()
         self.asked = collections.Counter()
         self.on_time = collections.Counter()
         self.late = collections.Counter()
@@ -266,9 +270,14 @@
         work = placement.work
         self.busiest[placement.server] += 1
         stream = self.streams[work.request_id]
+        if placement.hedge:
+            stream.begun += 1
+            stream = stream.elsewhere()
+            self.hedges[work.request_id] = stream
+        else:
+            stream.begun += 1
         stream.server = placement.server
-        waits = patience.of_attempt(work, stream.begun)
-        stream.begun += 1
+        waits = patience.of_attempt(work, stream.begun - 1)
         stream.sent = self.now
         self.at(
             self.now + 0.002, self.engines[placement.server].submit, stream
@@ -276,30 +285,60 @@
         self._watch_engine(stream, waits)
 
     def _watch_engine(self, stream, waits):
-        """Ask another engine once this one is silent for too long."""
+        """Look for another engine once this one is silent for too long."""
         if stream.gone or self.streams.get(stream.work.request_id) is None:
             return
         heard = max(stream.sent, stream.event_at)
         limit = waits.between if stream.made else waits.first
         if limit is None:
             return
-        if self.now < heard + limit - EPSILON:
-            self.at(heard + limit, self._watch_engine, stream, waits)
-            return
-        self.given_up[stream.request.kind.name] += 1
-        stream.gone = True
+        if self.now >= heard + limit - EPSILON:
+            self._silent(stream)
+            heard = self.now
+        self.at(heard + limit, self._watch_engine, stream, waits)
+
+    def _silent(self, stream):
         work = stream.work
-        stream.instance.policy.ended(
-            work_module.Ended(work.request_id, stream.server, failed=True),
-            self.now,
-        )
-        work.avoid.add(stream.server)
-        if not stream.instance.policy.retry(work, self.now):
-            self._lost(work.request_id)
+        is_first = self.streams[work.request_id] is stream
+        if not is_first or stream.sought or stream.begun >= work.max_attempts:
             return
-        self.streams[work.request_id] = stream.elsewhere()
+        self.silences[stream.request.kind.name] += 1
+        stream.sought = True
+        work.avoid.add(stream.server)
+        stream.instance.policy.seek(work, self.now)
         stream.instance.decide()
 
+    def spoke(self, stream):
+        """Take note of an event: what else has the request is let go."""
+        request_id = stream.work.request_id
+        first = self.streams.get(request_id)
+        hedge = self.hedges.get(request_id)
+        if stream is hedge:
+            del self.hedges[request_id]
+            self.streams[request_id] = hedge
+            self.overtaken[stream.request.kind.name] += 1
+            self._let_go(first, failed=True)
+        elif first is stream and stream.sought:
+            self._drop_hedge(stream)
+        if stream.here == 1 and stream.made > 1:
+            stream.instance.policy.first_output(request_id, self.now)
+
+    def _drop_hedge(self, stream):
+        """Look for nothing beside a stream any more, and keep nothing."""
+        if not stream.sought:
+            return
+        stream.sought = False
+        request_id = stream.work.request_id
+        stream.instance.policy.stop_seeking(request_id)
+        hedge = self.hedges.pop(request_id, None)
+        if hedge is not None:
+            self._let_go(hedge, wasted=True)
+
+    def _let_go(self, stream, **how):
+        stream.gone = True
+        ended = work_module.Ended(stream.work.request_id, stream.server, **how)
+        stream.instance.policy.ended(ended, self.now)
+
     def _watch_caller(self, request_id):
         """Let a caller leave whose stream has been silent for too long."""
         stream = self.streams.get(request_id)
@@ -335,6 +374,7 @@
         """End a request without its whole answer."""
         stream = self.streams.pop(request_id)
         stream.gone = True
+        self._drop_hedge(stream)
         instance = stream.instance
         if instance.policy.withdraw(request_id) is None:
             ended = work_module.Ended(request_id, "", wasted=True)
@@ -351,6 +391,7 @@
 
     def finished(self, stream):
         """Take note of a whole answer."""
+        self._drop_hedge(stream)
         del self.streams[stream.work.request_id]
         request = stream.request
         ended = work_module.Ended(
--- a/tests/cover/test_events_splitter.py
+++ b/tests/cover/test_events_splitter.py
@@ -35,6 +35,6 @@
     splitter = events_splitter.EventsSplitter()
     assert splitter.feed(b"id: 1\n\nid: 2\nda") == b"id: 1\n\n"
     assert splitter.pending
-    splitter.drop_rest()
+    splitter = events_splitter.EventsSplitter(splitter.last_id)
     assert splitter.feed(b"id: 2\n\n") == b"id: 2\n\n"
     assert splitter.last_id == "2"
