Own interface: an engine that seems to be gone ends no answer that it would give

Callers of the own interface saw the same fault: an engine that is frozen for a few seconds, or takes no new connections any more while it finishes what it has, was given up after two health checks. A summary that may not be repeated then ended as unknown, though its engine went on; a lookup was begun anew, and ended with 502 where no other engine could take it.

Cause: the watch of a connection took a health check that was refused, or twice had no answer, for the end of the attempt.

Change: it takes it for a suspicion. The engine is read on; where the request may be repeated, the policy places it at another one beside it, after all that has no server and within the budget of retries, and the first with something new for the caller goes on. The request is charged once, and each engine told to stop that is let go. backend_silent_seconds still bounds a silence. reading.Reading is one engine's answer from where the caller has it on, for the first engine and any other.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/paths.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/paths.py
@@ -1,6 +1,7 @@
 """A path between two ends that can lose track of its connections."""
 
 import gevent
+from gevent import event
 from gevent import server
 from gevent import socket
 
@@ -10,6 +11,8 @@
 class Path:
     """Forwards connections to ``url``; use it as a context manager.
 
+    Between :meth:`pause` and :meth:`go_on` nothing passes, on new connections
+    either; after :meth:`refuse` there are no new ones.
     After :meth:`lose` nothing passes on the connections of that moment, for
     good and without a word to either end, while new ones work.
     """
@@ -20,6 +23,8 @@
         self._server = server.StreamServer(("127.0.0.1", 0), self._serve)
         self._lost = set()
         self._open = set()
+        self._passes = event.Event()
+        self._passes.set()
         self.connections = 0
 
     def __enter__(self):
@@ -38,6 +43,18 @@
         """Lose track of every connection that is open now."""
         self._lost |= self._open
 
+    def pause(self):
+        """Let nothing pass, as while the far end is frozen."""
+        self._passes.clear()
+
+    def go_on(self):
+        """Let all pass again that has come meanwhile."""
+        self._passes.set()
+
+    def refuse(self):
+        """Take no new connections; those that are open go on."""
+        self._server.close()
+
     def cut(self):
         """Reset every connection that is open now."""
         for number, one, other in self._open:
@@ -62,6 +79,7 @@
         try:
             while True:
                 data = source.recv(BLOCK)
+                self._passes.wait()
                 while pair in self._lost:
                     gevent.sleep(1000.0)
                 if not data:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
@@ -40,6 +40,10 @@
         """Wait for the next effect."""
         return self._mailbox.get()
 
+    def poll(self):
+        """Return the next effect if there is one, else ``None``."""
+        return None if self._mailbox.empty() else self._mailbox.get()
+
     def abandon(self):
         """Stop the greenlet: nobody waits for its answer any more."""
         if self.worker is not None:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/silence.py
@@ -21,6 +21,9 @@
 # Each question that changed nothing doubles the time to the next one.
 MOST_SECONDS = 20.0
 FAILED_PROBES = 2
+# How often a silence that seems to be for good is looked at: another server
+# may have gone on by then.
+LOOK_SECONDS = 0.1
 # A stream that its engine twice does not know never arrived there, or is
 # lost: a request on its way would have come in between.
 NOT_HELD = 2
@@ -44,6 +47,8 @@
         self._failed = 0
         self._not_held = 0
         self._patience = 1.0
+        self._suspected = False
+        self._next_probe = 0.0
 
     def heard(self):
         """Take note of an output."""
@@ -54,30 +59,47 @@
         self._heard = now
         self._failed = 0
         self._patience = 1.0
+        self._suspected = False
 
     def seconds(self):
         """Return the longest silence that needs no question."""
+        if self._suspected:
+            return LOOK_SECONDS
+        return self._interval()
+
+    def _interval(self):
         if not self._begun:
             return min(FIRST_SECONDS * self._patience, MOST_SECONDS)
         wanted = max(GAP_FACTOR * self._longest, LEAST_GAP_SECONDS)
         return min(wanted * self._patience, MOST_SECONDS)
 
     def silent(self):
-        """Probe; move the stream to a new path, wait on, or give up."""
-        url = self._source.url
-        found = self._engines.probe(url)
-        if found is engine_client.Probe.REFUSES:
-            raise TimeoutError("silent, and refuses new connections")
-        if found is engine_client.Probe.SILENT:
-            self._failed += 1
-            if self._failed >= FAILED_PROBES:
-                raise TimeoutError("silent, also on new connections")
-            return
-        self._failed = 0
-        self._ask_for_stream()
+        """Probe; move the stream to a new path, or wait on.
+
+        Neither a server that refuses new connections nor one that takes none
+        is given up for that: the first may be about to leave, the second
+        frozen for a while.  Another one may go on meanwhile.
+        """
+        if self._suspected:
+            self._source.silent()
+        if not self._suspected or time.monotonic() >= self._next_probe:
+            self._probe()
+            self._next_probe = time.monotonic() + self._interval()
         if time.monotonic() - self._heard > self._limit:
             self._give_up(f"silent for {self._limit:g} s")
 
+    def _probe(self):
+        found = self._engines.probe(self._source.url)
+        if found is engine_client.Probe.ANSWERS:
+            self._failed = 0
+            self._ask_for_stream()
+            return
+        self._failed += 1
+        refuses = found is engine_client.Probe.REFUSES
+        if refuses or self._failed >= FAILED_PROBES:
+            self._suspected = True
+            self._source.silent()
+
     def _ask_for_stream(self):
         try:
             answer = self._source.resumed()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/source.py
@@ -42,8 +42,18 @@
         self._resumes_in_all = 0
         self._assembled = False
         self._began = False
+        self._when_silent = None
         self._left = contextlib.ExitStack()
 
+    def when_silent(self, call):
+        """Have ``call`` made with this while its server seems not to be."""
+        self._when_silent = call
+
+    def silent(self):
+        """Say that the server is silent, also on new connections."""
+        if self._when_silent is not None:
+            self._when_silent(self)
+
     def began(self):
         """Say that the first byte is about to be written."""
         if self._began:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
@@ -15,7 +15,9 @@
 
 from . import channel as channel_module
 from . import engine_client
+from . import hedge as hedge_module
 from . import problems
+from . import reading as reading_module
 from . import source as source_module
 from . import transcript
 from . import wsgi
@@ -52,7 +54,8 @@
         self._held = transcript.Transcript()
         self._kept = bytearray()
         self._keep = bool(event.idempotency_key)
-        self._source = None
+        self._reading = None
+        self._hedge = None
         self._head = None
         self._gaps_ms = []
         self._last = 0.0
@@ -73,34 +76,117 @@
             fault = problems.internal_problem(self._event.request_id)
             self._channel.put(channel_module.Failure(fault))
         finally:
-            if self._source:
-                self._source.close()
+            self._let_go()
             self._host.detach(self._exchange, "worker")
 
     def _attempt(self):
         """Serve one dispatch; tell whether the answer is whole."""
-        effect = self._exchange.get()
+        effect = self._next_effect()
         if isinstance(effect, effects.Replay):
             self._replay(effect.answer)
             return True
         if not isinstance(effect, effects.Dispatch):
             raise problems.problem_of(effect)
-        if self._source:
-            self._source.close()
-        self._source = source_module.Source(
-            self._host, self._engines, self._call, effect, self._limits
+        self._let_go()
+        self._reading = self._reading_of(effect)
+        self._reading.when_heard(self._heard)
+        while self._reading is not None:
+            if self._serve():
+                return True
+        return False
+
+    def _next_effect(self):
+        """Return the next effect that is not about a hedge let go."""
+        while True:
+            effect = self._exchange.get()
+            if isinstance(effect, effects.Withdraw):
+                continue
+            if not isinstance(effect, effects.Dispatch):
+                return effect
+            if self._host.is_current(effect):
+                return effect
+
+    def _reading_of(self, dispatch):
+        source = source_module.Source(
+            self._host, self._engines, self._call, dispatch, self._limits
+        )
+        source.when_silent(self._silent)
+        return reading_module.Reading(
+            self._host, self._call, source, self._held
         )
+
+    def _let_go(self):
+        if self._hedge is not None:
+            self._hedge.close()
+            self._hedge = None
+        if self._reading is not None:
+            self._reading.close()
+            self._reading = None
+
+    def _serve(self):
+        """Pass on the present attempt; tell whether the answer is whole.
+
+        Where it fails, the one beside it goes on, if there is one.
+        """
+        reading = self._reading
         try:
-            self._serve(effect)
+            self._pass_on_all(reading)
             return True
-        except engine_client.NotBegun as exc:
-            self._not_begun(effect, exc)
-        except engine_client.Broken as exc:
-            self._failed(effect, str(exc), exc.closed)
-        except transcript.Diverged:
-            self._failed(effect, "another engine's answer differs")
+        except hedge_module.Overtaken as exc:
+            self._overtake(exc.reading)
+            return False
+        except hedge_module.FAILURES as exc:
+            self._reading = None
+            reading.close()
+            self._failed(reading, exc)
+        if self._hedge is not None and self._hedge.reading is not None:
+            try:
+                self._hedge.result()
+            except hedge_module.Overtaken as exc:
+                self._reading = exc.reading
+                self._reading.when_heard(self._heard)
+        self._hedge = None
         return False
 
+    # -- a silent server ----------------------------------------------------
+
+    def _silent(self, source):
+        """Have another server sought beside the silent one of ``source``.
+
+        Raises ``Overtaken`` once that one has something.
+        """
+        if self._reading is None or source is not self._reading.source:
+            return
+        if self._hedge is None:
+            self._hedge = hedge_module.Hedge(
+                self._exchange,
+                self._host.is_current,
+                self._reading_of,
+                self._failed,
+            )
+            self._submit(events.AttemptSilent, self._reading)
+        effect = self._hedge.look()
+        if effect is not None:
+            raise problems.problem_of(effect)
+
+    def _spoke_again(self):
+        """Let go of what is beside the present attempt."""
+        hedge, self._hedge = self._hedge, None
+        hedge.close()
+        self._submit(events.AttemptSpoke, self._reading)
+
+    def _overtake(self, reading):
+        self._submit(events.AttemptSpoke, reading)
+        self._let_go()
+        self._reading = reading
+        self._reading.when_heard(self._heard)
+
+    def _submit(self, kind, reading):
+        dispatch = reading.dispatch
+        self._host.submit(kind(dispatch.request_id, dispatch.attempt))
+
+    # -- the answer ---------------------------------------------------------
+
     def _replay(self, answer):
         """Give the stored answer of the same key."""
         headers = [
@@ -114,85 +200,61 @@
             channel_module.Head(answer.status, headers, answer.body)
         )
 
-    def _not_begun(self, dispatch, exc):
-        self._host.submit(
-            events.NotBegun(
+    def _failed(self, reading, exc):
+        """Tell the reducer how an attempt failed."""
+        dispatch = reading.dispatch
+        if isinstance(exc, engine_client.NotBegun):
+            event = events.NotBegun(
                 dispatch.request_id,
                 dispatch.attempt,
                 exc.server_said,
                 exc.retry_after,
             )
-        )
-
-    def _failed(self, dispatch, detail, closed=False):
-        self._host.submit(
-            events.AttemptFailed(
-                dispatch.request_id,
-                dispatch.attempt,
-                self._held.events,
-                detail,
-                closed=closed,
+        elif isinstance(exc, transcript.Diverged):
+            event = self._broke_off(
+                dispatch, "another engine's answer differs"
             )
+        else:
+            event = self._broke_off(dispatch, str(exc), exc.closed)
+        self._host.submit(event)
+
+    def _broke_off(self, dispatch, detail, closed=False):
+        return events.AttemptFailed(
+            dispatch.request_id,
+            dispatch.attempt,
+            self._held.events,
+            detail,
+            closed=closed,
         )
 
-    def _serve(self, dispatch):
-        if not self._held.events:
-            status = self._source.open(self._call.outgoing(dispatch))
-            self._check_status(status)
-            if self._call.streamed and status == 200:
-                return self._stream(dispatch, transcript.Splice(""))
-            return self._whole(dispatch, status)
-        return self._continue(dispatch)
-
-    def _check_status(self, status):
-        """Take an engine's own failure for one, not for the answer.
-
-        A plain service's answers are relayed as they are, whatever their
-        status; it said what it did.
-        """
-        failed = status >= 500 or status == 429
-        if self._call.generation and failed:
-            raise engine_client.Broken(f"the engine answered {status}")
-
-    def _continue(self, dispatch):
-        """Go on, on another engine, with what the caller has of a stream.
-
-        First the same request again, dropping what is known, while it says
-        the same; after that, with the text so far in the prompt.
-        """
-        if not self._held.plain:
-            raise engine_client.Broken("the stream holds more than text")
-        text = self._held.text
-        try:
-            self._rerun(dispatch, self._call.outgoing(dispatch), text)
-        except transcript.Diverged:
-            outgoing = self._call.continuation(
-                dispatch, text, self._held.events
-            )
-            if outgoing is None:
-                raise
-            self._host.logger.info(
-                "continued by prompt",
-                extra={"request_id": dispatch.request_id},
-            )
-            self._source.restart()
-            self._rerun(dispatch, outgoing, "")
-
-    def _rerun(self, dispatch, outgoing, known):
-        status = self._source.open(outgoing)
-        if status != 200:
-            raise engine_client.Broken(f"the engine answered {status}")
-        self._stream(dispatch, transcript.Splice(known))
-
-    def _whole(self, dispatch, status):
-        body = self._source.whole()
-        self._first_output(dispatch)
+    def _pass_on_all(self, reading):
+        output = self._next(reading)
+        if isinstance(output, reading_module.Whole):
+            self._whole(reading.dispatch, output)
+            return
+        while not output.startswith(transcript.DONE):
+            self._pass_on(reading.dispatch, output)
+            output = self._next(reading)
+        self._end(reading.dispatch, output)
+
+    def _next(self, reading):
+        output = reading.next()
+        if self._hedge is not None:
+            self._spoke_again()
+        if self._begun_attempt != reading.dispatch.attempt:
+            # Read beside a silent one, or whole: nobody was told yet.
+            self._first_output()
+        return output
+
+    def _whole(self, dispatch, whole):
         headers = self._headers(dispatch)
         headers.append(("X-Outcome", "complete"))
         if self._keep:
-            self._kept += body
-        self._finished(dispatch, status, _usage_of(body))
-        self._channel.put(channel_module.Head(status, headers, body))
+            self._kept += whole.body
+        self._finished(dispatch, whole.status, _usage_of(whole.body))
+        self._channel.put(
+            channel_module.Head(whole.status, headers, whole.body)
+        )
 
     def _headers(self, dispatch):
         headers = [
@@ -200,20 +262,13 @@
             ("X-Backend-Server", dispatch.backend_server),
         ]
         for name in PASSED_HEADERS:
-            value = self._source.header(name)
+            value = self._reading.source.header(name)
             if value:
                 headers.append((name, value))
         return headers
 
-    def _stream(self, dispatch, splice):
-        """Pass on the events of a stream until its proper end."""
-        event = self._next(dispatch)
-        while not event.startswith(transcript.DONE):
-            new = splice.pass_on(event)
-            if new:
-                self._pass_on(dispatch, new)
-            event = self._next(dispatch)
-        splice.pass_on(event)
+    def _end(self, dispatch, event):
+        """Pass on the last event of a stream."""
         if self._keep:
             self._kept += event
         usage = Usage(self._event.prompt_tokens, self._held.tokens)
@@ -224,18 +279,16 @@
         self._channel.put(event)
         self._channel.put(channel_module.END)
 
-    def _next(self, dispatch):
-        event = self._source.next_event()
+    def _heard(self):
+        """Take note of an event, whether the caller has it already or not."""
         now = time.monotonic()
-        if self._begun_attempt != dispatch.attempt:
-            self._begun_attempt = dispatch.attempt
-            self._first_output(dispatch)
+        if self._begun_attempt != self._reading.dispatch.attempt:
+            self._first_output()
         if not self._last:
             self._last = now
         elif len(self._gaps_ms) < SAMPLED_GAPS:
             self._gaps_ms.append((now - self._last) * 1000.0)
         self._last = now
-        return event
 
     def _begin_reply(self, dispatch):
         if self._head is None:
@@ -250,14 +303,13 @@
             self._kept += event
         self._channel.put(event)
 
-    def _first_output(self, dispatch):
-        self._host.submit(
-            events.FirstOutput(dispatch.request_id, dispatch.attempt)
-        )
+    def _first_output(self):
+        self._begun_attempt = self._reading.dispatch.attempt
+        self._submit(events.FirstOutput, self._reading)
 
     def _finished(self, dispatch, status, usage):
         if status == 200:
-            self._source.learn()
+            self._reading.source.learn()
         self._host.submit(
             events.AnswerFinished(
                 dispatch.request_id,
@@ -274,7 +326,7 @@
             return None
         return claims.StoredAnswer(
             status,
-            self._source.header("Content-Type") or "",
+            self._reading.source.header("Content-Type") or "",
             dispatch.backend_server,
             bytes(self._kept),
         )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -15,6 +15,7 @@
 from . import refusal
 from . import reserve
 from . import retries
+from . import searches
 from . import shares
 from . import view as view_module
 from . import work as work_module
@@ -41,6 +42,7 @@
         self._reserve = reserve.Reserve()
         self._limiter = limits.Limiter(self._view)
         self._retries = retries.Retries(self._rng)
+        self._searches = searches.Searches()
         self._shares = shares.Shares()
         self._lanes = {}
         self._next_merge = 0.0
@@ -143,8 +145,31 @@
             if lane.key not in self._full:
                 self._check_order(busy[:number], lane)
                 self._serve(lane, now, directory, decided)
+        for search in self._searches.due(now):
+            self._hedge(search.work, now, directory, decided)
         return decided
 
+    def _hedge(self, work, now, directory, decided):
+        """Place what a silent server has beside it, where there is room.
+
+        It comes after all that has no server.  Its organisation has paid for
+        it already, and does not choose how many servers are asked.
+        """
+        servers = directory.eligible(work.class_name, work.model, work.service)
+        if not self._retries.allow(work, self._fleet.free > 0):
+            return
+        subset = self._placing.subset(
+            servers, work, self._fleet, self._instances, now
+        )
+        need = self._need(self._lane(work), work, now)
+        server = self._placing.pick(need, subset, self._fleet, now)
+        if not server:
+            return
+        self._searches.end(work.request_id)
+        self._retries.spend()
+        self._fleet.place(work, server, need.footprint, now, hedge=True)
+        decided.append(work_module.Placement(work, server, hedge=True))
+
     def _check_order(self, higher, lane):
         """Assert that no class is passed over for a lower one."""
         for other in higher:
@@ -297,6 +322,9 @@
             return
         self._placing.freed(held.server)
         work = held.work
+        if work.request_id in self._fleet.attempts:
+            # It goes on at its other server, and is charged there.
+            return
         lane = self._lane(work)
         if ended.failed:
             self._limiter.settle(work, 0.0, now)
@@ -327,6 +355,14 @@
         self._retries.delay(work, now)
         return work
 
+    def seek(self, work, now):
+        """Look for a server beside a silent one from this round on."""
+        self._searches.begin(work, now)
+
+    def stop_seeking(self, request_id):
+        """Look for no server any more beside a silent one."""
+        self._searches.end(request_id)
+
     def withdraw(self, request_id):
         """Take the work out of where it waits, if it does."""
         found = self._retries.withdraw(request_id)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -25,6 +25,7 @@
         self._pace = pace.Pace()
         self.known = {}
         self.attempts = {}
+        self.hedges = {}
         # Own slots that are free on all engines, and how many of them are
         # kept for protected work.
         self.free = 0
@@ -110,8 +111,8 @@
             self.free -= gone.free
         self.known.pop(name, None)
 
-    def place(self, work, server, footprint, now):
-        """Count an attempt as outstanding."""
+    def place(self, work, server, footprint, now, hedge=False):
+        """Count an attempt as outstanding, one of two where it is a hedge."""
         engine = self._engines[server]
         engine.change_own(1, now)
         engine.kv_own += footprint
@@ -120,7 +121,8 @@
         probe = engine.slow
         if probe:
             engine.probing = True
-        self.attempts[work.request_id] = engines.Attempt(
+        attempts = self.hedges if hedge else self.attempts
+        attempts[work.request_id] = engines.Attempt(
             work, server, now, footprint, probe=probe
         )
 
@@ -154,7 +156,7 @@
 
     def ended(self, ended, now):
         """Count an attempt as over and learn; return it or ``None``."""
-        held = self.attempts.pop(ended.request_id, None)
+        held = self._take(ended)
         if held is None:
             return None
         engine = self._engines.get(held.server)
@@ -170,6 +172,17 @@
         self._count_free(engine)
         return held
 
+    def _take(self, ended):
+        """Take off the attempt that ended; a hedge takes its place."""
+        request_id = ended.request_id
+        hedge = self.hedges.get(request_id)
+        if hedge is not None and hedge.server == ended.server:
+            return self.hedges.pop(request_id)
+        held = self.attempts.pop(request_id, None)
+        if hedge is not None:
+            self.attempts[request_id] = self.hedges.pop(request_id)
+        return held
+
     def _learn(self, held, engine, ended, now):
         taken = now - held.placed
         engine.service_seconds += 0.05 * (taken - engine.service_seconds)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/retries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/retries.py
@@ -53,6 +53,10 @@
         spread = JITTER_SECONDS * (1.0 - self.stock / STOCK)
         due = now + self._rng.random() * spread
         heapq.heappush(self._delayed, (due, self._number, work))
+        self.spend()
+
+    def spend(self):
+        """Count a retry."""
         self.stock -= 1.0
 
     def due(self, now):
