--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -5,20 +5,19 @@
 from .. import effects
 from .. import events
 from .. import interfaces
-from .. import invariants
 from .. import sentinels
 from . import answers
 from . import attainment
 from . import begun
 from . import claim_rounds
-from ..coordination import claim_entries
 from ..coordination import claims as claims_module
 from ..coordination import server_loads
 from ..coordination import usage
-from ..decisions import patience
 from ..decisions import work as work_module
+from . import dispatching
 from . import early_requests
 from ..effects import reports
+from . import endings
 from . import hedges
 from . import intake
 from . import life
@@ -31,8 +30,6 @@
 # after a few answers have ended, which take some tenths of a second each.
 BUSY_RETRY = 0.5
 
-Stand = claim_entries.Stand
-
 # What a caller is told whom this instance cannot serve to the end: by the
 # time given the balancer has noticed, and asks others.
 DRAINING = sentinels.Nothing(sentinels.Reason.DRAINING, 1.0)
@@ -55,6 +52,9 @@
         self._begun = begun.Begun(state.duties)
         self._hedges = hedges.Hedges(policy, ends)
         self.lives = {}
+        self._endings = endings.Endings(
+            state, policy, claimer, self._hedges, self.lives
+        )
 
     def handlers(self):
         """Return the handlers of the request events."""
@@ -157,10 +157,10 @@
 
     def _offer(self, held, now):
         if self._ends.holds(held.work.fingerprint, now):
-            return self._refuse(held, ENDS_SERVERS, now)
+            return self._endings.refuse(held, ENDS_SERVERS, now)
         offered = self._policy.offer(held.work, now)
         if not offered:
-            return self._refuse(held, offered, now)
+            return self._endings.refuse(held, offered, now)
         held.move(life.Phase.QUEUED)
         return self._decide(now)
 
@@ -172,9 +172,11 @@
             if held is None:
                 continue
             if isinstance(item, work_module.Placement):
-                out.extend(self._dispatch(held, item, now))
+                out.extend(dispatching.dispatch(self._state, held, item, now))
             else:
-                out.extend(self._refuse(held, item.nothing, now, item.grounds))
+                out.extend(
+                    self._endings.refuse(held, item.nothing, now, item.grounds)
+                )
         return out
 
     def _hold_back(self, now):
@@ -192,7 +194,7 @@
             out.extend(self._hedges.withdraw(held, now))
             if held.phase is life.Phase.QUEUED:
                 self._policy.withdraw(held.work.request_id)
-                out.extend(self._refuse(held, ENDS_SERVERS, now))
+                out.extend(self._endings.refuse(held, ENDS_SERVERS, now))
             elif held.phase in life.AT_A_SERVER and _may_stop(held.work):
                 out.extend(self._take_back(held, now))
         return out
@@ -202,79 +204,9 @@
         request_id = held.work.request_id
         refusal = answers.refusal(request_id, ENDS_SERVERS, begun=begun)
         reason = ENDS_SERVERS.reason.value
-        return [effects.CutOff(refusal)] + self._stopped(held, reason, now)
-
-    def _dispatch(self, held, placement, now):
-        server = placement.server
-        known = self._state.directory.server(server)
-        work = held.work
-        # The policy looks at this too, on lists that it keeps; a server
-        # that left or fell silent since must not slip through one of them.
-        invariants.check(
-            known is not None and known.serves(now),
-            "no-new-work-for-a-leaving-server",
-            f"{work.request_id} to {server}",
+        return [effects.CutOff(refusal)] + self._endings.stop(
+            held, reason, now
         )
-        announcement = known.announcement
-        incarnation = (server, announcement.epoch)
-        inputs = answers.inputs_of(self._state, placement.grounds, work, now)
-        if placement.hedge:
-            held.dispatch_hedge(server, incarnation, now)
-            inputs["hedge"] = True
-            measured = []
-        else:
-            held.dispatch(server, incarnation, now)
-            measured = [
-                measures.since_received(work, reports.Metric.QUEUE_WAIT, now)
-            ]
-        return [
-            effects.Dispatch(
-                work.request_id,
-                held.dispatches,
-                server,
-                announcement.url,
-                work.start_priority if work.routed else work.priority,
-                work.repeatable,
-                patience.of_attempt(work, held.begun)
-                if work.routed
-                else patience.ENDLESS,
-            ),
-            answers.decision(work, "dispatched", server, **inputs),
-            *measured,
-        ]
-
-    def _refuse(self, held, nothing, now, grounds=None):
-        """End a request without an answer, as what may have begun says."""
-        begun = held.begun > 0
-        held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
-        work = held.work
-        self.lives.pop(work.request_id, None)
-        out = [
-            answers.refusal(work.request_id, nothing, begun=begun),
-            answers.decision(
-                work,
-                nothing.reason.value,
-                held.server,
-                **answers.inputs_of(self._state, grounds, work, now),
-            ),
-        ]
-        return out + self._end_claim(held, now)
-
-    def _end_claim(self, held, now, answer=None):
-        """Tell the claim how the request ended, where it has one.
-
-        A key may be run anew where nothing ran, or where running again
-        does no harm.
-        """
-        if not held.claimed:
-            return []
-        if held.phase is life.Phase.COMPLETE:
-            stand = Stand.HELD
-        elif held.phase is life.Phase.UNKNOWN and not held.work.repeatable:
-            stand = Stand.UNKNOWN
-        else:
-            stand = Stand.NOT_RUN
-        return self._claims.ended(held.work.request_id, stand, answer, now)
 
     def _current(self, event):
         """Return the life that an event is about, if it still is.
@@ -318,7 +250,9 @@
             self._begun.broke_off(hedged)
             out = [answers.attempt_line(hedged, "attempt overtaken", now)]
             silent = self._hedges.took_over(hedged, now)
-            return out + self._cancel(hedged, silent) + self._decide(now)
+            return (
+                out + self._endings.cancel(hedged, silent) + self._decide(now)
+            )
         held = self._current(event)
         if held is None:
             return []
@@ -326,7 +260,9 @@
         hedge = self._hedges.drop(held, now)
         if hedge is None:
             return out
-        return out + self._cancel(held, hedge.server) + self._decide(now)
+        return (
+            out + self._endings.cancel(held, hedge.server) + self._decide(now)
+        )
 
     def _not_begun(self, event, now):
         hedged = self._hedged(event)
@@ -336,7 +272,7 @@
         held = self._current(event)
         if held is None:
             return []
-        self._release(
+        self._endings.release(
             held,
             now,
             failed=True,
@@ -371,10 +307,12 @@
         """
         held.work.avoid.add(held.server)
         if self._ends.holds(held.work.fingerprint, now):
-            return self._refuse(held, ENDS_SERVERS, now) + self._decide(now)
+            return self._endings.refuse(
+                held, ENDS_SERVERS, now
+            ) + self._decide(now)
         if held.dispatches >= hedges.MOST_ATTEMPTS:
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
-            return self._refuse(held, nothing, now) + self._decide(now)
+            return self._endings.refuse(held, nothing, now) + self._decide(now)
         if self._all_avoided(held.work):
             # One of them may have come back by then.
             held.work.avoid.clear()
@@ -383,7 +321,7 @@
             self._policy.requeue(held.work, now)
         elif not self._policy.retry(held.work, now):
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED, 1.0)
-            return self._refuse(held, nothing, now) + self._decide(now)
+            return self._endings.refuse(held, nothing, now) + self._decide(now)
         return self._decide(now)
 
     def _try_elsewhere(self, held, now, counts):
@@ -397,7 +335,9 @@
         work = held.work
         work.avoid.add(held.server)
         if self._ends.holds(work.fingerprint, now):
-            return self._refuse(held, ENDS_SERVERS, now) + self._decide(now)
+            return self._endings.refuse(
+                held, ENDS_SERVERS, now
+            ) + self._decide(now)
         rejected = held.arrivals - held.begun
         if (
             held.begun >= work.max_attempts
@@ -417,7 +357,7 @@
             else sentinels.Reason.ALL_BUSY,
             BUSY_RETRY,
         )
-        return self._refuse(held, nothing, now) + self._decide(now)
+        return self._endings.refuse(held, nothing, now) + self._decide(now)
 
     def _all_avoided(self, work):
         servers = self._state.directory.eligible(
@@ -472,7 +412,7 @@
             measures.since_received(work, reports.Metric.TOTAL, now),
         ]
         out.extend(measures.gaps(work, event.gaps_ms))
-        out.extend(self._end_claim(held, now, event.answer))
+        out.extend(self._endings.end_claim(held, now, event.answer))
         return out + self._decide(now)
 
     def _count(self, work, prompt_tokens, output_tokens, wasted=0):
@@ -495,12 +435,12 @@
             return []
         self._begun.broke_off(held)
         self._ends.ended_under(held, event, now)
-        self._release(held, now, failed=True)
+        self._endings.release(held, now, failed=True)
         self._count(held.work, 0, 0, wasted=event.relayed)
         if not held.work.repeatable:
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
-            return self._refuse(held, nothing, now) + self._decide(now)
-        out = self._cancel(held, held.server)
+            return self._endings.refuse(held, nothing, now) + self._decide(now)
+        out = self._endings.cancel(held, held.server)
         held.move(life.Phase.QUEUED)
         if self._goes_on_beside(held):
             return out + self._decide(now)
@@ -508,18 +448,6 @@
             return self._try_elsewhere(held, now, counts=True)
         return out + self._try_again(held, now, begun=True)
 
-    def _cancel(self, held, name):
-        """Have a server stop; routed requests end with their connection."""
-        server = self._state.directory.server(name)
-        if server is None or held.work.routed:
-            return []
-        url = server.announcement.url
-        return [effects.Cancel(held.work.request_id, url)]
-
-    def _release(self, held, now, **how):
-        ended = work_module.Ended(held.work.request_id, held.server, **how)
-        self._policy.ended(ended, now)
-
     def _caller_gone(self, event, now):
         """Stop what nobody waits for, where stopping does no harm."""
         held = self.lives.get(event.request_id)
@@ -566,34 +494,7 @@
 
     def _stop(self, held, reason, now):
         """Drop a request for which nobody waits any more; look what fits."""
-        return self._stopped(held, reason, now) + self._decide(now)
-
-    def _stopped(self, held, reason, now):
-        """Drop a request, wherever it is."""
-        request_id = held.work.request_id
-        del self.lives[request_id]
-        hedge = self._hedges.drop(held, now)
-        out = self._cancel(held, hedge.server) if hedge else []
-        out += [
-            effects.Abandon(request_id),
-            answers.decision(
-                held.work,
-                reason,
-                held.server,
-                **answers.inputs_of(self._state, None, held.work, now),
-            ),
-        ]
-        if held.phase is life.Phase.CLAIMING:
-            return out + self._claims.forget(request_id, now)
-        if held.phase is life.Phase.QUEUED:
-            self._policy.withdraw(request_id)
-        else:
-            self._release(held, now, wasted=True)
-            out.extend(self._cancel(held, held.server))
-        begun = held.begun > 0
-        held.move(life.Phase.UNKNOWN if begun else life.Phase.NOT_RUN)
-        out.extend(self._end_claim(held, now))
-        return out
+        return self._endings.stop(held, reason, now) + self._decide(now)
 
 
 def _may_stop(work):
