Usage: a request that took two attempts is counted once

An organisation that asked once was charged for two requests where the first server broke off: the line that counts the tokens wasted there counted a request as well, and the answer of the second server counted the next. Found while the hedges' counts were checked. The wasted tokens alone are counted now.

Test: test_a_request_that_took_two_attempts_is_counted_once, failed before.

--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -406,7 +406,8 @@
         self._policy.ended(ended, now)
         if not work.routed:
             attainment.count(self._state, held, now)
-        self._count(work, event.prompt_tokens, event.output_tokens)
+        counted = usage.Totals(1, event.prompt_tokens, event.output_tokens)
+        self._count(work, counted)
         out = [
             answers.decision(work, "complete", held.server),
             measures.since_received(work, reports.Metric.TOTAL, now),
@@ -415,8 +416,7 @@
         out.extend(self._endings.end_claim(held, now, event.answer))
         return out + self._decide(now)
 
-    def _count(self, work, prompt_tokens, output_tokens, wasted=0):
-        counted = usage.Totals(1, prompt_tokens, output_tokens, wasted)
+    def _count(self, work, counted):
         self._state.usage.count(work.organisation, work.class_name, counted)
 
     def _failed(self, event, now):
@@ -436,7 +436,8 @@
         self._begun.broke_off(held)
         self._ends.ended_under(held, event, now)
         self._endings.release(held, now, failed=True)
-        self._count(held.work, 0, 0, wasted=event.relayed)
+        # Not a request more: it is counted where its answer is whole.
+        self._count(held.work, usage.Totals(wasted_tokens=event.relayed))
         if not held.work.repeatable:
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
             return self._endings.refuse(held, nothing, now) + self._decide(now)
--- a/tests/cover/test_request_life.py
+++ b/tests/cover/test_request_life.py
@@ -97,6 +97,19 @@
     assert only(out, effects.Dispatch)
 
 
+def test_a_request_that_took_two_attempts_is_counted_once():
+    reducer = make_reducer()
+    receive(reducer)
+    reducer.apply(events.AttemptBegan("r1", 1), 0.2)
+    reducer.apply(events.AttemptFailed("r1", 1, 5, "reset"), 0.3)
+    reducer.apply(events.AttemptBegan("r1", 2), 0.4)
+    reducer.apply(events.AnswerFinished("r1", 2, 100, 20), 0.5)
+    used = reducer.state.usage.used_by("lab")
+    assert used.requests == 1
+    assert (used.prompt_tokens, used.output_tokens) == (100, 20)
+    assert used.wasted_tokens == 5
+
+
 def test_late_answer_of_an_abandoned_attempt_is_dropped():
     # An answer arrives after its request went to another engine: it must
     # not be taken for the second engine's answer.
