A hedge waits as long as its caller, and a full server is asked again

A hedge of a route with three attempts had a patience of its own, and what that raised was taken for an error of the instance: the caller got 500 though its first server would have spoken. A hedge has no patience now; while two servers are silent both are waited for.

A server that turned a hedge away for want of room was not asked again for the rest of the request, though it may have room before the silence is over. It is left alone for a quarter second, twice as long after each further refusal, three in one silence.

Tests: test_two_servers_that_are_silent_end_no_stream and test_a_server_that_had_no_room_is_asked_again_in_the_pause failed before.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -57,8 +57,9 @@
 class Attempt:
     """Sends a request to the server of one dispatch and reads its answer.
 
-    ``last_id`` names the event after which a stream goes on; ``resuming``
-    tells that the caller has the head of the answer from another server.
+    ``patience`` is how long its first byte is waited for.  ``last_id`` names
+    the event after which a stream goes on; ``resuming`` tells that the caller
+    has the head of the answer from another server.
 
     >>> attempt = Attempt(sending, dispatch, deadline)  # doctest: +SKIP
     >>> attempt.next().events  # doctest: +SKIP
@@ -66,12 +67,19 @@
     """
 
     def __init__(
-        self, sending, dispatch, deadline, last_id="", resuming=False
+        self,
+        sending,
+        dispatch,
+        deadline,
+        patience=None,
+        last_id="",
+        resuming=False,
     ):
         self.dispatch = dispatch
         self.spoke = False
         self._sending = sending
         self._deadline = deadline
+        self._patience = patience
         self._resuming = resuming
         self._splitter = events_splitter.EventsSplitter(last_id)
         self._upstream = None
@@ -145,7 +153,7 @@
             *incoming.headers,
             *sending.dialect.attempt_headers(attempt),
         ]
-        upstream.wait_at_most(dispatch.patience.first)
+        upstream.wait_at_most(self._patience)
         upstream.prepare(
             incoming.method, incoming.target, headers, sending.body
         )
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -217,7 +217,7 @@
         effect = self._next_item(readers_module.Heard, effects.Withdraw)
         if isinstance(effect, effects.Dispatch):
             self._limit()
-            self._attempt = self._attempt_of(effect)
+            self._attempt = self._attempt_of(effect, effect.patience.first)
             return True
         if isinstance(effect, effects.Refuse) and (
             self._kept is not None and not self._events_passed
@@ -245,11 +245,12 @@
             return problems.problem_of(effect)
         return problems.internal_problem(self._incoming.request_id)
 
-    def _attempt_of(self, dispatch):
+    def _attempt_of(self, dispatch, patience=None):
         return attempt_module.Attempt(
             self._sending,
             dispatch,
             self._deadline,
+            patience,
             self._last_id,
             resuming=self._events_passed > 0,
         )
@@ -265,7 +266,9 @@
             return self._heard_first(self._attempt)
         except attempt_module.Superseded:
             # ``CutOff`` is on its way and ends this wait.
-            raise self._problem_of(self._exchange.get())
+            raise self._problem_of(
+                self._next_item(readers_module.Heard, effects.Withdraw)
+            )
         except FAILURES as exc:
             self._failed(self._attempt, exc)
             self._attempt = None
--- a/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
@@ -13,8 +13,11 @@
 # attempts lost, four failures in a row are one in 160,000.
 MOST_ATTEMPTS = 4
 # So many servers may turn a request away: before its caller is told, and apart
-# from that before none is asked beside a silent one any more.
+# from that in one silence before none is asked any more.
 MOST_REJECTIONS = 3
+# After a server turned a hedge away the next is asked so much later, and twice
+# as much after each further one: the silent server may speak meanwhile.
+REJECTED_PAUSE = 0.25
 
 
 class Hedges:
@@ -26,8 +29,11 @@
         self._policy = policy
         self._ends = ends
 
-    def seek(self, held, now):
-        """Look for another server, if the request may reach one more."""
+    def seek(self, held, since):
+        """Look for another server, if the request may reach one more.
+
+        ``since`` is when to begin with that.
+        """
         work = held.work
         if held.seeking or held.hedge is not None:
             return
@@ -36,11 +42,11 @@
             return
         if held.hedges_rejected >= MOST_REJECTIONS:
             return
-        if self._ends.holds(work.fingerprint, now):
+        if self._ends.holds(work.fingerprint, since):
             return
         work.avoid.add(held.server)
         held.seeking = True
-        self._policy.seek(work, now)
+        self._policy.seek(work, since)
 
     def drop(self, held, now):
         """Let go of what is beside the first attempt; return the hedge.
@@ -50,6 +56,7 @@
         if held.seeking:
             held.seeking = False
             self._policy.stop_seeking(held.work.request_id)
+        held.hedges_rejected = 0
         hedge, held.hedge = held.hedge, None
         if hedge is not None:
             self._ended(held, hedge.server, now, wasted=True)
@@ -73,11 +80,20 @@
         return silent
 
     def not_begun(self, held, event, now):
-        """Take note that the hedge did not begin, and seek on."""
+        """Take note that the hedge did not begin, and seek on.
+
+        The policy leaves its server alone for a moment; it may have room, or
+        be reached, before the silence is over.
+        """
+        pause = 0.0
+        if event.server_said:
+            doubled = 2.0**held.hedges_rejected
+            pause = max(event.retry_after, REJECTED_PAUSE * doubled)
         held.unbegin_hedge()
-        self._failed(
+        self._go_on(
             held,
             now,
+            pause,
             refused=event.server_said,
             unreachable=not event.server_said,
             gone=event.gone,
@@ -86,13 +102,13 @@
     def failed(self, held, event, now):
         """Take note that the hedge broke off, and seek on."""
         self._ends.ended_under(held.hedge, event, now)
-        self._failed(held, now)
+        held.work.avoid.add(held.hedge.server)
+        self._go_on(held, now)
 
-    def _failed(self, held, now, **how):
+    def _go_on(self, held, now, pause=0.0, **how):
         hedge, held.hedge = held.hedge, None
-        held.work.avoid.add(hedge.server)
         self._ended(held, hedge.server, now, failed=True, **how)
-        self.seek(held, now)
+        self.seek(held, now + pause)
 
     def _ended(self, held, server, now, **how):
         ended = work_module.Ended(held.work.request_id, server, **how)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -355,9 +355,9 @@
         self._retries.delay(work, now)
         return work
 
-    def seek(self, work, now):
-        """Look for a server beside a silent one from this round on."""
-        self._searches.begin(work, now)
+    def seek(self, work, since):
+        """Look for a server beside a silent one."""
+        self._searches.begin(work, since)
 
     def stop_seeking(self, request_id):
         """Look for no server any more beside a silent one."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -45,12 +45,12 @@
         self.requeue(work, now)
         return work
 
-    def seek(self, work, now):
+    def seek(self, work, since):
         """Look for a server beside one that has ``work`` and is silent.
 
-        :meth:`next` places it there as a hedge, without refusing it: the
-        silent server may still answer.  A policy that never does so has no
-        hedges.
+        From ``since`` on :meth:`next` places it there as a hedge, without
+        refusing it: the silent server may still answer.  A policy that never
+        does so has no hedges.
         """
 
     def stop_seeking(self, request_id):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/searches.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/searches.py
@@ -28,9 +28,9 @@
     def __bool__(self):
         return bool(self._held)
 
-    def begin(self, work, now):
-        """Look for a server from now on."""
-        self._held[work.request_id] = Search(work, now)
+    def begin(self, work, since):
+        """Look for a server from then on."""
+        self._held[work.request_id] = Search(work, since)
 
     def end(self, request_id):
         """Look no more."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -136,9 +136,9 @@
         """Forget queued work."""
         return self._queue.pop(request_id, None)
 
-    def seek(self, work, now):
-        """Look for a server beside a silent one from this round on."""
-        self._searches.begin(work, now)
+    def seek(self, work, since):
+        """Look for a server beside a silent one."""
+        self._searches.begin(work, since)
 
     def stop_seeking(self, request_id):
         """Look for no server any more beside a silent one."""
--- a/tests/cover/test_silences.py
+++ b/tests/cover/test_silences.py
@@ -214,6 +214,30 @@
     nothing_is_left(entry)
 
 
+def test_a_server_that_had_no_room_is_asked_again_in_the_pause(made):
+    def full_once(server, sock, head):
+        if len(server.ran) == 1:
+            return full(server, sock, head)
+        return pausing(before=())(server, sock, head)
+
+    entry, silent, asked = began(made, stops_after(2), "/chat/")
+    other = join(made, entry, full_once)
+    reply = asked.get()
+    assert test_forwarding.pieces(reply) == EXPECTED
+    assert reply.whole and len(other.ran) == 2
+    nothing_is_left(entry)
+
+
+def test_two_servers_that_are_silent_end_no_stream(made):
+    entry, first, asked = began(made, pausing(3.0, before=(3,)), "/thrice/")
+    second = join(made, entry, mute)
+    reply = asked.get()
+    assert len(second.ran) == 1
+    assert test_forwarding.pieces(reply) == EXPECTED
+    assert reply.whole
+    nothing_is_left(entry)
+
+
 @pytest.mark.parametrize("path", ["/chat/", "/read/"])
 def test_the_first_server_speaks_while_the_other_one_has_begun(made, path):
     script = pausing(1.5, before=(3,))
