A server that turned a hedge away is asked again once no other is left

A server that did not begin a hedge is avoided now until none else is left, and nothing but time bounds the search; each refusal draws on the budget of repeats and doubles the pause. An error inside a hedge of the own interface, which left its request waiting for good once the first server had failed, ends it.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -84,6 +84,7 @@
         self._splitter = events_splitter.EventsSplitter(last_id)
         self._upstream = None
         self._answer = None
+        self._is_stream = False
 
     @property
     def number(self):
@@ -106,7 +107,7 @@
         answer = self._answer
         if answer is None:
             answer = self._head()
-        if is_stream(answer):
+        if self._is_stream:
             return Output(answer, self._events())
         return self._whole(answer)
 
@@ -164,7 +165,8 @@
         dialect = self._sending.dialect
         if dialect.not_executed(answer):
             raise NotExecuted(answer, dialect.is_other_server(answer))
-        if self._resuming and not is_stream(answer):
+        self._is_stream = _is_stream(answer)
+        if self._resuming and not self._is_stream:
             self._upstream.whole_body()
             raise upstream_module.Broken(
                 f"not resumed: the server answered {answer.status}"
@@ -202,8 +204,7 @@
     body: bytes
 
 
-def is_stream(answer):
-    """Tell whether an answer is a stream of events."""
+def _is_stream(answer):
     return answer.status == 200 and answer.get("content-type").startswith(
         EVENT_STREAM
     )
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/hedge.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/hedge.py
@@ -76,6 +76,8 @@
         if self._error is None:
             raise Overtaken(reading)
         reading.close()
+        if not isinstance(self._error, FAILURES):
+            raise self._error
         self._failed(reading, self._error)
 
     def close(self):
@@ -95,6 +97,6 @@
     def _run(self, reading):
         try:
             reading.keep(reading.next())
-        except FAILURES as exc:
+        except Exception as exc:
             self._error = exc
         self._ended.set()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/reading.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/reading.py
@@ -32,7 +32,7 @@
         self._call = call
         self._held = held
         self._splice = transcript.Splice(held.text)
-        self._heard_first = None
+        self._when_heard = None
         self._kept = None
 
     @property
@@ -42,7 +42,7 @@
 
     def when_heard(self, call):
         """Have ``call`` made for each event, new to the caller or not."""
-        self._heard_first = call
+        self._when_heard = call
 
     def next(self):
         """Return a :class:`Whole` answer, or the next event for the caller.
@@ -85,8 +85,8 @@
     def _next_new(self):
         while True:
             event = self.source.next_event()
-            if self._heard_first is not None:
-                self._heard_first()
+            if self._when_heard is not None:
+                self._when_heard()
             try:
                 new = self._splice.pass_on(event)
             except transcript.Diverged:
--- a/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
@@ -12,11 +12,8 @@
 # A repeatable request is tried on this many servers: with one in twenty
 # attempts lost, four failures in a row are one in 160,000.
 MOST_ATTEMPTS = 4
-# So many servers may turn a request away: before its caller is told, and apart
-# from that in one silence before none is asked any more.
-MOST_REJECTIONS = 3
 # After a server turned a hedge away the next is asked so much later, and twice
-# as much after each further one: the silent server may speak meanwhile.
+# as much after each further one of the same silence.
 REJECTED_PAUSE = 0.25
 
 
@@ -40,11 +37,10 @@
         most = work.max_attempts or MOST_ATTEMPTS
         if not work.repeatable or held.begun >= most:
             return
-        if held.hedges_rejected >= MOST_REJECTIONS:
-            return
         if self._ends.holds(work.fingerprint, since):
             return
         work.avoid.add(held.server)
+        work.turned_away.discard(held.server)
         held.seeking = True
         self._policy.seek(work, since)
 
@@ -82,9 +78,10 @@
     def not_begun(self, held, event, now):
         """Take note that the hedge did not begin, and seek on.
 
-        The policy leaves its server alone for a moment; it may have room, or
-        be reached, before the silence is over.
+        Its server is asked again only once no other one is left.
         """
+        if not event.gone:
+            held.work.turned_away.add(held.hedge.server)
         pause = 0.0
         if event.server_said:
             doubled = 2.0**held.hedges_rejected
@@ -102,11 +99,11 @@
     def failed(self, held, event, now):
         """Take note that the hedge broke off, and seek on."""
         self._ends.ended_under(held.hedge, event, now)
-        held.work.avoid.add(held.hedge.server)
         self._go_on(held, now)
 
     def _go_on(self, held, now, pause=0.0, **how):
         hedge, held.hedge = held.hedge, None
+        held.work.avoid.add(hedge.server)
         self._ended(held, hedge.server, now, failed=True, **how)
         self.seek(held, now + pause)
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -26,6 +26,8 @@
 # A server that says "not run" is busy.  Asked again at once, it would be
 # asked as fast as it can refuse.
 PAUSE_SECONDS = 0.25
+# So many servers may turn a request away before its caller is told.
+MOST_REJECTIONS = 3
 # A caller whose request its servers turned away may find them less busy
 # after a few answers have ended, which take some tenths of a second each.
 BUSY_RETRY = 0.5
@@ -339,10 +341,7 @@
                 held, ENDS_SERVERS, now
             ) + self._decide(now)
         rejected = held.arrivals - held.begun
-        if (
-            held.begun >= work.max_attempts
-            or rejected >= hedges.MOST_REJECTIONS
-        ):
+        if held.begun >= work.max_attempts or rejected >= MOST_REJECTIONS:
             return self._give_up(held, now)
         if not counts:
             self._policy.requeue(work, now)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -158,6 +158,8 @@
         servers = directory.eligible(work.class_name, work.model, work.service)
         if not self._retries.allow(work, self._fleet.free > 0):
             return
+        if placing.all_avoided(work, servers):
+            work.ask_again()
         subset = self._placing.subset(
             servers, work, self._fleet, self._instances, now
         )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -209,6 +209,8 @@
                 self._budget.take(work.service, instances, now)
                 self._searches.end(work.request_id)
                 decided.append(item)
+            elif item is not None:
+                work.ask_again()
         return decided
 
     def _is_lost(self, work, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -7,7 +7,9 @@
     """One request as the decisions see it.
 
     ``received`` and ``deadline`` are on the clock of this instance;
-    ``avoid`` names the servers on which an attempt failed already.
+    ``avoid`` names the servers on which an attempt failed already,
+    ``turned_away`` those of them that did not begin it while another server
+    was silent.
     ``predicted_tokens`` is the expected output length, zero if unknown.
     ``parts`` are those of the prompt, in order, as ``(name, tokens)``; the
     last one is the request's own.  ``max_attempts`` bounds the servers that
@@ -49,6 +51,12 @@
     route_priority: int = 0
     fingerprint: str = ""
     avoid: set = msgspec.field(default_factory=set)
+    turned_away: set = msgspec.field(default_factory=set)
+
+    def ask_again(self):
+        """Avoid no longer what turned the work away; it may have room now."""
+        self.avoid -= self.turned_away
+        self.turned_away.clear()
 
 
 class Grounds(msgspec.Struct):
