Decisions: first attempts and hedges are kept in one class for both policies

decisions.shared and decisions.fleet each had the same two tables and the same way to take an attempt off them; decisions.attempts serves both. adaptive picked a server in two places with the same three steps, and shared judged twice in a round whether a silent server is out of reach: once each now.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -155,16 +155,12 @@
         It comes after all that has no server.  Its organisation has paid for
         it already, and does not choose how many servers are asked.
         """
-        servers = directory.eligible(work.class_name, work.model, work.service)
         if not self._retries.allow(work, self._fleet.free > 0):
             return
+        servers = directory.eligible(work.class_name, work.model, work.service)
         if placing.all_avoided(work, servers):
             work.ask_again()
-        subset = self._placing.subset(
-            servers, work, self._fleet, self._instances, now
-        )
-        need = self._need(self._lane(work), work, now)
-        server = self._placing.pick(need, subset, self._fleet, now)
+        need, server = self._pick(self._lane(work), work, servers, now)
         if not server:
             return
         self._searches.end(work.request_id)
@@ -235,11 +231,7 @@
                 lane.queue.remove(work.request_id)
                 self._refuse(work, nothing, now, decided)
                 continue
-            subset = self._placing.subset(
-                servers, work, self._fleet, self._instances, now
-            )
-            need = self._need(lane, work, now)
-            server = self._placing.pick(need, subset, self._fleet, now)
+            need, server = self._pick(lane, work, servers, now)
             if not server:
                 self._full.add(lane.key)
                 return
@@ -248,6 +240,14 @@
                 # It goes on in its own order.
                 return
 
+    def _pick(self, lane, work, servers, now):
+        """Return what a placement has to respect, and the server for it."""
+        subset = self._placing.subset(
+            servers, work, self._fleet, self._instances, now
+        )
+        need = self._need(lane, work, now)
+        return need, self._placing.pick(need, subset, self._fleet, now)
+
     def _refuse(self, work, nothing, now, decided):
         self._limiter.settle(work, 0.0, now)
         decided.append(work_module.Refusal(work, nothing))
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from . import attempts
 from . import concurrency
 from . import engines
 from . import pace
@@ -24,8 +25,7 @@
         self._engines = {}
         self._pace = pace.Pace()
         self.known = {}
-        self.attempts = {}
-        self.hedges = {}
+        self.attempts = attempts.Attempts()
         # Own slots that are free on all engines, and how many of them are
         # kept for protected work.
         self.free = 0
@@ -121,10 +121,8 @@
         probe = engine.slow
         if probe:
             engine.probing = True
-        attempts = self.hedges if hedge else self.attempts
-        attempts[work.request_id] = engines.Attempt(
-            work, server, now, footprint, probe=probe
-        )
+        attempt = engines.Attempt(work, server, now, footprint, probe=probe)
+        self.attempts.add(work.request_id, attempt, hedge)
 
     def first_output(self, request_id, now):
         """Learn from the time to the first output; return the attempt."""
@@ -156,7 +154,7 @@
 
     def ended(self, ended, now):
         """Count an attempt as over and learn; return it or ``None``."""
-        held = self._take(ended)
+        held = self.attempts.take(ended)
         if held is None:
             return None
         engine = self._engines.get(held.server)
@@ -172,17 +170,6 @@
         self._count_free(engine)
         return held
 
-    def _take(self, ended):
-        """Take off the attempt that ended; a hedge takes its place."""
-        request_id = ended.request_id
-        hedge = self.hedges.get(request_id)
-        if hedge is not None and hedge.server == ended.server:
-            return self.hedges.pop(request_id)
-        held = self.attempts.pop(request_id, None)
-        if hedge is not None:
-            self.attempts[request_id] = self.hedges.pop(request_id)
-        return held
-
     def _learn(self, held, engine, ended, now):
         taken = now - held.placed
         engine.service_seconds += 0.05 * (taken - engine.service_seconds)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from .. import sentinels
+from . import attempts
 from . import domain_reach
 from . import engine_choice
 from . import placing_pace
@@ -69,9 +70,7 @@
         self._domain = state.identity.failure_domain
         self._budget = retry_budget.RetryBudget(limits)
         self._queue = {}
-        self._attempts = {}
-        # By request too: its second attempt.
-        self._hedges = {}
+        self._attempts = attempts.Attempts()
         self._searches = searches.Searches()
         self._table = server_table.ServerTable(state.loads, self._kv_tokens)
         self._engines = engine_choice.EngineChoice(self._table, self._domain)
@@ -164,10 +163,10 @@
             return []
         claimed = set()
         self._usable_now.clear()
-        due = [search.work for search in self._searches.due(now)]
-        decided = self._hedged(due, True, now, directory, claimed)
+        lost, slow = self._searching(now)
+        decided = self._hedged(lost, now, directory, claimed)
         decided.extend(self._placed(now, directory, claimed))
-        decided.extend(self._hedged(due, False, now, directory, claimed))
+        decided.extend(self._hedged(slow, now, directory, claimed))
         return decided
 
     def _placed(self, now, directory, claimed):
@@ -188,19 +187,26 @@
                 decided.append(item)
         return decided
 
-    def _hedged(self, due, lost, now, directory, claimed):
-        """Place what silent servers have, where others have room for it.
+    def _searching(self, now):
+        """Return the work that looks for a second server, as two lists.
 
         Made for two kinds of silence that look alike.  A stream whose server
-        is ``lost`` to this instance, as in a cut, has no other way to go on
-        and goes first.  One whose server is merely slow, as all are under
-        load, would take the room of requests that have no server at all; it
-        gets what these leave.
+        is lost to this instance, as in a cut, has no other way to go on and
+        goes first.  One whose server is merely slow, as all are under load,
+        would take the room of requests that have no server at all; it gets
+        what these leave.
         """
+        lost = []
+        slow = []
+        for search in self._searches.due(now):
+            found = lost if self._is_lost(search.work, now) else slow
+            found.append(search.work)
+        return lost, slow
+
+    def _hedged(self, searching, now, directory, claimed):
+        """Place what silent servers have, where others have room for it."""
         decided = []
-        for work in due:
-            if self._is_lost(work, now) is not lost:
-                continue
+        for work in searching:
             instances = self._view.instances(now)
             if not self._budget.allows(work.service, instances, now):
                 continue
@@ -354,10 +360,8 @@
         if shared:
             self._news.sent(name, list(shared), now)
         domain = usable[name].announcement.failure_domain
-        attempts = self._hedges if hedge else self._attempts
-        attempts[work.request_id] = Attempt(
-            work, name, held, domain, now, need
-        )
+        attempt = Attempt(work, name, held, domain, now, need)
+        self._attempts.add(work.request_id, attempt, hedge)
         return work_module.Placement(work, name, grounds, hedge)
 
     def _refusal(self, work, reason, servers):
@@ -379,7 +383,7 @@
 
     def ended(self, ended, now):
         """Take note of how an attempt ended."""
-        attempt = self._take_attempt(ended)
+        attempt = self._attempts.take(ended)
         if attempt is None:
             return
         held = attempt.held
@@ -401,17 +405,6 @@
             self._answers(attempt, now)
             health.succeeded()
 
-    def _take_attempt(self, ended):
-        """Take off the attempt that ended; a hedge takes its place."""
-        request_id = ended.request_id
-        hedge = self._hedges.get(request_id)
-        if hedge is not None and hedge.server == ended.server:
-            return self._hedges.pop(request_id)
-        attempt = self._attempts.pop(request_id, None)
-        if hedge is not None:
-            self._attempts[request_id] = self._hedges.pop(request_id)
-        return attempt
-
     def _answers(self, attempt, now):
         """Take note that a server answers: it, and its domain, are there."""
         health = attempt.held.health
--- a/tests/cover/test_silent_engines.py
+++ b/tests/cover/test_silent_engines.py
@@ -73,7 +73,7 @@
     world.wait_until(lambda: not host.open_exchanges())
     fleet = host.reducer.policy._fleet
     assert not host.reducer.lives
-    assert not fleet.attempts and not fleet.hedges
+    assert not fleet.attempts and not fleet.attempts.hedges
     assert not any(engine.own for engine in fleet._engines.values())
 
 
