--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/upstream.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/upstream.py
@@ -82,11 +82,8 @@
             while self._unsent:
                 sent = self._conn.sock.send(self._unsent)
                 self._unsent = self._unsent[sent:]
-        except TimeoutError as exc:
-            if not _is_of_kernel(exc):
-                raise Silent("sending") from exc
-            raise _broken("sending", exc)
         except FAILURES as exc:
+            _raise_if_silent("sending", exc)
             # The server may have answered before it had all, and closed.
             self._unsent = memoryview(b"")
             if not self._answered_early():
@@ -144,11 +141,8 @@
         try:
             data = self._conn.sock.recv(connections_module.RECEIVE_BYTES)
             self._parser.feed(data)
-        except TimeoutError as exc:
-            if not _is_of_kernel(exc):
-                raise Silent("reading") from exc
-            raise _broken("reading", exc)
         except FAILURES as exc:
+            _raise_if_silent("reading", exc)
             if self.answer is not None and self.answer.complete:
                 # What came after the answer is no answer to anything.
                 self._conn.idle_until = 0.0
@@ -182,9 +176,10 @@
             conn.close()
 
 
-def _is_of_kernel(exc):
-    """Tell whether the kernel gave a connection up, and not the wait."""
-    return exc.errno == errno.ETIMEDOUT
+def _raise_if_silent(doing, exc):
+    """Tell a wait that is over from a connection that the kernel gave up."""
+    if isinstance(exc, TimeoutError) and exc.errno != errno.ETIMEDOUT:
+        raise Silent(doing) from exc
 
 
 def _broken(doing, exc, at_end=False):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/worker.py
@@ -88,8 +88,7 @@
         if not isinstance(effect, effects.Dispatch):
             raise problems.problem_of(effect)
         self._let_go()
-        self._reading = self._reading_of(effect)
-        self._reading.when_heard(self._heard)
+        self._take_up(self._reading_of(effect))
         while self._reading is not None:
             if self._serve():
                 return True
@@ -115,6 +114,11 @@
             self._host, self._call, source, self._held
         )
 
+    def _take_up(self, reading):
+        """Make a reading the one whose answer the caller gets."""
+        self._reading = reading
+        reading.when_heard(self._heard)
+
     def _let_go(self):
         if self._hedge is not None:
             self._hedge.close()
@@ -143,8 +147,7 @@
             try:
                 self._hedge.result()
             except hedge_module.Overtaken as exc:
-                self._reading = exc.reading
-                self._reading.when_heard(self._heard)
+                self._take_up(exc.reading)
         self._hedge = None
         return False
 
@@ -178,8 +181,7 @@
     def _overtake(self, reading):
         self._submit(events.AttemptSpoke, reading)
         self._let_go()
-        self._reading = reading
-        self._reading.when_heard(self._heard)
+        self._take_up(reading)
 
     def _submit(self, kind, reading):
         dispatch = reading.dispatch
--- a/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
@@ -49,9 +49,7 @@
 
         ``None`` where nothing was sent: a server that was sought is no longer.
         """
-        if held.seeking:
-            held.seeking = False
-            self._policy.stop_seeking(held.work.request_id)
+        self._stop_seeking(held)
         held.hedges_rejected = 0
         hedge, held.hedge = held.hedge, None
         if hedge is not None:
@@ -75,6 +73,14 @@
         self._ended(held, silent, now, failed=True)
         return silent
 
+    def goes_on(self, held):
+        """Leave a request whose first attempt ended to its hedge, if any."""
+        if held.hedge is not None:
+            held.take_over()
+            return True
+        self._stop_seeking(held)
+        return False
+
     def not_begun(self, held, event, now):
         """Take note that the hedge did not begin, and seek on.
 
@@ -87,7 +93,7 @@
             doubled = 2.0**held.hedges_rejected
             pause = max(event.retry_after, REJECTED_PAUSE * doubled)
         held.unbegin_hedge()
-        self._go_on(
+        self._seek_on(
             held,
             now,
             pause,
@@ -99,9 +105,14 @@
     def failed(self, held, event, now):
         """Take note that the hedge broke off, and seek on."""
         self._ends.ended_under(held.hedge, event, now)
-        self._go_on(held, now)
+        self._seek_on(held, now)
+
+    def _stop_seeking(self, held):
+        if held.seeking:
+            held.seeking = False
+            self._policy.stop_seeking(held.work.request_id)
 
-    def _go_on(self, held, now, pause=0.0, **how):
+    def _seek_on(self, held, now, pause=0.0, **how):
         hedge, held.hedge = held.hedge, None
         held.work.avoid.add(hedge.server)
         self._ended(held, hedge.server, now, failed=True, **how)
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -252,9 +252,8 @@
             self._begun.broke_off(hedged)
             out = [answers.attempt_line(hedged, "attempt overtaken", now)]
             silent = self._hedges.took_over(hedged, now)
-            return (
-                out + self._endings.cancel(hedged, silent) + self._decide(now)
-            )
+            out.extend(self._endings.cancel(hedged, silent))
+            return out + self._decide(now)
         held = self._current(event)
         if held is None:
             return []
@@ -262,9 +261,8 @@
         hedge = self._hedges.drop(held, now)
         if hedge is None:
             return out
-        return (
-            out + self._endings.cancel(held, hedge.server) + self._decide(now)
-        )
+        out.extend(self._endings.cancel(held, hedge.server))
+        return out + self._decide(now)
 
     def _not_begun(self, event, now):
         hedged = self._hedged(event)
@@ -283,7 +281,7 @@
             gone=event.gone,
         )
         held.unbegin()
-        if self._goes_on_beside(held):
+        if self._hedges.goes_on(held):
             return self._decide(now)
         if held.work.routed:
             return self._try_elsewhere(held, now, counts=event.server_said)
@@ -292,16 +290,6 @@
             return self._pause(held, pause, now) + self._decide(now)
         return self._try_again(held, now)
 
-    def _goes_on_beside(self, held):
-        """Leave a request to its hedge, if it has one."""
-        if held.hedge is not None:
-            held.take_over()
-            return True
-        if held.seeking:
-            held.seeking = False
-            self._policy.stop_seeking(held.work.request_id)
-        return False
-
     def _try_again(self, held, now, begun=False):
         """Queue a request for another server, or end it.
 
@@ -309,12 +297,10 @@
         """
         held.work.avoid.add(held.server)
         if self._ends.holds(held.work.fingerprint, now):
-            return self._endings.refuse(
-                held, ENDS_SERVERS, now
-            ) + self._decide(now)
+            return self._refuse(held, ENDS_SERVERS, now)
         if held.dispatches >= hedges.MOST_ATTEMPTS:
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
-            return self._endings.refuse(held, nothing, now) + self._decide(now)
+            return self._refuse(held, nothing, now)
         if self._all_avoided(held.work):
             # One of them may have come back by then.
             held.work.avoid.clear()
@@ -323,7 +309,7 @@
             self._policy.requeue(held.work, now)
         elif not self._policy.retry(held.work, now):
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED, 1.0)
-            return self._endings.refuse(held, nothing, now) + self._decide(now)
+            return self._refuse(held, nothing, now)
         return self._decide(now)
 
     def _try_elsewhere(self, held, now, counts):
@@ -337,9 +323,7 @@
         work = held.work
         work.avoid.add(held.server)
         if self._ends.holds(work.fingerprint, now):
-            return self._endings.refuse(
-                held, ENDS_SERVERS, now
-            ) + self._decide(now)
+            return self._refuse(held, ENDS_SERVERS, now)
         rejected = held.arrivals - held.begun
         if held.begun >= work.max_attempts or rejected >= MOST_REJECTIONS:
             return self._give_up(held, now)
@@ -356,7 +340,7 @@
             else sentinels.Reason.ALL_BUSY,
             BUSY_RETRY,
         )
-        return self._endings.refuse(held, nothing, now) + self._decide(now)
+        return self._refuse(held, nothing, now)
 
     def _all_avoided(self, work):
         servers = self._state.directory.eligible(
@@ -439,10 +423,10 @@
         self._count(held.work, usage.Totals(wasted_tokens=event.relayed))
         if not held.work.repeatable:
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
-            return self._endings.refuse(held, nothing, now) + self._decide(now)
+            return self._refuse(held, nothing, now)
         out = self._endings.cancel(held, held.server)
         held.move(life.Phase.QUEUED)
-        if self._goes_on_beside(held):
+        if self._hedges.goes_on(held):
             return out + self._decide(now)
         if held.work.routed:
             return self._try_elsewhere(held, now, counts=True)
@@ -492,6 +476,10 @@
             return []
         return [effects.CutOff(answers.refusal(request_id, DRAINING))]
 
+    def _refuse(self, held, nothing, now):
+        """End a request without an answer; look what fits."""
+        return self._endings.refuse(held, nothing, now) + self._decide(now)
+
     def _stop(self, held, reason, now):
         """Drop a request for which nobody waits any more; look what fits."""
         return self._endings.stop(held, reason, now) + self._decide(now)
