Log which limit a backend server names, from whose answer and how old

The logs of the incident could not tell whether nobody reads a server's limit or each instance keeps it alone. Instances now read it, on the platform's routes and on the own interface, and log when one is named, changes or is no longer named: server, limit, the limit before, answer or refusal, age, version. A value that cannot be read is logged once for each start of a server. Nothing is decided by it.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
@@ -13,6 +13,7 @@
 
 from . import connection
 from . import engine_client
+from . import server_limit_report
 from . import silence_monitor
 from . import transcript
 
@@ -22,6 +23,9 @@
 # forever by a worker that nobody is waiting for. A stream of several minutes
 # that loses a connection every few seconds stays below it.
 MAX_TOTAL_RESUMES = 64
+# The header in which a server names how many requests per second it takes
+# from all instances together.
+LIMIT_HEADER = "X-Max-Request-Rate"
 
 
 class AttemptResponse:
@@ -44,6 +48,7 @@
         self._began_reported = False
         self._on_silence = None
         self._old_connections = contextlib.ExitStack()
+        self._limit_report = None
 
     def on_silence(self, callback):
         """Set the callback that receives this object during silence."""
@@ -56,6 +61,7 @@
 
     def began(self):
         """Report that the first byte of the request is about to be written."""
+        self._note_sent()
         if self._began_reported:
             return
         self._began_reported = True
@@ -65,6 +71,18 @@
             )
         )
 
+    def _note_sent(self):
+        life = self._host.request_lifecycle(self.dispatch.request_id)
+        if life is not None:
+            self._limit_report = server_limit_report.LimitReport(
+                self._host, life.incarnation_of(self.dispatch.attempt)
+            )
+
+    def head_received(self, answer, refused=False):
+        """Report the limit that the server names in the head of an answer."""
+        if self._limit_report is not None:
+            self._limit_report.submit(answer.values(LIMIT_HEADER), refused)
+
     def open(self, outgoing):
         """Send the request; return the status of the answer."""
         try:
@@ -110,8 +128,9 @@
         """
         if not self._call.generation:
             return None
+        self._note_sent()
         try:
-            return self._engines.resume(
+            answer = self._engines.resume(
                 self.url,
                 self.dispatch.request_id,
                 self._received_events,
@@ -121,6 +140,8 @@
             raise
         except engine_client.Broken:
             return None
+        self.head_received(answer)
+        return answer
 
     def _recover(self, exc):
         """Resume the stream after a failure, or raise ``exc`` again."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -92,6 +92,13 @@
         value = self._response.get(name)
         return value[0] if isinstance(value, list) else value
 
+    def values(self, name):
+        """Return all values of a header."""
+        value = self._response.get(name)
+        if value is None:
+            return []
+        return list(value) if isinstance(value, list) else [value]
+
     @property
     def self_delimited(self):
         """Whether a complete body can be distinguished from a truncated one.
@@ -143,7 +150,8 @@
     def open(self, dispatch, exchange):
         """Send ``exchange`` (an :class:`OutgoingRequest`); return the answer.
 
-        ``dispatch.began()`` is called before the first byte is written;
+        ``dispatch.began()`` is called before the first byte is written, and
+        ``dispatch.head_received(answer, refused)`` when the answer begins;
         ``dispatch.monitor`` is the :class:`.connection.SilenceMonitor` of the
         connection. Raises :class:`NotBegun` or :class:`Broken`.
         """
@@ -155,7 +163,12 @@
             answer = ServerResponse(response, pool.watched_socket)
         except CONNECTION_ERRORS as exc:
             raise _broken_error(exc)
-        _check_not_run(answer)
+        refused = _is_not_run(answer)
+        dispatch.head_received(answer, refused)
+        if refused:
+            answer.close()
+            retry_after = _parse_retry_after(answer.get("Retry-After"))
+            raise NotBegun(True, retry_after)
         return answer
 
     def resume(self, url, request_id, first_event, monitor):
@@ -287,13 +300,11 @@
             client.close()
 
 
-def _check_not_run(answer):
-    if answer.status not in NOT_RUN_STATUSES:
-        return
-    if answer.get("X-Outcome") != "not-run":
-        return
-    answer.close()
-    raise NotBegun(True, _parse_retry_after(answer.get("Retry-After")))
+def _is_not_run(answer):
+    return (
+        answer.status in NOT_RUN_STATUSES
+        and answer.get("X-Outcome") == "not-run"
+    )
 
 
 def _parse_retry_after(text):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -35,6 +35,12 @@
                 return value
         return ""
 
+    def values(self, name):
+        """Return the values of all headers ``name``, given in lower case."""
+        return [
+            value for header, value in self.headers if header.lower() == name
+        ]
+
     def take(self):
         """Return the body received so far and clear it."""
         data = bytes(self.body)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -11,6 +11,7 @@
 
 from dandeliontrail import events
 
+from .. import server_limit_report
 from . import backend_request
 from . import connections as connections_module
 from . import dialect as dialect_module
@@ -87,6 +88,7 @@
         self._splitter = events_splitter.EventsSplitter(last_id)
         self._request = None
         self._answer = None
+        self._limit_report = None
         self._is_stream = False
 
     @property
@@ -143,6 +145,9 @@
             self.close()
             raise Superseded()
         life = context.host.request_lifecycle(incoming.request_id)
+        self._limit_report = server_limit_report.LimitReport(
+            context.host, life.incarnation_of(dispatch.attempt)
+        )
         context.host.submit(
             events.AttemptBegan(incoming.request_id, dispatch.attempt)
         )
@@ -167,8 +172,12 @@
         self._request.send()
         answer = self._request.read_head()
         dialect = self._context.dialect
-        if dialect.not_executed(answer):
-            raise NotExecuted(answer, dialect.is_other_server(answer))
+        is_other_server = dialect.is_other_server(answer)
+        refused = dialect.not_executed(answer)
+        if not is_other_server:
+            self._limit_report.submit(dialect.limits_of(answer), refused)
+        if refused:
+            raise NotExecuted(answer, is_other_server)
         self._is_stream = _is_stream(answer)
         if self._resuming and not self._is_stream:
             self._request.read_whole_body()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -67,6 +67,13 @@
     def is_other_server(self, answer):
         """Return whether another server than the intended one answered."""
 
+    def limits_of(self, answer):
+        """Return the values that name the server's limit, if there are any.
+
+        A limit is in requests per second, from all instances together.
+        """
+        return []
+
     @abc.abstractmethod
     def request_id_of(self, answer):
         """Return the id of the request that an answer belongs to, or ''."""
--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
@@ -0,0 +1,30 @@
+"""Reports to the reducer which limit a server names in an answer."""
+
+from dandeliontrail import events
+
+
+class LimitReport:
+    """Reports what the answer to one request says of its server's limit.
+
+    Made when the request is sent to ``incarnation``, a server's name and
+    epoch.
+    """
+
+    __slots__ = ("_host", "_incarnation", "_sent_at")
+
+    def __init__(self, host, incarnation):
+        self._host = host
+        self._incarnation = incarnation
+        self._sent_at = host.clock.now()
+
+    def submit(self, texts, refused=False):
+        """Report the values ``texts`` that name a limit in an answer.
+
+        Without any, and without a known limit, there is nothing to report.
+        """
+        server, epoch = self._incarnation
+        if not texts and server not in self._host.state.limits.held:
+            return
+        self._host.submit(
+            events.LimitRead(server, epoch, texts, self._sent_at, refused)
+        )
--- a/packages/dandeliontrail/src/dandeliontrail/components/request_lifecycle.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/request_lifecycle.py
@@ -153,6 +153,12 @@
             return True
         return self.attempt == number
 
+    def incarnation_of(self, number):
+        """Return name and epoch of the server of the attempt ``number``."""
+        if self.hedge is not None and self.hedge.number == number:
+            return self.hedge.incarnation
+        return self.incarnation
+
     def dispatch(self, server, incarnation, now):
         """Record that the request is sent to ``server``."""
         self.transition_to(Phase.DISPATCHED)
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -13,6 +13,7 @@
 from ..coordination import quorum_log_options
 from ..coordination import quorum_log_peers
 from ..coordination import server_ends
+from ..coordination import server_limits
 from ..coordination import server_loads
 from ..coordination import servers
 from ..coordination import usage
@@ -50,6 +51,7 @@
     - ``routing``: revisions
     - ``loads``: server loads
     - ``ends``: server ends
+    - ``limits``: server limits
     - ``usage``: usage; the request component adds its counts
     - ``orders``: orders
     - ``duties``: duties
@@ -68,6 +70,7 @@
     loads: server_loads.LoadTable
     duties: duties_state.DutiesState
     ends: server_ends.EndsTable
+    limits: server_limits.LimitTable
     draining: bool = False
 
 
@@ -114,4 +117,5 @@
         server_loads.LoadTable(),
         duties_state.new_duties_state(identity, duty_options),
         server_ends.EndsTable(),
+        server_limits.LimitTable(),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -33,6 +33,7 @@
 from .requests import RequestReceived
 from .requests import RoutedRequestReceived
 from .servers import Announced
+from .servers import LimitRead
 from .usage import DayBegan
 from .usage import UsageLoaded
 
@@ -53,6 +54,7 @@
     "FirstOutput",
     "Left",
     "InForceAsked",
+    "LimitRead",
     "LogSynced",
     "NotBegun",
     "OrderAnswer",
--- a/packages/dandeliontrail/src/dandeliontrail/events/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/servers.py
@@ -9,3 +9,19 @@
     """A backend server sent its announcement to this instance directly."""
 
     announcement: announcements.Announcement
+
+
+class LimitRead(msgspec.Struct):
+    """An answer of a server arrived, and the server has or had a limit.
+
+    ``texts`` are the values of the answer's fields that name a limit, in
+    requests per second from all instances together.  ``sent_at`` is when the
+    request was sent, in seconds on this instance's clock; ``refused`` is true
+    if the server answered that it did not run the request.
+    """
+
+    backend_server: str
+    epoch: int
+    texts: list[str]
+    sent_at: float
+    refused: bool = False
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -25,6 +25,7 @@
 from .components import requests
 from .components import revisions
 from .components import server_ends
+from .components import server_limits
 from .components import server_loads
 from .components import state as state_module
 from .components import usage
@@ -162,6 +163,7 @@
         claims_component,
         ends,
         server_loads.ServerLoads(state, chosen_policy),
+        server_limits.ServerLimits(state),
         usage_windows.UsageWindows(state),
         request_component,
         orders.Orders(state),
--- a/tests/cover/test_engine_client.py
+++ b/tests/cover/test_engine_client.py
@@ -17,6 +17,9 @@
     def began(self):
         self.begun += 1
 
+    def head_received(self, answer, refused):
+        pass
+
 
 def make_client():
     return engine_client.PooledEngineClient(1.0, 5.0)
