Keep the limit that a backend server names, over all instances together

Cause: nobody read the limit; and no mechanism here bounds what all instances send to a server, only what each one has running.

Each limited server has a holder, one of the instances by rendezvous hashing, that issues permits at the rate of the limit to whoever has requests waiting. Limits are a table that instances exchange and compare, ordered by versions. Without a holder each instance uses its part of half the limit. A request that only limited servers can take waits for a permit, or is refused as backend_server_limit with the wait as Retry-After.

--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -63,6 +63,12 @@
         "The backend server failed before the answer was whole.",
         "send it again if it may be repeated, else check what it did first",
     ),
+    sentinels.Reason.SERVER_LIMIT: _RefusalText(
+        503,
+        "backend_server_limit",
+        "The backend servers take fewer requests a second than wait for them.",
+        "come back after Retry-After seconds",
+    ),
     sentinels.Reason.ENDS_SERVERS: _RefusalText(
         503,
         "servers_end_under_it",
@@ -179,7 +185,11 @@
         "proven_ago": _rounded_seconds(state.log.proven_ago(now)),
     }
     if grounds is not None:
-        inputs.update(msgspec.structs.asdict(grounds))
+        inputs.update(
+            (name, value)
+            for name, value in msgspec.structs.asdict(grounds).items()
+            if value is not None
+        )
     return inputs
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
@@ -20,6 +20,7 @@
         "no-new-work-for-a-leaving-server",
         f"{work.request_id} to {server}",
     )
+    state.permits.confirm(work.request_id, server)
     announcement = record.announcement
     incarnation = (server, announcement.epoch)
     inputs = answers.decision_inputs(state, placement.grounds, work, now)
--- a/packages/dandeliontrail/src/dandeliontrail/components/members.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/members.py
@@ -195,6 +195,7 @@
             last=last,
             ask=ask,
             ends=state.ends.digest.root,
+            limits=state.limits.digest.root,
         )
 
     def _send_heartbeats(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/components/repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/repair.py
@@ -12,6 +12,7 @@
 from ..coordination import member_records
 from ..coordination import messages
 from ..coordination import server_ends
+from ..coordination import server_limits
 from ..coordination import servers
 
 Table = dissemination.Table
@@ -40,6 +41,7 @@
             Table.MEMBERS: self._state.members,
             Table.SERVERS: self._state.registry,
             Table.ENDS: self._state.ends,
+            Table.LIMITS: self._state.limits,
         }[table].digest
 
     def _handle_heartbeat(self, source, message, now):
@@ -48,6 +50,7 @@
             Table.MEMBERS: message.members,
             Table.SERVERS: message.servers,
             Table.ENDS: message.ends,
+            Table.LIMITS: message.limits,
         }
         for table, root in roots.items():
             if root == self._digest(table).root:
@@ -116,6 +119,10 @@
             records = self._member_records(keys)
         elif table is Table.SERVERS:
             records = self._server_records(keys, now)
+        elif table is Table.LIMITS:
+            records = server_limits.LimitRecords(
+                self._state.limits.records_of(keys)
+            )
         else:
             records = self._end_records(keys, now)
         return [records] if records.records else []
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -14,6 +14,7 @@
 from . import attainment
 from . import claim_rounds
 from ..coordination import claims as claims_module
+from ..coordination import permits
 from ..coordination import server_loads
 from ..coordination import usage
 from ..decisions import work as work_module
@@ -52,11 +53,12 @@
     ``request_lifecycle.RequestLifecycle``.
     """
 
-    def __init__(self, state, policy, claimer, ends):
+    def __init__(self, state, policy, claimer, ends, limits):
         self._state = state
         self._policy = policy
         self._claims = claimer
         self._ends = ends
+        self._limits = limits
         claimer.listener = self
         self._delayed_retries = []
         self._early_requests = early_requests.EarlyRequests()
@@ -83,6 +85,7 @@
             events.Overdue: self._overdue,
             events.CutShort: self._cut_short,
             server_loads.ServerLoads: self._server_loads_received,
+            permits.PermitGrants: self._permits_received,
         }
 
     def tick(self, now):
@@ -184,6 +187,16 @@
 
     def _run_policy(self, now):
         out = self._end_blocked(now)
+        out.extend(self._run_round(now))
+        if self._state.permits.active:
+            asks, has_permits = self._limits.request_permits(now)
+            out.extend(asks)
+            if has_permits:
+                out.extend(self._run_round(now))
+        return out
+
+    def _run_round(self, now):
+        out = []
         decisions = self._policy.next(now, self._state.directory)
         for item in decisions:
             request = self.lives.get(item.work.request_id)
@@ -501,6 +514,10 @@
         """Run the policy: requests of other instances may have finished."""
         return self._run_policy(now) if self.lives else []
 
+    def _permits_received(self, source, message, now):
+        """Run the policy: servers that name a limit take requests again."""
+        return self._run_policy(now) if self.lives else []
+
     def _cut_short(self, event, now):
         """Cut off a caller with the true outcome: the instance shuts down.
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -1,42 +1,101 @@
-"""The component that learns how many requests backend servers take."""
+"""The component that shares the limits which backend servers name.
+
+It learns limits from answers and from other instances
+(:mod:`..coordination.server_limits`), asks the holders for permits on behalf
+of the policy (:mod:`..decisions.permits`), and issues those of the servers
+that this instance is the holder of (:mod:`..decisions.permit_issuer`).
+"""
+
+import collections
 
 from .. import effects
 from .. import events
 from .. import interfaces
+from ..coordination import permits as permit_messages
 from ..coordination import server_limits
+from ..decisions import holders as holders_module
+from ..decisions import permit_issuer
+from ..decisions import permits as permits_module
+
+# A holder whose last contact with a majority is older than this issues only
+# the parts of the instances that it reaches.  It is shorter than the time
+# after which the majority chooses another holder.
+MAX_PROOF_SECONDS = 3.0
+# Start numbers of servers whose limit could not be read, so that each is
+# logged once.
+MAX_LOGGED_BAD = 4096
 
 
 class ServerLimits(interfaces.Component):
-    """Maintains the table of the limits that servers name."""
+    """Maintains limits, holders and permits."""
 
     def __init__(self, state):
         self._state = state
         self._table = state.limits
-        self._logged_bad = set()
+        self._permits = state.permits
+        self._holders = holders_module.Holders(state.identity.instance)
+        self._issuer = permit_issuer.PermitIssuer(self._rate)
+        self._logged_bad = collections.OrderedDict()
+        self._max_instances = 1
 
     def handlers(self):
-        """Return the handler of answers that name a limit."""
-        return {events.LimitRead: self._handle_read}
+        """Return the handlers of answers and of the instances' messages."""
+        return {
+            events.LimitRead: self._handle_read,
+            server_limits.LimitRecords: self._handle_records,
+            permit_messages.PermitRequests: self._handle_requests,
+            permit_messages.PermitGrants: self._handle_grants,
+        }
 
     def tick(self, now):
-        """Drop the limits of servers that have restarted or are forgotten."""
+        """Issue the permits that are due and drop what has expired."""
+        if self._state.members.changes:
+            self._update_candidates(now)
         if not self._table.held:
             return []
-        servers = self._state.registry.servers
-        for name, held in list(self._table.held.items()):
-            server = servers.get(name)
-            if server is None or (
-                server.announcement.epoch > held.record.epoch
-            ):
-                self._table.remove(name)
-        return []
+        self._remove_restarted()
+        share = permits_module.PART_SHARE / self._max_instances
+        phase = self._holders.rank() / len(self._holders)
+        self._permits.tick(permits_module.Part(share, phase), now)
+        return self._send_grants(self._issuer.tick(now), now)
+
+    def _update_candidates(self, now):
+        members = self._state.members.members.values()
+        others = [item.instance for item in members if not item.gone()]
+        self._holders.set_candidates(others, now)
+        self._max_instances = max(self._max_instances, len(self._holders))
+
+    def request_permits(self, now):
+        """Return the messages to the holders, and whether permits came.
+
+        Permits come at once from servers that this instance holds itself.
+        """
+        by_holder = collections.defaultdict(list)
+        for server in self._permits.due(now):
+            holder = self._holders.of(server).instance
+            by_holder[holder].append(self._permits.ask(server, now))
+        out = []
+        own = self._state.identity
+        before = self._permits.counts.granted
+        for holder, asks in by_holder.items():
+            if holder == own.instance:
+                asker = _asker(own)
+                for ask in asks:
+                    deliveries = self._issuer.ask(asker, ask, now)
+                    out.extend(self._send_grants(deliveries, now))
+                continue
+            address = self._state.members.address_of(holder)
+            message = permit_messages.PermitRequests(asks)
+            out.append(effects.SendPeer(address, message))
+        return out, self._permits.counts.granted > before
+
+    # -- limits -------------------------------------------------------------
 
     def _handle_read(self, event, now):
         try:
             limit = server_limits.parse(event.texts)
         except server_limits.BadLimit as exc:
             return self._report_bad(event, exc)
-        before = self._table.limit_of(event.backend_server)
         reading = server_limits.Reading(
             event.backend_server,
             event.epoch,
@@ -44,18 +103,65 @@
             event.sent_at,
             event.refused,
         )
+        before = self._table.limit_of(event.backend_server)
         record = self._table.read(reading, now)
         if record is None:
             return []
         source = "refusal" if event.refused else "answer"
-        return [_log_effect(record, before, source, now - event.sent_at)]
+        out = [_log_effect(record, before, source, now - event.sent_at)]
+        return out + self._apply_changed([record])
+
+    def _handle_records(self, source, message, now):
+        return self._learn(message.records, source, now)
+
+    def _learn(self, records, source, now):
+        """Merge another instance's records; forward those that are newer."""
+        changed = []
+        out = []
+        age = self._state.members.delay(source, now)
+        for record in records:
+            if not self._is_known(record):
+                continue
+            before = self._table.limit_of(record.server)
+            if self._table.learn(record, now):
+                changed.append(record)
+                out.append(_log_effect(record, before, source.instance, age))
+        if changed:
+            out.extend(self._apply_changed(changed, source.instance))
+        return out
+
+    def _apply_changed(self, records, source=""):
+        for record in records:
+            self._permits.limit_changed(record.server)
+            if record.limit is None:
+                self._issuer.remove(record.server)
+        message = server_limits.LimitRecords(records)
+        return [
+            effects.SendPeer(member.address, message)
+            for member in self._state.members.spread_to(source)
+        ]
+
+    def _is_known(self, record):
+        """Return whether a record is about a server in the registry."""
+        server = self._state.registry.servers.get(record.server)
+        return server is not None and server.announcement.epoch <= record.epoch
+
+    def _remove_restarted(self):
+        """Drop the limits of servers that have restarted or are gone."""
+        for name, held in list(self._table.held.items()):
+            if not self._is_known(held.record):
+                self._table.remove(name)
+                self._issuer.remove(name)
+                self._holders.remove(name)
 
     def _report_bad(self, event, exc):
         """Log, once for each incarnation, a limit that cannot be read."""
         incarnation = (event.backend_server, event.epoch)
         if incarnation in self._logged_bad:
             return []
-        self._logged_bad.add(incarnation)
+        self._logged_bad[incarnation] = None
+        if len(self._logged_bad) > MAX_LOGGED_BAD:
+            self._logged_bad.popitem(last=False)
         fields = {
             "backend_server": event.backend_server,
             "detail": str(exc),
@@ -63,11 +169,88 @@
         }
         return [effects.Log("warning", "backend server limit ignored", fields)]
 
+    # -- permits ------------------------------------------------------------
+
+    def _rate(self, server, now):
+        """Return how many permits a second to issue for a server."""
+        limit = self._table.limit_of(server)
+        if limit is None or not self._holders.may_grant(server, now):
+            return 0.0
+        rate = permits_module.rate_of(limit)
+        if self._is_connected(now):
+            return rate
+        parts = len(self._holders) / self._max_instances
+        return rate * permits_module.PART_SHARE * parts
+
+    def _is_connected(self, now):
+        """Return whether this instance is on the side of the majority."""
+        log = self._state.log
+        if not log.polls_freshness:
+            return self._state.members.hears_majority(now)
+        ago = log.proven_ago(now)
+        return ago is not None and ago <= MAX_PROOF_SECONDS
+
+    def _handle_requests(self, source, message, now):
+        records = [ask.record for ask in message.asks]
+        out = self._learn(records, source, now)
+        deliveries = []
+        asker = _asker(source)
+        for ask in message.asks:
+            deliveries.extend(self._issuer.ask(asker, ask, now))
+        newer = [
+            self._table.held[record.server].record
+            for record in records
+            if record.server in self._table.held
+            and self._table.held[record.server].record.order() > record.order()
+        ]
+        return out + self._send_grants(deliveries, now, source, newer)
+
+    def _handle_grants(self, source, message, now):
+        out = self._learn(message.records, source, now)
+        holder = (source.instance, source.incarnation)
+        for grant in message.grants:
+            self._permits.receive(grant, holder, now)
+        return out
+
+    def _send_grants(self, deliveries, now, source=None, newer=()):
+        """Return the messages with grants; own ones are used here.
+
+        ``newer`` are the records that the instance ``source`` lacks.
+        """
+        by_asker = collections.defaultdict(list)
+        if source is not None and newer:
+            by_asker[_asker(source)] = []
+        for delivery in deliveries:
+            by_asker[delivery.asker].append(delivery.grant)
+        out = []
+        own = _asker(self._state.identity)
+        for asker, grants in by_asker.items():
+            if asker.instance == own.instance:
+                holder = (own.instance, own.incarnation)
+                for grant in grants:
+                    self._permits.receive(grant, holder, now)
+                continue
+            records = (
+                list(newer)
+                if source is not None and asker.instance == source.instance
+                else []
+            )
+            message = permit_messages.PermitGrants(grants, records)
+            out.append(effects.SendPeer(asker.address, message))
+        return out
+
+
+def _asker(instance):
+    return permit_issuer.Asker(
+        instance.instance, instance.incarnation, instance.address
+    )
+
 
 def _log_effect(record, before, source, age):
     """Return the log effect of a limit that was named, changed or lifted.
 
-    ``age`` is an upper bound of how long ago the server named it, in seconds.
+    ``source`` is ``answer``, ``refusal`` or the instance that told it; ``age``
+    is an upper bound of how long ago that was said, in seconds.
     """
     fields = {
         "backend_server": record.server,
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -18,6 +18,7 @@
 from ..coordination import servers
 from ..coordination import usage
 from ..decisions import directory
+from ..decisions import permits as permits_module
 from . import duties_state
 from . import orders_state
 from ..resources import store
@@ -51,7 +52,7 @@
     - ``routing``: revisions
     - ``loads``: server loads
     - ``ends``: server ends
-    - ``limits``: server limits
+    - ``limits`` and ``permits``: server limits; policies use the permits
     - ``usage``: usage; the request component adds its counts
     - ``orders``: orders
     - ``duties``: duties
@@ -71,6 +72,7 @@
     duties: duties_state.DutiesState
     ends: server_ends.EndsTable
     limits: server_limits.LimitTable
+    permits: permits_module.Permits
     draining: bool = False
 
 
@@ -91,6 +93,7 @@
     (``quorum_log_records.Keeper``), if it has one; ``bootstrap`` names the
     first keepers.
     """
+    limits = server_limits.LimitTable()
     objects = store.ResourceStore()
     registry = servers.ServerRegistry(longest_lease)
     publisher = usage.Publisher(identity.instance, identity.incarnation)
@@ -117,5 +120,6 @@
         server_loads.LoadTable(),
         duties_state.new_duties_state(identity, duty_options),
         server_ends.EndsTable(),
-        server_limits.LimitTable(),
+        limits,
+        permits_module.Permits(limits),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -9,10 +9,12 @@
 from . import member_records
 from . import messages
 from . import order_reports
+from . import permits
 from . import quorum_log_messages
 from . import quorum_log_voters
 from ..resources import announcements
 from . import server_ends
+from . import server_limits
 from . import server_loads
 from . import servers
 from . import usage
@@ -24,6 +26,8 @@
     member_records.MemberRecords,
     servers.ServerRecords,
     *server_ends.MESSAGES,
+    server_limits.LimitRecords,
+    *permits.MESSAGES,
     server_loads.ServerLoads,
     *claims.MESSAGES,
     order_reports.OrdersReport,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/dissemination.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/dissemination.py
@@ -27,6 +27,7 @@
     MEMBERS = "members"
     SERVERS = "servers"
     ENDS = "ends"
+    LIMITS = "limits"
 
 
 class SyncBuckets(msgspec.Struct, tag="sync_buckets"):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/messages.py
@@ -30,9 +30,10 @@
     """A sign of life with digests of the sender's tables.
 
     ``applied`` is the configuration version in force at the sender.
-    ``members``, ``servers`` and ``ends`` are digests of the sender's tables
-    of members, of backend servers and of requests during which servers
-    ended; they are equal where two instances have the same table.
+    ``members``, ``servers``, ``ends`` and ``limits`` are digests of the
+    sender's tables of members, of backend servers, of requests during which
+    servers ended and of the limits that servers name; they are equal where
+    two instances have the same table.
     ``usage_version`` is the version of the usage counted since the sender's
     start, and ``usage_finished`` a digest of the usage of earlier starts.
     ``outside`` tells whether the sender hears other failure domains than its
@@ -50,3 +51,4 @@
     last: bool = False
     ask: bool = False
     ends: int = 0
+    limits: int = 0
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -95,6 +95,7 @@
         core = core_module.Core(name, folder, rng, self._machine)
         self._core = core
         self._freshness = freshness_module.Freshness(self._machine)
+        self._polls_freshness = options.polls_freshness
         self._leadership = leader_module.Leadership(core, self._freshness)
         self._election = election_module.Election(
             core, self._leadership.become_leader
@@ -187,6 +188,11 @@
         """
         return self._freshness.stale(now)
 
+    @property
+    def polls_freshness(self):
+        """Whether this instance keeps proving how recent its state is."""
+        return self._polls_freshness
+
     def proven_ago(self, now):
         """Return an upper bound on the age of the state, or ``None``.
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -5,12 +5,15 @@
 from .. import invariants
 from .. import sentinels
 from . import class_queues
+from ..coordination import server_limits
 from . import fairness
 from . import fleet as fleet_module
 from . import hedge_searches
 from . import lengths
 from . import limits
 from . import options as options_module
+from . import permit_waits
+from . import permits as permits_module
 from . import placing
 from . import policy
 from . import refusal
@@ -35,12 +38,27 @@
     {}
     """
 
-    def __init__(self, rng=None, view=None, identity=("", ""), options=None):
+    def __init__(
+        self,
+        rng=None,
+        view=None,
+        identity=("", ""),
+        options=None,
+        permits=None,
+    ):
         self._options = options or options_module.Options()
         self._rng = rng or random.Random(0)
         self._view = view or view_module.FixedView()
-        self._fleet = fleet_module.Fleet(self._rng, self._options)
-        self._placing = placing.Placing(self._rng, identity, self._options)
+        self._permits = permits or permits_module.Permits(
+            server_limits.LimitTable()
+        )
+        self._permit_waits = permit_waits.PermitWaits(self._permits, self._rng)
+        self._fleet = fleet_module.Fleet(
+            self._rng, self._options, self._permits
+        )
+        self._placing = placing.Placing(
+            self._rng, identity, self._options, self._permits
+        )
         self._lengths = lengths.Lengths()
         self._reserve = reserve.Reserve()
         self._limiter = limits.Limiter(self._view)
@@ -142,6 +160,9 @@
         """Return all placements and refusals that are due."""
         decisions = []
         self._refresh(now)
+        if self._permits.active:
+            self._permit_waits.begin_round()
+            self._blocked_queues.clear()
         for work in self._retries.due(now):
             self.requeue(work, now)
         queues = self._queues_with_work(now)
@@ -177,6 +198,7 @@
             return
         self._searches.end(work.request_id)
         self._retries.spend()
+        self._permits.take(server, work, now)
         self._fleet.place(
             work, server, requirements.footprint, now, hedge=True
         )
@@ -252,6 +274,12 @@
                 self._refuse(work, reason, now, decisions)
                 continue
             requirements, server = self._pick_server(queue, work, servers, now)
+            if not server and self._permits.active:
+                refused = self._refuse_for_limits(queue, work, servers, now)
+                if refused is not None:
+                    queue.pending.remove(work.request_id)
+                    self._refuse(work, refused, now, decisions)
+                    continue
             if not server:
                 self._blocked_queues.add(queue.key)
                 return
@@ -263,6 +291,28 @@
                 # priority.
                 return
 
+    def _refuse_for_limits(self, queue, work, servers, now):
+        """Return the refusal of work that gets no permit in time, or ``None``.
+
+        The whole class queue wants permits of the limited servers, and of
+        these alone only if no other server could take the work.
+        """
+        throttled = []
+        for server in servers:
+            name = server.announcement.backend_server
+            if name in work.excluded_servers or not server.serves(now):
+                continue
+            if not self._permits.has(name, work.priority, now):
+                throttled.append(name)
+            elif not self._permits.is_limited(name):
+                # That one takes the work as soon as it has a free slot.
+                return None
+        wait = self._permit_waits.wait_seconds(work, throttled, now)
+        if wait is not None and wait > work.deadline - now:
+            return permit_waits.refusal(wait)
+        self._permit_waits.want(work, throttled, len(queue.pending))
+        return None
+
     def _pick_server(self, queue, work, servers, now):
         """Return the requirements of a placement and the server for it."""
         subset = self._placing.subset(
@@ -320,6 +370,7 @@
         queue.rate.placed(now)
         queue.counters.charge(work.organisation, work.weight, tokens)
         self._shares.placed(work.class_name, tokens)
+        self._permits.take(server, work, now)
         self._fleet.place(work, server, requirements.footprint, now)
         self._check_reserve_untouched(requirements, server)
         decisions.append(work_module.Placement(work, server))
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -23,8 +23,9 @@
     ``reserved`` how many of these are reserved for protected work.
     """
 
-    def __init__(self, rng, options):
+    def __init__(self, rng, options, permits):
         self._rng = rng
+        self._permits = permits
         self._options = options
         self._engines = {}
         self._latency_baseline = latency_baseline.LatencyBaseline()
@@ -146,8 +147,9 @@
             ratio = self._latency_baseline.ratio(
                 "first", attempt.work.class_name, elapsed
             )
-            engine.first.add(ratio)
-            self._update_slow(engine, now)
+            if not self._permits.is_limited(engine.name):
+                engine.first.add(ratio)
+                self._update_slow(engine, now)
             self._end_probe(attempt, engine, now)
         return attempt
 
@@ -175,7 +177,11 @@
         engine.change_own_count(-1, now)
         engine.kv_own -= attempt.footprint
         self._end_probe(attempt, engine, now)
-        if ended.failed:
+        is_limited = self._permits.is_limited(engine.name)
+        if ended.failed and ended.refused and is_limited:
+            # What a server turns away for its limit is no fault of it.
+            pass
+        elif ended.failed:
             engine.record_failure(now)
         elif not ended.wasted:
             self._learn_from_answer(attempt, engine, ended, now)
@@ -190,7 +196,8 @@
             self._unprotected_seconds = max(
                 0.1, self._unprotected_seconds + change
             )
-        if not ended.gaps_ms:
+        if not ended.gaps_ms or self._permits.is_limited(engine.name):
+            # A server that says what it can take is not held to be slow.
             return
         gap = sum(ended.gaps_ms) / len(ended.gaps_ms)
         ratio = self._latency_baseline.ratio(
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
@@ -0,0 +1,245 @@
+"""Issues the permits of limited servers, as their holder.
+
+Answers the load that a server under strain can take: a token bucket for each
+server fills at the rate that the server names, and each permit takes one
+token.  Permits go to the most urgent requests first, among equally urgent
+ones to one instance after the other.
+"""
+
+import msgspec
+
+from ..coordination import permits
+
+# Tokens of this many seconds are kept while nobody asks, and at least this
+# number: at low rates some would else be lost between two requests.
+BURST_SECONDS = 0.5
+MIN_BURST = 2.0
+# An ask counts for this long.  Instances repeat theirs several times in it.
+ASK_TTL_SECONDS = 0.6
+# One permit in this many goes to the least urgent that waits, so that each
+# class is served eventually.
+LEAST_URGENT_INTERVAL = 20
+# Requests that were sent without a permit are made up for up to the tokens of
+# this many seconds, and at least this number.
+MAX_DEBT_SECONDS = 4.0
+MIN_MAX_DEBT = 5.0
+# The bucket of a server that nobody asked for in this time is dropped.
+IDLE_SECONDS = 60.0
+
+
+class Asker(msgspec.Struct, frozen=True):
+    """The instance that asks."""
+
+    instance: str
+    incarnation: int
+    address: str
+
+
+class Delivery(msgspec.Struct):
+    """A grant and the instance that it is for."""
+
+    asker: Asker
+    grant: permits.PermitGrant
+
+
+class _StandingAsk(msgspec.Struct):
+    asker: Asker
+    number: int
+    wants: dict
+    expires_at: float
+    count: int = 0
+    reserved: list = msgspec.field(default_factory=list)
+
+
+class _Bucket:
+    """The tokens of one server, and the asks for them."""
+
+    __slots__ = ("epoch", "asks", "turns", "_tokens", "_filled_at", "_passed")
+
+    def __init__(self, epoch, now):
+        self.epoch = epoch
+        self.asks = {}
+        # The serial of the last permit of each instance.
+        self.turns = {}
+        self._tokens = 0.0
+        self._filled_at = now
+        self._passed = 0
+
+    def fill(self, rate, now):
+        gained = (now - self._filled_at) * rate
+        self._tokens = min(
+            max(MIN_BURST, BURST_SECONDS * rate), self._tokens + gained
+        )
+        self._filled_at = now
+
+    def spend(self, count, rate):
+        lowest = -max(MIN_MAX_DEBT, MAX_DEBT_SECONDS * rate)
+        self._tokens = max(lowest, self._tokens - count)
+
+    def is_idle(self, now):
+        return not self.asks and now - self._filled_at > IDLE_SECONDS
+
+    def seconds_to_next(self, rate):
+        return max(0.0, 1.0 - self._tokens) / rate
+
+    def backlog(self):
+        """Return the wants of all asks by priority."""
+        counts = {}
+        for ask in self.asks.values():
+            for priority, count in ask.wants.items():
+                counts[priority] = counts.get(priority, 0) + count
+        return counts
+
+    def issue(self, serial):
+        """Issue permits for all tokens; return the next serial."""
+        while self._tokens >= 1.0:
+            waiting = sorted(self.backlog())
+            if not waiting:
+                break
+            priority = waiting[0]
+            is_reserved = (
+                len(waiting) > 1 and self._passed >= LEAST_URGENT_INTERVAL - 1
+            )
+            if is_reserved:
+                priority = waiting[-1]
+            self._passed = (
+                0 if is_reserved or len(waiting) == 1 else self._passed + 1
+            )
+            serial += 1
+            self._tokens -= 1.0
+            self._give(self._next_ask(priority), priority, is_reserved, serial)
+        return serial
+
+    def _next_ask(self, priority):
+        """Return the ask whose instance has waited longest for its turn."""
+        return min(
+            (ask for ask in self.asks.values() if priority in ask.wants),
+            key=lambda ask: self.turns.get(ask.asker.instance, 0),
+        )
+
+    def _give(self, ask, priority, is_reserved, serial):
+        self.turns[ask.asker.instance] = serial
+        ask.wants[priority] -= 1
+        if not ask.wants[priority]:
+            del ask.wants[priority]
+        if is_reserved:
+            ask.reserved.append(priority)
+        else:
+            ask.count += 1
+
+
+class PermitIssuer:
+    """The buckets of all servers whose permits this instance holds.
+
+    ``rate(server, now)`` returns how many permits a second it may issue for a
+    server, 0.0 if none.
+    """
+
+    def __init__(self, rate):
+        self._rate = rate
+        self._buckets = {}
+        self._serial = 0
+
+    def ask(self, asker, ask, now):
+        """Record an ask and return the deliveries that it leads to.
+
+        The asker gets a grant in any case, also an empty one: without it, it
+        would take this instance for silent.
+        """
+        record = ask.record
+        rate = self._rate(record.server, now)
+        if not rate:
+            grant = permits.PermitGrant(
+                record.server,
+                record.epoch,
+                ask.number,
+                self._next_serial(),
+                granting=False,
+            )
+            return [Delivery(asker, grant)]
+        bucket = self._buckets.get(record.server)
+        if bucket is None or bucket.epoch != record.epoch:
+            bucket = _Bucket(record.epoch, now)
+            self._buckets[record.server] = bucket
+        if _is_outdated(bucket.asks.get(asker.instance), asker, ask):
+            return []
+        bucket.fill(rate, now)
+        bucket.spend(ask.spent, rate)
+        bucket.asks[asker.instance] = _StandingAsk(
+            asker,
+            ask.number,
+            {want.priority: want.count for want in ask.wants if want.count},
+            now + ASK_TTL_SECONDS,
+        )
+        return self._deliver(record.server, bucket, rate, asker.instance)
+
+    def tick(self, now):
+        """Return the deliveries of the tokens that came since."""
+        out = []
+        for server, bucket in list(self._buckets.items()):
+            _remove_expired(bucket, now)
+            if bucket.is_idle(now):
+                del self._buckets[server]
+            if not bucket.asks:
+                continue
+            rate = self._rate(server, now)
+            if rate:
+                bucket.fill(rate, now)
+                out.extend(self._deliver(server, bucket, rate))
+        return out
+
+    def remove(self, server):
+        """Drop the bucket of a server that names no limit any more."""
+        self._buckets.pop(server, None)
+
+    def _next_serial(self):
+        self._serial += 1
+        return self._serial
+
+    def _deliver(self, server, bucket, rate, always=""):
+        """Issue permits; return a grant for each instance that got one.
+
+        The instance ``always`` gets a grant even without a permit.
+        """
+        self._serial = bucket.issue(self._serial)
+        next_in = round(bucket.seconds_to_next(rate), 3)
+        backlog = [
+            permits.Want(priority, count)
+            for priority, count in bucket.backlog().items()
+        ]
+        out = []
+        for ask in bucket.asks.values():
+            if ask.asker.instance != always and not (
+                ask.count or ask.reserved
+            ):
+                continue
+            grant = permits.PermitGrant(
+                server,
+                bucket.epoch,
+                ask.number,
+                self._next_serial(),
+                ask.count,
+                ask.reserved,
+                True,
+                next_in,
+                backlog,
+            )
+            ask.count = 0
+            ask.reserved = []
+            out.append(Delivery(ask.asker, grant))
+        return out
+
+
+def _is_outdated(standing, asker, ask):
+    """Return whether an ask was doubled or overtaken on its way."""
+    return (
+        standing is not None
+        and standing.asker.incarnation == asker.incarnation
+        and ask.number <= standing.number
+    )
+
+
+def _remove_expired(bucket, now):
+    for name, ask in list(bucket.asks.items()):
+        if now > ask.expires_at:
+            del bucket.asks[name]
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -0,0 +1,379 @@
+"""The permits of this instance for servers that name a limit.
+
+A server that names no limit needs none.  For the others, the policy takes a
+permit with each request that it places, and says how many more it wants; the
+component asks the server's holder for them.  While the holder is silent, this
+instance uses an equal part of what the rule of the users leaves beyond the
+limit, so that the limit is kept even if all instances lose the holder and it
+is still at work.
+"""
+
+import collections
+
+import msgspec
+
+from .. import invariants
+from ..coordination import permits
+
+# A server that names less, also 0, is still sent a request at this rate, in
+# requests per second: its answer is the only sign that the limit has changed.
+MIN_RATE = 0.1
+# A permit is used within this many seconds of its arrival, and within this
+# many of the ask that it answers.
+USE_SECONDS = 0.75
+MAX_ANSWER_SECONDS = 2.5
+# An ask is repeated after this many seconds, or sooner if what is wanted has
+# changed.  While the holder owes nothing, the next ask may follow at once.
+REPEAT_SECONDS = 0.25
+CHANGED_SECONDS = 0.1
+FIRST_SECONDS = 0.02
+# A holder that leaves asks without an answer for this long is silent.
+SILENT_SECONDS = 1.0
+# What the holder said of the others' requests counts for this long.
+ESTIMATE_SECONDS = 0.75
+# The share of a limit that all instances without a holder use together.
+PART_SHARE = 0.5
+# Requests that wait for a permit of any server ask no more servers than this.
+MAX_ASKED_SERVERS = 8
+
+
+def rate_of(limit):
+    """Return the rate at which requests go to a server with this limit."""
+    return max(MIN_RATE, limit)
+
+
+class Part(msgspec.Struct):
+    """The part of a limit that this instance uses without a holder.
+
+    ``share`` is a fraction of the limit.  ``phase``, from 0 to 1, is
+    different for each instance, so that their requests are spread over time.
+    """
+
+    share: float
+    phase: float
+
+
+class _Permit(msgspec.Struct):
+    use_by: float
+    reserved: int | None = None
+
+
+class _Estimate(msgspec.Struct):
+    """What the holder last said; ``asked`` is what this instance wanted."""
+
+    at: float
+    next_in: float
+    backlog: dict
+    asked: dict
+
+
+class _ServerPermits:
+    """The permits for one server and the asks for more."""
+
+    __slots__ = (
+        "epoch",
+        "permits",
+        "wants",
+        "spent",
+        "estimate",
+        "sent",
+        "asked",
+        "owed",
+        "asked_at",
+        "unanswered_since",
+        "granting",
+        "part",
+        "part_tokens",
+        "part_filled_at",
+    )
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.permits = collections.deque()
+        self.wants = {}
+        self.spent = 0
+        self.estimate = None
+        # When the asks were sent, by number.
+        self.sent = {}
+        self.asked = {}
+        self.owed = 0
+        self.asked_at = float("-inf")
+        self.unanswered_since = None
+        self.granting = True
+        self.part = None
+        self.part_tokens = 0.0
+        self.part_filled_at = 0.0
+
+    def wanted(self):
+        return sum(self.wants.values())
+
+    def is_due(self, now):
+        """Return whether an ask is due."""
+        since = now - self.asked_at
+        if self.spent:
+            return since >= CHANGED_SECONDS
+        wanted = self.wanted()
+        if not wanted:
+            # Withdraws the last ask: a permit for a request that has been
+            # refused meanwhile would be lost.
+            return self.owed > 0 and since >= FIRST_SECONDS
+        if not self.owed:
+            return since >= FIRST_SECONDS
+        if wanted != self.owed:
+            return since >= CHANGED_SECONDS
+        return since >= REPEAT_SECONDS
+
+    def is_silent(self, now):
+        """Return whether the holder is silent, or does not grant anything."""
+        if not self.granting:
+            return True
+        since = self.unanswered_since
+        return since is not None and now - since >= SILENT_SECONDS
+
+
+class PermitCounts(msgspec.Struct):
+    """Counts since the start, for the metrics."""
+
+    granted: int = 0
+    used: int = 0
+    expired: int = 0
+    without_holder: int = 0
+
+
+class Permits:
+    """The permits of this instance, for all servers with a limit.
+
+    ``limits`` is the :class:`..coordination.server_limits.LimitTable`.
+    """
+
+    __slots__ = ("counts", "_limits", "_servers", "_number", "_seen", "_taken")
+
+    def __init__(self, limits):
+        self.counts = PermitCounts()
+        self._limits = limits
+        self._servers = {}
+        self._number = 0
+        # Grants that have arrived, by holder and serial, with their expiry.
+        self._seen = {}
+        self._taken = set()
+
+    @property
+    def active(self):
+        """Whether any server names a limit."""
+        return self._limits.named > 0
+
+    def is_limited(self, server):
+        """Return whether a server names a limit."""
+        return self.active and self._limits.limit_of(server) is not None
+
+    def limit_of(self, server):
+        """Return the limit of a server in requests per second, or ``None``."""
+        return self._limits.limit_of(server)
+
+    # -- use by the policy --------------------------------------------------
+
+    def begin_round(self):
+        """Forget what the policy wanted in its last round."""
+        self._taken.clear()
+        for state in self._servers.values():
+            state.wants.clear()
+
+    def has(self, server, priority, now):
+        """Return whether a request may be sent to a server now."""
+        if not self.is_limited(server):
+            return True
+        return self._find(server, priority, now) is not None
+
+    def take(self, server, work, now):
+        """Use a permit for a request that is being placed at a server."""
+        if not self.is_limited(server):
+            return
+        permit = self._find(server, work.priority, now)
+        invariants.check(
+            permit is not None,
+            "limited-server-only-with-a-permit",
+            f"{work.request_id} to {server}",
+        )
+        self._servers[server].permits.remove(permit)
+        self._taken.add((work.request_id, server))
+        self.counts.used += 1
+
+    def confirm(self, request_id, server):
+        """Check that a request that is dispatched has taken its permit."""
+        if not self.is_limited(server):
+            return
+        taken = (request_id, server)
+        invariants.check(
+            taken in self._taken,
+            "limited-server-only-with-a-permit",
+            f"{request_id} to {server}",
+        )
+        self._taken.discard(taken)
+
+    def available(self, server):
+        """Return how many permits there are for a server."""
+        state = self._servers.get(server)
+        return len(state.permits) if state else 0
+
+    def want(self, server, priority, count=1):
+        """Record that ``count`` requests wait for a permit, this round."""
+        wants = self._state(server).wants
+        wants[priority] = wants.get(priority, 0) + count
+
+    def record_sent(self, server):
+        """Count a request that was sent without a permit, as a resume is."""
+        if self.is_limited(server):
+            self._state(server).spent += 1
+
+    def wait_seconds(self, server, priority, position, now):
+        """Return how long a request is expected to wait for a permit.
+
+        ``position`` is the number of requests of the same priority that wait
+        before it here.  Returns ``None`` if nothing is known yet.
+        """
+        state = self._state(server)
+        rate = rate_of(self._limits.limit_of(server))
+        if state.part is not None:
+            missing = max(0.0, 1.0 - state.part_tokens)
+            return (missing + position) / (rate * state.part.share)
+        estimate = state.estimate
+        if estimate is None or now - estimate.at > ESTIMATE_SECONDS:
+            return None
+        ahead = sum(
+            count
+            for other, count in estimate.backlog.items()
+            if other < priority
+        )
+        own = estimate.asked.get(priority, 0)
+        others = max(0, estimate.backlog.get(priority, 0) - own)
+        ahead += position + others * min(1.0, (position + 1) / max(1, own))
+        return max(0.0, estimate.next_in - (now - estimate.at)) + ahead / rate
+
+    def _find(self, server, priority, now):
+        """Return the permit for a request: a reserved one comes first."""
+        state = self._servers.get(server)
+        if state is None:
+            return None
+        found = None
+        for permit in state.permits:
+            if now > permit.use_by:
+                continue
+            if permit.reserved == priority:
+                return permit
+            if permit.reserved is None and found is None:
+                found = permit
+        return found
+
+    def _state(self, server):
+        epoch = self._limits.held[server].record.epoch
+        state = self._servers.get(server)
+        if state is None or state.epoch != epoch:
+            state = self._servers[server] = _ServerPermits(epoch)
+        return state
+
+    # -- exchange with the holders ------------------------------------------
+
+    def due(self, now):
+        """Return the servers for which an ask is due."""
+        return [
+            server
+            for server, state in self._servers.items()
+            if state.is_due(now) and self.is_limited(server)
+        ]
+
+    def ask(self, server, now):
+        """Return the ask for a server, and count it as sent."""
+        state = self._state(server)
+        self._number += 1
+        state.sent[self._number] = now
+        state.asked_at = now
+        state.asked = dict(state.wants)
+        state.owed = state.wanted()
+        if state.unanswered_since is None:
+            state.unanswered_since = now
+        spent, state.spent = state.spent, 0
+        return permits.PermitAsk(
+            self._limits.held[server].record,
+            self._number,
+            [permits.Want(*item) for item in sorted(state.wants.items())],
+            spent,
+        )
+
+    def receive(self, grant, holder, now):
+        """Add the permits of a grant; return whether there were any.
+
+        ``holder`` is the name and incarnation of its sender.
+        """
+        state = self._servers.get(grant.server)
+        sent_at = state.sent.get(grant.number) if state else None
+        if sent_at is None or state.epoch != grant.epoch:
+            return False
+        key = (holder, grant.serial)
+        if key in self._seen:
+            return False
+        self._seen[key] = now + MAX_ANSWER_SECONDS
+        state.unanswered_since = None
+        state.granting = grant.granting
+        if not grant.granting:
+            return False
+        state.part = None
+        backlog = {want.priority: want.count for want in grant.backlog}
+        state.estimate = _Estimate(now, grant.next_in, backlog, state.asked)
+        use_by = min(now + USE_SECONDS, sent_at + MAX_ANSWER_SECONDS)
+        added = [_Permit(use_by)] * grant.count + [
+            _Permit(use_by, priority) for priority in grant.reserved
+        ]
+        state.permits.extend(added)
+        state.owed = max(0, state.owed - len(added))
+        self.counts.granted += len(added)
+        return bool(added)
+
+    def tick(self, part, now):
+        """Drop expired permits and add those of this instance's part.
+
+        ``part`` is the :class:`Part` to use where the holder is silent.
+        """
+        self._seen = {
+            key: expires_at
+            for key, expires_at in self._seen.items()
+            if now <= expires_at
+        }
+        for server, state in list(self._servers.items()):
+            if not self.is_limited(server):
+                del self._servers[server]
+                continue
+            self._drop_expired(state, now)
+            if state.is_silent(now):
+                self._use_part(server, state, part, now)
+            elif state.part is not None:
+                state.part = None
+
+    def limit_changed(self, server):
+        """Drop the permits for a server whose limit has changed."""
+        state = self._servers.get(server)
+        if state is not None:
+            self.counts.expired += len(state.permits)
+            state.permits.clear()
+            state.estimate = None
+
+    def _drop_expired(self, state, now):
+        while state.permits and now > state.permits[0].use_by:
+            state.permits.popleft()
+            self.counts.expired += 1
+        for number, sent_at in list(state.sent.items()):
+            if now - sent_at > MAX_ANSWER_SECONDS:
+                del state.sent[number]
+
+    def _use_part(self, server, state, part, now):
+        if state.part is None:
+            state.part_tokens = part.phase
+            state.part_filled_at = now
+        state.part = part
+        rate = rate_of(self._limits.limit_of(server)) * part.share
+        gained = (now - state.part_filled_at) * rate
+        state.part_tokens = min(1.0, state.part_tokens + gained)
+        state.part_filled_at = now
+        if state.part_tokens >= 1.0 and state.wants:
+            state.part_tokens -= 1.0
+            state.permits.append(_Permit(now + USE_SECONDS))
+            self.counts.without_holder += 1
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -120,8 +120,9 @@
 class Placing:
     """Picks servers by this instance's views of their load."""
 
-    def __init__(self, rng, identity, options):
+    def __init__(self, rng, identity, options, permits):
         self._rng = rng
+        self._permits = permits
         self._domain = identity[1]
         self._identity = identity
         self._options = options
@@ -173,8 +174,11 @@
         """
         if not all(engine.slow for _, engine in sample):
             return None
+        priority = requirements.work.priority
         for server, engine in sample:
             untried = engine.name not in requirements.work.excluded_servers
+            if not self._permits.has(engine.name, priority, now):
+                continue
             if untried and server.serves(now) and engine.may_probe(now):
                 return engine.name
         return None
@@ -191,6 +195,8 @@
             or engine.name in requirements.work.excluded_servers
         ):
             return False
+        if not self._permits.has(engine.name, requirements.work.priority, now):
+            return False
         if engine.slow and self._options.slow_servers:
             if not self._may_use_slow(requirements, engine, now):
                 return False
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -19,6 +19,7 @@
 from . import domain_reachability
 from . import engine_choice
 from . import hedge_searches
+from . import permit_waits
 from . import placement_rate
 from . import plain_server_choice
 from . import policy
@@ -73,6 +74,7 @@
         self._view = view
         self._routing = state.routing
         self._domain = state.identity.failure_domain
+        self._permits = state.permits
         self._budget = retry_budget.RetryBudget(limits)
         self._queue = {}
         self._attempts = attempts.Attempts()
@@ -85,6 +87,7 @@
         self._findings = []
         # The usable servers by service, valid for the current round only.
         self._round_usable = {}
+        self._permit_waits = permit_waits.PermitWaits(state.permits, rng)
         self._placement_rate = placement_rate.PlacementRate()
         self._domain_reach = domain_reachability.DomainReachability(
             self._domain, view
@@ -175,6 +178,8 @@
         long prompt in the same round: otherwise it would never become idle
         enough for a long prompt.
         """
+        if self._permits.active:
+            self._permit_waits.begin_round()
         if not self._queue and not self._searches:
             return []
         blocked = set()
@@ -287,6 +292,13 @@
             ) < len(servers):
                 return None
             return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
+        if self._permits.active:
+            choice = self._permit_waits.split(work, usable, now)
+            if not choice.permitted:
+                return self._wait_for_permit(work, choice, now, hedge)
+            if choice.throttled:
+                self._want_preferred(work, servers, usable, choice, now)
+                usable = choice.permitted
         if not work.parts:
             name = plain_server_choice.choose(
                 usable, self._table, self._domain, self._rng
@@ -304,6 +316,40 @@
             return None
         return self._place(work, chosen.name, chosen.need, usable, now, hedge)
 
+    def _wait_for_permit(self, work, choice, now, hedge):
+        """Keep work that only limited servers can take, or refuse it.
+
+        It is refused at once if a permit is expected to come too late.
+        """
+        wait = self._permit_waits.wait_seconds(work, choice.throttled, now)
+        left = work.deadline - now
+        if hedge or wait is None or wait <= left * MAX_QUEUE_TIME_FRACTION:
+            self._permit_waits.wait(work, choice.throttled)
+            return None
+        grounds = work_module.DecisionInputs(
+            need=work.prompt_tokens,
+            waiting=len(self._queue) - 1,
+            limited=len(choice.throttled),
+            limit_wait_ms=round(wait * 1000.0, 1),
+        )
+        return work_module.Refusal(work, permit_waits.refusal(wait), grounds)
+
+    def _want_preferred(self, work, servers, usable, choice, now):
+        """Want a permit of the server that the work would have gone to.
+
+        The work goes to another one, but the next that comes may use it.
+        """
+        if work.parts:
+            chosen = self._engines.choose(
+                work, self._traits(work), servers, usable, now
+            ).name
+        else:
+            chosen = plain_server_choice.choose(
+                usable, self._table, self._domain, self._rng
+            )
+        if chosen in choice.throttled:
+            self._permit_waits.want(work, [chosen])
+
     def _usable_in_round(self, work, servers, now):
         """Return the usable servers, cached per round and service.
 
@@ -389,6 +435,8 @@
             len(usable),
             len(self._queue) - 1,
         )
+        if self._permits.active:
+            self._permit_waits.take(work, name, grounds, now)
         if state.health.backoff:
             # This request probes whether the server is back; the others of
             # the round must see that it is not usable meanwhile.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -77,7 +77,10 @@
     this instance had there, and ``unread_others`` and ``running_others`` those
     that the other instances last reported. ``usable`` is the number of servers
     to choose from and ``waiting`` the number of requests queued at this
-    instance.
+    instance.  For a server that names a limit, ``limit`` is that limit in
+    requests per second and ``permits`` what this instance may still send
+    there; for a request refused because of limits, ``limited`` is the number
+    of such servers and ``limit_wait_ms`` how long a permit would have taken.
     """
 
     need: int = 0
@@ -87,6 +90,10 @@
     running_others: int = 0
     usable: int = 0
     waiting: int = 0
+    limit: float | None = None
+    permits: int | None = None
+    limited: int | None = None
+    limit_wait_ms: float | None = None
 
 
 class Placement(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -141,13 +141,15 @@
         rng,
         cluster_view.StateView(state),
         (identity.instance, identity.failure_domain),
+        permits=state.permits,
     )
     voting_component = claim_voting.ClaimVoting(state, bootstrap)
     claims_component = claims.Claims(state, voting_component)
     renewals_component = renewals.Renewals(state, chosen_policy)
     ends = server_ends.ServerEnds(state)
+    limits_component = server_limits.ServerLimits(state)
     request_component = requests.Requests(
-        state, chosen_policy, claims_component, ends
+        state, chosen_policy, claims_component, ends, limits_component
     )
     parts = [
         members.Members(state),
@@ -163,7 +165,7 @@
         claims_component,
         ends,
         server_loads.ServerLoads(state, chosen_policy),
-        server_limits.ServerLimits(state),
+        limits_component,
         usage_windows.UsageWindows(state),
         request_component,
         orders.Orders(state),
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -26,6 +26,7 @@
     DEADLINE = "deadline"
     NO_SERVER = "no_backend_server"
     ALL_BUSY = "all_backend_servers_busy"
+    SERVER_LIMIT = "backend_server_limit"
     DRAINING = "instance_draining"
     SERVER_FAILED = "backend_server_failed"
     ENDS_SERVERS = "servers_end_under_it"
--- a/tests/common/prompt_world.py
+++ b/tests/common/prompt_world.py
@@ -16,7 +16,9 @@
 import random
 import types
 
+from dandeliontrail.coordination import server_limits
 from dandeliontrail.coordination import server_loads
+from dandeliontrail.decisions import permits
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared_policy
@@ -91,6 +93,7 @@
         state = types.SimpleNamespace(
             routing=types.SimpleNamespace(table=world.table),
             loads=self.loads,
+            permits=permits.Permits(server_limits.LimitTable()),
             identity=types.SimpleNamespace(failure_domain=domain),
         )
         limits = retry_budget.RetryLimits(0.2, 220.0, 10.0)
--- a/tests/common/shared_policy_harness.py
+++ b/tests/common/shared_policy_harness.py
@@ -8,7 +8,9 @@
 import random
 import types
 
+from dandeliontrail.coordination import server_limits
 from dandeliontrail.coordination import server_loads
+from dandeliontrail.decisions import permits
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared_policy
@@ -69,6 +71,7 @@
         state = types.SimpleNamespace(
             routing=types.SimpleNamespace(table=routing_table()),
             loads=self.loads,
+            permits=permits.Permits(server_limits.LimitTable()),
             identity=types.SimpleNamespace(failure_domain="fd0"),
         )
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
