--- a/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
@@ -61,7 +61,7 @@
 
     def began(self):
         """Report that the first byte of the request is about to be written."""
-        self._note_sent()
+        self._note_sent(again=self._began_reported)
         if self._began_reported:
             return
         self._began_reported = True
@@ -71,12 +71,16 @@
             )
         )
 
-    def _note_sent(self):
+    def _note_sent(self, again):
+        """Prepare to report a limit; ``again`` after the first request."""
         life = self._host.request_lifecycle(self.dispatch.request_id)
-        if life is not None:
-            self._limit_report = server_limit_report.LimitReport(
-                self._host, life.incarnation_of(self.dispatch.attempt)
-            )
+        if life is None:
+            return
+        self._limit_report = server_limit_report.LimitReport(
+            self._host, life.incarnation_of(self.dispatch.attempt)
+        )
+        if again:
+            self._limit_report.submit_sent_again()
 
     def head_received(self, answer, refused=False):
         """Report the limit that the server names in the head of an answer."""
@@ -128,7 +132,7 @@
         """
         if not self._call.generation:
             return None
-        self._note_sent()
+        self._note_sent(again=True)
         try:
             answer = self._engines.resume(
                 self.url,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
@@ -28,3 +28,9 @@
         self._host.submit(
             events.LimitRead(server, epoch, texts, self._sent_at, refused)
         )
+
+    def submit_sent_again(self):
+        """Report that a further request is sent to the same server."""
+        server, _ = self._incarnation
+        if server in self._host.state.limits.held:
+            self._host.submit(events.SentWithoutPermit(server))
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -42,6 +42,7 @@
         """Return the handlers of answers and of the instances' messages."""
         return {
             events.LimitRead: self._handle_read,
+            events.SentWithoutPermit: self._handle_sent,
             server_limits.LimitRecords: self._handle_records,
             permit_messages.PermitRequests: self._handle_requests,
             permit_messages.PermitGrants: self._handle_grants,
@@ -169,6 +170,10 @@
         }
         return [effects.Log("warning", "backend server limit ignored", fields)]
 
+    def _handle_sent(self, event, now):
+        self._permits.record_sent(event.backend_server)
+        return []
+
     # -- permits ------------------------------------------------------------
 
     def _rate(self, server, now):
@@ -179,7 +184,8 @@
         rate = permits_module.rate_of(limit)
         if self._is_connected(now):
             return rate
-        parts = len(self._holders) / self._max_instances
+        reached = 1 + len(self._state.members.alive(now))
+        parts = min(1.0, reached / self._max_instances)
         return rate * permits_module.PART_SHARE * parts
 
     def _is_connected(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -34,6 +34,7 @@
 from .requests import RoutedRequestReceived
 from .servers import Announced
 from .servers import LimitRead
+from .servers import SentWithoutPermit
 from .usage import DayBegan
 from .usage import UsageLoaded
 
@@ -64,6 +65,7 @@
     "ReadSubmitted",
     "RequestReceived",
     "RevisionSubmitted",
+    "SentWithoutPermit",
     "Started",
     "RoutedRequestReceived",
     "StorageFailed",
--- a/packages/dandeliontrail/src/dandeliontrail/events/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/servers.py
@@ -25,3 +25,12 @@
     texts: list[str]
     sent_at: float
     refused: bool = False
+
+
+class SentWithoutPermit(msgspec.Struct):
+    """A request was sent to a limited server without asking the reducer.
+
+    A stream that is resumed at its own server cannot wait for a permit.
+    """
+
+    backend_server: str
