--- a/tests/common/limited_server.py
+++ b/tests/common/limited_server.py
@@ -7,6 +7,11 @@
 LIMIT_HEADER = "Server-Limit"
 
 
+def limit_header(limit):
+    """Return the header line that names ``limit``, '' if it is ``None``."""
+    return "" if limit is None else f"{LIMIT_HEADER}: {limit:g}\r\n"
+
+
 class LimitedServer:
     """Answers at once and records when requests arrive.
 
--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -213,12 +213,13 @@
     ).encode() + body
 
 
-def stream_head(request_id):
+def stream_head(request_id, extra=""):
     """Return the head of a streamed response."""
     return (
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         f"X-Dandeliontrail-Request-Id: {request_id}\r\n"
-        f"{SEAL}: seal-{request_id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        f"{SEAL}: seal-{request_id}\r\nTransfer-Encoding: chunked\r\n"
+        f"{extra}\r\n"
     ).encode()
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,6 +8,7 @@
 
 from tests.common import world as node_world
 from tests.soak import faults as faults_module
+from tests.soak import limits as limits_module
 from tests.soak import world as world_module
 
 CHANGE_INTERVAL_SECONDS = 0.7
@@ -18,12 +19,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Report:
-    """What one run did and which guarantees were violated."""
+    """What one run did and which guarantees were violated.
+
+    ``limits`` counts the limits that servers named; ``worst_share`` is the
+    largest part of what a limit allows in a window that a server got.
+    """
 
     seed: int
     ended: dict
     faults: dict
     acked: int
+    limits: int
+    worst_share: float
     findings: dict
 
 
@@ -42,6 +49,8 @@
             world.spawn(
                 _repeat, READ_INTERVAL_SECONDS, lambda: world.check_read(False)
             )
+            limits = limits_module.Limits(world, seed)
+            world.spawn(limits.run_forever)
             faults = faults_module.Faults(world, seed)
             faults.run(seconds)
             _await_recovery(world)
@@ -57,6 +66,8 @@
                 dict(world.outcomes),
                 fault_counts,
                 world.acked,
+                limits.named,
+                round(max(item.worst_share for item in world.judges), 3),
                 dict(world.findings),
             )
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,8 @@
 import gevent
 import msgspec
 
+from tests.common import limit_judge
+from tests.common import limited_server
 from tests.common import platform_world
 from tests.common import world as node_world
 from tests.soak import processes
@@ -61,6 +63,16 @@
         self.down = False
         self.leaving_acked = None
         self.disrupted_at = float("-inf")
+        self._new_judge()
+
+    def _new_judge(self):
+        """Judge this incarnation by itself."""
+        self.judge = limit_judge.RunningJudge()
+        self._world.judges.append(self.judge)
+
+    def name_limit(self, limit):
+        """Name a limit in all answers from now on, ``None`` for none."""
+        self.judge.name(limit, time.monotonic())
 
     def mark_disrupted(self):
         """Record that the server, or the path to it, is disrupted now."""
@@ -76,6 +88,7 @@
         self.incarnation += 1
         self.state = "ready"
         self.leaving_acked = None
+        self._new_judge()
 
     def _script(self, server, sock, head):
         request_id = platform_world.id_of(head)
@@ -94,15 +107,22 @@
         self._world.runs[request_id].append(
             Run(request_id, self.id, time.monotonic())
         )
+        broken = self.judge.arrived(time.monotonic())
+        if broken:
+            self._world.report_violation(
+                "keeps a server's limit", f"{self.id}: {broken}"
+            )
         gevent.sleep(self._world.rng.uniform(0.005, 0.06))
         if " /chat/" in head.split("\r\n")[0]:
             return self._stream(sock, head, request_id)
         body = f"answer to {request_id}".encode()
-        sock.sendall(platform_world.whole(200, body, request_id))
+        extra = limited_server.limit_header(self.judge.limit)
+        sock.sendall(platform_world.whole(200, body, request_id, extra))
         return None
 
     def _stream(self, sock, head, request_id):
-        sock.sendall(platform_world.stream_head(request_id))
+        extra = limited_server.limit_header(self.judge.limit)
+        sock.sendall(platform_world.stream_head(request_id, extra))
         last_event_id = int(platform_world.header(head, "last-event-id") or 0)
         for number in range(last_event_id + 1, STREAM_PIECES + 1):
             sock.sendall(platform_world.chunk(platform_world.event(number)))
@@ -169,6 +189,7 @@
         self.findings = collections.defaultdict(list)
         self.outcomes = collections.Counter()
         self.refused = []
+        self.judges = []
         self.orders = []
         self.version = 0
         self.acked = 0
