--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -4,6 +4,7 @@
 import random
 import re
 import socket
+import time
 
 import gevent
 from gevent import pool
@@ -18,6 +19,7 @@
 ANNOUNCE_INTERVAL_SECONDS = 1.0
 ANNOUNCE_TIMEOUT_SECONDS = 1.0
 JSON_HEADER = ("Content-Type", "application/json")
+LIMIT_HEADER = "X-Max-Request-Rate"
 BYTES_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 16
 EVENT_STREAM_HEADER = ("Content-Type", "text/event-stream")
@@ -74,6 +76,10 @@
         self.sampled = False
         self.resumes = True
         self.faults = None
+        # The requests per second that it names in its answers, ``None`` for
+        # none, and when requests to generate or to resume arrived.
+        self.max_request_rate = None
+        self.arrivals = []
         # The URL to announce if a proxy stands in front of the engine.
         self.announced_url = ""
         self._server = None
@@ -105,6 +111,7 @@
         """Handle one HTTP request."""
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
+        start_response = self._naming_limit(start_response)
         if path in ("/health", "/load"):
             return _json_response(
                 start_response, "200 OK", self._load_report()
@@ -118,11 +125,23 @@
             status = "200 OK" if was_known else "404 Not Found"
             return _json_response(start_response, status, {})
         if match:
+            self.arrivals.append(time.monotonic())
             return self._resume(environ, start_response, match[1])
         if path in ("/v1/chat/completions", "/v1/completions"):
             return self._generate(environ, start_response)
         return _json_response(start_response, "404 Not Found", {})
 
+    def _naming_limit(self, start_response):
+        """Return ``start_response`` that adds the engine's limit."""
+        if self.max_request_rate is None:
+            return start_response
+        limit = (LIMIT_HEADER, f"{self.max_request_rate:g}")
+
+        def start(status, headers):
+            return start_response(status, [*headers, limit])
+
+        return start
+
     def _load_report(self):
         return {
             "running": len(self.batch.running),
@@ -132,6 +151,7 @@
         }
 
     def _generate(self, environ, start_response):
+        self.arrivals.append(time.monotonic())
         body = environ["wsgi.input"].read()
         ask = msgspec.json.decode(body, type=GenerationRequest)
         request_id = environ.get("HTTP_X_REQUEST_ID") or str(random.random())
--- a/tests/common/limited_server.py
+++ b/tests/common/limited_server.py
@@ -5,6 +5,7 @@
 from tests.common import platform_world
 
 LIMIT_HEADER = "Server-Limit"
+STREAM_EVENTS = 4
 
 
 def limit_header(limit):
@@ -15,18 +16,44 @@
 class LimitedServer:
     """Answers at once and records when requests arrive.
 
-    ``limit`` is the text that its answers name, empty for none.
+    ``limits`` are the texts that its answers name, normally one or none.  It
+    cuts each stream after ``cut_after`` events, if that is not ``None``, and
+    turns requests away while ``refuses`` is true.
     """
 
-    def __init__(self, platform, entries, limit="", service="app"):
-        self.limit = limit
+    def __init__(self, platform, entries, *limits):
+        self.limits = limits
         self.arrivals = []
-        self.server = platform.server(self._script, service)
+        self.cut_after = None
+        self.refuses = False
+        self.server = platform.server(self._script)
         for entry in entries:
             platform.knows(entry, self.server)
 
+    def _extra(self):
+        return "".join(f"{LIMIT_HEADER}: {item}\r\n" for item in self.limits)
+
     def _script(self, server, sock, head):
         self.arrivals.append(time.monotonic())
-        extra = f"{LIMIT_HEADER}: {self.limit}\r\n" if self.limit else ""
         request_id = platform_world.id_of(head)
-        sock.sendall(platform_world.whole(200, b"whole", request_id, extra))
+        if self.refuses:
+            extra = f"X-Dandeliontrail-Not-Executed: 1\r\n{self._extra()}"
+            reply = platform_world.whole(503, b"", request_id, extra)
+        elif " /chat/" in head.split("\r\n")[0]:
+            return self._stream(sock, head, request_id)
+        else:
+            reply = platform_world.whole(
+                200, b"whole", request_id, self._extra()
+            )
+        sock.sendall(reply)
+        return None
+
+    def _stream(self, sock, head, request_id):
+        sock.sendall(platform_world.stream_head(request_id, self._extra()))
+        first = int(platform_world.header(head, "last-event-id") or 0) + 1
+        for count, number in enumerate(range(first, STREAM_EVENTS + 1)):
+            if count == self.cut_after:
+                return "close"
+            sock.sendall(platform_world.chunk(platform_world.event(number)))
+        sock.sendall(platform_world.END)
+        return None
