--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
@@ -11,6 +11,7 @@
 
 from .. import wsgi
 from . import duty_views
+from . import limit_views
 from . import placement_status
 
 
@@ -49,7 +50,8 @@
 class ServerView(msgspec.Struct):
     """A backend server as this instance knows it.
 
-    ``heard_ago`` is the age of its last announcement in seconds.
+    ``heard_ago`` is the age of its last announcement in seconds, ``limit``
+    the requests per second that it takes from all instances, if it names that.
     """
 
     name: str
@@ -59,6 +61,7 @@
     serving: bool
     leaving: bool
     heard_ago: float
+    limit: float | None
     announcement: typing.Any
 
 
@@ -252,6 +255,7 @@
     }
     named = {f"configuration_{name}": gauges[name] for name in gauges}
     named.update(duty_views.gauges(host.state))
+    named.update(limit_views.gauges(host.state))
     return "".join(
         f"dandeliontrail_{name} {value}\n" for name, value in named.items()
     )
@@ -268,6 +272,7 @@
             server.serves(now),
             server.announcement.leaving,
             round(now - server.heard_at, 3),
+            host.state.limits.limit_of(name),
             server.announcement,
         )
         for name, server in sorted(host.state.registry.servers.items())
--- a/tests/cover/test_server_limits.py
+++ b/tests/cover/test_server_limits.py
@@ -5,7 +5,9 @@
 import gevent
 import pytest
 
+from dandeliontrail_ctl import api
 from dandeliontrail_lab import client
+from dandeliontrail_node.listeners import resource_views
 
 from tests.common import limit_judge
 from tests.common import limited_server
@@ -185,7 +187,15 @@
         ]
         gevent.joinall(jobs, raise_error=True)
         assert sum(job.value for job in jobs) > limit
-        assert not made.instances[0].host.metrics.counters["faults_total"]
+        operators = api.Api(
+            f"http://{made.instances[0].addresses['operators']}"
+        )
+        listed = operators.get("backendservers")["items"]
+        assert [item["limit"] for item in listed] == [limit]
+        text = resource_views.log_metrics(made.instances[0].host)
+        assert 'backend_server_limit{backend_server="e1"} 2.9' in text
+        for item in made.instances:
+            assert not item.host.metrics.counters["faults_total"]
     worst = limit_judge.worst_window(
         engine.arrivals, began + limit_judge.CONTACT_SECONDS
     )
