--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/simulated_nodes.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/simulated_nodes.py
@@ -60,7 +60,9 @@
         self.phase = rng.randrange(STEPS_PER_TICK)
         self.up = True
         self.cost = Cost()
+        # Bytes and numbers of the messages sent, by kind.
         self.by_kind = collections.Counter()
+        self.messages_by_kind = collections.Counter()
         identity = dandeliontrail.Identity(
             name, domain, region, rng.randrange(1, 1 << 40)
         )
@@ -185,9 +187,9 @@
         envelope_size = len(codec.encode(codec.Envelope(sender, [])))
         for message in batch:
             message_size = len(codec.encode(codec.Envelope(sender, [message])))
-            node.by_kind[type(message).__name__] += (
-                message_size - envelope_size
-            )
+            kind = type(message).__name__
+            node.by_kind[kind] += message_size - envelope_size
+            node.messages_by_kind[kind] += 1
         return size
 
     def run(self, seconds, watch=None):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
@@ -143,11 +143,13 @@
     def ask(self, asker, ask, now):
         """Record an ask and return the deliveries that it leads to.
 
-        The asker gets a grant in any case, also an empty one: without it, it
-        would take this instance for silent.
+        An asker that wants something gets a grant in any case, also an empty
+        one: without it, it would take this instance for silent.
         """
         record = ask.record
         rate = self._rate(record.server, now)
+        if not rate and not ask.wants:
+            return []
         if not rate:
             grant = permits.PermitGrant(
                 record.server,
@@ -171,7 +173,8 @@
             {want.priority: want.count for want in ask.wants if want.count},
             now + ASK_TTL_SECONDS,
         )
-        return self._deliver(record.server, bucket, rate, asker.instance)
+        answered = asker.instance if ask.wants else ""
+        return self._deliver(record.server, bucket, rate, answered)
 
     def tick(self, now):
         """Return the deliveries of the tokens that came since."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -289,7 +289,7 @@
         state.asked_at = now
         state.asked = dict(state.wants)
         state.owed = state.wanted()
-        if state.unanswered_since is None:
+        if state.owed and state.unanswered_since is None:
             state.unanswered_since = now
         spent, state.spent = state.spent, 0
         return permits.PermitAsk(
--- a/tests/common/shared_policy_harness.py
+++ b/tests/common/shared_policy_harness.py
@@ -68,10 +68,11 @@
 
     def __init__(self, count=6, slack=58.0):
         self.loads = server_loads.LoadTable()
+        self.limits = server_limits.LimitTable()
         state = types.SimpleNamespace(
             routing=types.SimpleNamespace(table=routing_table()),
             loads=self.loads,
-            permits=permits.Permits(server_limits.LimitTable()),
+            permits=permits.Permits(self.limits),
             identity=types.SimpleNamespace(failure_domain="fd0"),
         )
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
@@ -109,6 +110,18 @@
         self.policy.offer(work, self.now)
         return work
 
+    def name_limit(self, server, limit):
+        """Have a server name a limit, for which there are no permits."""
+        self.limits.learn(
+            server_limits.LimitRecord(server, 1, 1, limit), self.now
+        )
+
+    def finish(self, work, server):
+        """Have a server answer a request."""
+        self.policy.first_output(work.request_id, self.now)
+        ended = work_module.AttemptEnd(work.request_id, server)
+        self.policy.ended(ended, self.now)
+
     def next(self):
         """Run a round; return ``{request id: server name or refusal}``."""
         decisions = self.policy.next(self.now, self.directory)
