Permits by turns among organisations, and waits from the holder's order of turns

An organisation that asks for fourteen times as much as another got nearly all permits of a limited server: 13 of 67 requests of the small one were served at a limit of 3 a second, of which its fair share is half. Organisations that have used more than the others now go after them, at all instances, and are refused sooner; the test serves 0.8 of the small one's requests and more.

The holder tells each instance how many permits go to others before its next one. The wait was estimated from the sum of what waits, and requests were refused that would have had the next permit.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/permits.py
@@ -19,6 +19,18 @@
     count: int
 
 
+class Outlook(msgspec.Struct, array_like=True):
+    """How long the next requests of one priority of an instance wait.
+
+    ``ahead`` is the number of permits that others get before its next one,
+    and ``turns`` the number of instances that then take turns with it.
+    """
+
+    priority: int
+    ahead: int
+    turns: int
+
+
 class PermitAsk(msgspec.Struct, array_like=True):
     """Asks for permits for one server; replaces the sender's earlier ask.
 
@@ -46,8 +58,7 @@
     ``count`` permits are for any request, and one more is for a request of
     each priority in ``reserved``.  ``granting`` is false if the receiver of
     the ask is not the holder, or only since a moment ago.  ``next_in`` is the
-    time in seconds until the holder has another permit, and ``backlog`` what
-    all instances want.
+    time in seconds until the holder has another permit.
     """
 
     server: str
@@ -58,7 +69,7 @@
     reserved: list[int] = []
     granting: bool = True
     next_in: float = 0.0
-    backlog: list[Want] = []
+    outlooks: list[Outlook] = []
 
 
 class PermitGrants(msgspec.Struct, tag="permit_grants"):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -161,7 +161,7 @@
         decisions = []
         self._refresh(now)
         if self._permits.active:
-            self._permit_waits.begin_round()
+            self._permit_waits.begin_round(now)
             self._blocked_queues.clear()
         for work in self._retries.due(now):
             self.requeue(work, now)
@@ -198,7 +198,7 @@
             return
         self._searches.end(work.request_id)
         self._retries.spend()
-        self._permits.take(server, work, now)
+        self._permits.take(server, work.request_id, work.priority, now)
         self._fleet.place(
             work, server, requirements.footprint, now, hedge=True
         )
@@ -307,10 +307,12 @@
             elif not self._permits.is_limited(name):
                 # That one takes the work as soon as it has a free slot.
                 return None
-        wait = self._permit_waits.wait_seconds(work, throttled, now)
+        wait = self._permit_waits.wait_seconds(
+            work, work.priority, throttled, now
+        )
         if wait is not None and wait > work.deadline - now:
             return permit_waits.refusal(wait)
-        self._permit_waits.want(work, throttled, len(queue.pending))
+        self._permit_waits.want(work.priority, throttled, len(queue.pending))
         return None
 
     def _pick_server(self, queue, work, servers, now):
@@ -370,7 +372,7 @@
         queue.rate.placed(now)
         queue.counters.charge(work.organisation, work.weight, tokens)
         self._shares.placed(work.class_name, tokens)
-        self._permits.take(server, work, now)
+        self._permits.take(server, work.request_id, work.priority, now)
         self._fleet.place(work, server, requirements.footprint, now)
         self._check_reserve_untouched(requirements, server)
         decisions.append(work_module.Placement(work, server))
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
@@ -90,6 +90,26 @@
                 counts[priority] = counts.get(priority, 0) + count
         return counts
 
+    def outlooks(self, instance):
+        """Return the :class:`.permits.Outlook` of an instance by priority."""
+        turn = self.turns.get(instance, 0)
+        more_urgent = 0
+        found = []
+        for priority, count in sorted(self.backlog().items()):
+            others = [
+                self.turns.get(name, 0)
+                for name, ask in self.asks.items()
+                if priority in ask.wants and name != instance
+            ]
+            before = sum(other < turn for other in others)
+            found.append(
+                permits.Outlook(
+                    priority, more_urgent + before, len(others) + 1
+                )
+            )
+            more_urgent += count
+        return found
+
     def issue(self, serial):
         """Issue permits for all tokens; return the next serial."""
         while self._tokens >= 1.0:
@@ -206,10 +226,6 @@
         """
         self._serial = bucket.issue(self._serial)
         next_in = round(bucket.seconds_to_next(rate), 3)
-        backlog = [
-            permits.Want(priority, count)
-            for priority, count in bucket.backlog().items()
-        ]
         out = []
         for ask in bucket.asks.values():
             if ask.asker.instance != always and not (
@@ -225,7 +241,7 @@
                 ask.reserved,
                 True,
                 next_in,
-                backlog,
+                bucket.outlooks(ask.asker.instance),
             )
             ask.count = 0
             ask.reserved = []
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -59,12 +59,11 @@
 
 
 class _Estimate(msgspec.Struct):
-    """What the holder last said; ``asked`` is what this instance wanted."""
+    """What the holder last said; ``outlooks`` are by priority."""
 
     at: float
     next_in: float
-    backlog: dict
-    asked: dict
+    outlooks: dict
 
 
 class _ServerPermits:
@@ -77,7 +76,6 @@
         "spent",
         "estimate",
         "sent",
-        "asked",
         "owed",
         "asked_at",
         "unanswered_since",
@@ -95,7 +93,6 @@
         self.estimate = None
         # When the asks were sent, by number.
         self.sent = {}
-        self.asked = {}
         self.owed = 0
         self.asked_at = float("-inf")
         self.unanswered_since = None
@@ -184,18 +181,18 @@
             return True
         return self._find(server, priority, now) is not None
 
-    def take(self, server, work, now):
+    def take(self, server, request_id, priority, now):
         """Use a permit for a request that is being placed at a server."""
         if not self.is_limited(server):
             return
-        permit = self._find(server, work.priority, now)
+        permit = self._find(server, priority, now)
         invariants.check(
             permit is not None,
             "limited-server-only-with-a-permit",
-            f"{work.request_id} to {server}",
+            f"{request_id} to {server}",
         )
         self._servers[server].permits.remove(permit)
-        self._taken.add((work.request_id, server))
+        self._taken.add((request_id, server))
         self.counts.used += 1
 
     def confirm(self, request_id, server):
@@ -239,14 +236,13 @@
         estimate = state.estimate
         if estimate is None or now - estimate.at > ESTIMATE_SECONDS:
             return None
-        ahead = sum(
-            count
-            for other, count in estimate.backlog.items()
-            if other < priority
-        )
-        own = estimate.asked.get(priority, 0)
-        others = max(0, estimate.backlog.get(priority, 0) - own)
-        ahead += position + others * min(1.0, (position + 1) / max(1, own))
+        ahead = position
+        for outlook in estimate.outlooks.values():
+            if outlook.priority < priority:
+                # At least one round of what is more urgent goes first.
+                ahead = max(ahead, outlook.ahead + outlook.turns + position)
+            elif outlook.priority == priority:
+                ahead = outlook.ahead + position * outlook.turns
         return max(0.0, estimate.next_in - (now - estimate.at)) + ahead / rate
 
     def _find(self, server, priority, now):
@@ -287,7 +283,6 @@
         self._number += 1
         state.sent[self._number] = now
         state.asked_at = now
-        state.asked = dict(state.wants)
         state.owed = state.wanted()
         if state.owed and state.unanswered_since is None:
             state.unanswered_since = now
@@ -317,8 +312,8 @@
         if not grant.granting:
             return False
         state.part = None
-        backlog = {want.priority: want.count for want in grant.backlog}
-        state.estimate = _Estimate(now, grant.next_in, backlog, state.asked)
+        outlooks = {item.priority: item for item in grant.outlooks}
+        state.estimate = _Estimate(now, grant.next_in, outlooks)
         use_by = min(now + USE_SECONDS, sent_at + MAX_ANSWER_SECONDS)
         added = [_Permit(use_by)] * grant.count + [
             _Permit(use_by, priority) for priority in grant.reserved
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -179,7 +179,7 @@
         enough for a long prompt.
         """
         if self._permits.active:
-            self._permit_waits.begin_round()
+            self._permit_waits.begin_round(now)
         if not self._queue and not self._searches:
             return []
         blocked = set()
@@ -196,7 +196,7 @@
         tokens_ahead = collections.Counter()
         queued = list(self._queue.values())
         if len(queued) > 1:
-            queued.sort(key=lambda work: _queue_order(work, now))
+            queued.sort(key=lambda work: self._queue_order(work, now))
         self._engines.note_queue(queued)
         for work in queued:
             decision = self._decide(work, now, directory, blocked)
@@ -210,6 +210,20 @@
                 decisions.append(decision)
         return decisions
 
+    def _queue_order(self, work, now):
+        """Return the sort key of queued work.
+
+        Work is ordered by priority, then work that can still meet its target
+        for the first token before work that cannot, then by arrival.  Where
+        servers name limits, organisations take turns before that.
+        """
+        target = work.first_token_ms
+        late = target is not None and now - work.received > target / 1000.0
+        used = 0.0
+        if self._permits.active:
+            used = self._permit_waits.recent_use(work, now)
+        return (work.priority, late, used, work.received)
+
     def _due_searches(self, now):
         """Return the work due for a hedge, as ``(unreachable, slow)``.
 
@@ -321,10 +335,12 @@
 
         It is refused at once if a permit is expected to come too late.
         """
-        wait = self._permit_waits.wait_seconds(work, choice.throttled, now)
-        left = work.deadline - now
-        if hedge or wait is None or wait <= left * MAX_QUEUE_TIME_FRACTION:
-            self._permit_waits.wait(work, choice.throttled)
+        wait = self._permit_waits.wait_seconds(
+            work, self._permit_waits.priority(work, now), choice.throttled, now
+        )
+        accepted = self._permit_waits.accepted_seconds(work, now)
+        if hedge or wait is None or wait <= accepted:
+            self._permit_waits.wait(work, choice.throttled, now)
             return None
         grounds = work_module.DecisionInputs(
             need=work.prompt_tokens,
@@ -348,7 +364,9 @@
                 usable, self._table, self._domain, self._rng
             )
         if chosen in choice.throttled:
-            self._permit_waits.want(work, [chosen])
+            self._permit_waits.want(
+                self._permit_waits.priority(work, now), [chosen]
+            )
 
     def _usable_in_round(self, work, servers, now):
         """Return the usable servers, cached per round and service.
@@ -538,14 +556,3 @@
     def forget_server(self, name):
         """Drop the state of a server that is gone."""
         self._table.forget(name)
-
-
-def _queue_order(work, now):
-    """Return the sort key of queued work.
-
-    Work is ordered by priority, then work that can still meet its target for
-    the first token before work that cannot, then by arrival.
-    """
-    target = work.first_token_ms
-    late = target is not None and now - work.received > target / 1000.0
-    return (work.priority, late, work.received)
--- a/tests/common/limit_world.py
+++ b/tests/common/limit_world.py
@@ -28,6 +28,7 @@
 DOMAINS = ("a", "b", "c")
 # The priority of each path; 0 is most urgent.
 PRIORITIES = {"/urgent/": 0, "/usual/": 1, "/later/": 2}
+ORGANISATIONS = ("large", "small")
 RETRY_LIMITS = retry_budget.RetryLimits(0.2, 58.0, 10.0)
 
 
@@ -72,10 +73,11 @@
 class Demand:
     """Callers of one instance; ``rate`` is in requests per second."""
 
-    def __init__(self, instance, path, rate):
+    def __init__(self, instance, path, rate, organisation):
         self.instance = instance
         self.path = path
         self.rate = rate
+        self.organisation = organisation
 
 
 class LimitWorld(simulated_nodes.Network):
@@ -83,7 +85,8 @@
 
     ``waits`` has how long served requests waited here, ``refused`` the
     Retry-After of those refused, both by path, and ``open`` when the requests
-    without an outcome came.
+    without an outcome came.  ``asked`` and ``sent`` count the requests of each
+    organisation that came and that went to a server.
     """
 
     def __init__(self, count=9, seed=0, **options):
@@ -96,7 +99,10 @@
         self.overdue = 0
         self.open = {}
         self.doubled = False
+        self.asked = collections.Counter()
+        self.sent = collections.Counter()
         self._paths = {}
+        self._organisations = {}
         self._numbers = itertools.count()
         self._incarnations = itertools.count(1 << 41)
         self._scheduled = []
@@ -123,7 +129,16 @@
         node.state.identity.incarnation = next(self._incarnations)
         node.state.members.note_own()
         node.state.routing.table = routing.RoutingTable(
-            revisions.Revision(1, "", _routes(), [revisions.Service(SERVICE)])
+            revisions.Revision(
+                1,
+                "",
+                _routes(),
+                [revisions.Service(SERVICE)],
+                [
+                    revisions.Organisation(name, [name], 0)
+                    for name in ORGANISATIONS
+                ],
+            )
         )
         return node
 
@@ -192,12 +207,22 @@
 
     # -- callers ------------------------------------------------------------
 
-    def press(self, rate, names=None, path="/usual/"):
-        """Have callers ask ``rate`` times a second, spread over instances."""
+    def press(
+        self, rate, names=None, path="/usual/", organisation=ORGANISATIONS[0]
+    ):
+        """Have callers ask ``rate`` times a second, spread over instances.
+
+        They replace those of the same path and organisation.
+        """
         names = self.names if names is None else names
-        self.demands = [item for item in self.demands if item.path != path]
+        self.demands = [
+            item
+            for item in self.demands
+            if (item.path, item.organisation) != (path, organisation)
+        ]
         self.demands.extend(
-            Demand(name, path, rate / len(names)) for name in names
+            Demand(name, path, rate / len(names), organisation)
+            for name in names
         )
 
     def _call(self, demand):
@@ -207,12 +232,15 @@
         request_id = f"q{next(self._numbers)}"
         self.open[request_id] = (node.name, self.now)
         self._paths[request_id] = demand.path
+        self._organisations[request_id] = demand.organisation
+        self.asked[demand.organisation] += 1
         self.apply(
             node,
             events.RoutedRequestReceived(
                 request_id,
                 "h",
                 demand.path,
+                demand.organisation,
                 timeout=DEADLINE_SECONDS,
                 content=request_id,
             ),
@@ -286,6 +314,7 @@
             _, came = self.open[request_id]
             path = self._paths[request_id]
             self.waits[path].append(self.now - came)
+            self.sent[self._organisations[request_id]] += 1
         self.apply(node, events.AttemptBegan(request_id, effect.attempt))
         server = self.servers[effect.backend_server]
         sent_at = self.now + node.skew
--- a/tests/cover/test_shared_limits.py
+++ b/tests/cover/test_shared_limits.py
@@ -279,3 +279,16 @@
     waits = world.refused["/usual/"]
     assert waits and not world.overdue
     assert 1.0 <= sum(waits) / len(waits) <= 2.0 / limit
+
+
+def test_a_large_organisation_leaves_a_small_one_its_turns():
+    limit = 3.0
+    world = make_world(limit=limit)
+    world.press(14.0, organisation="large")
+    world.press(1.0, organisation="small")
+    world.run(5.0)
+    world.asked.clear()
+    world.sent.clear()
+    world.run(60.0)
+    assert world.sent["small"] >= 0.8 * world.asked["small"]
+    assert world.sent["large"] >= 0.5 * limit * 60.0
