--- a/bench/server_limits.py
+++ b/bench/server_limits.py
@@ -21,7 +21,9 @@
 
 JOIN_SECONDS = 10.0
 GRANTING_SECONDS = 8.0
-DURATION_SECONDS = 20.0
+MIN_DURATION_SECONDS = 20.0
+# At low limits long enough for this many requests.
+MIN_REQUESTS = 18.0
 OVERLOAD = 5.0
 LIMITS = (0.3, 3.0, 30.0)
 COUNTS = (9, 100)
@@ -44,15 +46,16 @@
     world.waits.clear()
     world.refused.clear()
     since = world.now
-    world.run(DURATION_SECONDS)
+    duration = max(MIN_DURATION_SECONDS, MIN_REQUESTS / limit)
+    world.run(duration)
     worst = max(world.worst(name, since) for name in names)
     share = statistics.mean(world.share(name, since) for name in names)
     sent = [
-        sum(node.by_kind[kind] for kind in KINDS) / DURATION_SECONDS
+        sum(node.by_kind[kind] for kind in KINDS) / duration
         for node in world.nodes.values()
     ]
     messages = [
-        sum(node.messages_by_kind[kind] for kind in KINDS) / DURATION_SECONDS
+        sum(node.messages_by_kind[kind] for kind in KINDS) / duration
         for node in world.nodes.values()
     ]
     waits = world.waits["/usual/"] or [0.0]
