--- a/tests/common/shared_policy_harness.py
+++ b/tests/common/shared_policy_harness.py
@@ -8,6 +8,7 @@
 import random
 import types
 
+from dandeliontrail.coordination import permits as permit_messages
 from dandeliontrail.coordination import server_limits
 from dandeliontrail.coordination import server_loads
 from dandeliontrail.decisions import permits
@@ -69,10 +70,11 @@
     def __init__(self, count=6, slack=58.0):
         self.loads = server_loads.LoadTable()
         self.limits = server_limits.LimitTable()
+        self.permits = permits.Permits(self.limits)
         state = types.SimpleNamespace(
             routing=types.SimpleNamespace(table=routing_table()),
             loads=self.loads,
-            permits=permits.Permits(self.limits),
+            permits=self.permits,
             identity=types.SimpleNamespace(failure_domain="fd0"),
         )
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
@@ -116,6 +118,15 @@
             server_limits.LimitRecord(server, 1, 1, limit), self.now
         )
 
+    def give_permit(self, server):
+        """Have the holder answer an ask for one permit."""
+        self.permits.want(server, 0)
+        ask = self.permits.ask(server, self.now)
+        grant = permit_messages.PermitGrant(
+            server, 1, ask.number, ask.number, count=1
+        )
+        self.permits.receive(grant, ("holder", 1), self.now)
+
     def finish(self, work, server):
         """Have a server answer a request."""
         self.policy.first_output(work.request_id, self.now)
--- a/tests/cover/test_limit_records.py
+++ b/tests/cover/test_limit_records.py
@@ -8,9 +8,13 @@
 
 from dandeliontrail.coordination import permits as permit_messages
 from dandeliontrail.coordination import server_limits
+from dandeliontrail.decisions import hedge_searches
 from dandeliontrail.decisions import holders
 from dandeliontrail.decisions import permit_issuer
 from dandeliontrail.decisions import permits
+from dandeliontrail.decisions import work as work_module
+
+from tests.common import shared_policy_harness
 
 LIMITS = st.one_of(st.none(), st.sampled_from([0.0, 0.3, 3.0]))
 RECORDS = st.lists(
@@ -206,3 +210,34 @@
     late = permit_messages.PermitGrant("s1", 1, ask.number, 2, count=1)
     held.receive(late, ("i2", 1), 11.1 + permits.MAX_ANSWER_SECONDS)
     assert not held.has("s1", 1, 11.1 + permits.MAX_ANSWER_SECONDS)
+
+
+def test_first_sends_hedges_and_retries_each_need_a_permit():
+    harness = shared_policy_harness.PolicyHarness(2)
+    for server in ("e0", "e1"):
+        harness.name_limit(server, 1.0)
+    work = harness.chat()
+    assert not harness.next()
+    harness.give_permit("e0")
+    assert harness.next() == {work.request_id: "e0"}
+    work.excluded_servers.add("e0")
+    harness.policy.seek(work, harness.now)
+    assert not harness.next()
+    harness.give_permit("e1")
+    harness.now += hedge_searches.SEARCH_INTERVAL_SECONDS
+    assert harness.next() == {work.request_id: "e1"}
+    for server in ("e0", "e1"):
+        ended = work_module.AttemptEnd(work.request_id, server, failed=True)
+        harness.policy.ended(ended, harness.now)
+    work.excluded_servers.clear()
+    assert harness.policy.retry(work, harness.now)
+    assert not harness.next()
+    harness.give_permit("e0")
+    assert harness.next() == {work.request_id: "e0"}
+
+
+def test_a_server_without_a_limit_is_taken_before_one_without_a_permit():
+    harness = shared_policy_harness.PolicyHarness(2)
+    harness.name_limit("e0", 1.0)
+    works = [harness.chat() for _ in range(4)]
+    assert harness.next() == {work.request_id: "e1" for work in works}
