Permits in the order in which instances began to wait; waits that are kept end in time

The least urgent class gets a permit if none of the last 19 went to it, and the holder's outlook says so: it was refused for its wait and never asked again.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
@@ -6,6 +6,8 @@
 ones to one instance after the other.
 """
 
+import collections
+
 import msgspec
 
 from ..coordination import permits
@@ -16,9 +18,9 @@
 MIN_BURST = 2.0
 # An ask counts for this long.  Instances repeat theirs several times in it.
 ASK_TTL_SECONDS = 0.6
-# One permit in this many goes to the least urgent that waits, so that each
-# class is served eventually.
-LEAST_URGENT_INTERVAL = 20
+# The least urgent that waits get a permit if none of this many went to them,
+# so that each class is served eventually.
+MAX_PASSED_OVER = 19
 # Requests that were sent without a permit are made up for up to the tokens of
 # this many seconds, and at least this number.
 MAX_DEBT_SECONDS = 4.0
@@ -43,10 +45,13 @@
 
 
 class _StandingAsk(msgspec.Struct):
+    """An ask; ``turn`` is its place in the line of instances that wait."""
+
     asker: Asker
     number: int
     wants: dict
     expires_at: float
+    turn: int
     count: int = 0
     reserved: list = msgspec.field(default_factory=list)
 
@@ -54,16 +59,23 @@
 class _Bucket:
     """The tokens of one server, and the asks for them."""
 
-    __slots__ = ("epoch", "asks", "turns", "_tokens", "_filled_at", "_passed")
+    __slots__ = (
+        "epoch",
+        "asks",
+        "_last_turn",
+        "_tokens",
+        "_filled_at",
+        "_recent",
+    )
 
     def __init__(self, epoch, now):
         self.epoch = epoch
         self.asks = {}
-        # The serial of the last permit of each instance.
-        self.turns = {}
+        self._last_turn = 0
         self._tokens = 0.0
         self._filled_at = now
-        self._passed = 0
+        # The priorities of the last permits.
+        self._recent = collections.deque(maxlen=MAX_PASSED_OVER)
 
     def fill(self, rate, now):
         gained = (now - self._filled_at) * rate
@@ -90,55 +102,74 @@
                 counts[priority] = counts.get(priority, 0) + count
         return counts
 
-    def outlooks(self, instance):
-        """Return the :class:`.permits.Outlook` of an instance by priority."""
-        turn = self.turns.get(instance, 0)
+    def stand(self, asker, ask, now):
+        """Enter an ask; one that replaces another keeps its turn."""
+        before = self.asks.get(asker.instance)
+        turn = before.turn if before and before.wants else self._next_turn()
+        wants = {want.priority: want.count for want in ask.wants if want.count}
+        self.asks[asker.instance] = _StandingAsk(
+            asker, ask.number, wants, now + ASK_TTL_SECONDS, turn
+        )
+
+    def _next_turn(self):
+        self._last_turn += 1
+        return self._last_turn
+
+    def outlooks(self, own):
+        """Return the :class:`.permits.Outlook` of an ask by priority."""
         more_urgent = 0
         found = []
         for priority, count in sorted(self.backlog().items()):
             others = [
-                self.turns.get(name, 0)
-                for name, ask in self.asks.items()
-                if priority in ask.wants and name != instance
+                ask.turn
+                for ask in self.asks.values()
+                if priority in ask.wants and ask is not own
             ]
-            before = sum(other < turn for other in others)
+            before = len(others)
+            if priority in own.wants:
+                before = sum(turn < own.turn for turn in others)
             found.append(
                 permits.Outlook(
                     priority, more_urgent + before, len(others) + 1
                 )
             )
             more_urgent += count
+        if found:
+            found[-1].ahead = min(
+                found[-1].ahead, self._permits_to_turn(found[-1].priority)
+            )
         return found
 
-    def issue(self, serial):
-        """Issue permits for all tokens; return the next serial."""
+    def _permits_to_turn(self, priority):
+        """Return how many permits may still pass over a priority."""
+        since = 0
+        for served in reversed(self._recent):
+            if served >= priority:
+                break
+            since += 1
+        return MAX_PASSED_OVER - since
+
+    def issue(self):
+        """Issue permits for all tokens."""
         while self._tokens >= 1.0:
             waiting = sorted(self.backlog())
             if not waiting:
                 break
-            priority = waiting[0]
-            is_reserved = (
-                len(waiting) > 1 and self._passed >= LEAST_URGENT_INTERVAL - 1
-            )
-            if is_reserved:
-                priority = waiting[-1]
-            self._passed = (
-                0 if is_reserved or len(waiting) == 1 else self._passed + 1
-            )
-            serial += 1
+            is_reserved = not self._permits_to_turn(waiting[-1])
+            priority = waiting[-1] if is_reserved else waiting[0]
+            self._recent.append(priority)
             self._tokens -= 1.0
-            self._give(self._next_ask(priority), priority, is_reserved, serial)
-        return serial
+            self._give(self._next_ask(priority), priority, is_reserved)
 
     def _next_ask(self, priority):
-        """Return the ask whose instance has waited longest for its turn."""
+        """Return the ask whose turn it is."""
         return min(
             (ask for ask in self.asks.values() if priority in ask.wants),
-            key=lambda ask: self.turns.get(ask.asker.instance, 0),
+            key=lambda ask: ask.turn,
         )
 
-    def _give(self, ask, priority, is_reserved, serial):
-        self.turns[ask.asker.instance] = serial
+    def _give(self, ask, priority, is_reserved):
+        ask.turn = self._next_turn()
         ask.wants[priority] -= 1
         if not ask.wants[priority]:
             del ask.wants[priority]
@@ -187,12 +218,7 @@
             return []
         bucket.fill(rate, now)
         bucket.spend(ask.spent, rate)
-        bucket.asks[asker.instance] = _StandingAsk(
-            asker,
-            ask.number,
-            {want.priority: want.count for want in ask.wants if want.count},
-            now + ASK_TTL_SECONDS,
-        )
+        bucket.stand(asker, ask, now)
         answered = asker.instance if ask.wants else ""
         return self._deliver(record.server, bucket, rate, answered)
 
@@ -224,7 +250,7 @@
 
         The instance ``always`` gets a grant even without a permit.
         """
-        self._serial = bucket.issue(self._serial)
+        bucket.issue()
         next_in = round(bucket.seconds_to_next(rate), 3)
         out = []
         for ask in bucket.asks.values():
@@ -241,7 +267,7 @@
                 ask.reserved,
                 True,
                 next_in,
-                bucket.outlooks(ask.asker.instance),
+                bucket.outlooks(ask),
             )
             ask.count = 0
             ask.reserved = []
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_turns.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_turns.py
@@ -14,7 +14,7 @@
 
 # Use is forgotten by half in this time: long enough for some permits at low
 # rates, short enough that a burst is not held against an organisation.
-HALF_LIFE_SECONDS = 10.0
+HALF_LIFE_SECONDS = 20.0
 # An organisation that has not waited for this long takes no part in the turns.
 ABSENT_SECONDS = 30.0
 # Far above the organisations that wait for one service at a time.
@@ -43,7 +43,7 @@
 
     >>> turns = PermitTurns()
     >>> turns.record("llm", "lab", 1.0, 0.0)
-    >>> turns.recent("llm", "lab", 10.0), turns.recent("llm", "dock", 10.0)
+    >>> turns.recent("llm", "lab", 20.0), turns.recent("llm", "dock", 20.0)
     (0.5, 0.0)
     """
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
@@ -96,14 +96,21 @@
         """Return how many permits the organisation of ``work`` used."""
         return self._turns.recent(work.service, work.organisation, now)
 
-    def accepted_seconds(self, work, now):
-        """Return for how long ``work`` may wait for a permit."""
+    def accepted_seconds(self, work, min_service_seconds, now):
+        """Return for how long ``work`` may wait for a permit.
+
+        At least ``min_service_seconds`` of its time must be left then.
+        """
         self._turns.wait(work.service, work.organisation, now)
         left = work.deadline - now
         if now - work.received > KEPT_SECONDS:
-            return left * MAX_KEPT_FRACTION
-        standing = self._turns.standing(work.service, work.organisation, now)
-        return left * _MAX_FRACTIONS[standing]
+            fraction = MAX_KEPT_FRACTION
+        else:
+            standing = self._turns.standing(
+                work.service, work.organisation, now
+            )
+            fraction = _MAX_FRACTIONS[standing]
+        return min(left * fraction, left - min_service_seconds)
 
     def split(self, work, usable, now):
         """Return the :class:`Choice` among the servers ``usable``, by name.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -338,7 +338,9 @@
         wait = self._permit_waits.wait_seconds(
             work, self._permit_waits.priority(work, now), choice.throttled, now
         )
-        accepted = self._permit_waits.accepted_seconds(work, now)
+        accepted = self._permit_waits.accepted_seconds(
+            work, MIN_SERVICE_SECONDS, now
+        )
         if hedge or wait is None or wait <= accepted:
             self._permit_waits.wait(work, choice.throttled, now)
             return None
