A silent holder's part is not given anew at each silence; only limited servers are looked at

Each time a holder fell silent an instance began with its phase of a token again, so a holder that answers by turns could have let each instance send a request at each turn. With one limited server among many a placement looks at that one alone.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
@@ -60,6 +60,7 @@
     __slots__ = (
         "_permits",
         "_rng",
+        "_limited",
         "_positions",
         "_split",
         "_turns",
@@ -69,6 +70,7 @@
     def __init__(self, permits, rng):
         self._permits = permits
         self._rng = rng
+        self._limited = []
         self._positions = collections.Counter()
         self._split = {}
         self._turns = permit_turns.PermitTurns()
@@ -77,6 +79,7 @@
     def begin_round(self, now):
         """Begin a round of placement."""
         self._permits.begin_round()
+        self._limited = self._permits.limited_servers()
         self._positions.clear()
         self._split.clear()
         if now >= self._next_removal:
@@ -121,8 +124,8 @@
         priority = self.priority(work, now)
         throttled = [
             name
-            for name in usable
-            if not self._permits.has(name, priority, now)
+            for name in self._limited
+            if name in usable and not self._permits.has(name, priority, now)
         ]
         if not throttled:
             return Choice(usable, throttled)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -97,8 +97,10 @@
         self.asked_at = float("-inf")
         self.unanswered_since = None
         self.granting = True
+        # The part in use while the holder is silent, and its tokens, ``None``
+        # before its first use.
         self.part = None
-        self.part_tokens = 0.0
+        self.part_tokens = None
         self.part_filled_at = 0.0
 
     def wanted(self):
@@ -167,6 +169,14 @@
         """Return the limit of a server in requests per second, or ``None``."""
         return self._limits.limit_of(server)
 
+    def limited_servers(self):
+        """Return the names of the servers that name a limit."""
+        return [
+            name
+            for name, held in self._limits.held.items()
+            if held.record.limit is not None
+        ]
+
     # -- use by the policy --------------------------------------------------
 
     def begin_round(self):
@@ -360,8 +370,9 @@
                 del state.sent[number]
 
     def _use_part(self, server, state, part, now):
-        if state.part is None:
+        if state.part_tokens is None:
             state.part_tokens = part.phase
+        if state.part is None:
             state.part_filled_at = now
         state.part = part
         rate = rate_of(self._limits.limit_of(server)) * part.share
--- a/tests/cover/test_shared_limits.py
+++ b/tests/cover/test_shared_limits.py
@@ -139,7 +139,9 @@
 
 @pytest.mark.parametrize("limit", [0.3, 3.0, 30.0])
 @pytest.mark.parametrize(
-    "faults", [{"loss": 0.3}, {"delay": 1.0}], ids=["lost", "late"]
+    "faults",
+    [{"loss": 0.3}, {"loss": 0.8}, {"delay": 1.0}],
+    ids=["some-lost", "most-lost", "late"],
 )
 def test_a_limit_is_kept_when_messages_are_lost_or_late(limit, faults):
     world = make_world(limit=limit, **faults)
