Own interface: a limited server without a free slot fails no request; small changes of limits

Found in reading: where a limited server had a permit and no free slot, the wait for a permit was a division by zero, and the reducer failed on the event. The test failed with it. Permits are kept where a limit falls by a fifth or less: a server may name a slightly different one in each answer.

--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -110,7 +110,8 @@
             return []
         source = "refusal" if event.refused else "answer"
         out = [_log_effect(record, before, source, now - event.sent_at)]
-        return out + self._apply_changed([record])
+        self._apply(record, before)
+        return out + self._spread([record])
 
     def _handle_records(self, source, message, now):
         return self._learn(message.records, source, now)
@@ -127,15 +128,18 @@
             if self._table.learn(record, now):
                 changed.append(record)
                 out.append(_log_effect(record, before, source.instance, age))
-        if changed:
-            out.extend(self._apply_changed(changed, source.instance))
-        return out
+                self._apply(record, before)
+        return out + self._spread(changed, source.instance)
 
-    def _apply_changed(self, records, source=""):
-        for record in records:
-            self._permits.limit_changed(record.server)
-            if record.limit is None:
-                self._issuer.remove(record.server)
+    def _apply(self, record, before):
+        """Apply a record that replaces the limit ``before``."""
+        self._permits.limit_changed(record.server, before)
+        if record.limit is None:
+            self._issuer.remove(record.server)
+
+    def _spread(self, records, source=""):
+        if not records:
+            return []
         message = server_limits.LimitRecords(records)
         return [
             effects.SendPeer(member.address, message)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -294,19 +294,19 @@
     def _refuse_for_limits(self, queue, work, servers, now):
         """Return the refusal of work that gets no permit in time, or ``None``.
 
-        The whole class queue wants permits of the limited servers, and of
-        these alone only if no other server could take the work.
+        The whole class queue wants permits.  It just waits if another server,
+        or one with a permit, takes the work once it has a free slot.
         """
         throttled = []
         for server in servers:
             name = server.announcement.backend_server
             if name in work.excluded_servers or not server.serves(now):
                 continue
-            if not self._permits.has(name, work.priority, now):
-                throttled.append(name)
-            elif not self._permits.is_limited(name):
-                # That one takes the work as soon as it has a free slot.
+            if self._permits.has(name, work.priority, now):
                 return None
+            throttled.append(name)
+        if not throttled:
+            return None
         wait = self._permit_waits.wait_seconds(
             work, work.priority, throttled, now
         )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -177,17 +177,19 @@
         engine.change_own_count(-1, now)
         engine.kv_own -= attempt.footprint
         self._end_probe(attempt, engine, now)
-        is_limited = self._permits.is_limited(engine.name)
-        if ended.failed and ended.refused and is_limited:
-            # What a server turns away for its limit is no fault of it.
-            pass
-        elif ended.failed:
-            engine.record_failure(now)
+        if ended.failed:
+            self._record_failure(engine, ended, now)
         elif not ended.wasted:
             self._learn_from_answer(attempt, engine, ended, now)
         self._count_free(engine)
         return attempt
 
+    def _record_failure(self, engine, ended, now):
+        """Record a failure; what a server refuses for its limit is none."""
+        if ended.refused and self._permits.is_limited(engine.name):
+            return
+        engine.record_failure(now)
+
     def _learn_from_answer(self, attempt, engine, ended, now):
         elapsed = now - attempt.placed
         engine.service_seconds += 0.05 * (elapsed - engine.service_seconds)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -29,6 +29,8 @@
 FIRST_SECONDS = 0.02
 # A holder that leaves asks without an answer for this long is silent.
 SILENT_SECONDS = 1.0
+# Permits are kept while a limit falls by no more than to this share of it.
+MIN_KEPT_RATIO = 0.8
 # What the holder said of the others' requests counts for this long.
 ESTIMATE_SECONDS = 0.75
 # The share of a limit that all instances without a holder use together.
@@ -353,10 +355,16 @@
             elif state.part is not None:
                 state.part = None
 
-    def limit_changed(self, server):
-        """Drop the permits for a server whose limit has changed."""
+    def limit_changed(self, server, before):
+        """Drop the permits for a server that takes much less than before.
+
+        A server may name a slightly different limit in each answer.
+        """
         state = self._servers.get(server)
-        if state is not None:
+        limit = self._limits.limit_of(server)
+        if state is None or limit is None or before is None:
+            return
+        if limit < MIN_KEPT_RATIO * before:
             self.counts.expired += len(state.permits)
             state.permits.clear()
             state.estimate = None
--- a/tests/cover/test_policy_limits.py
+++ b/tests/cover/test_policy_limits.py
@@ -2,9 +2,12 @@
 
 import random
 
+from dandeliontrail.coordination import permits as permit_messages
+from dandeliontrail.coordination import server_limits
 from dandeliontrail.coordination import servers
 from dandeliontrail.decisions import adaptive
 from dandeliontrail.decisions import limits
+from dandeliontrail.decisions import permits
 from dandeliontrail.decisions import retries
 from dandeliontrail.decisions import view
 from dandeliontrail.decisions import work as work_module
@@ -298,3 +301,39 @@
             policy.ended(ended, now)
     assert not place_servers(policy, directory, 1.0)
     assert sorted(place_servers(policy, directory, 10.0)) == ["e1", "e2"]
+
+
+def make_permits(server, limit, count):
+    """Return permits for ``count`` requests to a server with a limit."""
+    table = server_limits.LimitTable()
+    table.learn(server_limits.LimitRecord(server, 1, 1, limit), 0.0)
+    held = permits.Permits(table)
+    held.want(server, 0)
+    ask = held.ask(server, 0.0)
+    grant = permit_messages.PermitGrant(server, 1, ask.number, 1, count)
+    held.receive(grant, ("holder", 1), 0.0)
+    return held
+
+
+def test_a_limited_server_without_a_free_slot_is_waited_for():
+    held = make_permits("app", limit=1.0, count=9)
+    policy = adaptive.Adaptive(random.Random(0), permits=held)
+    directory = FixedDirectory(make_server("app", slots=1))
+    for number in range(9):
+        policy.offer(make_work(number), 0.0)
+    placed = place_servers(policy, directory, 0.0)
+    assert placed and len(placed) < 9
+    assert policy.waiting() == {"draft": 9 - len(placed)}
+
+
+def test_what_a_limited_server_turns_away_does_not_make_it_slow():
+    held = make_permits("app", limit=1.0, count=9)
+    policy = adaptive.Adaptive(random.Random(0), permits=held)
+    directory = FixedDirectory(make_server("app"))
+    for number in range(9):
+        policy.offer(make_work(number), 0.0)
+        assert place_servers(policy, directory, 0.0) == ["app"]
+        ended = work_module.AttemptEnd(
+            f"r{number}", "app", failed=True, refused=True
+        )
+        policy.ended(ended, 0.0)
--- a/tests/cover/test_shared_limits.py
+++ b/tests/cover/test_shared_limits.py
@@ -176,6 +176,18 @@
     check_share(world, since)
 
 
+def test_a_limit_that_differs_a_little_in_each_answer_is_used():
+    limit = 3.0
+    world = make_world(limit=limit)
+    since = world.now
+    for step in range(200):
+        world.servers[SERVER].limit = str(limit + 0.01 * (step % 9))
+        world.run(0.1)
+    world.servers[SERVER].limit = str(limit)
+    check(world, limit, JOIN_SECONDS)
+    check_share(world, since)
+
+
 @pytest.mark.parametrize("limit", [0.0, 0.3, 3.0])
 def test_a_limit_that_is_no_longer_named_is_forgotten_everywhere(limit):
     world = make_world(limit=limit, names=["i1"])
