--- a/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
@@ -23,7 +23,7 @@
         Without any, and without a known limit, there is nothing to report.
         """
         server, epoch = self._incarnation
-        if not texts and server not in self._host.state.limits.held:
+        if not texts and not self._is_limited(server):
             return
         self._host.submit(
             events.LimitRead(server, epoch, texts, self._sent_at, refused)
@@ -32,5 +32,8 @@
     def submit_sent_again(self):
         """Report that a further request is sent to the same server."""
         server, _ = self._incarnation
-        if server in self._host.state.limits.held:
+        if self._is_limited(server):
             self._host.submit(events.SentWithoutPermit(server))
+
+    def _is_limited(self, server):
+        return self._host.state.limits.limit_of(server) is not None
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -21,8 +21,8 @@
 # the parts of the instances that it reaches.  It is shorter than the time
 # after which the majority chooses another holder.
 MAX_PROOF_SECONDS = 3.0
-# Start numbers of servers whose limit could not be read, so that each is
-# logged once.
+# How many starts of servers are remembered that named a limit which could not
+# be read, so that each is logged once.
 MAX_LOGGED_BAD = 4096
 
 
