--- a/bench/server_limits.py
+++ b/bench/server_limits.py
@@ -71,6 +71,30 @@
     )
 
 
+def measure_classes(count, limit, urgent, later):
+    """Print figures of two classes; the rates are multiples of the limit."""
+    world = limit_world.LimitWorld(count)
+    world.run(JOIN_SECONDS)
+    world.add_server("s0", str(limit))
+    world.press(limit * urgent, path="/urgent/")
+    world.press(limit * later, path="/later/")
+    world.run(GRANTING_SECONDS)
+    world.waits.clear()
+    world.refused.clear()
+    world.run(60.0)
+    for path in ("/urgent/", "/later/"):
+        waits = world.waits[path]
+        print(
+            f"{count} instances, {limit:g}/s, urgent {urgent:g} and later"
+            f" {later:g} times that: {path} served {len(waits)}, refused"
+            f" {len(world.refused[path])}, median wait"
+            f" {statistics.median(waits or [0.0]) * 1000:.0f} ms, mean"
+            " Retry-After"
+            f" {statistics.mean(world.refused[path] or [0.0]):.2f} s",
+            flush=True,
+        )
+
+
 def time_placements(limited):
     """Return the microseconds that a placement of a short chat takes."""
     harness = shared_policy_harness.PolicyHarness()
@@ -92,6 +116,8 @@
         for limit in LIMITS:
             measure(count, limit)
     if not counts:
+        measure_classes(9, 3.0, urgent=0.7, later=4.3)
+        measure_classes(9, 3.0, urgent=2.0, later=3.0)
         for limited in (False, True, False, True):
             label = "one server limited" if limited else "no limit named"
             print(f"{label}: {time_placements(limited):.1f} us a placement")
