Soak: a caller waits for as long as its request says, and a finding says how long

Cause: the soak's callers name 3 s in their requests, but their sockets gave up after 1 s without a byte. Without limits no request waits that long. With them one may wait for a permit, be run after 0.97 s, and find its caller gone at 1.00 s: the soak took that for an answer that the programs had cut off.

Change: the socket's own timeout holds for connecting only; the caller waits for 4 s, longer than the time its request names.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,8 +25,9 @@
 STREAM_PIECES = 8
 REVOKE_SECONDS = 5.0
 DRAIN_SECONDS = 2.0
-# The longest that a caller waits for an answer.
+# A caller waits longer than the time that its request names (3 s).
 CALLER_TIMEOUT_SECONDS = 4.0
+CONNECT_TIMEOUT_SECONDS = 1.0
 # Allowance, in seconds, for the timing of this process and the programs.
 TIMING_SLACK_SECONDS = 0.3
 READY_TIMEOUT_SECONDS = 30.0
@@ -322,7 +323,9 @@
         while True:
             entry = self.rng.choice(self.entries)
             address = (entry.ip, self.ports["callers"])
-            conn = http.client.HTTPConnection(*address, timeout=1.0)
+            conn = http.client.HTTPConnection(
+                *address, timeout=CONNECT_TIMEOUT_SECONDS
+            )
             with contextlib.closing(conn):
                 for _ in range(
                     self.rng.randint(1, MAX_REQUESTS_PER_CONNECTION)
@@ -364,6 +367,9 @@
         method, body = ("GET", None) if kind == "read" else ("POST", b"{}")
         try:
             with gevent.Timeout(CALLER_TIMEOUT_SECONDS):
+                if conn.sock is None:
+                    conn.connect()
+                    conn.sock.settimeout(None)
                 conn.request(method, f"/{kind}/", body, headers)
                 answer = conn.getresponse()
                 return _Reply(answer)
@@ -382,8 +388,13 @@
             entry.disrupted_at, *(item.disrupted_at for item in self.servers)
         )
         if disrupted_at < sent - FAULT_EFFECT_SECONDS:
+            run_after = ", ".join(
+                f"{run.at - sent:.2f} s" for run in self.runs[request_id]
+            )
             self.report_violation(
-                "planned work cuts nothing", f"{request_id} {entry.ip}"
+                "planned work cuts nothing",
+                f"{request_id} {entry.ip}: run after {run_after}, left after"
+                f" {time.monotonic() - sent:.2f} s",
             )
 
     def _check_answer(self, kind, request_id, reply):
