Each request asks one limited server for a permit, not all of its pool

What callers saw (pure instances, nine, demand 1.2 times what the pool takes): of two servers at 3 a second 0.76 of the limits was used, of eight at 0.3 a second 0.60, and single servers of a pool 0.22; requests were refused for limits that were not reached. Twenty limited servers cost each instance 31 KB a second of asks.

Cause: a request that only limited servers can take asked up to eight of them, got a permit of each that had a token, and used one; the others expired after 0.75 s and were lost to the limit. Above eight servers it drew new ones in each round, and asked and withdrew ten times a second. The queues of the own interface asked each server for as many permits as requests waited.

Now each request asks one server, drawn once, a second one after 0.25 s, and tries others, four at most, before it is refused. A queue of the own interface asks for one permit for each request, over all its servers. Places in line are counted for each server, since not all wait at the same one.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -307,12 +307,18 @@
             throttled.append(name)
         if not throttled:
             return None
-        wait = self._permit_waits.wait_seconds(
-            work, work.priority, throttled, now
+        waiting = permit_waits.Waiting(
+            queue.key,
+            queue.key,
+            work.priority,
+            work.received,
+            work.deadline - now,
+            len(queue.pending),
         )
-        if wait is not None and wait > work.deadline - now:
-            return permit_waits.refusal(wait)
-        self._permit_waits.want(work.priority, throttled, len(queue.pending))
+        search = self._permit_waits.find(waiting, throttled, now)
+        if not search.servers:
+            return permit_waits.refusal(search.wait)
+        self._permit_waits.wait(waiting, search.servers)
         return None
 
     def _pick_server(self, queue, work, servers, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 
 import msgspec
 
@@ -30,6 +31,14 @@
 MAX_WAIT_FRACTION_ABOVE = 0.35
 MAX_WAIT_FRACTION_BELOW = 0.9
 REMOVAL_INTERVAL_SECONDS = 5.0
+# Each request asks one server for a permit, drawn at random so that instances
+# do not choose alike, and a second one if none came in this time.  Of permits
+# from several servers all but one would be lost.
+SECOND_SERVER_SECONDS = 0.25
+# What waits in one queue asks no more servers than this at a time, and tries
+# no more before it is refused.
+MAX_ASKED_SERVERS = 8
+MAX_TRIED_SERVERS = 4
 
 _MAX_FRACTIONS = {
     permit_turns.Standing.ALONE: MAX_WAIT_FRACTION,
@@ -51,6 +60,36 @@
     throttled: list
 
 
+class Waiting(msgspec.Struct):
+    """Work that waits for permits: one piece, or all of a queue.
+
+    ``key`` stands for it from round to round.  ``line`` is that of the work
+    that waits behind one another, ``since`` when the first of the ``count``
+    requests came, and ``accepted`` how many seconds it may still wait.
+    """
+
+    key: object
+    line: object
+    priority: int
+    since: float
+    accepted: float
+    count: int = 1
+
+
+class PermitSearch(msgspec.Struct):
+    """The servers that waiting work asks for permits.
+
+    Those that would have it wait too long are in ``tried``.  ``wait`` is the
+    time in seconds that a permit of ``servers`` is expected to take, ``None``
+    if that is not known yet; without servers, the shortest of those tried.
+    """
+
+    servers: list = msgspec.field(default_factory=list)
+    tried: set = msgspec.field(default_factory=set)
+    shortest: float = float("inf")
+    wait: float | None = None
+
+
 class PermitWaits:
     """Splits servers by permits and keeps the order of the work that waits.
 
@@ -61,6 +100,8 @@
         "_permits",
         "_rng",
         "_limited",
+        "_searches",
+        "_searches_before",
         "_positions",
         "_split",
         "_turns",
@@ -71,6 +112,10 @@
         self._permits = permits
         self._rng = rng
         self._limited = []
+        # By the key of the work, of this round and of the last.
+        self._searches = {}
+        self._searches_before = {}
+        # How many wait for a permit, by line and server.
         self._positions = collections.Counter()
         self._split = {}
         self._turns = permit_turns.PermitTurns()
@@ -80,6 +125,8 @@
         """Begin a round of placement."""
         self._permits.begin_round()
         self._limited = self._permits.limited_servers()
+        self._searches_before = self._searches
+        self._searches = {}
         self._positions.clear()
         self._split.clear()
         if now >= self._next_removal:
@@ -99,7 +146,17 @@
         """Return how many permits the organisation of ``work`` used."""
         return self._turns.recent(work.service, work.organisation, now)
 
-    def accepted_seconds(self, work, min_service_seconds, now):
+    def waiting(self, work, min_service_seconds, now):
+        """Return the :class:`Waiting` of one piece of work."""
+        return Waiting(
+            work.request_id,
+            (work.service, work.model, work.priority),
+            self.priority(work, now),
+            work.received,
+            self._accepted_seconds(work, min_service_seconds, now),
+        )
+
+    def _accepted_seconds(self, work, min_service_seconds, now):
         """Return for how long ``work`` may wait for a permit.
 
         At least ``min_service_seconds`` of its time must be left then.
@@ -141,33 +198,73 @@
             self._split[key] = (usable, Choice(permitted, throttled))
         return self._split[key][1]
 
-    def wait_seconds(self, work, priority, throttled, now):
-        """Return how long ``work`` waits for a permit, in seconds.
+    def find(self, waiting, throttled, now):
+        """Choose the servers that ``waiting`` asks, some of ``throttled``.
+
+        They stay the same from round to round unless the wait becomes longer
+        than what is accepted.  Returns a :class:`PermitSearch`, without
+        servers if no permit is expected in time.
+        """
+        search = self._searches_before.pop(waiting.key, None) or PermitSearch()
+        search.servers = [item for item in search.servers if item in throttled]
+        while True:
+            self._draw_servers(search, waiting, throttled, now)
+            if not search.servers:
+                search.wait = search.shortest
+                return search
+            search.wait = self._wait_seconds(waiting, search.servers, now)
+            if search.wait is None or search.wait <= waiting.accepted:
+                self._searches[waiting.key] = search
+                return search
+            search.shortest = min(search.shortest, search.wait)
+            search.tried.update(search.servers)
+            search.servers = []
+
+    def _draw_servers(self, search, waiting, throttled, now):
+        """Add servers that were not tried, as many as are to be asked."""
+        if len(search.tried) >= MAX_TRIED_SERVERS:
+            return
+        count = min(waiting.count, MAX_ASKED_SERVERS)
+        if now - waiting.since >= SECOND_SERVER_SECONDS:
+            count = max(count, 2)
+        missing = count - len(search.servers)
+        if missing <= 0:
+            return
+        others = [
+            server
+            for server in throttled
+            if server not in search.tried and server not in search.servers
+        ]
+        search.servers.extend(
+            self._rng.sample(others, min(missing, len(others)))
+        )
+
+    def _wait_seconds(self, waiting, servers, now):
+        """Return the expected wait for a permit of ``servers``, or ``None``.
 
-        Returns ``None`` if that is not known yet.
+        In seconds; ``None`` if it is not known yet.
         """
-        position = self._positions[_line(work)]
         rate = 0.0
-        for server in throttled:
-            wait = self._permits.wait_seconds(server, priority, position, now)
+        for server in servers:
+            position = self._positions[waiting.line, server]
+            wait = self._permits.wait_seconds(
+                server, waiting.priority, position, now
+            )
             if wait is None:
                 return None
             rate += 1.0 / max(wait, 0.001)
         return 1.0 / rate
 
-    def wait(self, work, throttled, now):
-        """Have ``work`` wait behind the work that waits in this round."""
-        self._positions[_line(work)] += 1
-        self.want(self.priority(work, now), throttled)
-
-    def want(self, priority, servers, count=1):
-        """Ask for permits of some of ``servers`` for ``count`` requests."""
-        if len(servers) > permits_module.MAX_ASKED_SERVERS:
-            servers = self._rng.sample(
-                servers, permits_module.MAX_ASKED_SERVERS
-            )
+    def wait(self, waiting, servers):
+        """Ask ``servers`` for permits of what waits behind others here."""
+        each = math.ceil(waiting.count / max(1, len(servers)))
         for server in servers:
-            self._permits.want(server, priority, count)
+            self._positions[waiting.line, server] += each
+            self._permits.want(server, waiting.priority, each)
+
+    def want(self, priority, server):
+        """Ask a server for a permit that no request waits for."""
+        self._permits.want(server, priority)
 
     def take(self, work, server, grounds, now):
         """Use a permit for ``work`` and enter it into its inputs."""
@@ -180,8 +277,3 @@
         self._turns.record(
             work.service, work.organisation, 1.0 / work.weight, now
         )
-
-
-def _line(work):
-    """Return the key of the work that waits in one line with ``work``."""
-    return (work.service, work.model, work.priority)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -35,8 +35,6 @@
 ESTIMATE_SECONDS = 0.75
 # The share of a limit that all instances without a holder use together.
 PART_SHARE = 0.5
-# Requests that wait for a permit of any server ask no more servers than this.
-MAX_ASKED_SERVERS = 8
 
 
 def rate_of(limit):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -335,22 +335,19 @@
 
         It is refused at once if a permit is expected to come too late.
         """
-        wait = self._permit_waits.wait_seconds(
-            work, self._permit_waits.priority(work, now), choice.throttled, now
-        )
-        accepted = self._permit_waits.accepted_seconds(
-            work, MIN_SERVICE_SECONDS, now
-        )
-        if hedge or wait is None or wait <= accepted:
-            self._permit_waits.wait(work, choice.throttled, now)
+        waiting = self._permit_waits.waiting(work, MIN_SERVICE_SECONDS, now)
+        search = self._permit_waits.find(waiting, choice.throttled, now)
+        if hedge or search.servers:
+            self._permit_waits.wait(waiting, search.servers)
             return None
         grounds = work_module.DecisionInputs(
             need=work.prompt_tokens,
             waiting=len(self._queue) - 1,
             limited=len(choice.throttled),
-            limit_wait_ms=round(wait * 1000.0, 1),
+            limit_wait_ms=round(search.wait * 1000.0, 1),
         )
-        return work_module.Refusal(work, permit_waits.refusal(wait), grounds)
+        refusal = permit_waits.refusal(search.wait)
+        return work_module.Refusal(work, refusal, grounds)
 
     def _want_preferred(self, work, servers, usable, choice, now):
         """Want a permit of the server that the work would have gone to.
@@ -367,7 +364,7 @@
             )
         if chosen in choice.throttled:
             self._permit_waits.want(
-                self._permit_waits.priority(work, now), [chosen]
+                self._permit_waits.priority(work, now), chosen
             )
 
     def _usable_in_round(self, work, servers, now):
--- a/tests/cover/test_policy_limits.py
+++ b/tests/cover/test_policy_limits.py
@@ -326,6 +326,23 @@
     assert policy.waiting() == {"draft": 9 - len(placed)}
 
 
+def test_a_queue_asks_for_one_permit_for_each_request_over_all_servers():
+    table = server_limits.LimitTable()
+    names = [f"app{number}" for number in range(4)]
+    for name in names:
+        table.learn(server_limits.LimitRecord(name, 1, 1, 3.0), 0.0)
+    held = permits.Permits(table)
+    policy = adaptive.Adaptive(random.Random(0), permits=held)
+    directory = FixedDirectory(*map(make_server, names))
+    for count in range(1, 9):
+        policy.offer(make_work(count), 0.0)
+        assert not place_servers(policy, directory, 0.0)
+        asks = [held.ask(name, 0.0) for name in names]
+        wanted = [sum(want.count for want in ask.wants) for ask in asks]
+        assert count <= sum(wanted) <= count + len(names) - 1
+        assert max(wanted) - min(wanted) <= max(1, count // len(names))
+
+
 def test_what_a_limited_server_turns_away_does_not_make_it_slow():
     held = make_permits("app", limit=1.0, count=9)
     policy = adaptive.Adaptive(random.Random(0), permits=held)
--- a/tests/cover/test_shared_limits.py
+++ b/tests/cover/test_shared_limits.py
@@ -253,6 +253,26 @@
         assert worst <= limit_judge.allowed(float(world.servers[name].limit))
 
 
+@pytest.mark.parametrize(
+    "servers,limit", [(2, 3.0), (8, 3.0), (8, 0.3)], ids=["two", "many", "low"]
+)
+def test_a_little_too_much_demand_leaves_no_server_of_a_pool_unused(
+    servers, limit
+):
+    world = limit_world.LimitWorld(9)
+    world.run(JOIN_SECONDS)
+    names = [f"s{number}" for number in range(servers)]
+    for name in names:
+        world.add_server(name, str(limit))
+    world.press(1.2 * limit * servers)
+    world.run(GRANTING_SECONDS)
+    since = world.now
+    world.run(seconds_for(limit))
+    shares = [world.share(name, since) for name in names]
+    assert sum(shares) / servers >= MIN_SHARE
+    assert not world.overdue
+
+
 def test_no_request_is_refused_while_another_server_has_room():
     world = make_world(limit=0.3)
     world.add_server("free")
