--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,13 +34,14 @@
     findings: dict
 
 
-def soak(seed, seconds, logs=None):
+def soak(seed, seconds, logs=None, entries=world_module.ENTRIES):
     """Run the programs under faults for ``seconds``; return the report.
 
-    If a guarantee was violated, the programs' logs are copied to ``logs``.
+    There are ``entries`` processes that serve callers.  If a guarantee was
+    violated, the programs' logs are copied to ``logs``.
     """
     with tempfile.TemporaryDirectory() as folder:
-        with world_module.World(folder, seed) as world:
+        with world_module.World(folder, seed, entries) as world:
             for _ in range(world_module.CALLERS):
                 world.spawn(world.send_requests_forever)
             world.spawn(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -184,7 +184,7 @@
 class World:
     """All programs, servers and callers of a run, and the violations."""
 
-    def __init__(self, folder, seed):
+    def __init__(self, folder, seed, entries=ENTRIES):
         self.rng = processes.seeded_random(seed, "world")
         self.runs = collections.defaultdict(list)
         self.findings = collections.defaultdict(list)
@@ -201,7 +201,7 @@
         self._stack = contextlib.ExitStack()
         self.ports = platform_world.new_ports()
         base = self.rng.randrange(10, 250)
-        ips = [f"127.0.{base}.{n + 1}" for n in range(KEEPERS + ENTRIES)]
+        ips = [f"127.0.{base}.{n + 1}" for n in range(KEEPERS + entries)]
         seeds = ",".join(
             f"{ip}:{self.ports['control']}" for ip in ips[:KEEPERS]
         )
