A more urgent request is asked for at once

What callers saw: with an ask for less urgent work at the holder, an urgent request waited up to 0.2 s before the holder heard of it. Cause: an ask whose wants have changed is sent 0.2 s after the last one, whatever changed. Now one that is more urgent than all in the last ask goes after 0.02 s.

test_what_is_more_urgent_than_the_last_ask_is_asked_for_at_once[more] failed before.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -78,6 +78,7 @@
         "sent",
         "owed",
         "asked_at",
+        "asked_priority",
         "unanswered_since",
         "granting",
         "part",
@@ -95,6 +96,8 @@
         self.sent = {}
         self.owed = 0
         self.asked_at = float("-inf")
+        # The most urgent priority of the last ask.
+        self.asked_priority = float("inf")
         self.unanswered_since = None
         self.granting = True
         # The part in use while the holder is silent, and its tokens, ``None``
@@ -116,7 +119,7 @@
             # Withdraws the last ask: a permit for a request that has been
             # refused meanwhile would be lost.
             return self.owed > 0 and since >= FIRST_SECONDS
-        if not self.owed:
+        if not self.owed or min(self.wants) < self.asked_priority:
             return since >= FIRST_SECONDS
         if wanted != self.owed:
             return since >= CHANGED_SECONDS
@@ -294,6 +297,7 @@
         state.sent[self._number] = now
         state.asked_at = now
         state.owed = state.wanted()
+        state.asked_priority = min(state.wants, default=float("inf"))
         if state.owed and state.unanswered_since is None:
             state.unanswered_since = now
         spent, state.spent = state.spent, 0
--- a/tests/cover/test_limit_records.py
+++ b/tests/cover/test_limit_records.py
@@ -212,6 +212,22 @@
     assert not held.has("s1", 1, 11.1 + permits.MAX_ANSWER_SECONDS)
 
 
+@pytest.mark.parametrize(
+    "priority,seconds",
+    [(0, permits.FIRST_SECONDS), (4, permits.CHANGED_SECONDS)],
+    ids=["more", "less"],
+)
+def test_what_is_more_urgent_than_the_last_ask_is_asked_for_at_once(
+    priority, seconds
+):
+    held = permits.Permits(table_with(3.0))
+    held.want("s1", 2)
+    held.ask("s1", 11.0)
+    held.want("s1", priority)
+    assert not held.due(11.0 + 0.9 * seconds)
+    assert held.due(11.0 + 1.1 * seconds) == ["s1"]
+
+
 def test_first_sends_hedges_and_retries_each_need_a_permit():
     harness = shared_policy_harness.PolicyHarness(2)
     for server in ("e0", "e1"):
