Permits of one server in a module of their own

decisions.permits had the table of all servers and the asks, permits and part of each. The latter are now decisions.server_permits; no behaviour changes. The module docstring says what an instance uses while a holder is silent.

--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -16,6 +16,7 @@
 from ..decisions import holders as holders_module
 from ..decisions import permit_issuer
 from ..decisions import permits as permits_module
+from ..decisions import server_permits
 
 # A holder whose last contact with a majority is older than this issues only
 # the parts of the instances that it reaches.  It is shorter than the time
@@ -57,7 +58,7 @@
         self._remove_restarted()
         share = permits_module.PART_SHARE / self._max_instances
         phase = self._holders.rank() / len(self._holders)
-        self._permits.tick(permits_module.Part(share, phase), now)
+        self._permits.tick(server_permits.Part(share, phase), now)
         return self._send_grants(self._issuer.tick(now), now)
 
     def _update_candidates(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -3,32 +3,19 @@
 A server that names no limit needs none.  For the others, the policy takes a
 permit with each request that it places, and says how many more it wants; the
 component asks the server's holder for them.  While the holder is silent, this
-instance uses an equal part of what the rule of the users leaves beyond the
-limit, so that the limit is kept even if all instances lose the holder and it
-is still at work.
+instance uses an equal part of half the limit, so that the sum stays bounded
+even if all instances lose a holder that still issues permits.
 """
 
-import collections
-
 import msgspec
 
 from .. import invariants
 from ..coordination import permits
+from . import server_permits
 
 # A server that names less, also 0, is still sent a request at this rate, in
 # requests per second: its answer is the only sign that the limit has changed.
 MIN_RATE = 0.1
-# A permit is used within this many seconds of its arrival, and within this
-# many of the ask that it answers.
-USE_SECONDS = 0.75
-MAX_ANSWER_SECONDS = 2.5
-# An ask is repeated after this many seconds, or sooner if what is wanted has
-# changed.  While the holder owes nothing, the next ask may follow at once.
-REPEAT_SECONDS = 0.4
-CHANGED_SECONDS = 0.2
-FIRST_SECONDS = 0.02
-# A holder that leaves asks without an answer for this long is silent.
-SILENT_SECONDS = 1.0
 # Permits are kept while a limit falls by no more than to this share of it.
 MIN_KEPT_RATIO = 0.8
 # What the holder said of the others' requests counts for this long.
@@ -42,97 +29,6 @@
     return max(MIN_RATE, limit)
 
 
-class Part(msgspec.Struct):
-    """The part of a limit that this instance uses without a holder.
-
-    ``share`` is a fraction of the limit.  ``phase``, from 0 to 1, is
-    different for each instance, so that their requests are spread over time.
-    """
-
-    share: float
-    phase: float
-
-
-class _Permit(msgspec.Struct):
-    use_by: float
-    reserved: int | None = None
-
-
-class _Estimate(msgspec.Struct):
-    """What the holder last said; ``outlooks`` are by priority."""
-
-    at: float
-    next_in: float
-    outlooks: dict
-
-
-class _ServerPermits:
-    """The permits for one server and the asks for more."""
-
-    __slots__ = (
-        "epoch",
-        "permits",
-        "wants",
-        "spent",
-        "estimate",
-        "sent",
-        "owed",
-        "asked_at",
-        "asked_priority",
-        "unanswered_since",
-        "granting",
-        "part",
-        "part_tokens",
-        "part_filled_at",
-    )
-
-    def __init__(self, epoch):
-        self.epoch = epoch
-        self.permits = collections.deque()
-        self.wants = {}
-        self.spent = 0
-        self.estimate = None
-        # When the asks were sent, by number.
-        self.sent = {}
-        self.owed = 0
-        self.asked_at = float("-inf")
-        # The most urgent priority of the last ask.
-        self.asked_priority = float("inf")
-        self.unanswered_since = None
-        self.granting = True
-        # The part in use while the holder is silent, and its tokens, ``None``
-        # before its first use.
-        self.part = None
-        self.part_tokens = None
-        self.part_filled_at = 0.0
-
-    def wanted(self):
-        return sum(self.wants.values())
-
-    def is_due(self, now):
-        """Return whether an ask is due."""
-        since = now - self.asked_at
-        if self.spent:
-            return since >= CHANGED_SECONDS
-        wanted = self.wanted()
-        if not wanted:
-            # Withdraws the last ask: a permit for a request that has been
-            # refused meanwhile would be lost.
-            return self.owed > 0 and since >= FIRST_SECONDS
-        if not self.owed or min(self.wants) < self.asked_priority:
-            return since >= FIRST_SECONDS
-        if wanted != self.owed:
-            return since >= CHANGED_SECONDS
-        return since >= REPEAT_SECONDS
-
-    def is_silent(self, now):
-        """Return whether the holder is silent, or does not grant anything."""
-        if not self.granting:
-            return True
-        since = self.unanswered_since
-        return since is not None and now - since >= SILENT_SECONDS
-
-
 class PermitCounts(msgspec.Struct):
     """Counts since the start, for the metrics."""
 
@@ -259,25 +155,14 @@
         return max(0.0, estimate.next_in - (now - estimate.at)) + ahead / rate
 
     def _find(self, server, priority, now):
-        """Return the permit for a request: a reserved one comes first."""
         state = self._servers.get(server)
-        if state is None:
-            return None
-        found = None
-        for permit in state.permits:
-            if now > permit.use_by:
-                continue
-            if permit.reserved == priority:
-                return permit
-            if permit.reserved is None and found is None:
-                found = permit
-        return found
+        return state.find(priority, now) if state else None
 
     def _state(self, server):
         epoch = self._limits.held[server].record.epoch
         state = self._servers.get(server)
         if state is None or state.epoch != epoch:
-            state = self._servers[server] = _ServerPermits(epoch)
+            state = self._servers[server] = server_permits.ServerPermits(epoch)
         return state
 
     # -- exchange with the holders ------------------------------------------
@@ -294,12 +179,7 @@
         """Return the ask for a server, and count it as sent."""
         state = self._state(server)
         self._number += 1
-        state.sent[self._number] = now
-        state.asked_at = now
-        state.owed = state.wanted()
-        state.asked_priority = min(state.wants, default=float("inf"))
-        if state.owed and state.unanswered_since is None:
-            state.unanswered_since = now
+        state.record_ask(self._number, now)
         spent, state.spent = state.spent, 0
         return permits.PermitAsk(
             self._limits.held[server].record,
@@ -320,27 +200,16 @@
         key = (holder, grant.serial)
         if key in self._seen:
             return False
-        self._seen[key] = now + MAX_ANSWER_SECONDS
-        state.unanswered_since = None
-        state.granting = grant.granting
-        if not grant.granting:
-            return False
-        state.part = None
-        outlooks = {item.priority: item for item in grant.outlooks}
-        state.estimate = _Estimate(now, grant.next_in, outlooks)
-        use_by = min(now + USE_SECONDS, sent_at + MAX_ANSWER_SECONDS)
-        added = [_Permit(use_by)] * grant.count + [
-            _Permit(use_by, priority) for priority in grant.reserved
-        ]
-        state.permits.extend(added)
-        state.owed = max(0, state.owed - len(added))
-        self.counts.granted += len(added)
-        return bool(added)
+        self._seen[key] = now + server_permits.MAX_ANSWER_SECONDS
+        added = state.add(grant, sent_at, now)
+        self.counts.granted += added
+        return added > 0
 
     def tick(self, part, now):
         """Drop expired permits and add those of this instance's part.
 
-        ``part`` is the :class:`Part` to use where the holder is silent.
+        ``part`` is the :class:`.server_permits.Part` to use where the holder
+        is silent.
         """
         self._seen = {
             key: expires_at
@@ -351,10 +220,11 @@
             if not self.is_limited(server):
                 del self._servers[server]
                 continue
-            self._drop_expired(state, now)
+            self.counts.expired += state.drop_expired(now)
             if state.is_silent(now):
-                self._use_part(server, state, part, now)
-            elif state.part is not None:
+                rate = rate_of(self._limits.limit_of(server))
+                self.counts.without_holder += state.use_part(part, rate, now)
+            else:
                 state.part = None
 
     def limit_changed(self, server, before):
@@ -370,26 +240,3 @@
             self.counts.expired += len(state.permits)
             state.permits.clear()
             state.estimate = None
-
-    def _drop_expired(self, state, now):
-        while state.permits and now > state.permits[0].use_by:
-            state.permits.popleft()
-            self.counts.expired += 1
-        for number, sent_at in list(state.sent.items()):
-            if now - sent_at > MAX_ANSWER_SECONDS:
-                del state.sent[number]
-
-    def _use_part(self, server, state, part, now):
-        if state.part_tokens is None:
-            state.part_tokens = part.phase
-        if state.part is None:
-            state.part_filled_at = now
-        state.part = part
-        rate = rate_of(self._limits.limit_of(server)) * part.share
-        gained = (now - state.part_filled_at) * rate
-        state.part_tokens = min(1.0, state.part_tokens + gained)
-        state.part_filled_at = now
-        if state.part_tokens >= 1.0 and state.wants:
-            state.part_tokens -= 1.0
-            state.permits.append(_Permit(now + USE_SECONDS))
-            self.counts.without_holder += 1
--- a/tests/cover/test_limit_records.py
+++ b/tests/cover/test_limit_records.py
@@ -12,6 +12,7 @@
 from dandeliontrail.decisions import holders
 from dandeliontrail.decisions import permit_issuer
 from dandeliontrail.decisions import permits
+from dandeliontrail.decisions import server_permits
 from dandeliontrail.decisions import work as work_module
 
 from tests.common import shared_policy_harness
@@ -206,15 +207,15 @@
     grant = permit_messages.PermitGrant("s1", 1, ask.number, 1, count=1)
     assert held.receive(grant, ("i2", 1), 11.1)
     assert held.has("s1", 1, 11.1)
-    assert not held.has("s1", 1, 11.2 + permits.USE_SECONDS)
+    assert not held.has("s1", 1, 11.2 + server_permits.USE_SECONDS)
     late = permit_messages.PermitGrant("s1", 1, ask.number, 2, count=1)
-    held.receive(late, ("i2", 1), 11.1 + permits.MAX_ANSWER_SECONDS)
-    assert not held.has("s1", 1, 11.1 + permits.MAX_ANSWER_SECONDS)
+    held.receive(late, ("i2", 1), 11.1 + server_permits.MAX_ANSWER_SECONDS)
+    assert not held.has("s1", 1, 11.1 + server_permits.MAX_ANSWER_SECONDS)
 
 
 @pytest.mark.parametrize(
     "priority,seconds",
-    [(0, permits.FIRST_SECONDS), (4, permits.CHANGED_SECONDS)],
+    [(0, server_permits.FIRST_SECONDS), (4, server_permits.CHANGED_SECONDS)],
     ids=["more", "less"],
 )
 def test_what_is_more_urgent_than_the_last_ask_is_asked_for_at_once(
@@ -262,7 +263,7 @@
 def test_a_holder_that_is_silent_by_turns_gives_no_part_anew_each_time():
     table = table_with(1.0)
     held = permits.Permits(table)
-    part = permits.Part(share=0.01, phase=0.995)
+    part = server_permits.Part(share=0.01, phase=0.995)
     now = 20.0
     for _ in range(20):
         held.want("s1", 1)
