An instance that lost the holder asks again once a second

What callers saw: one instance of nine has all callers of a server that takes 0.3 a second; its messages are lost for 3 s; for the next 40 s it serves none of them and refuses all, though the holder is there and issues permits.

Cause: while the holder is silent, the wait for a permit is that for the instance's part, 60 s for each request at 0.3 a second. All work was refused for it, so nothing wanted a permit, so the holder was not asked again until a part came. After a holder was killed the same kept an instance from its successor.

Now the wait counts as not known if the last ask is a second old: the next request asks and is refused a moment later unless an answer has come.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -140,6 +140,9 @@
         state = self._state(server)
         rate = rate_of(self._limits.limit_of(server))
         if state.part is not None:
+            if now - state.asked_at >= server_permits.SILENT_SECONDS:
+                # The next request asks whether the holder is back.
+                return None
             missing = max(0.0, 1.0 - state.part_tokens)
             return (missing + position) / (rate * state.part.share)
         estimate = state.estimate
--- a/tests/cover/test_shared_limits.py
+++ b/tests/cover/test_shared_limits.py
@@ -149,6 +149,26 @@
     check(world, limit, JOIN_SECONDS)
 
 
+@pytest.mark.parametrize("limit", [0.3, 3.0])
+def test_a_limit_is_used_again_once_messages_are_no_longer_lost(limit):
+    world = make_world(limit=limit)
+    holder = world.holder_of(SERVER)
+    world.press(0.0)
+    world.press(
+        limit * OVERLOAD,
+        [next(name for name in world.names if name != holder)],
+        "/urgent/",
+    )
+    world.loss = 1.0
+    world.run(3.0)
+    world.loss = 0.0
+    world.run(2.0)
+    since = world.now
+    world.run(seconds_for(limit))
+    check(world, limit, JOIN_SECONDS)
+    check_share(world, since)
+
+
 def test_no_permit_counts_twice_when_messages_are_doubled():
     limit = 3.0
     world = make_world(limit=limit)
