On the users' platform a second SIGTERM cuts nothing

Cause: two planned stops hit the same entry 0.75 s apart. The first began the drain (54.735 s), the second ended it at once (decisions cut_short at 55.516 s): the drain takes a second SIGTERM for an operator in a hurry. On the users' platform signals come in series, the grace time ends by itself, and SIGKILL follows.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/drain.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/drain.py
@@ -24,8 +24,10 @@
         self.end_at_once = False
 
     def begin(self):
-        """Start to drain; a second call ends the drain at once."""
-        self.end_at_once = self.draining
+        """Start to drain; a second call ends the drain at once, if set so."""
+        self.end_at_once = (
+            self.draining and self._limits.second_signal_ends_drain
+        )
         self.draining = True
 
     def close_connections(self, app):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -234,7 +234,7 @@
             self.host.state.draining = True
 
     def on_term(self):
-        """Start to drain; a second call stops at once."""
+        """Start to drain; a second call stops at once, if set so."""
         self.drain_state.begin()
         self.host.state.draining = True
         self._stopping.set()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -84,6 +84,8 @@
     requests, until the platform's load balancer has noticed;
     ``drain_seconds`` is the maximum duration of a drain, after which callers
     have ``last_words_seconds`` to receive the outcome of their requests.
+    ``second_signal_ends_drain`` says whether a further SIGTERM ends it at
+    once; where a platform may send several, it must not cut answers.
     ``backend_silent_seconds`` and ``connect_seconds`` limit the silence of a
     backend server and the time for connecting to it.
     ``peer_bytes_per_second`` is the budget for messages to other instances;
@@ -100,6 +102,7 @@
     drain_notice_seconds: float = 5.0
     drain_seconds: float = 300.0
     last_words_seconds: float = 1.0
+    second_signal_ends_drain: bool = True
     backend_silent_seconds: float = 30.0
     connect_seconds: float = 1.0
     peer_bytes_per_second: int = 64 * 1024
--- a/tests/common/limit_world.py
+++ b/tests/common/limit_world.py
@@ -271,7 +271,9 @@
         """End the requests whose caller has left; count them."""
         for request_id, (name, came) in list(self.open.items()):
             if self.now - came > DEADLINE_SECONDS + HEARTBEAT_SECONDS:
-                del self.open[request_id]
+                if self.open.pop(request_id, None) is None:
+                    # It ended when another one of this loop was given up.
+                    continue
                 self.overdue += name not in self.frozen
                 self.apply(self.nodes[name], events.CallerGone(request_id))
 
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -345,3 +345,17 @@
     reply = platform_world.Reply(platform_world.read_to_end(sock))
     assert len(event_ids(reply)) == 20
     assert reply.whole
+
+
+def test_a_second_sigterm_during_a_drain_cuts_nothing(made):
+    entry, _ = start_with_servers(made, streams(1, 20))
+    sock = made.connect(entry)
+    headers = platform_world.caller_headers("r1")
+    platform_world.send(sock, "POST", "/chat/", headers, b"{}")
+    world.wait_until(entry.host.open_exchange_count)
+    entry.on_term()
+    entry.on_term()
+    entry.drain()
+    reply = platform_world.Reply(platform_world.read_to_end(sock))
+    assert len(event_ids(reply)) == 20
+    assert reply.whole
--- a/tests/cover/test_platform_soak.py
+++ b/tests/cover/test_platform_soak.py
@@ -17,6 +17,8 @@
     # again.  The soak then waited for the new process, which had got no
     # signal.  This was a bug of the soak.
     (75, 12.0),
+    # A second SIGTERM during a drain cut two streams.
+    (1017, 25.0),
 )
 
 
