An instance that starts in a cut issues no permits at the full rate

What callers saw (pure instances): three of nine are killed and started again while each is cut off from all others. The limited server gets 37 requests in 4 s at a limit of 3 (allowed 23) and 366 at 30 (allowed 185).

Cause: such an instance knows nobody. It takes itself for the holder of all servers, has a majority of the one instance that it knows, and divides half the limit by one.

Now an instance whose settings name seeds, and that has heard from nobody, is not on the side of a majority, and seeds count as instances that it does not know yet: it uses its part only. An instance without seeds is alone and issues all, as before.

--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -56,6 +56,8 @@
         if not self._table.held:
             return []
         self._remove_restarted()
+        # After a start the seeds stand for instances that are not known yet.
+        self._max_instances = max(self._max_instances, 1 + self._count_seeds())
         share = permits_module.PART_SHARE / self._max_instances
         phase = self._holders.rank() / len(self._holders)
         self._permits.tick(server_permits.Part(share, phase), now)
@@ -67,6 +69,10 @@
         self._holders.set_candidates(others, now)
         self._max_instances = max(self._max_instances, len(self._holders))
 
+    def _count_seeds(self):
+        """Return how many other instances the settings name."""
+        return len(self._state.members.seeds - {self._state.identity.address})
+
     def request_permits(self, now):
         """Return the messages to the holders, and whether permits came.
 
@@ -196,8 +202,12 @@
     def _is_connected(self, now):
         """Return whether this instance is on the side of the majority."""
         log = self._state.log
+        members = self._state.members
         if not log.polls_freshness:
-            return self._state.members.hears_majority(now)
+            # It may have started in a cut: alone, it has a majority of those
+            # that it knows.
+            is_alone = not members.members and self._count_seeds() > 0
+            return members.hears_majority(now) and not is_alone
         ago = log.proven_ago(now)
         return ago is not None and ago <= MAX_PROOF_SECONDS
 
--- a/tests/cover/test_shared_limits.py
+++ b/tests/cover/test_shared_limits.py
@@ -126,6 +126,21 @@
     check(world, limit, JOIN_SECONDS)
 
 
+@pytest.mark.parametrize("limit", [3.0, 30.0])
+def test_a_limit_is_kept_when_instances_start_while_they_are_cut_off(limit):
+    world = make_world(limit=limit)
+    domain = world.nodes[world.holder_of(SERVER)].domain
+    cut_off = world.in_domain(
+        next(item for item in limit_world.DOMAINS if item != domain)
+    )
+    for name in cut_off:
+        world.kill(name)
+        world.cut_off([name])
+        world.restart(name)
+    world.run(30.0)
+    check(world, limit, JOIN_SECONDS)
+
+
 def test_a_limit_is_kept_while_instances_are_added():
     limit = 3.0
     world = make_world(limit=limit)
