An instance that was alone waits before it issues permits

When it learned of others and stayed the holder, it issued at once, while the former holder might still do so.

test_an_instance_that_learns_of_others_waits_for_the_former_holder failed before.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/holders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/holders.py
@@ -48,6 +48,9 @@
         candidates = tuple(sorted({self._own, *others}))
         if candidates == self._candidates:
             return
+        if len(self._candidates) == 1:
+            # It knew no other instance: one of them may be the holder still.
+            self._chosen.clear()
         self._candidates = candidates
         self._version += 1
         self._changed_at = now
--- a/tests/cover/test_limit_records.py
+++ b/tests/cover/test_limit_records.py
@@ -130,6 +130,16 @@
     assert chosen.may_grant(server, 10.0 + holders.TAKEOVER_SECONDS)
 
 
+def test_an_instance_that_learns_of_others_waits_for_the_former_holder():
+    chosen = holders.Holders("i1")
+    servers = [f"s{number}" for number in range(50)]
+    assert all(chosen.may_grant(server, 3.0) for server in servers)
+    chosen.set_candidates(["i2"], 5.0)
+    until = 5.0 + holders.TAKEOVER_SECONDS
+    assert not any(chosen.may_grant(server, until - 0.1) for server in servers)
+    assert any(chosen.may_grant(server, until) for server in servers)
+
+
 def test_a_holder_of_the_same_servers_goes_on_when_members_change():
     chosen = holders.Holders("i1")
     chosen.set_candidates(["i2", "i3"], 1.0)
