--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -308,12 +308,12 @@
         if not throttled:
             return None
         waiting = permit_waits.Waiting(
-            queue.key,
-            queue.key,
-            work.priority,
-            work.received,
-            work.deadline - now,
-            len(queue.pending),
+            key=queue.key,
+            line=queue.key,
+            priority=work.priority,
+            since=work.received,
+            accepted=work.deadline - now,
+            count=len(queue.pending),
         )
         search = self._permit_waits.find(waiting, throttled, now)
         if not search.servers:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_waits.py
@@ -2,7 +2,7 @@
 
 Answers the load of limited servers: work that could go to several servers
 takes those without a limit, or with a permit, first; work that only limited
-servers can take waits for a permit of any of them.
+servers can take asks one or two of them, and waits for a permit.
 """
 
 import collections
