--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -63,9 +63,13 @@
 
 
 class ConnectionPool:
-    """The idle connections per server, most recently used first."""
+    """The idle connections per server, most recently used first.
+
+    ``connect(address, seconds)`` opens a new one.
+    """
 
     def __init__(self, connect_seconds):
+        self.connect = connection.connect
         self._connect_seconds = connect_seconds
         self._idle = collections.defaultdict(list)
 
@@ -81,7 +85,7 @@
                 conn.used = True
                 return conn
             conn.close()
-        sock = connection.connect(address, self._connect_seconds)
+        sock = self.connect(address, self._connect_seconds)
         sock.settimeout(None)
         connection.enable_tcp_keepalive(sock)
         return Connection(sock, address)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -51,7 +51,7 @@
         )
         self._usage_disk = None
         self._duty_client = None
-        self._pools = []
+        self.connection_pools = []
         self._queue = collections.deque()
         self._applying = False
         self._current_day = ""
@@ -97,7 +97,7 @@
 
         The host calls it to drop connections to servers that are gone.
         """
-        self._pools.append(pool)
+        self.connection_pools.append(pool)
 
     def attach_duty_client(self, client):
         """Use ``client`` for calls to the platform."""
@@ -261,7 +261,7 @@
         gevent.spawn(self._engines.cancel, effect.url, effect.request_id)
 
     def _drop_connections(self, effect):
-        for pool in self._pools:
+        for pool in self.connection_pools:
             pool.forget(effect.url)
 
     def _give_order(self, effect):
