--- a/tests/cover/test_partitioned_from_servers.py
+++ b/tests/cover/test_partitioned_from_servers.py
@@ -8,7 +8,6 @@
 
 from tests.common import platform_world
 from tests.common import server_paths
-from tests.common import world
 
 Cut = server_paths.Cut
 
@@ -32,6 +31,15 @@
     sock.sendall(platform_world.whole(200, b"whole", request_id))
 
 
+def answer_and_close(server, sock, head):
+    """Answer a request and close its connection."""
+    gevent.sleep(ANSWER_SECONDS)
+    request_id = platform_world.id_of(head)
+    close = "Connection: close\r\n"
+    sock.sendall(platform_world.whole(200, b"whole", request_id, close))
+    return "close"
+
+
 class Caller:
     """Sends first tries to one entry at a constant rate.
 
@@ -75,9 +83,9 @@
     gevent.joinall(jobs, raise_error=True)
 
 
-def start(platform, entry_count, server_count=2):
+def start(platform, entry_count, server_count=2, script=answer):
     entries = [platform.entry() for _ in range(entry_count)]
-    servers = [platform.server(answer) for _ in range(server_count)]
+    servers = [platform.server(script) for _ in range(server_count)]
     for entry in entries:
         for server in servers:
             platform.knows(entry, server)
@@ -96,7 +104,9 @@
     cut, cut_count, count
 ):
     with platform_world.declared(ROUTES) as platform:
-        entries, servers = start(platform, count)
+        # Else the open connections would be enough.
+        script = answer_and_close if cut is Cut.REFUSE_NEW else answer
+        entries, servers = start(platform, count, script=script)
         callers = [Caller(platform, item) for item in entries]
         with server_paths.paths_of(entries) as paths:
             call_all(callers, WARM_SECONDS)
