--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -33,8 +33,10 @@
 RETRY_PAUSE_SECONDS = 0.25
 # Number of servers that may reject a routed request before it is refused.
 MAX_REJECTIONS = 3
-# Number of tunnels through peers that may fail to open for one request.
-MAX_PATH_FAILURES = 4
+# How many peers, and for how long, a request asks for a tunnel.  A peer that
+# knows to be cut off as well refuses within a round trip.
+MAX_PATH_FAILURES = 8
+PATH_SEARCH_SECONDS = 1.0
 # Retry-After when servers rejected or failed a routed request: answers take a
 # few tenths of a second each, so by then some will have finished.
 BUSY_RETRY_SECONDS = 0.5
@@ -272,6 +274,7 @@
         request = self._find_current(event)
         if request:
             request.mark_begun()
+            request.work.path_failures = 0
             self._note_tunnel(request.peer, request.server, now)
         elif hedged := self._find_hedged(event):
             hedged.mark_hedge_begun()
@@ -374,8 +377,12 @@
         Its server stays eligible, since another peer may reach it.
         """
         work = request.work
-        work.path_failures += 1
-        if work.path_failures >= MAX_PATH_FAILURES:
+        work.note_path_failure(now)
+        searched = now - work.path_search_began
+        if (
+            work.path_failures >= MAX_PATH_FAILURES
+            or searched >= PATH_SEARCH_SECONDS
+        ):
             nothing = sentinels.Nothing(sentinels.Reason.NO_SERVER, 1.0)
             return self._refuse(request, nothing, now)
         self._policy.requeue(work, now)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -641,7 +641,7 @@
         elif ended.failed:
             state.health.record_failure()
             if ended.broken and not attempt.peer:
-                self._record_broken(attempt)
+                self._record_broken(attempt, now)
         elif not ended.wasted:
             self._record_answering(attempt, now)
             health.record_success()
@@ -666,17 +666,18 @@
             "backend server usable again", name, health, now
         )
 
-    def _record_broken(self, attempt):
+    def _record_broken(self, attempt, now):
         """Have the path checked on which an attempt broke off.
 
         Its retry goes to a server that has been heard since, or to a peer.
         """
         self._checks.want(attempt.server)
-        attempt.work.note_lost_path(attempt.placed_at)
+        recently = now - path_checks.SILENT_SECONDS
+        attempt.work.unreached_since = max(attempt.placed_at, recently)
 
     def _record_unreachable(self, attempt, now):
         health = attempt.server_state.health
-        attempt.work.note_lost_path(attempt.placed_at)
+        attempt.work.unreached_since = attempt.placed_at
         attempt.work.unreached_servers.add(attempt.server)
         self._record_path_lost(attempt.server, attempt.placed_at, now)
         if self._domain_reach.record_unreachable(
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -26,9 +26,10 @@
     stays the same when a request is sent again under another id.
 
     ``unreached_servers`` names those that could not be connected to directly.
-    ``unreached_since`` is when the first attempt was placed whose path was
-    lost or broke; ``path_failures`` counts the tunnels through peers that were
-    not opened.
+    ``unreached_since`` is from when on a path was lost or broke under the last
+    attempt for which that happened.  ``path_failures`` counts the tunnels
+    through peers that were not opened since the last attempt that began, from
+    ``path_search_began`` on.
 
     ``limits`` are those of the organisation, ``class_limits`` those of each
     organisation in the class (``resources.specs.Limits``).
@@ -67,11 +68,13 @@
     unreached_servers: set = msgspec.field(default_factory=set)
     unreached_since: float | None = None
     path_failures: int = 0
+    path_search_began: float = 0.0
 
-    def note_lost_path(self, placed_at):
-        """Record that the path of an attempt was lost or broke."""
-        if self.unreached_since is None:
-            self.unreached_since = placed_at
+    def note_path_failure(self, now):
+        """Record that a tunnel through a peer was not opened."""
+        if not self.path_failures:
+            self.path_search_began = now
+        self.path_failures += 1
 
     def ask_again(self):
         """Make the servers that rejected the work eligible again.
