Servers behind peers and servers in reach compete by their load

Callers of an instance that reached one of six engines waited for seconds: all its work went to that one. Usable servers are listed by path in a module of their own, a path through a peer costs as much as one to another failure domain, and whether a peer reaches a lost server is found out by checks, not by requests.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -15,6 +15,7 @@
 import gevent
 
 from .. import connection
+from . import tunnels
 
 # The fraction of the server's idle timeout within which a connection is
 # reused.
@@ -109,7 +110,8 @@
         It carries one request.  Raises :class:`.tunnels.NotOpened`.
         """
         address = address_of(dispatch.url)
-        return Connection(self.tunnels.open(dispatch), address, dispatch.peer)
+        sock = self.tunnels.open(dispatch, dispatch.request_id)
+        return Connection(sock, address, dispatch.peer)
 
     def note_heard(self, conn):
         """Record that bytes arrived on a connection."""
@@ -158,6 +160,15 @@
         conn.idle_until = time.monotonic() + seconds
         idle.append(conn)
 
+    def check_through_peer(self, check):
+        """Return why a peer does not reach a server, ``None`` if it does."""
+        try:
+            sock = self.tunnels.open(check)
+        except tunnels.NotOpened as exc:
+            return exc.failure
+        sock.close()
+        return None
+
     def forget(self, url):
         """Close the idle connections to a server that has ended."""
         address = address_of(url)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -51,37 +51,38 @@
         self._connect_seconds = connect_seconds
         self._new_context = new_context
 
-    def open(self, dispatch):
-        """Return a socket to the server of a dispatch, through its peer.
+    def open(self, path, request_id=""):
+        """Return a socket to a server through a peer.
 
-        Raises :class:`NotOpened`.
+        ``path`` is an ``effects.Dispatch`` or an ``effects.CheckPath`` with a
+        peer.  Raises :class:`NotOpened`.
         """
         request = tunnel_messages.TunnelRequest(
             self._instance,
-            dispatch.backend_server,
-            dispatch.epoch,
-            dispatch.url,
-            dispatch.request_id,
+            path.backend_server,
+            path.epoch,
+            path.url,
+            request_id,
         )
         sock = None
         try:
             with gevent.Timeout(OPEN_TIMEOUT_SECONDS):
-                sock = self._connect(dispatch.peer_address)
-                sock.sendall(self._encode(request, dispatch.peer_address))
+                sock = self._connect(path.peer_address)
+                sock.sendall(self._encode(request, path.peer_address))
                 answer = _read_answer(sock)
             refusal = _refusal_in(answer)
         except FAILURES as exc:
             _close(sock)
             raise NotOpened(
                 peer_paths.PathFailure.PEER,
-                f"tunnel through {dispatch.peer}: {type(exc).__name__}: {exc}",
+                f"tunnel through {path.peer}: {type(exc).__name__}: {exc}",
             )
         if refusal is None:
             return sock
         _close(sock)
         raise NotOpened(
             _PATH_FAILURES.get(refusal, peer_paths.PathFailure.PEER),
-            f"tunnel through {dispatch.peer}: refused, {refusal.value}",
+            f"tunnel through {path.peer}: refused, {refusal.value}",
         )
 
     def _connect(self, peer_address):
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_paths.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_paths.py
@@ -35,7 +35,7 @@
         for check in self._policy.due_checks(now):
             server = self._state.directory.server(check.server)
             if server is None or not server.serves(now):
-                self._policy.path_checked(check.server, None, False, now)
+                self._policy.check_dropped(check)
                 continue
             announcement = server.announcement
             out.append(
@@ -44,14 +44,14 @@
                     announcement.epoch,
                     announcement.url,
                     check.silent_seconds,
+                    check.peer,
+                    self._state.members.address_of(check.peer),
                 )
             )
         return out
 
     def _handle_checked(self, event, now):
-        lost = self._policy.path_checked(
-            event.backend_server, event.epoch, event.reached, now
-        )
+        lost = self._policy.path_checked(event, now)
         out = self._due_checks(now)
         server = self._state.directory.server(event.backend_server)
         if not lost or server is None:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -48,10 +48,11 @@
     time that a decision among 56 engines takes.
     """
 
-    __slots__ = ("usable", "groups", "costs")
+    __slots__ = ("usable", "through_peers", "groups", "costs")
 
-    def __init__(self, usable, groups):
+    def __init__(self, usable, through_peers, groups):
         self.usable = usable
+        self.through_peers = through_peers
         self.groups = groups
         self.costs = {}
 
@@ -68,7 +69,7 @@
         self._table = table
         self._domain = domain
         self._groups = collections.defaultdict(affinity.EngineGroups)
-        self._round = _RoundCache(None, None)
+        self._round = _RoundCache(None, (), None)
         self._large_waiting = frozenset()
 
     def note_queue(self, queued):
@@ -83,15 +84,18 @@
         """Drop the cached cost of an engine that has got another request."""
         self._round.costs.pop(name, None)
 
-    def choose(self, work, traits, servers, usable, now):
+    def choose(self, work, traits, servers, usable, now, through_peers=()):
         """Return the cheapest of the ``usable`` engines.
 
         ``servers`` are all servers of the service, ``usable`` maps the names
-        of those that may take the work.  Long prompts have a few candidates,
-        the same for all prompts with the same shared prefix; an engine
-        further back is taken only where it has the whole prefix cached.
+        of those that may take the work, ``through_peers`` has the names of
+        those that are reached through peers.  Long prompts have a few
+        candidates, the same for all prompts with the same shared prefix; an
+        engine further back is taken only where it has the whole prefix cached.
         """
-        cached_round = self._round_for(work.service, servers, usable, now)
+        cached_round = self._round_for(
+            work.service, servers, usable, now, through_peers
+        )
         groups = cached_round.groups
         low_latency = _is_low_latency(work, traits)
         key = affinity.affinity_key(work.parts)
@@ -129,7 +133,7 @@
                 best = (cost, ChosenEngine(name, own + missing))
         return best[1]
 
-    def _round_for(self, service, servers, usable, now):
+    def _round_for(self, service, servers, usable, now, through_peers):
         """Return the cache of the round, which has one ``usable`` object."""
         if self._round.usable is not usable:
             groups = self._groups[service]
@@ -140,13 +144,15 @@
             slots = servers[0].announcement.slots
             table = self._table
             groups.resize(table.running, table.unread, slots, now)
-            self._round = _RoundCache(usable, groups)
+            self._round = _RoundCache(usable, through_peers, groups)
         return self._round
 
     def _cached_cost(self, cached_round, name):
         cost = cached_round.costs.get(name)
         if cost is None:
             cost = self._cost(name, cached_round.usable[name].announcement)
+            if name in cached_round.through_peers:
+                cost += affinity.REMOTE_DOMAIN_TOKENS
             cached_round.costs[name] = cost
         return cost
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
@@ -16,13 +16,16 @@
 # Servers that cannot be reached are checked this often at least, so that they
 # are used again soon after a partition heals.
 MAX_INTERVAL_SECONDS = 1.5
+# How often a peer is asked whether it reaches a server that cannot be reached,
+# while none is known to.
+PEER_CHECK_SECONDS = 0.25
 # Intervals are drawn from this range around their value, so that the checks of
 # many instances do not come at once.
 JITTER_RANGE = (0.75, 1.25)
 
 
 class Check(msgspec.Struct, frozen=True):
-    """A check of the path to ``server``.
+    """A check of the path to ``server``, through ``peer`` if that is set.
 
     It succeeds without a connection if bytes of the server have arrived in
     the last ``silent_seconds``.
@@ -30,6 +33,7 @@
 
     server: str
     silent_seconds: float = 0.0
+    peer: str = ""
 
 
 class PathChecks:
@@ -38,11 +42,13 @@
     ``unreachable`` are the servers whose path is lost.
     """
 
-    def __init__(self, table, rng):
+    def __init__(self, table, peer_paths, rng):
         self._table = table
+        self._peer_paths = peer_paths
         self._rng = rng
         self._wanted = set()
         self._pending = set()
+        self._pending_through_peers = set()
         self.unreachable = set()
 
     def want(self, server):
@@ -68,11 +74,12 @@
             if name in self._wanted or health.usable(now):
                 found[name] = Check(name)
         self._wanted.clear()
-        return [
+        direct = [
             self._begin(check, now)
             for name, check in found.items()
             if name not in self._pending
         ]
+        return direct + self._due_through_peers(now)
 
     def _begin(self, check, now):
         health = self._table.server(check.server).health
@@ -81,9 +88,32 @@
         self._pending.add(check.server)
         return check
 
-    def end(self, server):
+    def _due_through_peers(self, now):
+        """Return checks that find out whether a peer reaches a lost server.
+
+        Without them a request would have to find out.
+        """
+        found = []
+        for name in self.unreachable - self._pending_through_peers:
+            health = self._table.server(name).health
+            if now - health.peer_checked_at < PEER_CHECK_SECONDS:
+                continue
+            if self._peer_paths.is_confirmed(name, now):
+                continue
+            if not self._peer_paths.exists(name, now):
+                continue
+            health.peer_checked_at = now
+            self._pending_through_peers.add(name)
+            peer = self._peer_paths.choose(name, "", now)
+            found.append(Check(name, peer=peer))
+        return found
+
+    def end(self, server, peer=""):
         """Record that the check of a server has ended."""
-        self._pending.discard(server)
+        if peer:
+            self._pending_through_peers.discard(server)
+        else:
+            self._pending.discard(server)
 
     def record_unreachable(self, server, since, now):
         """Record that a server cannot be reached.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -71,13 +71,17 @@
         """Return the :class:`.path_checks.Check` objects due at ``now``."""
         return []
 
-    def path_checked(self, server, epoch, reached, now):
+    def path_checked(self, result, now):
         """Process the result of a check of the path to a server.
 
-        Returns whether the path was found to be lost just now.
+        ``result`` has ``backend_server``, ``epoch``, ``reached``, ``peer`` and
+        ``path_failure``.  Returns whether the path was found to be lost.
         """
         return False
 
+    def check_dropped(self, check):
+        """Forget a due check of a server that gets no work any more."""
+
     def tunnel_opened(self, peer, server, now):
         """Record that a server was reached through another instance."""
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -30,6 +30,7 @@
 from . import server_table
 from . import service_traits
 from . import tunnel_admission
+from . import usable_servers
 from . import work as work_module
 
 # The Retry-After of a refusal for want of a usable server: about the time in
@@ -90,16 +91,18 @@
         # The revision that the traits were read from, and those by service.
         self._traits_cache = (None, {})
         self._findings = []
-        # The usable servers by service, valid for the current round only.
-        self._round_usable = {}
-        self._round_indirect = {}
         self._permit_waits = permit_waits.PermitWaits(state.permits, rng)
         self._placement_rate = placement_rate.PlacementRate()
         self._domain_reach = domain_reachability.DomainReachability(
             self._domain, view
         )
-        self._checks = path_checks.PathChecks(self._table, rng)
         self._peer_paths = peer_paths.PeerPaths(view, self._domain, rng)
+        self._checks = path_checks.PathChecks(
+            self._table, self._peer_paths, rng
+        )
+        self._usable = usable_servers.UsableServerLists(
+            self._table, self._checks, self._peer_paths, self._domain_reach
+        )
 
     # -- exchange with the other instances ----------------------------------
 
@@ -191,8 +194,7 @@
         if not self._queue and not self._searches:
             return []
         blocked = set()
-        self._round_usable.clear()
-        self._round_indirect.clear()
+        self._usable.begin_round()
         unreachable, slow = self._due_searches(now)
         decisions = self._place_hedges(unreachable, now, directory, blocked)
         decisions.extend(self._place_queued(now, directory, blocked))
@@ -309,73 +311,29 @@
         servers = directory.of_service(work.service)
         if left <= 0 or (work.parts and left < MIN_SERVICE_SECONDS):
             return self._refusal(work, sentinels.Reason.ALL_BUSY, servers)
-        usable = self._usable_in_round(work, servers, now)
-        if work.unreached_since is not None:
-            usable = self._heard_since_failure(work, usable, now)
-        if usable and not self._checks.unreachable:
-            return self._decide_among(
-                work, servers, usable, now, blocked, hedge
-            )
-        return self._decide_on_path(work, servers, usable, now, blocked, hedge)
-
-    def _decide_on_path(self, work, servers, usable, now, blocked, hedge):
-        """Decide where some servers cannot be reached directly.
-
-        What the ``usable`` ones have no room for goes through peers.
-        """
-        if usable and not self._are_full(work, usable):
-            decision = self._decide_among(
-                work, servers, usable, now, blocked, hedge
-            )
-            if decision is not None:
-                return decision
-        overflows = bool(usable)
-        indirect = {}
-        if not (overflows and work.path_failures):
-            indirect = self._indirect_in_round(work, servers, overflows, now)
-        if indirect:
-            return self._decide_among(
-                work, servers, indirect, now, blocked, hedge, through=True
-            )
-        if usable:
-            return self._decide_among(
-                work, servers, usable, now, blocked, hedge
-            )
-        waited = now - work.received
-        if waited < NO_SERVER_WAIT_SECONDS and len(
-            work.excluded_servers
-        ) < len(servers):
-            return None
-        return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
-
-    def _are_full(self, work, usable):
-        """Return whether all of some plain servers have as much as fits."""
-        return not work.parts and all(
-            self._table.running(name) >= max(1, server.announcement.slots)
-            for name, server in usable.items()
-        )
-
-    def _decide_among(
-        self, work, servers, usable, now, blocked, hedge, through=False
-    ):
-        """Place work on one of the ``usable`` servers, refuse or keep it.
-
-        With ``through`` they are reached through peers.
-        """
+        usable = self._usable.of(work, servers, now)
+        candidates = usable.servers
+        if not candidates:
+            waited = now - work.received
+            if waited < NO_SERVER_WAIT_SECONDS and len(
+                work.excluded_servers
+            ) < len(servers):
+                return None
+            return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
         if self._permits.active:
-            choice = self._permit_waits.split(work, usable, now)
+            choice = self._permit_waits.split(work, candidates, now)
             if not choice.permitted:
                 return self._wait_for_permit(work, choice, now, hedge)
             if choice.throttled:
                 self._want_preferred(work, servers, usable, choice, now)
-                usable = choice.permitted
+                candidates = choice.permitted
         if not work.parts:
-            name = plain_server_choice.choose(
-                usable, self._table, self._domain, self._rng
-            )
-            return self._place(work, name, 0.0, usable, now, hedge, through)
+            name = self._choose_plain(candidates, usable)
+            return self._place(work, name, 0.0, usable, now, hedge)
         traits = self._traits(work)
-        chosen = self._engines.choose(work, traits, servers, usable, now)
+        chosen = self._engines.choose(
+            work, traits, servers, candidates, now, usable.through_peers
+        )
         if not self._engines.has_room(work, traits, chosen):
             if not hedge:
                 blocked.add(chosen.name)
@@ -384,8 +342,15 @@
             chosen.need > engine_choice.SHORT_PROMPT_TOKENS
         ):
             return None
-        return self._place(
-            work, chosen.name, chosen.need, usable, now, hedge, through
+        return self._place(work, chosen.name, chosen.need, usable, now, hedge)
+
+    def _choose_plain(self, candidates, usable):
+        return plain_server_choice.choose(
+            candidates,
+            self._table,
+            self._domain,
+            self._rng,
+            usable.through_peers,
         )
 
     def _wait_for_permit(self, work, choice, now, hedge):
@@ -414,125 +379,20 @@
         """
         if work.parts:
             chosen = self._engines.choose(
-                work, self._traits(work), servers, usable, now
+                work,
+                self._traits(work),
+                servers,
+                usable.servers,
+                now,
+                usable.through_peers,
             ).name
         else:
-            chosen = plain_server_choice.choose(
-                usable, self._table, self._domain, self._rng
-            )
+            chosen = self._choose_plain(usable.servers, usable)
         if chosen in choice.throttled:
             self._permit_waits.want(
                 self._permit_waits.priority(work, now), chosen
             )
 
-    def _usable_in_round(self, work, servers, now):
-        """Return the usable servers, cached per round and service.
-
-        Work that avoids servers after failed attempts is not cached.
-        """
-        if work.excluded_servers:
-            return self._usable_servers(work, servers, now)
-        cached = self._round_usable.get(work.service)
-        if cached is None:
-            cached = self._usable_servers(work, servers, now)
-            self._round_usable[work.service] = cached
-        return cached
-
-    def _usable_servers(self, work, servers, now):
-        """Return the servers that may take the work directly, by name."""
-        # While a peer can help, no request is spent on a path that was lost.
-        lost = self._checks.unreachable
-        if lost and not self._peer_paths.has_peers(now):
-            lost = ()
-        usable = {}
-        for name, server in _newest_at_addresses(servers):
-            if not server.serves(now) or name in work.excluded_servers:
-                continue
-            if name not in lost and self._table.server(name).health.usable(
-                now
-            ):
-                usable[name] = server
-        return self._without_partitioned_domains(usable, now)
-
-    def _heard_since_failure(self, work, usable, now):
-        """Return the servers heard since the work met a lost path.
-
-        If none was, all paths may be lost: then the work goes through a peer
-        or, without one, to any of the ``usable``.
-        """
-        heard = {
-            name: server
-            for name, server in usable.items()
-            if self._table.server(name).health.heard_at >= work.unreached_since
-        }
-        if heard or not self._peer_paths.has_peers(now):
-            return heard or usable
-        return {}
-
-    def _indirect_in_round(self, work, servers, overflows, now):
-        """Return the servers that may take the work through peers, by name.
-
-        They are cached per round and service where the work met no failure.
-        ``overflows`` is true if other servers can be reached but have no room.
-        """
-        if work.excluded_servers or work.unreached_since is not None:
-            return self._indirect_servers(work, servers, overflows, now)
-        key = (work.service, overflows)
-        cached = self._round_indirect.get(key)
-        if cached is None:
-            cached = self._indirect_servers(work, servers, overflows, now)
-            self._round_indirect[key] = cached
-        return cached
-
-    def _indirect_servers(self, work, servers, overflows, now):
-        """Return the servers that may take the work through peers, by name.
-
-        What overflows goes only to servers that a peer was seen to reach, or
-        finds out, one request at a time: most servers that cannot be reached
-        have crashed, and no peer reaches them either.
-        """
-        found = {}
-        for name, server in _newest_at_addresses(servers):
-            state = self._table.server(name)
-            if not server.serves(now) or not state.health.usable_through_peer(
-                now
-            ):
-                continue
-            is_lost = name in self._checks.unreachable
-            if name in work.excluded_servers and (
-                name not in work.unreached_servers
-            ):
-                continue
-            if overflows and not (
-                is_lost
-                and (
-                    self._peer_paths.is_confirmed(name, now)
-                    or not state.running
-                )
-            ):
-                continue
-            if self._peer_paths.exists(name, now):
-                found[name] = server
-        return found
-
-    def _without_partitioned_domains(self, usable, now):
-        """Leave out partitioned failure domains, unless no other is left."""
-        domains = {
-            server.announcement.failure_domain for server in usable.values()
-        }
-        partitioned = {
-            domain
-            for domain in domains
-            if self._domain_reach.is_partitioned(domain, now)
-        }
-        if not partitioned or partitioned == domains:
-            return usable
-        return {
-            name: server
-            for name, server in usable.items()
-            if server.announcement.failure_domain not in partitioned
-        }
-
     def _kv_tokens(self):
         table = self._routing.table
         return service_traits.max_kv_tokens(table.revision if table else None)
@@ -550,18 +410,15 @@
             by_service[work.service] = traits
         return traits
 
-    def _place(
-        self, work, name, need, usable, now, hedge=False, through=False
-    ):
+    def _place(self, work, name, need, usable, now, hedge=False):
         """Count the work as outstanding at a server; return a placement.
 
-        ``need`` is the prompt tokens that the server has to prefill.  With
-        ``through`` the server is reached through a peer.
+        ``need`` is the prompt tokens that the server has to prefill.
         """
         state = self._table.server(name)
-        domain = usable[name].announcement.failure_domain
+        domain = usable.servers[name].announcement.failure_domain
         peer = ""
-        if through:
+        if name in usable.through_peers:
             peer = self._peer_paths.choose(name, domain, now)
         running, unread = self._table.remote_load(name)
         grounds = work_module.DecisionInputs(
@@ -570,7 +427,7 @@
             unread,
             state.running,
             running,
-            len(usable),
+            len(usable.servers),
             len(self._queue) - 1,
         )
         if self._permits.active:
@@ -582,7 +439,7 @@
         elif state.health.backoff:
             # This request probes whether the server is back; the others of
             # the round must see that it is not usable meanwhile.
-            self._round_usable.clear()
+            self._usable.begin_round()
         if not peer:
             state.health.record_attempt(now)
         self._engines.note_placed(name)
@@ -717,14 +574,17 @@
         """Return the checks of paths that are due."""
         return self._checks.due(self._attempts.outstanding(), now)
 
-    def path_checked(self, server, epoch, reached, now):
-        """Process the result of a check; return whether the path is lost."""
-        self._checks.end(server)
+    def path_checked(self, result, now):
+        """Process a check's result; return whether the path was lost."""
+        server = result.backend_server
+        self._checks.end(server, result.peer)
         state = self._table.server(server)
-        if epoch is None or state.epoch not in (None, epoch):
-            self._checks.forget(server)
+        if state.epoch not in (None, result.epoch):
             return False
-        if reached:
+        if result.peer:
+            self._record_peer_check(result, now)
+            return False
+        if result.reached:
             state.health.heard_at = now
             if state.health.backoff:
                 self._record_path(server, state.health, now)
@@ -733,6 +593,20 @@
         self._record_path_lost(server, since, now)
         return True
 
+    def check_dropped(self, check):
+        """Forget a check of a server that is gone."""
+        self._checks.end(check.server, check.peer)
+        self._checks.forget(check.server)
+
+    def _record_peer_check(self, result, now):
+        peer, server = result.peer, result.backend_server
+        if result.reached:
+            self._peer_paths.record_reached(peer, server, now)
+        else:
+            self._peer_paths.record_failure(
+                peer, server, result.path_failure, now
+            )
+
     def tunnel_opened(self, peer, server, now):
         """Record that a server was reached through another instance."""
         self._peer_paths.record_reached(peer, server, now)
@@ -755,18 +629,3 @@
             self._table.server(server).health,
             now,
         )
-
-
-def _newest_at_addresses(servers):
-    """Yield the name and the server that announced itself last, by address.
-
-    A server that restarts at the same address has a new name.
-    """
-    newest = {}
-    for server in servers:
-        url = server.announcement.url
-        known = newest.get(url)
-        if known is None or server.heard_at > known.heard_at:
-            newest[url] = server
-    for server in newest.values():
-        yield server.announcement.backend_server, server
--- /dev/null
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
@@ -0,0 +1,148 @@
+"""Which backend servers may take a request, and over which path.
+
+Servers that cannot be reached directly are reached through peers.  All that
+can be reached compete by their load, so that an instance with few direct paths
+does not press everything into few servers.
+"""
+
+import msgspec
+
+
+class UsableServers(msgspec.Struct):
+    """The servers that may take a piece of work, by name.
+
+    ``through_peers`` are the names of those without a direct path.
+    """
+
+    servers: dict
+    through_peers: frozenset = frozenset()
+
+
+class UsableServerLists:
+    """Lists the usable servers of a service, cached for one round.
+
+    ``table`` has the state of each server, ``checks`` (``PathChecks``) the
+    lost paths, ``peer_paths`` (``PeerPaths``) the paths through peers, and
+    ``domain_reach`` the partitioned failure domains.
+    """
+
+    def __init__(self, table, checks, peer_paths, domain_reach):
+        self._table = table
+        self._checks = checks
+        self._peer_paths = peer_paths
+        self._domain_reach = domain_reach
+        self._round = {}
+
+    def begin_round(self):
+        """Forget the lists: time has passed, or a server is being probed."""
+        self._round.clear()
+
+    def of(self, work, servers, now):
+        """Return the :class:`UsableServers` among ``servers``.
+
+        Work that avoids servers after failed attempts is not cached.
+        """
+        if work.excluded_servers or work.unreached_since is not None:
+            return self._find(work, servers, now)
+        cached = self._round.get(work.service)
+        if cached is None:
+            cached = self._find(work, servers, now)
+            self._round[work.service] = cached
+        return cached
+
+    def _find(self, work, servers, now):
+        direct = self._direct(work, servers, now)
+        if work.unreached_since is not None:
+            direct = self._heard_since_failure(work, direct, now)
+        if direct and not self._checks.unreachable:
+            return UsableServers(direct)
+        indirect = self._indirect(work, servers, direct, now)
+        return UsableServers({**direct, **indirect}, frozenset(indirect))
+
+    def _direct(self, work, servers, now):
+        """Return the servers that may take the work directly, by name."""
+        # While a peer can help, no request is spent on a path that was lost.
+        lost = self._checks.unreachable
+        if lost and not self._peer_paths.has_peers(now):
+            lost = ()
+        found = {}
+        for name, server in _newest_at_addresses(servers):
+            if not server.serves(now) or name in work.excluded_servers:
+                continue
+            health = self._table.server(name).health
+            if name not in lost and health.usable(now):
+                found[name] = server
+        return self._without_partitioned_domains(found, now)
+
+    def _without_partitioned_domains(self, usable, now):
+        """Leave out partitioned failure domains, unless no other is left."""
+        domains = {
+            server.announcement.failure_domain for server in usable.values()
+        }
+        partitioned = {
+            domain
+            for domain in domains
+            if self._domain_reach.is_partitioned(domain, now)
+        }
+        if not partitioned or partitioned == domains:
+            return usable
+        return {
+            name: server
+            for name, server in usable.items()
+            if server.announcement.failure_domain not in partitioned
+        }
+
+    def _heard_since_failure(self, work, direct, now):
+        """Return the servers heard since the work met a lost path.
+
+        If none was, all paths may be lost: then the work goes through a peer
+        or, without one, to any of the ``direct`` servers.
+        """
+        heard = {
+            name: server
+            for name, server in direct.items()
+            if self._table.server(name).health.heard_at >= work.unreached_since
+        }
+        if heard or not self._peer_paths.has_peers(now):
+            return heard or direct
+        return {}
+
+    def _indirect(self, work, servers, direct, now):
+        """Return the servers that may take the work through peers, by name.
+
+        While there are direct paths, only servers that a peer was seen to
+        reach: most that cannot be reached have crashed.
+        """
+        found = {}
+        for name, server in _newest_at_addresses(servers):
+            health = self._table.server(name).health
+            is_excluded = name in work.excluded_servers and (
+                name not in work.unreached_servers
+            )
+            if name in direct or is_excluded or not server.serves(now):
+                continue
+            if not health.usable_through_peer(now):
+                continue
+            if direct and not (
+                name in self._checks.unreachable
+                and self._peer_paths.is_confirmed(name, now)
+            ):
+                continue
+            if self._peer_paths.exists(name, now):
+                found[name] = server
+        return found
+
+
+def _newest_at_addresses(servers):
+    """Yield the name and the server that announced itself last, by address.
+
+    A server that restarts at the same address has a new name.
+    """
+    newest = {}
+    for server in servers:
+        url = server.announcement.url
+        known = newest.get(url)
+        if known is None or server.heard_at > known.heard_at:
+            newest[url] = server
+    for server in newest.values():
+        yield server.announcement.backend_server, server
--- a/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
@@ -91,9 +91,12 @@
     """Check whether a connection to a backend server can be opened.
 
     Not needed if bytes of it have arrived in the last ``silent_seconds``.
+    With ``peer`` and ``peer_address`` the path is one through that instance.
     """
 
     backend_server: str
     epoch: int
     url: str
     silent_seconds: float = 0.0
+    peer: str = ""
+    peer_address: str = ""
