Whether a peer reaches a lost server is found out within a second

Where five of nine instances had lost the same servers but reached another one, three of them were taken for proof that the servers are down for everybody.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
@@ -18,7 +18,7 @@
 MAX_INTERVAL_SECONDS = 1.5
 # How often a peer is asked whether it reaches a server that cannot be reached,
 # while none is known to.
-PEER_CHECK_SECONDS = 0.25
+PEER_CHECK_SECONDS = 0.1
 # Intervals are drawn from this range around their value, so that the checks of
 # many instances do not come at once.
 JITTER_RANGE = (0.75, 1.25)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
@@ -22,9 +22,9 @@
 REMOTE_DOMAIN_COST = 0.5
 FAILED_NEIGHBOUR_COST = 1.0
 FAILED_COST = 8.0
-# A server that this many peers which reach others cannot reach counts as down
-# for everybody, for the time below.
-MIN_PEERS_FOR_DOWN = 3
+# A server that this many peers which reach others cannot reach, one after the
+# other, counts as down for everybody, for the time below.
+MIN_PEERS_FOR_DOWN = 8
 DOWN_SECONDS = 1.0
 # Evidence that a peer reaches a server holds for this long.
 CONFIRMED_SECONDS = 3.0
