--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -272,12 +272,21 @@
 
     def _run_path_check(self, effect):
         """Report whether a connection to a server can be opened."""
-        reached = any(
-            pool.check(effect.url, effect.silent_seconds)
-            for pool in self.connection_pools
-        )
+        (pool,) = self.connection_pools
+        failure = None
+        if effect.peer:
+            failure = pool.check_through_peer(effect)
+            reached = failure is None
+        else:
+            reached = pool.check(effect.url, effect.silent_seconds)
         self.submit(
-            events.PathChecked(effect.backend_server, effect.epoch, reached)
+            events.PathChecked(
+                effect.backend_server,
+                effect.epoch,
+                reached,
+                effect.peer,
+                failure,
+            )
         )
 
     @contextlib.contextmanager
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -360,3 +360,23 @@
         reply = site.call(tunnel_messages.PATH, method="POST")
         assert reply.status == 404
         assert not site.tunnels_opened()
+
+
+def test_an_instance_with_few_paths_spreads_its_work_over_all_servers():
+    def slow(server, sock, head):
+        gevent.sleep(0.2)
+        stream(server, sock, head)
+
+    with deployment(script=slow, servers=4) as site:
+        site.paths[0].cut(Cut.RESET, site.servers[1:])
+        for server in site.servers * 3:
+            site.call(request_id=f"finds-out-{server.id}")
+        for server in site.servers:
+            server.ran.clear()
+        jobs = []
+        for number in range(20):
+            jobs.append(gevent.spawn(site.call, request_id=f"r{number}"))
+            gevent.sleep(0.05)
+        gevent.joinall(jobs, raise_error=True)
+        assert {job.value.status for job in jobs} == {200}
+        assert min(len(server.ran) for server in site.servers) >= 2
