Soak and pure tests of paths through peers; proven peers come first

At 100 instances, a third of which could help, a request asked three peers on average after the first had been found: those never asked were as good as those that had helped. With two paths lost at a time, requests use only servers that were heard since.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -142,9 +142,10 @@
         self.sock.sendfile(body)
 
 
-def connect(address, seconds):
+def connect(address, seconds, source=None):
     """Return a socket connected to ``host:port`` within ``seconds``.
 
+    ``source`` is the address to connect from; the kernel chooses by default.
     A numeric address is not looked up: gevent's resolver runs in a thread
     pool, which costs two thread switches and the wait for them.
     """
@@ -153,11 +154,15 @@
     family = _family_of(host)
     if family is None:
         return gevent_socket.create_connection(
-            (host, int(port)), timeout=seconds
+            (host, int(port)),
+            timeout=seconds,
+            source_address=source and (source, 0),
         )
     sock = gevent_socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.settimeout(seconds)
+        if source:
+            sock.bind((source, 0))
         sock.connect((host, int(port)))
     except BaseException:
         sock.close()
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
@@ -11,6 +11,9 @@
 # A server is checked if an attempt there has no output after this long and
 # nothing else was heard of the server meanwhile.
 SILENT_SECONDS = 0.3
+# With this many paths lost at a time, requests use only those others that have
+# been heard since: the loss of one is mostly the end of that server.
+MIN_LOST_PATHS = 2
 # How many other servers are checked after each that cannot be reached.
 SPREAD_CHECKS = 4
 # Servers that cannot be reached are checked this often at least, so that they
@@ -39,7 +42,8 @@
 class PathChecks:
     """The checks of one instance; ``table`` has the state of the servers.
 
-    ``unreachable`` are the servers whose path is lost.
+    ``unreachable`` are the servers whose path is lost, the first of them since
+    ``lost_since``.
     """
 
     def __init__(self, table, peer_paths, rng):
@@ -50,6 +54,12 @@
         self._pending = set()
         self._pending_through_peers = set()
         self.unreachable = set()
+        self.lost_since = 0.0
+
+    @property
+    def all_suspect(self):
+        """Whether all paths may be lost of which nothing was heard since."""
+        return len(self.unreachable) >= MIN_LOST_PATHS
 
     def want(self, server):
         """Check a server at the next opportunity."""
@@ -125,6 +135,8 @@
         health.record_unreachable(now)
         delay = min(MAX_INTERVAL_SECONDS, health.backoff)
         health.blocked_until = now + delay * self._rng.uniform(*JITTER_RANGE)
+        if not self.unreachable:
+            self.lost_since = since
         self.unreachable.add(server)
         unheard = [
             name
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
@@ -18,16 +18,19 @@
 # Costs of a peer as a number of tunnels: in another failure domain than this
 # instance, for each peer of its domain that could not help lately, and where
 # it could not help lately itself: else all that could not would be asked again
-# by the same request when their backoffs end.
+# by the same request when their backoffs end.  One that was not seen to help
+# costs a few tunnels more than one that was.
 REMOTE_DOMAIN_COST = 0.5
 FAILED_NEIGHBOUR_COST = 1.0
 FAILED_COST = 8.0
+UNPROVEN_COST = 4.0
 # A server that this many peers which reach others cannot reach, one after the
 # other, counts as down for everybody, for the time below.
 MIN_PEERS_FOR_DOWN = 8
 DOWN_SECONDS = 1.0
 # Evidence that a peer reaches a server holds for this long.
 CONFIRMED_SECONDS = 3.0
+PROVEN_SECONDS = 10.0
 NEVER = float("-inf")
 
 
@@ -86,6 +89,7 @@
         self._backoffs = {}
         self._evidence = collections.defaultdict(_Evidence)
         self._tunnels = collections.Counter()
+        self._helped_at = {}
         self._peers_at = NEVER
         self._peers = []
 
@@ -123,7 +127,8 @@
                 self._tunnels[peer.instance]
                 + REMOTE_DOMAIN_COST * (domain != self._domain)
                 + FAILED_NEIGHBOUR_COST * failed_neighbours[domain]
-                + FAILED_COST * self._has_failed(peer.instance, server),
+                + FAILED_COST * self._has_failed(peer.instance, server)
+                + UNPROVEN_COST * self._is_unproven(peer.instance, now),
                 domain != server_domain,
                 self._rng.random(),
             )
@@ -147,6 +152,7 @@
         """Record that ``server`` answered through ``peer``."""
         self._backoffs.pop(_Path(peer), None)
         self._backoffs.pop(_Path(peer, server), None)
+        self._helped_at[peer] = now
         evidence = self._evidence[server]
         evidence.failed.clear()
         evidence.reached_at = now
@@ -193,6 +199,10 @@
             or _Path(peer, server) in self._backoffs
         )
 
+    def _is_unproven(self, peer, now):
+        """Return whether a peer was not seen to reach any server lately."""
+        return now - self._helped_at.get(peer, NEVER) >= PROVEN_SECONDS
+
     def _is_blocked(self, path, now):
         backoff = self._backoffs.get(path)
         return backoff is not None and now < backoff.until
@@ -206,7 +216,10 @@
         backoff.until = now + backoff.seconds
 
     def _remove_expired(self, now):
-        """Forget the failures that lie far enough back."""
+        """Forget what lies far enough back."""
+        for peer, helped_at in list(self._helped_at.items()):
+            if now - helped_at >= PROVEN_SECONDS:
+                del self._helped_at[peer]
         for path, backoff in list(self._backoffs.items()):
             if now - backoff.until > MAX_BACKOFF_SECONDS:
                 del self._backoffs[path]
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
@@ -52,8 +52,11 @@
 
     def _find(self, work, servers, now):
         direct = self._direct(work, servers, now)
-        if work.unreached_since is not None:
-            direct = self._heard_since_failure(work, direct, now)
+        since = work.unreached_since
+        if self._checks.all_suspect:
+            since = max(self._checks.lost_since, since or 0.0)
+        if since is not None:
+            direct = self._heard_since(since, direct, now)
         if direct and not self._checks.unreachable:
             return UsableServers(direct)
         indirect = self._indirect(work, servers, direct, now)
@@ -92,8 +95,8 @@
             if server.announcement.failure_domain not in partitioned
         }
 
-    def _heard_since_failure(self, work, direct, now):
-        """Return the servers heard since the work met a lost path.
+    def _heard_since(self, since, direct, now):
+        """Return the servers heard since a path was lost, at ``since``.
 
         If none was, all paths may be lost: then the work goes through a peer
         or, without one, to any of the ``direct`` servers.
@@ -101,7 +104,7 @@
         heard = {
             name: server
             for name, server in direct.items()
-            if self._table.server(name).health.heard_at >= work.unreached_since
+            if self._table.server(name).health.heard_at >= since
         }
         if heard or not self._peer_paths.has_peers(now):
             return heard or direct
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -19,6 +19,8 @@
 LAUNCH = pathlib.Path(__file__).parent / "launch.py"
 # A program takes a second to start when the machine is idle.
 KILL_TIMEOUT_SECONDS = 10.0
+# A start or a stop affects callers for so long.
+TOUCH_EFFECT_SECONDS = 8.0
 
 
 class Program:
@@ -35,6 +37,9 @@
         self._data = folder / f"{ip}-data"
         self._disk_faults = folder / f"{ip}-spoil"
         self._disk_faults.mkdir()
+        self._cut_file = folder / f"{ip}-cut"
+        self._cuts = 0
+        self.healed_at = float("-inf")
         self._config = folder / f"{ip}.conf"
         self._log = folder / f"{ip}.log"
         self._settings = settings
@@ -45,6 +50,7 @@
         self.frozen = False
         self.disk_failed = False
         self.disrupted_at = float("-inf")
+        self._touched = []
         self.clock_seconds = 0.0
         (port,) = platform_world.free_ports(1)
         self._peer_listener = f"{ip}:{port}"
@@ -72,6 +78,8 @@
             "SOAK_PEERS": self._peer_listener,
             "SOAK_CLOCK": str(self.clock_seconds),
             "SOAK_DISK": str(self._disk_faults),
+            "SOAK_IP": self.ip,
+            "SOAK_CUT": str(self._cut_file),
         }
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -107,6 +115,8 @@
     def signal(self, number):
         """Send a signal to this process alone."""
         if self.running:
+            if number != signal.SIGHUP:
+                self._touched.append(time.monotonic())
             self._process.send_signal(number)
 
     def catches(self, number):
@@ -133,6 +143,35 @@
     def mark_disrupted(self):
         """Record that the program is disrupted by an unplanned fault now."""
         self.disrupted_at = time.monotonic()
+        self._touched.append(self.disrupted_at)
+
+    def was_touched(self, began, ended):
+        """Return whether it was disrupted or stopped in a span of time.
+
+        What was done shortly before the span counts too.
+        """
+        return any(
+            began - TOUCH_EFFECT_SECONDS < at < ended for at in self._touched
+        )
+
+    def cut_from_servers(self, mode):
+        """Cut the paths to all backend servers, as ``mode`` says."""
+        self._cuts += 1
+        self.disrupted_at = time.monotonic()
+        self._cut_file.write_text(mode)
+
+    def heal_paths(self):
+        """Restore the paths, unless another cut still lasts."""
+        self._cuts -= 1
+        self.disrupted_at = time.monotonic()
+        if not self._cuts:
+            self.healed_at = self.disrupted_at
+            self._cut_file.unlink(missing_ok=True)
+
+    @property
+    def is_cut(self):
+        """Return whether its paths to all servers are cut."""
+        return self._cuts > 0
 
     def kill(self):
         """Kill the process if it is still running."""
