The end of a tunnel counts as the end of a server's connection

Otherwise a request that crashes servers was not found out when it went through a peer: it ended five servers in place of three.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -115,7 +115,7 @@
             # whole request, and closed the connection.
             self._unsent = memoryview(b"")
             if not self._answered_early():
-                raise self._broken("sending", exc)
+                raise _broken("sending", exc)
 
     def _answered_early(self):
         try:
@@ -177,7 +177,7 @@
                 # reuse the connection.
                 self._conn.idle_until = 0.0
                 return
-            raise self._broken("reading", exc, at_end=data == b"")
+            raise _broken("reading", exc, at_end=data == b"")
         if data:
             self._connections.note_heard(self._conn)
             return
@@ -186,18 +186,9 @@
             raise Broken(
                 "the server closed the connection before the answer"
                 " was complete",
-                closed=not self._dispatch.peer,
+                closed=True,
             )
 
-    def _broken(self, operation, exc, at_end=False):
-        """Return a :class:`Broken` that describes a connection failure.
-
-        The end of a tunnel is no sign that the server's process ended.
-        """
-        closed = at_end or isinstance(exc, ConnectionError)
-        text = f"{operation}: {type(exc).__name__}: {exc}"
-        return Broken(text, closed and not self._dispatch.peer)
-
     def release(self):
         """Return the connection to the pool, or close it.
 
@@ -230,3 +221,9 @@
     """
     if isinstance(exc, TimeoutError) and exc.errno != errno.ETIMEDOUT:
         raise Silent(operation) from exc
+
+
+def _broken(operation, exc, at_end=False):
+    """Return a :class:`Broken` that describes a connection failure."""
+    closed = at_end or isinstance(exc, ConnectionError)
+    return Broken(f"{operation}: {type(exc).__name__}: {exc}", closed)
--- a/tests/cover/test_heartbeats.py
+++ b/tests/cover/test_heartbeats.py
@@ -251,7 +251,7 @@
         )
         gevent.sleep(0.2)
         assert platform.call(entry, "POST", "/order/", "r1").status == 200
-        (pool,) = entry.host._pools
+        (pool,) = entry.host.connection_pools
         # The caller gets its answer just before the connection becomes idle.
         world.wait_until(lambda: any(pool._idle.values()))
         platform.heartbeat(server, born=2000, sequence=1)
