--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
@@ -54,14 +54,13 @@
         return now >= self.full_until
 
     def record_unreachable(self, now):
-        """Record that a connection could not be established or broke."""
+        """Record that a connection could not be established."""
         self.backoff = min(
             MAX_BACKOFF_SECONDS,
             max(INITIAL_BACKOFF_SECONDS, 2 * self.backoff),
         )
         self.blocked_until = now + self.backoff
         self.unreachable_at = now
-        self._update_failure_share(failed=True)
 
     def record_attempt(self, now):
         """Record that a request is sent, which probes a server in backoff."""
@@ -85,7 +84,7 @@
         self.blocked_until = max(self.blocked_until, self.full_until)
 
     def record_failure(self):
-        """Record an answer that was a failure."""
+        """Record an attempt that failed."""
         self._update_failure_share(failed=True)
 
     def record_success(self):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -536,6 +536,7 @@
         health = attempt.server_state.health
         attempt.work.unreached_since = attempt.placed_at
         attempt.work.unreached_servers.add(attempt.server)
+        health.record_failure()
         self._record_path_lost(attempt.server, attempt.placed_at, now)
         if self._domain_reach.record_unreachable(
             attempt.domain, attempt.server, attempt.placed_at, now
