Failing test: brittle servers stand and are used

Two servers of four places that fall over after more than two refusals in a second, under three entries: nothing reads what they say.

--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -181,6 +181,10 @@
     def close(self):
         """Stop the server and close its open connections."""
         self._server.stop(0)
+        self.disconnect()
+
+    def disconnect(self):
+        """Close the open connections."""
         for sock in list(self._open):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
@@ -300,11 +304,11 @@
             entry, "GET", "/api/ready", port=self.ports["ready"]
         ).status
 
-    def server(self, script, service="app"):
+    def server(self, script, service="app", **more):
         """Start a scripted server and register it."""
         started = Server("127.0.0.1", script)
         self._stack.callback(started.close)
-        self.heartbeat(started, service)
+        self.heartbeat(started, service, **more)
         return started
 
     def heartbeat(self, server, service="app", **more):
