Brittle servers get no more than they have places for, from all instances together

What callers saw: servers that said how many refusals a second they bear got what each instance alone found good, turned the rest away and fell over.

Cause: nothing read it. It is a bound of a server as a whole, like a rate limit, and is kept with the same parts: the table of limits, holders and permits. The holder of a brittle server issues permits while it has free places, by what the instances report to use and what was granted since (PlaceLedger). A server that starts beside brittle ones of its service is taken for one until its first answer.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -197,7 +197,9 @@
         is_other_server = dialect.is_other_server(answer)
         refused = dialect.not_executed(answer)
         if not is_other_server:
-            self._limit_report.submit(dialect.limits_of(answer), refused)
+            self._limit_report.submit(
+                dialect.limits_of(answer), refused, dialect.brittle_of(answer)
+            )
         if refused:
             raise NotExecuted(answer, is_other_server)
         self._is_stream = _is_stream(answer)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -74,6 +74,13 @@
         """
         return []
 
+    def brittle_of(self, answer):
+        """Return the values that say how much a server may turn away.
+
+        In requests per second; with more it falls over.
+        """
+        return []
+
     @abc.abstractmethod
     def request_id_of(self, answer):
         """Return the id of the request that an answer belongs to, or ''."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
@@ -17,16 +17,25 @@
         self._incarnation = incarnation
         self._sent_at = host.clock.now()
 
-    def submit(self, texts, refused=False):
-        """Report the values ``texts`` that name a limit in an answer.
+    def submit(self, texts, refused=False, brittle_texts=()):
+        """Report the values that name a limit in an answer.
 
-        Without any, and without a known limit, there is nothing to report.
+        ``texts`` name a rate and ``brittle_texts`` how much the server may
+        turn away.  Without any, and without a known limit, there is nothing
+        to report.
         """
         server, epoch = self._incarnation
-        if not texts and not self._is_limited(server):
+        if not (texts or brittle_texts or self._is_limited(server)):
             return
         self._host.submit(
-            events.LimitRead(server, epoch, texts, self._sent_at, refused)
+            events.LimitRead(
+                server,
+                epoch,
+                texts,
+                self._sent_at,
+                refused,
+                list(brittle_texts),
+            )
         )
 
     def submit_sent_again(self):
@@ -36,4 +45,4 @@
             self._host.submit(events.SentWithoutPermit(server))
 
     def _is_limited(self, server):
-        return self._host.state.limits.limit_of(server) is not None
+        return self._host.state.limits.is_named(server)
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -13,6 +13,7 @@
 from .. import interfaces
 from ..coordination import permits as permit_messages
 from ..coordination import server_limits
+from ..coordination import servers
 from ..decisions import holders as holders_module
 from ..decisions import permit_issuer
 from ..decisions import permits as permits_module
@@ -37,7 +38,7 @@
         self._table = state.limits
         self._permits = state.permits
         self._holders = holders_module.Holders(state.identity.instance)
-        self._issuer = permit_issuer.PermitIssuer(self._rate)
+        self._issuer = permit_issuer.PermitIssuer(self._rate, self._places)
         self._logged_bad = collections.OrderedDict()
         self._max_instances = 1
         self._next_removal = float("-inf")
@@ -47,6 +48,8 @@
         return {
             events.LimitRead: self._handle_read,
             events.SentWithoutPermit: self._handle_sent,
+            events.Announced: self._handle_announced,
+            servers.ServerRecords: self._handle_server_records,
             server_limits.LimitRecords: self._handle_records,
             permit_messages.PermitRequests: self._handle_requests,
             permit_messages.PermitGrants: self._handle_grants,
@@ -65,7 +68,8 @@
         self._max_instances = max(self._max_instances, 1 + self._count_seeds())
         share = permits_module.PART_SHARE / self._max_instances
         phase = self._holders.rank() / len(self._holders)
-        self._permits.tick(server_permits.Part(share, phase), now)
+        part = server_permits.Part(share, phase)
+        self._permits.tick(part, now, self._own_places)
         return self._send_grants(self._issuer.tick(now), now)
 
     def _update_candidates(self, now):
@@ -107,6 +111,7 @@
     def _handle_read(self, event, now):
         try:
             limit = server_limits.parse(event.texts)
+            brittle = server_limits.parse_brittle(event.brittle_texts)
         except server_limits.BadLimit as exc:
             return self._report_bad(event, exc)
         reading = server_limits.Reading(
@@ -115,6 +120,7 @@
             limit,
             event.sent_at,
             event.refused,
+            brittle,
         )
         before = self._table.limit_of(event.backend_server)
         record = self._table.read(reading, now)
@@ -195,8 +201,13 @@
     def _rate(self, server, now):
         """Return how many permits a second to issue for a server."""
         limit = self._table.limit_of(server)
-        if limit is None or not self._holders.may_grant(server, now):
+        if not self._table.is_named(server):
             return 0.0
+        if not self._holders.may_grant(server, now):
+            return 0.0
+        if limit is None:
+            is_connected = self._is_connected(now)
+            return permit_issuer.UNLIMITED if is_connected else 0.0
         rate = permits_module.rate_of(limit)
         if self._is_connected(now):
             return rate
@@ -204,6 +215,56 @@
         parts = min(1.0, reached / self._max_instances)
         return rate * permits_module.PART_SHARE * parts
 
+    def _places(self, server):
+        """Return how many places a brittle server has, else ``None``."""
+        record = self._state.directory.server(server)
+        if record is None or self._table.brittle_of(server) is None:
+            return None
+        return max(1, record.announcement.slots)
+
+    def _own_places(self, server):
+        """Return how many of its places to use without a holder."""
+        return (self._places(server) or 0) // self._max_instances
+
+    # -- servers that start ---------------------------------------------------
+
+    def _handle_announced(self, event, now):
+        self._presume_brittle([event.announcement], now)
+        return []
+
+    def _handle_server_records(self, source, message, now):
+        announcements = [item.announcement for item in message.records]
+        self._presume_brittle(announcements, now)
+        return []
+
+    def _presume_brittle(self, announcements, now):
+        """Take servers that start for as brittle as others of their service.
+
+        Otherwise one that is back after a fall would get a rush.
+        """
+        if not self._table.named:
+            return
+        for announcement in announcements:
+            name = announcement.backend_server
+            if name in self._table.held:
+                continue
+            brittle = self._brittle_of_service(announcement.service)
+            if brittle is not None:
+                self._table.presume_brittle(
+                    name, announcement.epoch, brittle, now
+                )
+
+    def _brittle_of_service(self, service):
+        """Return the least that a server of a service may turn away."""
+        found = [
+            held.record.brittle
+            for name, held in self._table.held.items()
+            if held.record.brittle is not None
+            and (record := self._state.directory.server(name)) is not None
+            and record.announcement.service == service
+        ]
+        return min(found, default=None)
+
     def _is_connected(self, now):
         """Return whether this instance is on the side of the majority."""
         log = self._state.log
@@ -281,6 +342,7 @@
     fields = {
         "backend_server": record.server,
         "limit": record.limit,
+        "brittle": record.brittle,
         "before": before,
         "source": source,
         "age": round(age, 3),
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/permits.py
@@ -36,13 +36,17 @@
 
     ``record`` is what the sender holds of the server's limit, ``number``
     grows with each ask of the sender.  ``spent`` is how many requests the
-    sender has sent there without a permit since the last ask.
+    sender has sent there without a permit since the last ask.  Of a brittle
+    server, ``in_use`` is how many of its places the sender uses or has permits
+    for, and ``seen`` the serial of the last grant that is counted in that.
     """
 
     record: server_limits.LimitRecord
     number: int
     wants: list[Want]
     spent: int = 0
+    in_use: int = 0
+    seen: int = 0
 
 
 class PermitRequests(msgspec.Struct, tag="permit_requests"):
@@ -58,7 +62,8 @@
     ``count`` permits are for any request, and one more is for a request of
     each priority in ``reserved``.  ``granting`` is false if the receiver of
     the ask is not the holder, or only since a moment ago.  ``next_in`` is the
-    time in seconds until the holder has another permit.
+    time in seconds until the holder has another permit.  ``rate`` is how many
+    a second it issues lately, for a server that names no rate itself.
     """
 
     server: str
@@ -70,6 +75,7 @@
     granting: bool = True
     next_in: float = 0.0
     outlooks: list[Outlook] = []
+    rate: float = 0.0
 
 
 class PermitGrants(msgspec.Struct, tag="permit_grants"):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_limits.py
@@ -53,11 +53,32 @@
     return float(text)
 
 
+def parse_brittle(texts):
+    """Return how many requests a second a brittle server may turn away.
+
+    ``texts`` are the values of all fields of an answer that say so; without
+    any, the result is ``None``.  Raises :class:`BadLimit` unless there is
+    exactly one value and it is a whole number of at least 0.
+
+    >>> parse_brittle(["2"])
+    2
+    """
+    found = parse(texts)
+    if found is None:
+        return None
+    if found != int(found):
+        raise BadLimit(f"{texts[0]!r} is no whole number of refusals")
+    return int(found)
+
+
 class LimitRecord(msgspec.Struct, array_like=True, frozen=True):
     """What one incarnation of a server last named.
 
     ``limit`` is in requests per second, ``None`` if the server no longer
     names one.  ``refused`` is true if only refusals have named it.
+    ``brittle`` is how many requests a second it may turn away before it falls
+    over, ``None`` if it does not say so: then it gets no more requests at a
+    time than it has places for.
     """
 
     server: str
@@ -65,11 +86,18 @@
     version: int
     limit: float | None
     refused: bool = False
+    brittle: int | None = None
+
+    @property
+    def is_named(self):
+        """Whether the server names anything."""
+        return self.limit is not None or self.brittle is not None
 
     def order(self):
         """Return the sort key; the record with the greatest one wins."""
         limit = NO_LIMIT if self.limit is None else self.limit
-        return (self.epoch, self.version, -limit, not self.refused)
+        brittle = NO_LIMIT if self.brittle is None else self.brittle
+        return (self.epoch, self.version, -limit, not self.refused, -brittle)
 
 
 class LimitRecords(msgspec.Struct, tag="limit_records"):
@@ -81,9 +109,9 @@
 class Reading(msgspec.Struct):
     """What one answer of a server says of its limit.
 
-    ``sent_at`` is when the request was sent and ``limit`` what the answer
-    names, ``None`` without a limit.  ``refused`` is true if the server did not
-    run the request.
+    ``sent_at`` is when the request was sent; ``limit`` and ``brittle`` are
+    what the answer names, ``None`` without it.  ``refused`` is true if the
+    server did not run the request.
     """
 
     server: str
@@ -91,6 +119,12 @@
     limit: float | None
     sent_at: float
     refused: bool = False
+    brittle: int | None = None
+
+    @property
+    def is_named(self):
+        """Whether the answer names anything."""
+        return self.limit is not None or self.brittle is not None
 
 
 class HeldLimit(msgspec.Struct):
@@ -119,6 +153,25 @@
         held = self.held.get(server)
         return held.record.limit if held else None
 
+    def brittle_of(self, server):
+        """Return how much a server may turn away a second, or ``None``."""
+        held = self.held.get(server)
+        return held.record.brittle if held else None
+
+    def is_named(self, server):
+        """Return whether a server names a limit or that it is brittle."""
+        held = self.held.get(server)
+        return held is not None and held.record.is_named
+
+    def presume_brittle(self, server, epoch, brittle, now):
+        """Take a server that has just started for as brittle as others.
+
+        Its first answer says whether it is.
+        """
+        if server not in self.held:
+            record = LimitRecord(server, epoch, 0, None, False, brittle)
+            self._put(record, now)
+
     def read(self, reading, now):
         """Apply an answer that arrived at ``now``.
 
@@ -128,9 +181,11 @@
         if held is not None and reading.epoch < held.record.epoch:
             return None
         if held is None or reading.epoch > held.record.epoch:
-            if reading.limit is None:
+            if not reading.is_named:
                 return None
             return self._put(_first_record(reading), now)
+        if _changes_brittle(reading, held):
+            return self._put(_next_record(held.record, reading), now)
         if reading.limit is not None and reading.limit == held.record.limit:
             held.confirmed_at = now
             if reading.refused or not held.record.refused:
@@ -151,7 +206,7 @@
         """Drop the record of a server, if there is one."""
         held = self.held.pop(server, None)
         if held is not None:
-            self.named -= held.record.limit is not None
+            self.named -= held.record.is_named
             self.digest.drop(server)
 
     def records_of(self, servers):
@@ -163,9 +218,9 @@
         ]
 
     def _put(self, record, now):
-        before = self.limit_of(record.server)
+        before = self.is_named(record.server)
         self.held[record.server] = HeldLimit(record, now, now)
-        self.named += (record.limit is not None) - (before is not None)
+        self.named += record.is_named - before
         self.digest.put(record.server, record.order())
         return record
 
@@ -189,9 +244,28 @@
     return is_lower or not may_be_older
 
 
+def _changes_brittle(reading, held):
+    """Return whether an answer says something else of a brittle server.
+
+    Of one that may be older than the record only what is stricter is taken.
+    """
+    before = held.record.brittle
+    if reading.brittle == before:
+        return False
+    is_stricter = reading.brittle is not None and (
+        before is None or reading.brittle < before
+    )
+    return is_stricter or reading.sent_at >= held.learned_at
+
+
 def _first_record(reading):
     return LimitRecord(
-        reading.server, reading.epoch, 1, reading.limit, reading.refused
+        reading.server,
+        reading.epoch,
+        1,
+        reading.limit,
+        reading.refused and reading.limit is not None,
+        reading.brittle,
     )
 
 
@@ -202,4 +276,5 @@
         record.version + 1,
         reading.limit,
         reading.refused and reading.limit is not None,
+        reading.brittle,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permit_issuer.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..coordination import permits
+from . import place_ledger
 
 # Tokens of this many seconds are kept while nobody asks, and at least this
 # number: at low rates some would else be lost between two requests.
@@ -27,6 +28,8 @@
 MIN_MAX_DEBT = 5.0
 # The bucket of a server that nobody asked for in this time is dropped.
 IDLE_SECONDS = 60.0
+# The rate of a server that bounds only how many requests it runs at a time.
+UNLIMITED = float("inf")
 
 
 class Asker(msgspec.Struct, frozen=True):
@@ -57,11 +60,16 @@
 
 
 class _Bucket:
-    """The tokens of one server, and the asks for them."""
+    """The tokens of one server, and the asks for them.
+
+    ``places`` (:class:`.place_ledger.PlaceLedger`) has the free places of a
+    brittle server and is ``None`` for others.
+    """
 
     __slots__ = (
         "epoch",
         "asks",
+        "places",
         "_last_turn",
         "_tokens",
         "_filled_at",
@@ -71,6 +79,7 @@
     def __init__(self, epoch, now):
         self.epoch = epoch
         self.asks = {}
+        self.places = None
         self._last_turn = 0
         self._tokens = 0.0
         self._filled_at = now
@@ -78,6 +87,12 @@
         self._recent = collections.deque(maxlen=MAX_PASSED_OVER)
 
     def fill(self, rate, now):
+        if rate == UNLIMITED:
+            self._tokens = UNLIMITED
+            self._filled_at = now
+            return
+        if self._tokens == UNLIMITED:
+            self._tokens = 0.0
         gained = (now - self._filled_at) * rate
         self._tokens = min(
             max(MIN_BURST, BURST_SECONDS * rate), self._tokens + gained
@@ -92,6 +107,8 @@
         return not self.asks and now - self._filled_at > IDLE_SECONDS
 
     def seconds_to_next(self, rate):
+        if rate == UNLIMITED:
+            return self.places.seconds_to_next()
         return max(0.0, 1.0 - self._tokens) / rate
 
     def backlog(self):
@@ -149,9 +166,14 @@
             since += 1
         return MAX_PASSED_OVER - since
 
-    def issue(self):
-        """Issue permits for all tokens."""
-        while self._tokens >= 1.0:
+    def _may_issue(self):
+        return self._tokens >= 1.0 and (
+            self.places is None or self.places.free() > 0
+        )
+
+    def issue(self, now):
+        """Issue permits for all tokens, or while there are places."""
+        while self._may_issue():
             waiting = sorted(self.backlog())
             if not waiting:
                 break
@@ -159,7 +181,10 @@
             priority = waiting[-1] if is_reserved else waiting[0]
             self._recent.append(priority)
             self._tokens -= 1.0
-            self._give(self._next_ask(priority), priority, is_reserved)
+            ask = self._next_ask(priority)
+            if self.places is not None:
+                self.places.take(ask.asker, now)
+            self._give(ask, priority, is_reserved)
 
     def _next_ask(self, priority):
         """Return the ask whose turn it is."""
@@ -183,11 +208,14 @@
     """The buckets of all servers whose permits this instance holds.
 
     ``rate(server, now)`` returns how many permits a second it may issue for a
-    server, 0.0 if none.
+    server, 0.0 if none and ``UNLIMITED`` where only places bound it;
+    ``places(server)`` how many requests it takes at a time, ``None`` unless it
+    is brittle.
     """
 
-    def __init__(self, rate):
+    def __init__(self, rate, places=lambda server: None):
         self._rate = rate
+        self._places = places
         self._buckets = {}
         self._serial = 0
 
@@ -216,11 +244,14 @@
             self._buckets[record.server] = bucket
         if _is_outdated(bucket.asks.get(asker.instance), asker, ask):
             return []
+        self._update_places(record.server, bucket, now)
+        if bucket.places is not None:
+            bucket.places.report(asker, ask.in_use, ask.seen, now)
         bucket.fill(rate, now)
         bucket.spend(ask.spent, rate)
         bucket.stand(asker, ask, now)
         answered = asker.instance if ask.wants else ""
-        return self._deliver(record.server, bucket, rate, answered)
+        return self._deliver(record.server, bucket, rate, now, answered)
 
     def tick(self, now):
         """Return the deliveries of the tokens that came since."""
@@ -234,9 +265,20 @@
             rate = self._rate(server, now)
             if rate:
                 bucket.fill(rate, now)
-                out.extend(self._deliver(server, bucket, rate))
+                self._update_places(server, bucket, now)
+                out.extend(self._deliver(server, bucket, rate, now))
         return out
 
+    def _update_places(self, server, bucket, now):
+        """Follow how many places a brittle server has."""
+        count = self._places(server)
+        if count is None:
+            bucket.places = None
+            return
+        if bucket.places is None:
+            bucket.places = place_ledger.PlaceLedger(now)
+        bucket.places.update(count, now)
+
     def remove(self, server):
         """Drop the bucket of a server that names no limit any more."""
         self._buckets.pop(server, None)
@@ -245,12 +287,15 @@
         self._serial += 1
         return self._serial
 
-    def _deliver(self, server, bucket, rate, always=""):
+    def _deliver(self, server, bucket, rate, now, always=""):
         """Issue permits; return a grant for each instance that got one.
 
         The instance ``always`` gets a grant even without a permit.
         """
-        bucket.issue()
+        bucket.issue(now)
+        issued_rate = 0.0
+        if bucket.places is not None:
+            issued_rate = round(bucket.places.rate(now), 2)
         next_in = round(bucket.seconds_to_next(rate), 3)
         out = []
         for ask in bucket.asks.values():
@@ -268,7 +313,10 @@
                 True,
                 next_in,
                 bucket.outlooks(ask),
+                issued_rate,
             )
+            if bucket.places is not None:
+                bucket.places.sent(ask.asker, grant.serial, now)
             ask.count = 0
             ask.reserved = []
             out.append(Delivery(ask.asker, grant))
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/permits.py
@@ -74,7 +74,11 @@
 
     def is_limited(self, server):
         """Return whether a server names a limit."""
-        return self.active and self._limits.limit_of(server) is not None
+        return self.active and self._limits.is_named(server)
+
+    def is_brittle(self, server):
+        """Return whether a server takes only as many as it has places."""
+        return self.active and self._limits.brittle_of(server) is not None
 
     def limit_of(self, server):
         """Return the limit of a server in requests per second, or ``None``."""
@@ -88,7 +92,7 @@
             self._limited = [
                 name
                 for name, held in self._limits.held.items()
-                if held.record.limit is not None
+                if held.record.is_named
             ]
         return self._limited
 
@@ -116,10 +120,19 @@
             "limited-server-only-with-a-permit",
             f"{request_id} to {server}",
         )
-        self._servers[server].permits.remove(permit)
+        state = self._servers[server]
+        state.permits.remove(permit)
+        if self.is_brittle(server):
+            state.running.add(request_id)
         self._taken.add((request_id, server))
         self.counts.used += 1
 
+    def release(self, server, request_id):
+        """Record that an attempt at a server has ended."""
+        state = self._servers.get(server)
+        if state is not None:
+            state.running.discard(request_id)
+
     def confirm(self, request_id, server):
         """Check that a request that is dispatched has taken its permit."""
         if not self.is_limited(server):
@@ -154,7 +167,7 @@
         before it here.  Returns ``None`` if nothing is known yet.
         """
         state = self._state(server)
-        rate = rate_of(self._limits.limit_of(server))
+        rate = self._rate(server, state)
         if state.part is not None:
             if now - state.asked_at >= server_permits.SILENT_SECONDS:
                 # The next request asks whether the holder is back.
@@ -173,6 +186,11 @@
                 ahead = outlook.ahead + position * outlook.turns
         return max(0.0, estimate.next_in - (now - estimate.at)) + ahead / rate
 
+    def _rate(self, server, state):
+        """Return how many permits a second a server's holder issues."""
+        limit = self._limits.limit_of(server)
+        return rate_of(state.rate if limit is None else limit)
+
     def _find(self, server, priority, now):
         state = self._servers.get(server)
         return state.find(priority, now) if state else None
@@ -191,7 +209,7 @@
         return [
             server
             for server, state in self._servers.items()
-            if state.is_due(now) and self.is_limited(server)
+            if self.is_limited(server) and state.is_due(now)
         ]
 
     def ask(self, server, now):
@@ -205,6 +223,8 @@
             self._number,
             [permits.Want(*item) for item in sorted(state.wants.items())],
             spent,
+            state.in_use() if self.is_brittle(server) else 0,
+            state.seen,
         )
 
     def receive(self, grant, holder, now):
@@ -224,11 +244,11 @@
         self.counts.granted += added
         return added > 0
 
-    def tick(self, part, now):
+    def tick(self, part, now, places=lambda server: 0):
         """Drop expired permits and add those of this instance's part.
 
         ``part`` is the :class:`.server_permits.Part` to use where the holder
-        is silent.
+        is silent, of a brittle server ``places(server)`` places.
         """
         self._seen = {
             key: expires_at
@@ -240,11 +260,15 @@
                 del self._servers[server]
                 continue
             self.counts.expired += state.drop_expired(now)
-            if state.is_silent(now):
+            if not state.is_silent(now):
+                state.part = None
+            elif self.is_brittle(server):
+                self.counts.without_holder += state.use_places(
+                    places(server), now
+                )
+            else:
                 rate = rate_of(self._limits.limit_of(server))
                 self.counts.without_holder += state.use_part(part, rate, now)
-            else:
-                state.part = None
 
     def limit_changed(self, server, before):
         """Drop the permits for a server that takes much less than before.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_permits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_permits.py
@@ -66,6 +66,10 @@
         "part",
         "part_tokens",
         "part_filled_at",
+        "running",
+        "reported",
+        "seen",
+        "rate",
     )
 
     def __init__(self, epoch):
@@ -87,6 +91,16 @@
         self.part = None
         self.part_tokens = None
         self.part_filled_at = 0.0
+        # Of a brittle server: the requests that use a place, how many places
+        # the holder was last told of, the last grant and the issued rate.
+        self.running = set()
+        self.reported = 0
+        self.seen = 0
+        self.rate = 0.0
+
+    def in_use(self):
+        """Return how many places are used or have a permit."""
+        return len(self.running) + len(self.permits)
 
     def wanted(self):
         """Return how many permits are wanted."""
@@ -98,6 +112,11 @@
         if self.spent:
             return since >= CHANGED_SECONDS
         wanted = self.wanted()
+        if self.in_use() < self.reported:
+            # Others wait for the place.
+            return True
+        if self.in_use() and since >= REPEAT_SECONDS:
+            return True
         if not wanted:
             # Withdraws the last ask: a permit for a request that has been
             # refused meanwhile would be lost.
@@ -130,6 +149,7 @@
     def record_ask(self, number, now):
         """Record that the holder is asked for what is wanted now."""
         self.sent[number] = now
+        self.reported = self.in_use()
         self.asked_at = now
         self.owed = self.wanted()
         self.asked_priority = min(self.wants, default=float("inf"))
@@ -151,6 +171,8 @@
         use_by = min(now + USE_SECONDS, sent_at + MAX_ANSWER_SECONDS)
         self.permits.extend([Permit(use_by)] * grant.count)
         self.permits.extend(Permit(use_by, item) for item in grant.reserved)
+        self.seen = max(self.seen, grant.serial)
+        self.rate = grant.rate
         count = grant.count + len(grant.reserved)
         self.owed = max(0, self.owed - count)
         return count
@@ -166,6 +188,13 @@
                 del self.sent[number]
         return count
 
+    def use_places(self, places, now):
+        """Use up to ``places`` of a brittle server; return how many came."""
+        if self.in_use() >= places or not self.wants:
+            return False
+        self.permits.append(Permit(now + USE_SECONDS))
+        return True
+
     def use_part(self, part, rate, now):
         """Use ``part`` of ``rate``; return whether that gave a permit."""
         if self.part_tokens is None:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -479,6 +479,8 @@
         attempt = self._attempts.take(ended)
         if attempt is None:
             return
+        if self._permits.active:
+            self._permits.release(attempt.server, ended.request_id)
         state = attempt.server_state
         state.running -= 1
         state.unread -= attempt.unread
--- a/packages/dandeliontrail/src/dandeliontrail/events/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/servers.py
@@ -16,7 +16,8 @@
     """An answer of a server arrived, and the server has or had a limit.
 
     ``texts`` are the values of the answer's fields that name a limit, in
-    requests per second from all instances together.  ``sent_at`` is when the
+    requests per second from all instances together, ``brittle_texts`` those
+    that say how much the server may turn away.  ``sent_at`` is when the
     request was sent, in seconds on this instance's clock; ``refused`` is true
     if the server answered that it did not run the request.
     """
@@ -26,6 +27,7 @@
     texts: list[str]
     sent_at: float
     refused: bool = False
+    brittle_texts: list[str] = []
 
 
 class SentWithoutPermit(msgspec.Struct):
