Operators see which servers an instance does not reach, and what goes through peers

Log line 'reach of backend servers', metrics backend_servers_unreachable, tunnels_open, attempts_through_peers_total, path_checks_total. The only lost server is looked for at three peers, so that it takes what those in reach have no room for. Asserted: a tunnel leads through a known peer.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -60,7 +60,7 @@
         self._version = 0
         self._version_changed = gevent_event.Event()
         self._effect_handlers = {
-            effects.Dispatch: self._deliver_to_exchange,
+            effects.Dispatch: self._dispatch,
             effects.Refuse: self._deliver_to_exchange,
             effects.Replay: self._deliver_to_exchange,
             effects.Abandon: self._abandon,
@@ -245,6 +245,11 @@
         """Unregister the async result of a write."""
         self._pending_writes.pop(write_id, None)
 
+    def _dispatch(self, effect):
+        if effect.peer:
+            self.metrics.counters["attempts_through_peers_total"] += 1
+        self._deliver_to_exchange(effect)
+
     def _deliver_to_exchange(self, effect):
         exchange = self._exchanges.get(effect.request_id)
         if exchange:
@@ -268,6 +273,7 @@
             pool.forget(effect.url)
 
     def _check_path(self, effect):
+        self.metrics.counters["path_checks_total"] += 1
         gevent.spawn(self._run_path_check, effect)
 
     def _run_path_check(self, effect):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
@@ -256,6 +256,9 @@
     named = {f"configuration_{name}": gauges[name] for name in gauges}
     named.update(duty_views.gauges(host.state))
     named.update(limit_views.gauges(host.state))
+    lost = host.reducer.policy.lost_servers()
+    named["backend_servers_unreachable"] = len(lost)
+    named["tunnels_open"] = host.open_tunnels
     return "".join(
         f"dandeliontrail_{name} {value}\n" for name, value in named.items()
     )
--- a/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
@@ -24,6 +24,11 @@
     announcement = record.announcement
     incarnation = (server, announcement.epoch)
     peer_address = state.members.address_of(placement.peer)
+    invariants.check(
+        bool(placement.peer) == bool(peer_address),
+        "a-tunnel-leads-through-a-known-peer",
+        f"{work.request_id} through {placement.peer}",
+    )
     inputs = answers.decision_inputs(state, placement.grounds, work, now)
     queue_waits = []
     if placement.hedge:
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_paths.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_paths.py
@@ -1,5 +1,7 @@
 """The component that has the paths to backend servers checked."""
 
+import enum
+
 from .. import effects
 from .. import events
 from .. import interfaces
@@ -11,6 +13,20 @@
 }
 
 
+class Reach(enum.Enum):
+    """How many of the servers that serve an instance reaches directly."""
+
+    ALL = "all"
+    SOME = "some"
+    NONE = "none"
+
+
+def _reach_of(unreachable, serving):
+    if not unreachable:
+        return Reach.ALL
+    return Reach.NONE if unreachable == serving else Reach.SOME
+
+
 class ServerPaths(interfaces.Component):
     """Requests the checks that the policy wants, and applies their results.
 
@@ -21,14 +37,40 @@
         self._state = state
         self._policy = policy
         self._lives = lives
+        self._logged_reach = Reach.ALL
 
     def handlers(self):
         """Return the handler of the results of checks."""
         return {events.PathChecked: self._handle_checked}
 
     def tick(self, now):
-        """Return the checks that are due."""
-        return self._due_checks(now)
+        """Return the checks that are due, and report a change of reach."""
+        return self._due_checks(now) + self._report_reach(now)
+
+    def _report_reach(self, now):
+        """Log whether this instance reaches all, some or no servers."""
+        lost = self._policy.lost_servers()
+        if not lost and self._logged_reach is Reach.ALL:
+            return []
+        servers = self._state.registry.servers.values()
+        serving = [
+            item.announcement.backend_server
+            for item in servers
+            if item.serves(now)
+        ]
+        unreachable = [name for name in lost if name in serving]
+        reach = _reach_of(len(unreachable), len(serving))
+        if reach is self._logged_reach:
+            return []
+        self._logged_reach = reach
+        fields = {
+            "reach": reach.value,
+            "unreachable": len(unreachable),
+            "servers": len(serving),
+            "important": True,
+        }
+        level = "info" if reach is Reach.ALL else "warning"
+        return [effects.Log(level, "reach of backend servers", fields)]
 
     def _due_checks(self, now):
         out = []
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
@@ -100,10 +100,9 @@
     def _due_through_peers(self, now):
         """Return a check that finds out whether a peer reaches a lost server.
 
-        Without it a request would have to find out.  A single lost path is
-        mostly the end of its server, which no peer reaches either.
+        Without it a request would have to find out.
         """
-        if not self.all_suspect or now < self._next_peer_check:
+        if now < self._next_peer_check:
             return []
         for name in sorted(self.unreachable - self._pending_through_peers):
             if self._peer_paths.is_confirmed(name, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
@@ -25,8 +25,10 @@
 FAILED_COST = 8.0
 UNPROVEN_COST = 4.0
 # A server that this many peers which reach others cannot reach, one after the
-# other, counts as down for everybody, for the time below.
+# other, counts as down for everybody, for the time below.  The second figure
+# is for the only server that is lost here, which most likely has ended.
 MIN_PEERS_FOR_DOWN = 8
+MIN_PEERS_FOR_SINGLE_DOWN = 3
 DOWN_SECONDS = 3.0
 # Evidence that a peer reaches a server holds for this long.
 CONFIRMED_SECONDS = 3.0
@@ -158,8 +160,11 @@
         evidence.reached_at = now
         evidence.down_until = NEVER
 
-    def record_failure(self, peer, server, failure, now):
-        """Record that ``peer`` opened no tunnel to ``server``."""
+    def record_failure(self, peer, server, failure, now, is_single=False):
+        """Record that ``peer`` opened no tunnel to ``server``.
+
+        ``is_single`` is true if no other server is lost here.
+        """
         self._remove_expired(now)
         if failure is not PathFailure.SERVER:
             self._extend_backoff(_Path(peer), now)
@@ -167,7 +172,10 @@
         self._extend_backoff(_Path(peer, server), now)
         evidence = self._evidence[server]
         evidence.failed.add(peer)
-        if len(evidence.failed) >= MIN_PEERS_FOR_DOWN:
+        needed = MIN_PEERS_FOR_DOWN
+        if is_single:
+            needed = MIN_PEERS_FOR_SINGLE_DOWN
+        if len(evidence.failed) >= needed:
             evidence.failed.clear()
             evidence.down_until = now + DOWN_SECONDS
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -82,6 +82,10 @@
     def check_dropped(self, check):
         """Forget a due check of a server that gets no work any more."""
 
+    def lost_servers(self):
+        """Return the names of the servers that cannot be reached directly."""
+        return []
+
     def tunnel_opened(self, peer, server, now):
         """Record that a server was reached through another instance."""
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -488,7 +488,7 @@
         if attempt.peer:
             self._peer_paths.record_closed(attempt.peer)
         if ended.path_failure:
-            self._peer_paths.record_failure(
+            self._record_path_failure(
                 attempt.peer, attempt.server, ended.path_failure, now
             )
         elif ended.gone:
@@ -611,9 +611,15 @@
         if result.reached:
             self._peer_paths.record_reached(peer, server, now)
         else:
-            self._peer_paths.record_failure(
-                peer, server, result.path_failure, now
-            )
+            self._record_path_failure(peer, server, result.path_failure, now)
+
+    def _record_path_failure(self, peer, server, failure, now):
+        is_single = not self._checks.all_suspect
+        self._peer_paths.record_failure(peer, server, failure, now, is_single)
+
+    def lost_servers(self):
+        """Return the names of the servers that cannot be reached directly."""
+        return sorted(self._checks.unreachable)
 
     def tunnel_opened(self, peer, server, now):
         """Record that a server was reached through another instance."""
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 
+from dandeliontrail_node.listeners import resource_views
 from dandeliontrail_node import tunnel_messages
 
 from tests.common import platform_world
@@ -103,9 +104,16 @@
     ]
 
 
+def metrics_of(entry):
+    return resource_views.log_metrics(entry.host)
+
+
 def test_a_request_through_a_peer_arrives_as_sent_and_runs_once():
     with deployment() as site:
         site.cut_off()
+        world.wait_until(
+            lambda: "servers_unreachable 2" in metrics_of(site.cut)
+        )
         reply = site.call(
             "/order/a?b=c",
             "o1",
