A connection that lives on is not given up for a lost path

Where open connections live on and new ones are refused, a stream with a gap of a quarter second was asked for elsewhere, again and again. It counts as silent after half a second. A request that is blocked asks no further peers.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -19,6 +19,9 @@
 EVENT_STREAM = "text/event-stream"
 # How often an attempt that waits looks whether its path was found to be lost.
 LOOK_UP_SECONDS = 0.25
+# An attempt whose path was found to be lost counts as silent after this long:
+# its own connection may live on.
+LOST_PATH_SECONDS = 0.5
 # A timer may fire slightly before the clock has reached its time.
 TIMER_SLACK_SECONDS = 0.005
 
@@ -130,17 +133,15 @@
     def is_silent(self):
         """Return whether the server counts as silent.
 
-        It does after the silence timeout, and at once if the path to it was
+        It does after the silence timeout, or sooner if the path to it was
         found to be lost.
         """
         context = self._context
         life = context.host.request_lifecycle(context.incoming.request_id)
-        if life is not None and life.attempt == self.number:
-            if life.path_lost:
-                return True
-        return self._request.silent_seconds >= (
-            self._silence_timeout - TIMER_SLACK_SECONDS
-        )
+        timeout = self._silence_timeout
+        if life is not None and life.attempt == self.number and life.path_lost:
+            timeout = min(timeout, LOST_PATH_SECONDS)
+        return self._request.silent_seconds >= timeout - TIMER_SLACK_SECONDS
 
     def close(self):
         """End the attempt and cancel it at a server that still works on it."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -306,6 +306,7 @@
         request = self._find_current(event)
         if request is None:
             return []
+        request.path_lost = False
         out = [answers.attempt_line(request, "attempt spoke again", now)]
         hedge = self._hedges.drop(request, now)
         if hedge is None:
@@ -377,6 +378,8 @@
         Its server stays eligible, since another peer may reach it.
         """
         work = request.work
+        if self._ends.is_blocked(work.fingerprint, now):
+            return self._refuse(request, ENDS_SERVERS, now)
         work.note_path_failure(now)
         searched = now - work.path_search_began
         if (
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -143,6 +143,19 @@
     assert len(site.ran("c1")) == 2
 
 
+def test_a_stream_on_a_connection_that_lives_on_is_left_alone():
+    with deployment() as site:
+        site.call()
+        job = gevent.spawn(site.call, "/chat/x", "c1")
+        gevent.sleep(2.5 * EVENT_SECONDS)
+        site.paths[0].cut(Cut.REFUSE_NEW)
+        for number in range(4):
+            site.call(request_id=f"r{number}")
+        reply = job.get(timeout=5)
+        assert ids_of(reply) == list(range(1, EVENTS + 1))
+        assert len(site.ran("c1")) == 1
+
+
 def test_events_are_passed_on_as_they_come():
     with deployment() as site:
         site.cut_off()
