--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -7,6 +7,7 @@
 from dandeliontrail.decisions import tunnel_admission
 
 from .. import connection
+from .. import peer_link
 from .. import tunnel_messages
 from . import answer_parser
 
@@ -99,7 +100,7 @@
             f"Host: {peer_address}",
             "Connection: Upgrade",
             f"Upgrade: {tunnel_messages.PROTOCOL}",
-            f"{tunnel_messages.SIGNATURE_HEADER}: {self._key.sign(body)}",
+            f"{peer_link.SIGNATURE_HEADER}: {self._key.sign(body)}",
             f"Content-Length: {len(body)}",
         )
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -273,7 +273,6 @@
             pool.forget(effect.url)
 
     def _check_path(self, effect):
-        self.metrics.counters["path_checks_total"] += 1
         gevent.spawn(self._run_path_check, effect)
 
     def _run_path_check(self, effect):
@@ -285,6 +284,8 @@
             reached = failure is None
         else:
             reached = pool.check(effect.url, effect.silent_seconds)
+        if reached is not None:
+            self.metrics.counters["path_checks_total"] += 1
         self.submit(
             events.PathChecked(
                 effect.backend_server,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/peers.py
@@ -20,6 +20,16 @@
 ACCEPTS_ANSWERS_ENVIRON_KEY = _environ_key(peer_link.ANSWERS_HEADER)
 
 
+def not_signed():
+    """Return the problem of a body that no instance of this system signed."""
+    return wsgi.Problem(
+        401,
+        "peer_signature",
+        "The batch is not signed with this system's key.",
+        "use the same peer_key_file on every instance",
+    )
+
+
 class PeersApp:
     """Receives the batches that :mod:`..peer_link` sends, and answers them.
 
@@ -44,12 +54,7 @@
             environ, self._limits.body_bytes, MAX_BODY_SECONDS
         )
         if not self._key.verify(body, environ.get(SIGNATURE_ENVIRON_KEY, "")):
-            raise wsgi.Problem(
-                401,
-                "peer_signature",
-                "The batch is not signed with this system's key.",
-                "use the same peer_key_file on every instance",
-            )
+            raise not_signed()
         try:
             encoding = environ.get("HTTP_CONTENT_ENCODING", "")
             envelope, left_out = codec.decode(packing.unpack(body, encoding))
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -16,6 +16,7 @@
 from .. import tunnel_messages
 from .. import wsgi
 from ..forwarding import connections
+from . import peers
 
 # What is held of each tunnel and direction at a time.
 CHUNK_BYTES = 16 * 1024
@@ -27,9 +28,6 @@
     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
     f"Upgrade: {tunnel_messages.PROTOCOL}\r\n\r\n"
 ).encode()
-SIGNATURE_ENVIRON_KEY = "HTTP_" + (
-    tunnel_messages.SIGNATURE_HEADER.upper().replace("-", "_")
-)
 
 
 class TunnelApp:
@@ -48,14 +46,9 @@
     def __call__(self, environ, start_response):
         """Serve one request."""
         body = wsgi.read_body(environ, MAX_REQUEST_BYTES, REQUEST_SECONDS)
-        signature = environ.get(SIGNATURE_ENVIRON_KEY, "")
+        signature = environ.get(peers.SIGNATURE_ENVIRON_KEY, "")
         if not self._key.verify(body, signature):
-            raise wsgi.Problem(
-                401,
-                "peer_signature",
-                "The request is not signed with this system's key.",
-                "use the same peer_key_file on every instance",
-            )
+            raise peers.not_signed()
         request = wsgi.decode(
             body,
             tunnel_messages.TunnelRequest,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/tunnel_messages.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/tunnel_messages.py
@@ -11,7 +11,6 @@
 
 PATH = "/peer/v1/tunnel"
 PROTOCOL = "dandeliontrail-tunnel"
-SIGNATURE_HEADER = "X-Peer-Signature"
 REFUSED_STATUS = 503
 SWITCHED_STATUS = 101
 
