--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -121,7 +121,6 @@
         origin_sock.settimeout(None)
         tunnel = _Tunnel(origin_sock, server_sock)
         with self._host.counted_tunnel():
-            origin_sock.sendall(SWITCHING)
             tunnel.run()
         self._host.metrics.counters["tunnel_bytes_total"] += tunnel.bytes
         fields = {
@@ -152,6 +151,12 @@
         The end and a reset of the server are passed on as such: an answer
         without a length ends with its connection, but not with a reset.
         """
+        try:
+            self._origin_sock.sendall(SWITCHING)
+        except OSError:
+            # The instance has left while the server was being connected to.
+            self.ended_by = "origin"
+            return
         to_server = gevent.spawn(self._copy_to_server)
         try:
             self._copy_to_origin()
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -340,8 +340,34 @@
         drained.join()
 
 
-def ask_for_tunnel(site, **changes):
-    """Ask a helper for a tunnel; return the reply."""
+def test_an_instance_that_has_left_before_its_tunnel_stands_is_no_fault(
+    caplog,
+):
+    with deployment() as site:
+        path = site.paths[1]
+        connect = path.connect
+
+        def connect_late(address, seconds):
+            gevent.sleep(0.1)
+            return connect(address, seconds)
+
+        site.helpers[0].host.connection_pools[0].connect = connect_late
+        sock = site.platform.connect(
+            site.helpers[0], site.platform.ports["inner"]
+        )
+        body = tunnel_request(site)
+        platform_world.send(sock, "POST", tunnel_messages.PATH, body=body)
+        linger = server_paths.proxy.LINGER_RESET
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        gevent.sleep(0.05)
+        sock.close()
+        gevent.sleep(0.3)
+        assert not site.helpers[0].host.open_tunnels
+        assert "listener failed" not in caplog.text
+
+
+def tunnel_request(site, **changes):
+    """Return the body of a request for a tunnel to the first server."""
     helper = site.helpers[0]
     server = site.servers[0]
     known = helper.host.state.registry.servers[server.id].announcement
@@ -352,12 +378,16 @@
         "url": known.url,
         **changes,
     }
-    request = tunnel_messages.TunnelRequest(**fields)
+    return msgspec.json.encode(tunnel_messages.TunnelRequest(**fields))
+
+
+def ask_for_tunnel(site, **changes):
+    """Ask a helper for a tunnel; return the reply."""
     return site.platform.ask(
-        helper,
+        site.helpers[0],
         "POST",
         tunnel_messages.PATH,
-        body=msgspec.json.encode(request),
+        body=tunnel_request(site, **changes),
         port=site.platform.ports["inner"],
     )
 
