--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -363,7 +363,7 @@
         if kind == "order":
             self.orders.append(request_id)
         reply = self._exchange(conn, kind, request_id, key)
-        if key == valid_key and not _is_limited(reply):
+        if key == valid_key:
             served = reply is not None and reply.status == 200 and reply.whole
             self.first_tries.append(paths.FirstTry(sent, entry.ip, served))
         if reply is None:
@@ -481,10 +481,5 @@
                     )
 
 
-def _is_limited(reply):
-    """Return whether a request was refused for the limits of all servers."""
-    return reply is not None and b'"backend_server_limit"' in reply.body
-
-
 def _is_disk_fault_line(line):
     return any(text in line for text in DISK_FAULT_MESSAGES)
