Logs tell the software version of servers and which stream a request takes up

No line had the version of a server, nor told that a request resumes another: of the two ways in which streams may cross versions only the one within an answer could be seen. Announcements keep the version of the software, the lines of servers and decisions name it, decisions name the resumed request. Nothing is decided by either yet.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -12,7 +12,8 @@
     that the instance sets itself.  ``key`` is the caller's API key and
     ``timeout`` the time that the caller allows, in seconds.  ``parts`` are
     the parts of the prompt.  ``last_event_id`` is the id of the event after
-    which a resumed stream continues, or ''.
+    which a resumed stream continues, or ''.  ``resumes`` is the id of the
+    request that brought the first event of that stream, or ''.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     last_event_id: str = ""
+    resumes: str = ""
 
 
 class AttemptInfo(msgspec.Struct):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -131,6 +131,7 @@
                 fingerprints.of_content(
                     incoming.method, incoming.target, self._context.body
                 ),
+                incoming.resumes,
             )
         )
         self._start_deadline_timer()
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -5,6 +5,9 @@
 from .. import effects
 from .. import sentinels
 
+# Ids come from callers; the log keeps this much of one.
+MAX_LOGGED_ID_CHARACTERS = 64
+
 
 class _RefusalText(msgspec.Struct, frozen=True):
     status: int
@@ -184,6 +187,8 @@
         "revision": state.routing.number,
         "proven_ago": _rounded_seconds(state.log.proven_ago(now)),
     }
+    if work.resumes:
+        inputs["resumes"] = work.resumes[:MAX_LOGGED_ID_CHARACTERS]
     if grounds is not None:
         inputs.update(
             (name, value)
--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -137,6 +137,7 @@
     fields = {
         "backend_server": announcement.backend_server,
         "service": announcement.service,
+        "software_version": announcement.software_version,
         "url": announcement.url,
         "server_domain": announcement.failure_domain,
         "sequence": announcement.sequence,
--- a/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
@@ -30,6 +30,8 @@
         f"{work.request_id} through {placement.peer}",
     )
     inputs = answers.decision_inputs(state, placement.grounds, work, now)
+    if work.routed:
+        inputs["software_version"] = announcement.software_version
     queue_waits = []
     if placement.hedge:
         request.dispatch_hedge(server, incarnation, now, placement.peer)
--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -149,4 +149,5 @@
             event.host,
             event.content,
         ),
+        resumes=event.resumes,
     )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/directory.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/directory.py
@@ -45,6 +45,7 @@
         announcement.service,
         announcement.failure_domain,
         announcement.leaving,
+        announcement.software_version,
         tuple(
             (model.name, model.version, tuple(model.adapters))
             for model in announcement.models
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -31,6 +31,8 @@
     through peers that were not opened since the last attempt that began, from
     ``path_search_began`` on.
 
+    ``resumes`` is the id of the request whose stream this one takes up, or ''.
+
     ``limits`` are those of the organisation, ``class_limits`` those of each
     organisation in the class (``resources.specs.Limits``).
     """
@@ -69,6 +71,7 @@
     unreached_since: float | None = None
     path_failures: int = 0
     path_search_began: float = 0.0
+    resumes: str = ""
 
     def note_path_failure(self, now):
         """Record that a tunnel through a peer was not opened."""
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -37,7 +37,8 @@
     first; it is empty if the request does not generate output.  ``draw`` is
     the random number in [0, 1) that selects a service of a weighted split.
     ``content`` is a hash of method, path and body, which is the same each
-    time that the request is sent.
+    time that the request is sent.  ``resumes`` is the id of the request whose
+    stream the caller takes up, or ''.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     max_output_tokens: int = 0
     draw: float = 0.0
     content: str = ""
+    resumes: str = ""
 
 
 class AttemptBegan(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/resources/announcement_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/announcement_checks.py
@@ -43,7 +43,13 @@
 
 
 def _check_texts(announcement):
-    for field in ("backend_server", "failure_domain", "service", "role"):
+    for field in (
+        "backend_server",
+        "failure_domain",
+        "service",
+        "role",
+        "software_version",
+    ):
         value = getattr(announcement, field)
         required = field == "backend_server" or (
             field == "service" and announcement.kind == "service"
--- a/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
@@ -32,6 +32,8 @@
     ``lease`` is in seconds: for how long the server counts as alive without
     a further announcement.  ``leaving`` announces its shutdown.  A ``spot``
     server may be withdrawn by the platform at short notice.
+    ``software_version`` is the version of the server's software, not of its
+    models; servers without one are taken to run the same software.
     """
 
     backend_server: str
@@ -50,6 +52,7 @@
     checks_fencing: bool = False
     lease: float = 3.0
     spot: bool = False
+    software_version: str = ""
 
     def order(self):
         """Return the pair by which announcements are ordered."""
