--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -258,6 +258,10 @@
     def __exit__(self, *exc_info):
         return self._stack.__exit__(*exc_info)
 
+    def at_end(self, callback):
+        """Have ``callback`` called when the world ends."""
+        self._stack.callback(callback)
+
     def program(self, role):
         """Start an entry or a keeper at its own address."""
         self._count += 1
