Own interface: a stream goes on only at engines of its software version

The same fault on the own interface: an engine that died was followed by any other. Two tests: six streams whose engine dies go on at its version; without another engine of it they are cut off.

--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/client.py
@@ -36,7 +36,8 @@
 
     ``first_s`` is the time to the first event and ``total_s`` the total
     time, both in seconds.  ``complete`` is set only if the response itself
-    proves that it is complete.
+    proves that it is complete.  ``versions`` are the software versions that
+    wrote its events.
     """
 
     status: int
@@ -50,6 +51,7 @@
     retry_after: float = 0.0
     first_s: float = 0.0
     total_s: float = 0.0
+    versions: set = msgspec.field(default_factory=set)
 
 
 class Delta(msgspec.Struct):
@@ -77,6 +79,7 @@
 
     choices: list[Choice] = []
     error: ErrorDetails | None = None
+    system_fingerprint: str = ""
 
 
 def send(ask):
@@ -170,5 +173,6 @@
             break
         if body.choices:
             parts.append(body.choices[0].delta.content)
+            answer.versions.add(body.system_fingerprint)
     answer.text = "".join(parts)
     answer.tokens = len(parts)
--- a/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
+++ b/packages/dandeliontrail-lab/src/dandeliontrail_lab/engine.py
@@ -71,6 +71,9 @@
         self.batch = batch.Batch(slots, pace)
         self.leaving = False
         self.epoch = 1
+        # It names this in its events and does not continue what another
+        # version began.
+        self.software_version = ""
         self.ran = []
         # Whether repeated runs of a request produce different texts.
         self.sampled = False
@@ -163,6 +166,9 @@
             stream.token_prefix = f"{self.name}-{len(self.ran)}-"
         if ask.continue_final_message:
             stream.start = len(ask.messages[-1].content.split())
+        began_at = environ.get("HTTP_X_SOFTWARE_VERSION")
+        if began_at is not None and began_at != self.software_version:
+            return _refusal_response(start_response)
         fault = self.faults.draw() if self.faults else faults.Fault.NONE
         if fault is faults.Fault.REFUSE:
             return _refusal_response(start_response)
@@ -233,7 +239,10 @@
     def _event_bytes(self, stream, start):
         try:
             for token in stream.read(start):
-                chunk = {"choices": [{"delta": {"content": token}}]}
+                chunk = {
+                    "choices": [{"delta": {"content": token}}],
+                    "system_fingerprint": self.software_version,
+                }
                 yield b"data: " + msgspec.json.encode(chunk) + b"\n\n"
             if stream.finished:
                 yield b"data: [DONE]\n\n"
@@ -260,6 +269,7 @@
             "load": self._load_report(),
             "leaving": self.leaving,
             "lease": 3,
+            "software_version": self.software_version,
         }
 
     def announce(self, addresses, token=""):
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -121,6 +121,7 @@
         announce=True,
         desk=None,
         fragile=False,
+        software_version="",
     ):
         """Start an engine that announces itself to all instances in turn.
 
@@ -131,6 +132,7 @@
         started_engine = engine.Engine(
             name, domain, ["small"], slots, pace, desk
         )
+        started_engine.software_version = software_version
         started_engine.start()
         self._stack.callback(started_engine.stop)
         self.engines.append(started_engine)
--- a/tests/cover/test_streams_resume.py
+++ b/tests/cover/test_streams_resume.py
@@ -120,6 +120,38 @@
         assert sum(len(item.ran) for item in cluster.engines) == 2 + sampled
 
 
+@pytest.mark.parametrize("sampled", [False, True])
+def test_stream_of_an_engine_that_died_goes_on_at_its_software_version(
+    sampled,
+):
+    with world.World() as cluster:
+        cluster.instance("i1")
+        for name, version in (("e1", "v1"), ("e2", "v2"), ("e3", "v1")):
+            cluster.engine(
+                name, step=0.01, software_version=version
+            ).sampled = sampled
+        cluster.apply(LOOKUP)
+        jobs = [start(cluster) for _ in range(6)]
+        cluster.engines[0].stop()
+        answers = [job.get() for job in jobs]
+        assert all(answer.complete for answer in answers)
+        assert all(len(answer.versions) == 1 for answer in answers)
+
+
+def test_stream_is_cut_off_where_no_engine_runs_its_software_version():
+    with world.World() as cluster:
+        cluster.instance("i1")
+        for name, version in (("e1", "v1"), ("e2", "v2")):
+            cluster.engine(name, step=0.01, software_version=version)
+        cluster.apply(LOOKUP)
+        job = start(cluster)
+        engine = streaming_engine(cluster)
+        engine.stop()
+        answer = job.get(timeout=5.0)
+        assert not answer.complete
+        assert answer.versions == {engine.software_version}
+
+
 def test_whole_answer_is_had_from_another_engine_when_its_own_died():
     with world.World() as cluster:
         cluster.instance("i1")
