Rollouts, crashes, unknown ids and cuts under streams of two versions; soak

Real entries: servers replaced one by one, all servers of a version crashed or gone, a server that is back at its address and under its id with other software, ids that nobody knows (malformed, too long, of another route), an entry without a path to servers. A server that is the last of its version is asked again only once it has announced itself since; without that the test of a server that is back under its id with other software failed.

The soak rolls versions out, overlapping, also back, and callers with long streams judge both rules while it runs.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -386,13 +386,19 @@
         """Decide about a stream whose version no usable server runs.
 
         A server that is the last of its version is asked again, though an
-        attempt there has failed: a reset connection is no lost server.
+        attempt there has failed: a reset connection is no lost server.  It
+        must have announced itself since, for it may be back with other
+        software under its name.
         """
-        serving = version_choice.serving_names(work, servers, now)
+        serving = version_choice.serving(work, servers, now)
         if not serving:
             return self._refusal(work, sentinels.Reason.NO_VERSION, servers)
-        if serving <= work.excluded_servers:
-            work.excluded_servers -= serving
+        if work.excluded_servers.issuperset(serving):
+            work.excluded_servers.difference_update(
+                name
+                for name, server in serving.items()
+                if server.heard_at > work.queued_at
+            )
         if now - work.queued_at < version_choice.wait_seconds(work):
             return None
         return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/version_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/version_choice.py
@@ -10,9 +10,9 @@
 import msgspec
 
 # How long work waits for a server of its version that is known but cannot be
-# used: within an answer for about the restart of a server, else, since the
-# caller can be told, as long as other work waits.
-CONTINUING_WAIT_SECONDS = 1.0
+# used: within an answer for the restart of a server or its next announcement,
+# else, since the caller can be told, as long as other work waits.
+CONTINUING_WAIT_SECONDS = 1.5
 RETURNING_WAIT_SECONDS = 0.3
 # How long a new stream waits until a version is admitted: several times what
 # that takes.
@@ -97,10 +97,10 @@
     }
 
 
-def serving_names(work, servers, now):
-    """Return the names of the servers that serve the version of ``work``."""
+def serving(work, servers, now):
+    """Return the servers that serve the version of ``work``, by name."""
     return {
-        server.announcement.backend_server
+        server.announcement.backend_server: server
         for server in servers
         if server.announcement.software_version == work.software_version
         and server.serves(now)
--- a/tests/common/version_world.py
+++ b/tests/common/version_world.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import time
 
 import gevent
 
@@ -28,9 +29,11 @@
     """A server that streams events with its version and resumes any stream.
 
     While ``breaks_after`` is a number, each new stream breaks off after so
-    many events.
+    many events.  ``pause`` is the time between two events.
     """
 
+    pause = PAUSE_SECONDS
+
     def __init__(self, platform, version, service="app", **more):
         self.version = version
         self.breaks_after = None
@@ -67,6 +70,12 @@
         self.is_alive = False
         self.server.close()
 
+    def come_back(self, version):
+        """Start again at the same address, with other software."""
+        self.server.disconnect()
+        self.version = version
+        self.announce()
+
     def leave(self, drain_seconds):
         """Announce the shutdown, serve on for a while, and end."""
         self.announce(state="draining")
@@ -85,15 +94,16 @@
                     return "close"
             data = f"id: {number}\ndata: {self.version} {number}\n\n"
             sock.sendall(platform_world.chunk(data.encode()))
-            gevent.sleep(PAUSE_SECONDS)
+            gevent.sleep(self.pause)
         sock.sendall(platform_world.END)
         return None
 
 
 class Try:
-    """One try of a caller: its id, entry, status and events."""
+    """One try of a caller: its id, entry, status, events and duration."""
 
     def __init__(self, request_id, entry):
+        self.seconds = 0.0
         self.request_id = request_id
         self.entry = entry
         self.status = 0
@@ -107,7 +117,8 @@
 
     ``leaves_after`` is a list: the first try is closed by the caller after so
     many events, the second one after the next number, and so on.
-    ``names_latest`` makes it name the latest try with events, not the first.
+    ``names_latest`` makes it name the latest try with events, not the first,
+    and ``names`` any other id.
     """
 
     def __init__(
@@ -117,6 +128,7 @@
         entries,
         leaves_after=(),
         names_latest=False,
+        names=None,
         max_tries=3,
         pause=0.0,
         path="/chat/a",
@@ -126,6 +138,7 @@
         self._entries = entries
         self._leaves_after = list(leaves_after)
         self._names_latest = names_latest
+        self._names = names
         self._max_tries = max_tries
         self._pause = pause
         self._path = path
@@ -176,7 +189,9 @@
             self._name.encode(),
         )
         leaves_after = self._leaves_after.pop(0) if self._leaves_after else 0
+        began = time.monotonic()
         data = _read(sock, leaves_after)
+        made.seconds = time.monotonic() - began
         if data:
             reply = platform_world.Reply(data)
             made.status = reply.status
@@ -193,9 +208,9 @@
         began = [item for item in self.tries if item.events]
         if not began:
             return []
-        named = began[-1 if self._names_latest else 0]
+        named = began[-1 if self._names_latest else 0].request_id
         return [
-            ("Resumes", named.request_id),
+            ("Resumes", named if self._names is None else self._names),
             ("Last-Event-Id", str(self.events[-1][0])),
         ]
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 from tests.soak import faults as faults_module
 from tests.soak import limits as limits_module
 from tests.soak import paths as paths_module
+from tests.soak import versions as versions_module
 from tests.soak import world as world_module
 
 CHANGE_INTERVAL_SECONDS = 0.7
@@ -22,7 +23,9 @@
 class Report:
     """What one run did and which guarantees were violated.
 
-    ``cuts`` counts the cuts of entries from all servers,
+    ``cuts`` counts the cuts of entries from all servers, ``rollouts`` those
+    of software versions, ``went_on`` the streams that were taken up and could
+    go on (those that did, all),
     ``limits`` the limits that servers named; ``worst_share`` is the
     largest part of what a limit allows in a window that a server got.
     """
@@ -33,6 +36,8 @@
     acked: int
     limits: int
     cuts: int
+    rollouts: int
+    went_on: tuple
     worst_share: float
     findings: dict
 
@@ -57,11 +62,16 @@
             world.spawn(limits.run_forever)
             paths = paths_module.Paths(world, seed)
             world.spawn(paths.run_forever)
+            versions = versions_module.Versions(world, seed)
+            world.spawn(versions.run_forever)
+            for _ in range(versions_module.CALLERS):
+                world.spawn(versions.call_forever)
             faults = faults_module.Faults(world, seed)
             faults.run(seconds)
             _await_recovery(world)
             world.check_all()
             paths.check()
+            versions.check()
             if world.findings and logs:
                 world.keep_logs(pathlib.Path(logs) / f"seed-{seed}")
             fault_counts = {
@@ -75,6 +85,8 @@
                 world.acked,
                 limits.named,
                 len(paths.cuts),
+                versions.rollouts,
+                (sum(versions.went_on), len(versions.went_on)),
                 round(max(item.worst_share for item in world.judges), 3),
                 dict(world.findings),
             )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from tests.soak import paths
 from tests.soak import processes
 from tests.soak import proxy as proxy_module
+from tests.soak import versions
 
 KEEPERS = 3
 ENTRIES = 3
@@ -61,6 +62,8 @@
         self._inner = platform_world.Server("127.0.0.1", self._script)
         self.proxy = proxy_module.Proxy(self._inner.address, by_address=True)
         self.incarnation = 0
+        self.version = versions.VERSIONS[0]
+        self.started_at = time.monotonic()
         self.state = "ready"
         self.down = False
         self.leaving_acked = None
@@ -85,9 +88,15 @@
         """Return the id of this incarnation."""
         return f"s{self._number}-{self.incarnation}"
 
-    def restart(self):
-        """Start a new incarnation at the same address with another id."""
+    def restart(self, version=None):
+        """Start a new incarnation at the same address with another id.
+
+        It runs the same software, unless ``version`` is another one.
+        """
         self.incarnation += 1
+        if version is not None:
+            self.version = version
+        self.started_at = time.monotonic()
         self.state = "ready"
         self.leaving_acked = None
         self._new_judge()
@@ -117,19 +126,23 @@
             )
         gevent.sleep(self._world.rng.uniform(0.005, 0.06))
         if " /chat/" in head.split("\r\n")[0]:
-            return self._stream(sock, head, request_id)
+            return self._stream(sock, head, request_id, self.version)
         body = f"answer to {request_id}".encode()
         extra = limited_server.limit_header(self.judge.limit)
         sock.sendall(platform_world.whole(200, body, request_id, extra))
         return None
 
-    def _stream(self, sock, head, request_id):
+    def _stream(self, sock, head, request_id, version):
         extra = limited_server.limit_header(self.judge.limit)
         sock.sendall(platform_world.stream_head(request_id, extra))
         last_event_id = int(platform_world.header(head, "last-event-id") or 0)
-        for number in range(last_event_id + 1, STREAM_PIECES + 1):
-            sock.sendall(platform_world.chunk(platform_world.event(number)))
-            gevent.sleep(0.02)
+        count, pause = STREAM_PIECES, 0.02
+        if versions.LONG_PATH in head.split("\r\n")[0]:
+            count, pause = versions.LONG_PIECES, versions.LONG_PAUSE_SECONDS
+        for number in range(last_event_id + 1, count + 1):
+            event = f"id: {number}\ndata: {version} {number}\n\n".encode()
+            sock.sendall(platform_world.chunk(event))
+            gevent.sleep(pause)
         sock.sendall(platform_world.END)
 
     def send_heartbeats(self):
@@ -148,6 +161,7 @@
             "service": "app",
             "address": self.proxy.address,
             "zone": f"z{self._number}",
+            "version": self.version,
             "slots": 6,
             "state": state,
             "sequence": sequence,
