Operators see software versions, their servers and the streams bound to them

Metrics of streams begun by version and taken up by where their version was known from, records held and dropped; a read-only list of versions with their servers; a request that waited for the state of its instance is looked up for the whole time from when it was admitted.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
@@ -13,6 +13,7 @@
 from . import duty_views
 from . import limit_views
 from . import placement_status
+from . import version_views
 
 
 class InForce(msgspec.Struct):
@@ -256,6 +257,7 @@
     named = {f"configuration_{name}": gauges[name] for name in gauges}
     named.update(duty_views.gauges(host.state))
     named.update(limit_views.gauges(host.state))
+    named.update(version_views.gauges(host.state))
     lost = host.reducer.policy.lost_servers()
     named["backend_servers_unreachable"] = len(lost)
     named["tunnels_open"] = host.open_tunnels
@@ -283,6 +285,11 @@
     return Listing("backendservers", host.state.store.version, items)
 
 
+def _software_versions(host):
+    items = version_views.software_versions(host)
+    return Listing("softwareversions", host.state.store.version, items)
+
+
 def _server_orders(host):
     items = duty_views.server_orders(host)
     return Listing("serverorders", host.state.store.version, items)
@@ -381,6 +388,7 @@
     "backendservers": _servers,
     "instances": _instances,
     "serverorders": _server_orders,
+    "softwareversions": _software_versions,
     "usage": _usage,
     "histograms": _histograms,
     "history": _history,
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -3,7 +3,6 @@
 Only the owning component changes its part; the others read it.
 """
 
-import collections
 import random
 
 import msgspec
@@ -60,8 +59,8 @@
     - ``orders``: orders
     - ``duties``: duties
     - ``software_versions``: version admission
-    - ``streams``: stream versions; ``take_up_counts`` counts the streams that
-      callers took up, by where their version was known from
+    - ``streams`` and ``stream_counts``: stream versions; the request
+      component adds its counts
     """
 
     identity: Identity
@@ -81,7 +80,7 @@
     permits: permits_module.Permits
     software_versions: software_versions.AdmittedVersions
     streams: stream_records.StreamTable
-    take_up_counts: collections.Counter
+    stream_counts: stream_records.StreamCounts
     draining: bool = False
 
 
@@ -133,5 +132,5 @@
         permits_module.Permits(limits),
         software_versions.AdmittedVersions(),
         stream_records.StreamTable(),
-        collections.Counter(),
+        stream_records.StreamCounts(),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
@@ -54,6 +54,9 @@
         work = request.work
         if not (work.routed and work.streamed and work.repeatable):
             return []
+        self._state.stream_counts.record_begun(
+            work.service, work.software_version
+        )
         keys = _keys_of(work)
         remaining = max(0.0, work.deadline - now) + RETURN_SECONDS
         for key in keys:
--- a/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
@@ -55,12 +55,15 @@
 
 
 class _Search(msgspec.Struct):
-    """A search for the record of one stream."""
+    """A search for the record of one stream, from ``began`` on.
+
+    The request may have waited for the state since it was ``received``.
+    """
 
     event: object
     received: float
+    began: float
     key: str | None
-    asked: set
     pending: set
     asked_all: bool = False
 
@@ -76,7 +79,7 @@
         self._streams = streams
         self._searches = {}
         self._outcomes = []
-        self.counts = state.take_up_counts
+        self._counts = state.stream_counts.taken_up
 
     def begin(self, event, work, received, now):
         """Find the version of the stream that a request takes up."""
@@ -90,7 +93,7 @@
         addresses = []
         if key is not None and len(self._searches) < MAX_WAITING:
             addresses = self._streams.holders_of(key, now)
-        search = _Search(event, received, key, set(addresses), set(addresses))
+        search = _Search(event, received, now, key, set(addresses))
         self._searches[event.request_id] = search
         return self._ask(addresses, key) + self._advance(search, now)
 
@@ -142,7 +145,7 @@
 
     def _advance(self, search, now):
         """Take the next step of a search, if it is due."""
-        waited = now - search.received
+        waited = now - search.began
         if search.key is not None and not search.asked_all:
             if search.pending and waited < ASK_AGAIN_SECONDS:
                 return []
@@ -203,7 +206,7 @@
     def _settle(self, event, received, origin, now, retry_after=None):
         """End a search; queue the work, bound to its version, or refuse it."""
         self._searches.pop(event.request_id, None)
-        self.counts[origin.source.value] += 1
+        self._counts[origin.source.value] += 1
         work = intake.routed_work_of(self._state, event, received, now)
         nothing = None
         if not work:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/stream_records.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/stream_records.py
@@ -5,6 +5,7 @@
 organisation and the route, so that equal ids of two organisations differ.
 """
 
+import collections
 import hashlib
 import heapq
 
@@ -14,6 +15,7 @@
 MAX_ID_CHARACTERS = 128
 # Some ten times the streams of a relay at 10,000 streams a second.
 MAX_STREAMS = 500_000
+MAX_COUNTED_VERSIONS = 1024
 
 
 def key_of(organisation, route, request_id):
@@ -60,6 +62,27 @@
     unknown: list[str]
 
 
+class StreamCounts:
+    """How many streams had their first event from which version.
+
+    ``begun`` counts them by service and version, an answer once for each of
+    its attempts with events; ``taken_up`` counts those that callers took up,
+    by where their version was known from.
+    """
+
+    __slots__ = ("begun", "taken_up")
+
+    def __init__(self):
+        self.begun = collections.Counter()
+        self.taken_up = collections.Counter()
+
+    def record_begun(self, service, version):
+        """Count a stream, while there are not too many versions."""
+        key = (service, version)
+        if key in self.begun or len(self.begun) < MAX_COUNTED_VERSIONS:
+            self.begun[key] += 1
+
+
 MESSAGES = (StreamRecords, StreamQueries, StreamAnswers)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -337,7 +337,7 @@
                 self._want_preferred(work, servers, usable, choice, now)
                 candidates = choice.permitted
         if usable.preferred:
-            candidates = self._preferred(usable.preferred, candidates)
+            candidates = self._preferred(usable, candidates)
         if not work.parts:
             name = self._choose_plain(candidates, usable)
             return self._place(work, name, 0.0, usable, now, hedge)
@@ -355,13 +355,15 @@
             return None
         return self._place(work, chosen.name, chosen.need, usable, now, hedge)
 
-    def _preferred(self, preferred, candidates):
+    def _preferred(self, usable, candidates):
         """Return the preferred candidates while one has a free slot."""
-        found = {
-            name: server
-            for name, server in candidates.items()
-            if name in preferred
-        }
+        found = usable.preferred
+        if candidates is not usable.servers:
+            found = {
+                name: server
+                for name, server in candidates.items()
+                if name in usable.preferred
+            }
         has_slot = any(
             self._table.running(name) < server.announcement.slots
             for name, server in found.items()
--- a/tests/cover/test_stream_network.py
+++ b/tests/cover/test_stream_network.py
@@ -58,6 +58,21 @@
     assert hit and complete(streams) >= len(streams) - 1
 
 
+def test_a_stream_is_taken_up_at_an_instance_that_has_just_started():
+    # The caller's request waits for the state of the instance.
+    network = network_of(9)
+    streams = [network.begin("i1") for _ in range(20)]
+    network.run(0.5)
+    network.kill("i5")
+    network.run(1.0)
+    network.restart("i5")
+    for stream in streams:
+        network.leave_stream(stream, "i5")
+    network.run(5.0)
+    assert network.mixed() == []
+    assert complete(streams) == len(streams)
+
+
 def test_streams_go_on_although_their_holders_restarted_one_by_one():
     # Instances are replaced in turn within the life of a stream.
     network = network_of(9, versions=("v1", "v2"))
--- a/tests/cover/test_streams_of_versions.py
+++ b/tests/cover/test_streams_of_versions.py
@@ -1,7 +1,9 @@
 """Streams while servers of several software versions serve."""
 
+import collections
 import contextlib
 
+from dandeliontrail_node.listeners import version_views
 import gevent
 import pytest
 
@@ -233,3 +235,26 @@
     with serving("v1", "v1", "v1-1") as (platform, entries, servers):
         callers = version_world.run_callers(callers_of(platform, entries))
         assert all(caller.versions == {"v1"} for caller in callers)
+
+
+def test_operators_see_versions_and_streams():
+    with serving("v1", "v1-1") as (platform, entries, servers):
+        callers = callers_of(platform, entries, leaves_after=[3])
+        version_world.run_callers(callers)
+        listed = version_views.software_versions(entries[0].host)
+        assert [(item.software_version, item.serving) for item in listed] == [
+            ("v1", 1),
+            ("v1-1", 1),
+        ]
+        assert all(item.admitted for item in listed)
+        counted = collections.Counter()
+        for entry in entries:
+            counted.update(version_views.gauges(entry.host.state))
+        begun = [
+            count
+            for name, count in counted.items()
+            if name.startswith("streams_begun_total")
+        ]
+        assert sum(begun) == 2 * STREAMS
+        assert counted['streams_taken_up_total{source="asked"}'] > 0
+        assert counted["stream_records"] >= STREAMS
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -30,6 +30,8 @@
 LEAVING_SHARE = 0.4
 # A disruption counts for this long, as on the platform.
 CONTACT_SECONDS = 3.0
+# By then all instances know a server that has started.
+SETTLED_SECONDS = 1.0
 MIN_JUDGED = 12
 MIN_RELATIVE_SHARE = 0.5
 RETURN_SECONDS = (0.0, 0.5)
@@ -109,8 +111,8 @@
             if server.version == version
             and server.state == "ready"
             and not server.down
-            and server.started_at < since - CONTACT_SECONDS
-            and server.disrupted_at < since - CONTACT_SECONDS
+            and server.started_at < since - SETTLED_SECONDS
+            and server.disrupted_at < since - SETTLED_SECONDS
         ]
         return len(serving) >= 2
 
