Where all servers run one version a placement costs what it did

Counting the versions of a service in each round took 4.4 us of the 13.2 that a placement among six engines took before (8.1 of 35.9 among 56), in turn with the code before.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/version_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/version_choice.py
@@ -36,11 +36,13 @@
     ``admitted`` are the :class:`.software_versions.AdmittedVersions`.
     """
 
-    __slots__ = ("_admitted", "_round")
+    __slots__ = ("_admitted", "_round", "_sole")
 
     def __init__(self, admitted):
         self._admitted = admitted
         self._round = {}
+        # The list of a service's servers, and their version if they have one.
+        self._sole = {}
 
     def begin_round(self):
         """Forget the lists of the last round."""
@@ -57,12 +59,28 @@
             return VersionServers(bound, bound)
         if not work.begins_stream:
             return VersionServers(usable, usable)
+        if self._are_alike(work.service, servers):
+            return VersionServers(usable, usable)
         cached = self._round.get(work.service)
         if cached is None or cached[0] is not usable:
             found = self._for_new_streams(work.service, servers, usable, now)
             cached = self._round[work.service] = (usable, found)
         return cached[1]
 
+    def _are_alike(self, service, servers):
+        """Return whether all servers run the same admitted version.
+
+        The list of servers is another one as soon as one of them changes.
+        """
+        cached = self._sole.get(service)
+        if cached is None or cached[0] is not servers:
+            versions = {item.announcement.software_version for item in servers}
+            sole = versions.pop() if len(versions) == 1 else None
+            cached = self._sole[service] = (servers, sole)
+        return cached[1] is not None and cached[1] in self._admitted.of(
+            service
+        )
+
     def _for_new_streams(self, service, servers, usable, now):
         admitted = self._admitted.of(service)
         counts = collections.Counter(
@@ -70,8 +88,6 @@
             for server in servers
             if server.serves(now)
         )
-        if len(counts) == 1 and set(counts).issubset(admitted):
-            return VersionServers(usable, usable)
         allowed = {
             name: server
             for name, server in usable.items()
