A stream's version is applied before servers are chosen by their path

What callers saw: 3 or 4 of 24 streams whose servers broke off were cut off, though a server of their version served (test_stream_whose_server_breaks_off, with three and nine entries, now and then). Cause: after a broken connection the next attempt goes to servers that were heard since; that list was made of all versions, and then left with those of the stream's, which could be none. Partitioned failure domains, left out unless no other is left, were judged in the same way. Now the list starts from the servers of the version. The test in test_version_choice fails on the code before; the other passes in three runs of three.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
@@ -40,37 +40,38 @@
     def begin_round(self):
         """Forget the lists: time has passed, or a server is being probed."""
         self._round.clear()
-        self._versions.begin_round()
 
     def of(self, work, servers, now):
-        """Return the :class:`UsableServers` among ``servers``."""
-        usable = self._of_any_version(work, servers, now)
-        found = self._versions.of(work, servers, usable.servers, now)
-        if found.preferred is usable.servers:
-            return usable
-        through_peers = usable.through_peers.intersection(found.servers)
-        preferred = found.preferred
-        if preferred is found.servers:
-            preferred = None
-        return UsableServers(found.servers, through_peers, preferred)
-
-    def exist_of_any_version(self, work, servers, now):
-        """Return whether any server is usable, whatever software it runs."""
-        return bool(self._of_any_version(work, servers, now).servers)
-
-    def _of_any_version(self, work, servers, now):
-        """Return the usable servers, whatever software they run.
+        """Return the :class:`UsableServers` among ``servers``.
 
-        Work that avoids servers after failed attempts is not cached.
+        Work that avoids servers after failed attempts is not cached, nor are
+        streams that go on at one version.
         """
-        if work.excluded_servers or work.unreached_since is not None:
-            return self._find(work, servers, now)
-        cached = self._round.get(work.service)
+        if (
+            work.excluded_servers
+            or work.unreached_since is not None
+            or work.software_version is not None
+        ):
+            return self._of_allowed(work, servers, now)
+        key = (work.service, work.begins_stream)
+        cached = self._round.get(key)
         if cached is None:
-            cached = self._find(work, servers, now)
-            self._round[work.service] = cached
+            cached = self._of_allowed(work, servers, now)
+            self._round[key] = cached
         return cached
 
+    def exist_of_any_version(self, work, servers, now):
+        """Return whether any server is usable, whatever software it runs."""
+        return bool(self._find(work, servers, now).servers)
+
+    def _of_allowed(self, work, servers, now):
+        allowed = self._versions.allowed(work, servers)
+        found = self._find(work, allowed, now)
+        found.preferred = self._versions.preferred(
+            work, allowed, found.servers, now
+        )
+        return found
+
     def _find(self, work, servers, now):
         direct = self._direct(work, servers, now)
         since = work.unreached_since
