--- a/packages/dandeliontrail/src/dandeliontrail/components/version_admission.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/version_admission.py
@@ -20,9 +20,8 @@
 # A voter that was not heard for this long may have taken announcements that
 # the leader does not know.  Voters send two heartbeats a second.
 MAX_VOTER_SILENCE_SECONDS = 3.0
-# A version that is announced by mistake again and again must not fill the
-# log.
-MAX_VERSIONS = 64
+# A server that announces another version each time must not fill the log.
+MAX_VERSIONS = 1024
 
 
 class VersionAdmission(interfaces.Component):
