With relays, a stream is looked for until its record can have arrived

What callers would see above 16 instances: a stream that is taken up within some tenths of a second of its first event is refused as unknown, though the record of its version is on its way through the relays. Cause: the instances that may hold it were asked once after the holders, and the first round of answers that knew nothing ended the search. They are asked each 0.15 s until 0.6 s have passed, where records travel through relays; in a full mesh, where records are sent at once, one round is enough.

--- a/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
@@ -20,7 +20,8 @@
 # A record may be under way while its caller is already back.  After the first
 # of these, all that may hold it are asked; after the second, it is unknown.
 ASK_AGAIN_SECONDS = 0.15
-MAX_ASKING_SECONDS = 0.5
+MAX_ASKING_SECONDS = 0.6
+NEVER = float("inf")
 # How long a stream that nobody knows waits for a proof that there is only one
 # version: the interval of the proofs and some transit.
 MAX_PROOF_WAIT_SECONDS = 0.8
@@ -65,7 +66,7 @@
     began: float
     key: str | None
     pending: set
-    asked_all: bool = False
+    ask_again_at: float
 
 
 class TakeUps:
@@ -93,7 +94,14 @@
         addresses = []
         if key is not None and len(self._searches) < MAX_WAITING:
             addresses = self._streams.holders_of(key, now)
-        search = _Search(event, received, now, key, set(addresses))
+        search = _Search(
+            event,
+            received,
+            now,
+            key,
+            set(addresses),
+            now + ASK_AGAIN_SECONDS,
+        )
         self._searches[event.request_id] = search
         return self._ask(addresses, key) + self._advance(search, now)
 
@@ -146,27 +154,32 @@
     def _advance(self, search, now):
         """Take the next step of a search, if it is due."""
         waited = now - search.began
-        if search.key is not None and not search.asked_all:
-            if search.pending and waited < ASK_AGAIN_SECONDS:
-                return []
+        if not search.pending or waited >= ASK_AGAIN_SECONDS:
             sole = self._sole_version(search, now)
             if sole is not None:
                 return self._settle(search.event, search.received, sole, now)
-            if waited < ASK_AGAIN_SECONDS:
+        if search.key is not None and waited < MAX_ASKING_SECONDS:
+            if now >= search.ask_again_at:
+                return self._ask_all(search, now)
+            if search.pending or search.ask_again_at < NEVER:
                 return []
-            search.asked_all = True
-            addresses = self._streams.linked(now)
-            search.pending = set(addresses)
-            return self._ask(addresses, search.key)
-        sole = self._sole_version(search, now)
-        if sole is not None:
-            return self._settle(search.event, search.received, sole, now)
-        if search.pending and waited < MAX_ASKING_SECONDS:
-            return []
         if waited < MAX_PROOF_WAIT_SECONDS and self._may_be_sole(search):
             return []
         return self._settle_unknown(search, now)
 
+    def _ask_all(self, search, now):
+        """Ask everybody who may hold the record.
+
+        With relays, a record takes a few tenths of a second to its holders,
+        so they are asked again and again.
+        """
+        search.ask_again_at = NEVER
+        if not self._state.members.full_mesh():
+            search.ask_again_at = now + ASK_AGAIN_SECONDS
+        addresses = self._streams.linked(now)
+        search.pending = set(addresses)
+        return self._ask(addresses, search.key)
+
     def _route_of(self, event):
         table = self._state.routing.table
         return table.find(event.host, event.path) if table else None
--- a/tests/cover/test_stream_network.py
+++ b/tests/cover/test_stream_network.py
@@ -44,6 +44,21 @@
     assert complete(streams) == len(streams)
 
 
+@pytest.mark.parametrize("count", [9, 27])
+def test_streams_that_are_taken_up_after_their_first_event_go_on(count):
+    # Their records are still under way to the holders.
+    network = network_of(count)
+    streams = [network.begin() for _ in range(60)]
+    while not all(stream.events for stream in streams):
+        network.run(0.01)
+        for stream in streams:
+            if stream.events and stream.tries == 1:
+                network.leave_stream(stream)
+    network.run(5.0)
+    assert network.mixed() == []
+    assert complete(streams) == len(streams)
+
+
 @pytest.mark.parametrize("count", [9, 27])
 def test_streams_of_an_instance_that_was_killed_go_on(count):
     network = network_of(count)
@@ -73,6 +88,22 @@
     assert complete(streams) == len(streams)
 
 
+def test_all_streams_of_a_failure_domain_that_is_lost_go_on():
+    network = network_of(27)
+    streams = begin_streams(network, 120)
+    network.run(0.5)
+    lost = [
+        name for name, node in network.nodes.items() if node.domain == "fd1"
+    ]
+    hit = [stream for stream in streams if stream.instance in lost]
+    for name in lost:
+        network.kill(name)
+    network.run(8.0)
+    assert network.mixed() == []
+    assert len(hit) > 20
+    assert complete(hit) == len(hit)
+
+
 def test_streams_go_on_although_their_holders_restarted_one_by_one():
     # Instances are replaced in turn within the life of a stream.
     network = network_of(9, versions=("v1", "v2"))
