--- a/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
@@ -25,7 +25,9 @@
 # How long a stream that nobody knows waits for a proof that there is only one
 # version: the interval of the proofs and some transit.
 MAX_PROOF_WAIT_SECONDS = 0.8
-MAX_WAITING = 4096
+# Many times the streams that an instance has; callers of further ones are told
+# to come back.
+MAX_SEARCHES = 4096
 UNKNOWN_RETRY_SECONDS = 0.5
 
 
@@ -48,7 +50,10 @@
 
 
 class Outcome(msgspec.Struct):
-    """The result for one request: work to queue, or a refusal."""
+    """The result for one request: ``work`` to queue, bound to its version.
+
+    If ``nothing`` is set, it is refused with that.
+    """
 
     event: object
     work: object
@@ -56,9 +61,11 @@
 
 
 class _Search(msgspec.Struct):
-    """A search for the record of one stream, from ``began`` on.
+    """A search for the record of the stream with this ``key``.
 
-    The request may have waited for the state since it was ``received``.
+    It began at ``began``; the request may have waited for the state since it
+    was ``received``.  ``pending`` are the addresses that have not answered,
+    and ``ask_again_at`` is when all that may hold the record are asked.
     """
 
     event: object
@@ -83,7 +90,10 @@
         self._counts = state.stream_counts.taken_up
 
     def begin(self, event, work, received, now):
-        """Find the version of the stream that a request takes up."""
+        """Find the version of the stream that a request takes up.
+
+        Returns effects; :meth:`take_outcomes` has the result once it is known.
+        """
         key = stream_records.key_of(
             work.organisation, work.class_name, event.resumes
         )
@@ -91,8 +101,13 @@
         if held is not None:
             origin = Origin(Source.OWN, held.service, held.version, held.began)
             return self._settle(event, received, origin, now)
+        if len(self._searches) >= MAX_SEARCHES:
+            origin = Origin(Source.UNKNOWN)
+            return self._settle(
+                event, received, origin, now, UNKNOWN_RETRY_SECONDS
+            )
         addresses = []
-        if key is not None and len(self._searches) < MAX_WAITING:
+        if key is not None:
             addresses = self._streams.holders_of(key, now)
         search = _Search(
             event,
