--- a/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
@@ -76,7 +76,7 @@
         addresses = [members.address_of(name) for name in names if name != own]
         return [address for address in addresses if address]
 
-    def linked(self, now):
+    def candidate_addresses(self, now):
         """Return the addresses of all instances that may hold a record."""
         return sorted(
             self._state.members.address_of(name)
--- a/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
@@ -191,7 +191,7 @@
         search.ask_again_at = NEVER
         if not self._state.members.full_mesh():
             search.ask_again_at = now + ASK_AGAIN_SECONDS
-        addresses = self._streams.linked(now)
+        addresses = self._streams.candidate_addresses(now)
         search.pending = set(addresses)
         return self._ask(addresses, search.key)
 
