--- a/tests/cover/test_stream_records.py
+++ b/tests/cover/test_stream_records.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import msgspec
 
 from dandeliontrail.coordination import software_versions
 from dandeliontrail.coordination import stream_records
@@ -161,7 +162,8 @@
         else:
             expected[service].discard(version)
     restored = software_versions.AdmittedVersions()
-    restored.restore(table.snapshot())
+    snapshot = msgspec.json.encode(table.snapshot())
+    restored.restore(msgspec.json.decode(snapshot))
     for service in ("a", "b"):
         assert set(restored.of(service)) == expected[service]
         assert restored.of(service) == table.of(service)
