--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -18,6 +18,7 @@
 from ..coordination import server_loads
 from ..coordination import stream_records
 from ..coordination import usage
+from ..decisions import directory
 from ..decisions import work as work_module
 from . import dispatching
 from . import early_requests
@@ -459,7 +460,7 @@
         return self._refuse(request, nothing, now)
 
     def _avoids_all_servers(self, work):
-        servers = self._state.directory.eligible_for(work)
+        servers = directory.eligible_for(self._state.directory, work)
         names = {item.announcement.backend_server for item in servers}
         return names <= work.excluded_servers
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -6,6 +6,7 @@
 from .. import sentinels
 from . import class_queues
 from ..coordination import server_limits
+from . import directory as directory_module
 from . import fairness
 from . import fleet as fleet_module
 from . import hedge_searches
@@ -188,7 +189,7 @@
         """
         if not self._retries.allow(work, self._fleet.free > 0):
             return
-        servers = directory.eligible_for(work)
+        servers = directory_module.eligible_for(directory, work)
         if placing.failed_everywhere(work, servers):
             work.ask_again()
         requirements, server = self._pick_server(
@@ -265,7 +266,7 @@
             work = queue.pending.head(now)
             if work is None:
                 return
-            servers = directory.eligible_for(work)
+            servers = directory_module.eligible_for(directory, work)
             reason = self._refusal_reason(queue, work, servers, now)
             if reason is not None:
                 queue.pending.remove(work.request_id)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/directory.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/directory.py
@@ -53,6 +53,23 @@
     )
 
 
+def eligible_for(directory, work):
+    """Return the servers of a directory that a piece of work may use.
+
+    A stream of which the caller holds events is bound to the version of the
+    software that wrote them.
+    """
+    servers = directory.eligible(work.class_name, work.model, work.service)
+    version = work.software_version
+    if version is None:
+        return servers
+    return [
+        item
+        for item in servers
+        if item.announcement.software_version == version
+    ]
+
+
 class Directory:
     """Lists of servers by class and target, built on first use."""
 
@@ -84,26 +101,6 @@
             self._cache[key] = servers
         return servers
 
-    def eligible_for(self, work):
-        """Return the servers that a piece of work may use.
-
-        A stream of which the caller holds events is bound to the version of
-        the software that wrote them.
-        """
-        servers = self.eligible(work.class_name, work.model, work.service)
-        version = work.software_version
-        if version is None:
-            return servers
-        key = (work.class_name, work.model, work.service, version)
-        found = self._cache.get(key)
-        if found is None:
-            found = self._cache[key] = [
-                item
-                for item in servers
-                if item.announcement.software_version == version
-            ]
-        return found
-
     def of_service(self, service):
         """Return the servers of a service, for routes, which use no pools.
 
