--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/version_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/version_views.py
@@ -8,7 +8,7 @@
 class SoftwareVersionView(msgspec.Struct):
     """A version of a service's software, as this instance knows it.
 
-    ``admitted`` tells whether streams that can be taken up may begin at it,
+    ``admitted`` tells whether streams that can be resumed may begin at it,
     ``serving`` how many of its ``servers`` get new work.
     """
 
@@ -55,8 +55,8 @@
     for (service, version), count in sorted(state.stream_counts.begun.items()):
         labels = f'service="{service}",software_version="{_label(version)}"'
         found[f"streams_begun_total{{{labels}}}"] = count
-    for source, count in sorted(state.stream_counts.taken_up.items()):
-        found[f'streams_taken_up_total{{source="{source}"}}'] = count
+    for source, count in sorted(state.stream_counts.resumed.items()):
+        found[f'streams_resumed_total{{source="{source}"}}'] = count
     return found
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -100,8 +100,8 @@
     return _routed_work(event, route, organisation, received)
 
 
-def takes_up_stream(work, event):
-    """Return whether a routed request takes up a stream that was begun."""
+def resumes_stream(work, event):
+    """Return whether a routed request resumes a stream that was begun."""
     return work.streamed and bool(event.resumes or event.has_events)
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -29,7 +29,7 @@
 from . import measures
 from . import request_lifecycle
 from . import start_counter
-from . import take_ups
+from . import stream_resumptions
 
 # Delay before a request that a busy server rejected is retried.  Without it
 # the request would be resent as fast as the server can reject it.
@@ -67,7 +67,9 @@
         self._ends = ends
         self._limits = limits
         self._streams = streams
-        self._take_ups = take_ups.TakeUps(state, streams)
+        self._resumptions = stream_resumptions.StreamResumptions(
+            state, streams
+        )
         claimer.listener = self
         self._delayed_retries = []
         self._early_requests = early_requests.EarlyRequests()
@@ -109,8 +111,8 @@
         ready = intake.has_state(self._state)
         for event, received in self._early_requests.due(ready, now):
             out.extend(self._admit_routed(event, received, now))
-        out.extend(self._take_ups.tick(now))
-        out.extend(self._admit_taken_up(now))
+        out.extend(self._resumptions.tick(now))
+        out.extend(self._admit_resumed(now))
         return out + self._run_policy(now)
 
     def _request_received(self, event, now):
@@ -150,9 +152,9 @@
                 answers.refusal(event.request_id, work),
                 answers.turned_away_line(self._state, event, work, now),
             ]
-        if intake.takes_up_stream(work, event):
-            out = self._take_ups.begin(event, work, received, now)
-            return out + self._admit_taken_up(now)
+        if intake.resumes_stream(work, event):
+            out = self._resumptions.begin(event, work, received, now)
+            return out + self._admit_resumed(now)
         return self._open_routed(work, now)
 
     def _open_routed(self, work, now):
@@ -160,10 +162,10 @@
         self.lives[work.request_id] = request
         return self._enqueue(request, now)
 
-    def _admit_taken_up(self, now):
+    def _admit_resumed(self, now):
         """Queue or refuse the requests whose stream was found, or was not."""
         out = []
-        for item in self._take_ups.take_outcomes():
+        for item in self._resumptions.take_outcomes():
             if item.nothing is None:
                 out.extend(self._open_routed(item.work, now))
                 continue
@@ -177,8 +179,8 @@
         return out
 
     def _stream_answers_received(self, source, message, now):
-        out = self._take_ups.handle_answers(source, message, now)
-        return out + self._admit_taken_up(now)
+        out = self._resumptions.handle_answers(source, message, now)
+        return out + self._admit_resumed(now)
 
     # Results of idempotency key claims; see ``claim_rounds.Listener``.
 
@@ -613,7 +615,7 @@
         Returns whether there was one.
         """
         is_early = self._early_requests.drop(request_id)
-        return self._take_ups.drop(request_id) or is_early
+        return self._resumptions.drop(request_id) or is_early
 
     def _cut_short_early(self, request_id):
         """Cut off the caller of a request that was not admitted yet."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/take_ups.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/stream_resumptions.py
@@ -1,4 +1,4 @@
-"""Finds the version of streams that callers take up.
+"""Finds the version of streams that callers resume.
 
 A caller names the request that brought the first event of its stream.  The
 instance that the caller comes to may know that stream or asks those that hold
@@ -76,8 +76,8 @@
     ask_again_at: float
 
 
-class TakeUps:
-    """The requests that take streams up, until the version is known.
+class StreamResumptions:
+    """The requests that resume streams, until the version is known.
 
     ``streams`` is the component that knows who holds which record.
     """
@@ -87,10 +87,10 @@
         self._streams = streams
         self._searches = {}
         self._outcomes = []
-        self._counts = state.stream_counts.taken_up
+        self._counts = state.stream_counts.resumed
 
     def begin(self, event, work, received, now):
-        """Find the version of the stream that a request takes up.
+        """Find the version of the stream that a request resumes.
 
         Returns effects; :meth:`take_outcomes` has the result once it is known.
         """
@@ -259,7 +259,7 @@
 
 
 def _line(event, origin, nothing, now):
-    """Return the log line of a stream that a caller takes up."""
+    """Return the log line of a stream that a caller resumes."""
     age = None if origin.began is None else round(now - origin.began, 3)
     fields = {
         "request_id": event.request_id,
@@ -271,4 +271,4 @@
         "refused": nothing.reason.value if nothing is not None else "",
         "important": nothing is not None,
     }
-    return effects.Log("info", "stream taken up", fields)
+    return effects.Log("info", "stream resumed", fields)
--- a/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
@@ -13,7 +13,7 @@
 from ..coordination import stream_records
 from ..decisions import stream_holders
 
-# For how long after its deadline a stream may still be taken up.
+# For how long after its deadline a stream may still be resumed.
 RETURN_SECONDS = 10.0
 # How long records wait for a batch of server loads.
 MAX_BATCH_WAIT_SECONDS = 0.2
--- a/packages/dandeliontrail/src/dandeliontrail/components/version_admission.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/version_admission.py
@@ -12,7 +12,7 @@
 from . import orders_state
 from . import proposer
 
-# A stream lasts until the timeout of its route and is taken up for a while
+# A stream lasts until the timeout of its route and is resumed for a while
 # after; the factor covers both, the least value short timeouts.
 RETIREMENT_TIMEOUTS = 2.0
 MIN_RETIREMENT_SECONDS = 60.0
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/software_versions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/software_versions.py
@@ -1,7 +1,7 @@
 """Which software versions of a service streams may begin at.
 
 The quorum log decides it.  A server of a version that is not admitted begins
-no stream that may be taken up, so an instance whose state is proven recent
+no stream that may be resumed, so an instance whose state is proven recent
 knows all versions at which such streams began.
 """
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/stream_records.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/stream_records.py
@@ -1,6 +1,6 @@
 """At which software version streams began, as instances tell one another.
 
-A caller that takes a stream up names the request that brought its first
+A caller that resumes a stream names the request that brought its first
 event, at any instance.  The key of a stream is a hash of that id with the
 organisation and the route, so that equal ids of two organisations differ.
 """
@@ -32,7 +32,7 @@
     """The version at which a stream began, as sent between instances.
 
     ``age`` is the time since the first event, ``remaining`` for how long the
-    stream may still be taken up, both in seconds.
+    stream may still be resumed, both in seconds.
     """
 
     key: str
@@ -66,15 +66,15 @@
     """How many streams had their first event from which version.
 
     ``begun`` counts them by service and version, an answer once for each of
-    its attempts with events; ``taken_up`` counts those that callers took up,
+    its attempts with events; ``resumed`` counts those that callers resumed,
     by where their version was known from.
     """
 
-    __slots__ = ("begun", "taken_up")
+    __slots__ = ("begun", "resumed")
 
     def __init__(self):
         self.begun = collections.Counter()
-        self.taken_up = collections.Counter()
+        self.resumed = collections.Counter()
 
     def record_begun(self, service, version):
         """Count a stream, while there are not too many versions."""
@@ -157,7 +157,7 @@
         )
 
     def expire(self, now):
-        """Drop the streams that can no longer be taken up."""
+        """Drop the streams that can no longer be resumed."""
         while self._expiries and self._expiries[0][0] < now:
             self._drop_first()
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -31,7 +31,7 @@
     through peers that were not opened since the last attempt that began, from
     ``path_search_began`` on.
 
-    ``resumes`` is the id of the request whose stream this one takes up, or ''.
+    ``resumes`` is the id of the request whose stream this one resumes, or ''.
     ``software_version`` is the version that wrote the first event of the
     stream, ``None`` while there is none; only servers of it may take the work.
     ``is_continuing`` is true once the caller holds events of this answer, and
@@ -82,7 +82,7 @@
 
     @property
     def begins_stream(self):
-        """Whether this would begin a stream that can be taken up."""
+        """Whether this would begin a stream that can be resumed."""
         return (
             self.streamed and self.repeatable and self.software_version is None
         )
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -38,7 +38,7 @@
     the random number in [0, 1) that selects a service of a weighted split.
     ``content`` is a hash of method, path and body, which is the same each
     time that the request is sent.  ``resumes`` is the id of the request whose
-    stream the caller takes up, or ''; ``has_events`` is true if the caller
+    stream the caller resumes, or ''; ``has_events`` is true if the caller
     says that it holds events.
     """
 
--- a/tests/common/stream_network.py
+++ b/tests/common/stream_network.py
@@ -1,7 +1,7 @@
 """Streams of callers before pure reducers and servers of several versions.
 
 Time is simulated.  Callers hold the events that they got, with the version
-that wrote each, and take their streams up at other instances.
+that wrote each, and resume their streams at other instances.
 """
 
 import itertools
@@ -83,8 +83,8 @@
         self.attempt = 0
         self.is_complete = False
         self.is_over = False
-        self.taken_up = 0
-        self.refused_take_ups = []
+        self.resumed = 0
+        self.refused_resumptions = []
 
 
 class StreamNetwork(keeper_network.KeeperNetwork):
@@ -189,7 +189,7 @@
         stream.instance = instance
         stream.attempt = 0
         if stream.events:
-            stream.taken_up += 1
+            stream.resumed += 1
         self._open[stream.request_id] = stream
         event = events.RoutedRequestReceived(
             stream.request_id,
@@ -203,7 +203,7 @@
         self.apply(self.nodes[instance], event)
 
     def leave_stream(self, stream, instance=""):
-        """Have the caller of a stream leave; it takes the stream up.
+        """Have the caller of a stream leave; it resumes the stream.
 
         It does so at ``instance`` or, if that is empty, at any other one.
         """
@@ -243,7 +243,7 @@
         if stream is None:
             return
         if stream.events:
-            stream.refused_take_ups.append(refusal.nothing)
+            stream.refused_resumptions.append(refusal.nothing)
         self._broken_off(stream, refusal.nothing.retry_after is not None)
 
     def _dispatched(self, node, effect):
--- a/tests/common/version_world.py
+++ b/tests/common/version_world.py
@@ -157,8 +157,8 @@
         return self.tries[-1].whole and numbers == list(range(1, EVENTS + 1))
 
     @property
-    def taken_up(self):
-        """The tries that took the stream up."""
+    def resumed(self):
+        """The tries that resumed the stream."""
         first = next(
             (index for index, item in enumerate(self.tries) if item.events),
             len(self.tries),
--- a/tests/cover/test_stream_network.py
+++ b/tests/cover/test_stream_network.py
@@ -33,7 +33,7 @@
 
 
 @pytest.mark.parametrize("count", [3, 9, 27])
-def test_streams_that_are_taken_up_go_on(count):
+def test_streams_that_are_resumed_go_on(count):
     network = network_of(count)
     streams = begin_streams(network)
     network.run(0.5)
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize("count", [9, 27])
-def test_streams_that_are_taken_up_after_their_first_event_go_on(count):
+def test_streams_that_are_resumed_after_their_first_event_go_on(count):
     # Their records are still under way to the holders.
     network = network_of(count)
     streams = [network.begin() for _ in range(60)]
@@ -73,7 +73,7 @@
     assert hit and complete(streams) >= len(streams) - 1
 
 
-def test_a_stream_is_taken_up_at_an_instance_that_has_just_started():
+def test_a_stream_is_resumed_at_an_instance_that_has_just_started():
     # The caller's request waits for the state of the instance.
     network = network_of(9)
     streams = [network.begin("i1") for _ in range(20)]
@@ -145,12 +145,14 @@
     assert network.mixed() == []
     assert complete(streams) == 0
     reasons = {
-        item.reason for stream in streams for item in stream.refused_take_ups
+        item.reason
+        for stream in streams
+        for item in stream.refused_resumptions
     }
     assert sentinels.Reason.UNKNOWN_STREAM in reasons
 
 
-def take_up_at(network, streams, instance):
+def resume_at(network, streams, instance):
     """Have callers leave their streams and take them up at an instance."""
     for stream in streams:
         network.leave_stream(stream, instance)
@@ -169,7 +171,7 @@
     network.run(0.5)
     of_second = [item for item in streams if item.versions == {"v2"}]
     assert of_second
-    take_up_at(network, of_second, "i0")
+    resume_at(network, of_second, "i0")
     assert network.mixed() == []
 
 
@@ -185,7 +187,7 @@
     streams = [network.begin("i0") for _ in range(40)]
     network.run(0.5)
     assert all(stream.versions == {"v1"} for stream in streams)
-    take_up_at(network, streams, "i1")
+    resume_at(network, streams, "i1")
     assert network.mixed() == []
 
 
@@ -235,7 +237,7 @@
     assert complete(new) == 3
 
 
-def test_new_streams_begin_where_they_could_be_taken_up():
+def test_new_streams_begin_where_they_could_be_resumed():
     network = network_of(3, versions=("v1",))
     lone = network.add_server("v2")
     network.run(1.0)
--- a/tests/cover/test_streams_of_versions.py
+++ b/tests/cover/test_streams_of_versions.py
@@ -68,8 +68,8 @@
         {"leaves_after": [3, 3], "names_latest": True},
     ],
 )
-def test_stream_that_is_taken_up_goes_on_at_its_version(service, how):
-    # A caller takes its stream up and gets events of other software.
+def test_stream_that_is_resumed_goes_on_at_its_version(service, how):
+    # A caller resumes its stream and gets events of other software.
     platform, entries, servers = service
     callers = version_world.run_callers(callers_of(platform, entries, **how))
     assert version_world.mixed(callers) == []
@@ -103,9 +103,9 @@
     return jobs
 
 
-def taken_up(callers):
-    """Return all tries that took a stream up."""
-    return [item for caller in callers for item in caller.taken_up]
+def resumed(callers):
+    """Return all tries that resumed a stream."""
+    return [item for caller in callers for item in caller.resumed]
 
 
 def test_streams_stay_at_their_version_while_servers_are_replaced():
@@ -135,7 +135,7 @@
         assert version_world.mixed(callers) == []
         for caller in callers:
             assert caller.complete == (caller.versions == {"v1-1"})
-        refused = taken_up(callers)
+        refused = resumed(callers)
         assert refused and {item.status for item in refused} == {503}
         assert {item.retry_after for item in refused} == {"1.00"}
         assert max(item.seconds for item in refused) < REFUSAL_SECONDS
@@ -154,7 +154,7 @@
             item
             for caller in callers
             if caller.versions == {"v1"}
-            for item in caller.taken_up
+            for item in caller.resumed
         ]
         assert refused and {item.status for item in refused} == {503}
         assert {item.retry_after for item in refused} == {None}
@@ -181,8 +181,8 @@
 )
 
 
-def take_up_as(names, platform, entries):
-    """Return callers who took their streams up under another id."""
+def resume_as(names, platform, entries):
+    """Return callers who resumed their streams under another id."""
     echo = version_world.Caller(
         platform, "echo", entries, path="/echo/a", max_tries=1
     )
@@ -197,7 +197,7 @@
 def test_an_id_that_nobody_knows_goes_on_where_one_version_serves(names):
     routes = (version_world.ROUTE, OTHER_ROUTE)
     with serving("v1", "v1", routes=routes) as (platform, entries, servers):
-        callers = take_up_as(names, platform, entries)
+        callers = resume_as(names, platform, entries)
         assert all(caller.complete for caller in callers)
 
 
@@ -205,16 +205,16 @@
 def test_an_id_that_nobody_knows_is_refused_where_two_versions_serve(names):
     routes = (version_world.ROUTE, OTHER_ROUTE)
     with serving("v1", "v1-1", routes=routes) as (platform, entries, servers):
-        callers = take_up_as(names, platform, entries)
+        callers = resume_as(names, platform, entries)
         assert version_world.mixed(callers) == []
-        tries = taken_up(callers)
+        tries = resumed(callers)
         assert len(tries) == 6 and {item.status for item in tries} == {503}
         assert {item.retry_after for item in tries} == {None}
         assert max(item.seconds for item in tries) < UNKNOWN_SECONDS
 
 
 @pytest.mark.parametrize("cut", list(server_paths.Cut))
-def test_a_stream_is_taken_up_at_an_entry_without_a_path_to_servers(cut):
+def test_a_stream_is_resumed_at_an_entry_without_a_path_to_servers(cut):
     with serving("v1", "v1", "v1-1", "v1-1") as (platform, entries, servers):
         with contextlib.ExitStack() as stack:
             path = server_paths.ServerPath(stack, entries[1])
@@ -256,5 +256,5 @@
             if name.startswith("streams_begun_total")
         ]
         assert sum(begun) == 2 * STREAMS
-        assert counted['streams_taken_up_total{source="asked"}'] > 0
+        assert counted['streams_resumed_total{source="asked"}'] > 0
         assert counted["stream_records"] >= STREAMS
--- a/tests/cover/test_version_choice.py
+++ b/tests/cover/test_version_choice.py
@@ -74,7 +74,7 @@
 
 
 @pytest.mark.parametrize("more", [{"streamed": False}, {"repeatable": False}])
-def test_what_cannot_be_taken_up_goes_to_a_version_that_is_not_admitted(more):
+def test_what_cannot_be_resumed_goes_to_a_version_that_is_not_admitted(more):
     harness = harness_of("v1", "v1", admitted={"v0"})
     begin(harness, **more)
     (placed,) = decide(harness)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,7 +24,7 @@
     """What one run did and which guarantees were violated.
 
     ``cuts`` counts the cuts of entries from all servers, ``rollouts`` those
-    of software versions, ``went_on`` the streams that were taken up and could
+    of software versions, ``went_on`` the streams that were resumed and could
     go on (those that did, all),
     ``limits`` the limits that servers named; ``worst_share`` is the
     largest part of what a limit allows in a window that a server got.
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -1,8 +1,8 @@
 """Servers that change their software version, and callers with long streams.
 
-The callers leave and take their streams up at other entries.  They judge
+The callers leave and resume their streams at other entries.  They judge
 while the soak runs whether a stream holds events of two versions, and
-whether enough of those that are taken up go on.
+whether enough of those that are resumed go on.
 """
 
 import contextlib
@@ -58,7 +58,7 @@
         self._rng = processes.seeded_random(seed, "versions")
         self._count = 0
         self.rollouts = 0
-        # Whether each new stream began, and each taken up one went on.
+        # Whether each new stream began, and each resumed one went on.
         self.began = []
         self.went_on = []
 
