Callers of streams whose version crashed wait no longer than others

Cause: each attempt at a crashed server that was not begun queued the request again, and its wait for a server of its version began anew. A caller that can be told waits from when the request came, as other work does; within an answer the wait counts from the break as before. The test, and those of the policy and of the pure reducers, pass; the whole script was not run again.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -401,7 +401,8 @@
                 for name, server in serving.items()
                 if server.heard_at > work.queued_at
             )
-        if now - work.queued_at < version_choice.wait_seconds(work):
+        since = work.queued_at if work.is_continuing else work.received
+        if now - since < version_choice.wait_seconds(work):
             return None
         return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
 
