Retries count until their arrival is certain, and a window longer

Servers got 164 repeats in ten seconds where 145 are allowed, after paths to all of them had held bytes back for 4 to 8 s (the failing tests of before).

Cause: a retry was counted at its dispatch for one window. What a cut holds back arrives when it heals, beside the retries of that window, and a first attempt that arrives after its hedge is itself the repeat.

Now a retry counts until a window after the last moment at which an attempt of its request may have arrived: a server that answers, or whose connection ends, has got it; one that was given up without an answer is in doubt until the server answers a later attempt, has restarted, or 12 s have passed. Borrowed tokens count at the borrower once the lender's count covers them no more.

--- a/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
@@ -70,7 +70,9 @@
         """
         silent_server = request.server
         request.promote_hedge()
-        self._report_end(request, silent_server, now, failed=True)
+        self._report_end(
+            request, silent_server, now, failed=True, overtaken=True
+        )
         return silent_server
 
     def continue_with_hedge(self, request):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/attempts.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/attempts.py
@@ -35,6 +35,11 @@
         """Return the first attempt of a request, or ``None``."""
         return self._first.get(request_id)
 
+    def of(self, request_id):
+        """Return the outstanding attempts of a request, its hedge last."""
+        found = (self._first.get(request_id), self.hedges.get(request_id))
+        return [attempt for attempt in found if attempt is not None]
+
     def outstanding(self):
         """Return the first attempts and the hedges of all requests."""
         return [*self._first.values(), *self.hedges.values()]
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
@@ -12,6 +12,10 @@
 what is lent counts as spent at the lender at once, and lapses at the borrower
 soon after it asked, so that no token is used twice, whatever message is lost
 and whatever process ends.
+
+A retry counts from its dispatch until a window after the last moment at which
+an attempt of its request may have arrived: what a network partition holds back
+arrives when it ends (:mod:`.unsettled_repeats`).
 """
 
 import collections
@@ -84,12 +88,26 @@
     expires: float
 
 
+class Repeat(msgspec.Struct, eq=False):
+    """A retry that was begun and may still arrive.
+
+    ``own`` tokens are of this instance's part and ``borrowed`` ones of loans.
+    The lenders' counts cover an arrival up to ``covered_until``.
+    """
+
+    service: str
+    own: float
+    borrowed: float
+    covered_until: float
+
+
 class _Account:
     """The budget of one service at this instance."""
 
     __slots__ = (
         "requests",
         "spent",
+        "unsettled",
         "lent",
         "loans",
         "wanted",
@@ -100,6 +118,7 @@
     def __init__(self):
         self.requests = _SlidingSum()
         self.spent = _SlidingSum()
+        self.unsettled = set()
         self.lent = _SlidingSum()
         self.loans = []
         self.wanted = 0
@@ -111,13 +130,35 @@
         self.loans = [loan for loan in self.loans if loan.expires > now]
         return sum(loan.tokens for loan in self.loans)
 
-    def use_loans(self, amount):
-        """Use up to ``amount`` of the loans; return what remains."""
+    def begin(self, service):
+        """Return a :class:`Repeat`, with as much of the loans as there is."""
+        repeat = Repeat(service, 1.0, 0.0, float("inf"))
         for loan in self.loans:
-            used = min(loan.tokens, amount)
+            used = min(loan.tokens, repeat.own)
+            if used <= 0.0:
+                continue
             loan.tokens -= used
-            amount -= used
-        return amount
+            repeat.own -= used
+            repeat.borrowed += used
+            repeat.covered_until = min(repeat.covered_until, loan.expires)
+        self.unsettled.add(repeat)
+        return repeat
+
+    def settle(self, repeat, now):
+        """Count a repeat, which cannot arrive after ``now``, for a window."""
+        self.unsettled.discard(repeat)
+        self.spent.add(_counted(repeat, now), now)
+
+    def unsettled_tokens(self, now):
+        """Return the tokens of the repeats that may still arrive."""
+        return sum(_counted(repeat, now) for repeat in self.unsettled)
+
+
+def _counted(repeat, now):
+    """Return the tokens of a repeat that no lender counts at ``now``."""
+    if now <= repeat.covered_until:
+        return repeat.own
+    return repeat.own + repeat.borrowed
 
 
 class RetryBudget:
@@ -127,7 +168,7 @@
     have none.  ``can_borrow`` tells whether there is anybody to borrow from.
 
     >>> budget = RetryBudget(RetryLimits(ratio=0.0, slack=3.0), share=1.0)
-    >>> [budget.spend("s", 0.0) for _ in range(3)]
+    >>> [budget.begin("s", 0.0) is not None for _ in range(3)]
     [True, True, False]
     """
 
@@ -159,16 +200,20 @@
         """Return whether another retry is within the budget."""
         return self.available(service, now) >= 1.0 - TOLERANCE
 
-    def spend(self, service, now):
-        """Count a retry and return true, or false if the budget is used up."""
+    def begin(self, service, now):
+        """Count a retry and return its :class:`Repeat`, to be settled.
+
+        Returns ``None`` if the budget is used up.
+        """
         if not self.allows(service, now):
-            return False
+            return None
         account = self._accounts[service]
-        own = account.use_loans(1.0)
-        if own:
-            account.spent.add(own, now)
         account.counts.spent += 1
-        return True
+        return account.begin(service)
+
+    def settle(self, repeat, now):
+        """Record that a repeat cannot arrive any more after ``now``."""
+        self._accounts[repeat.service].settle(repeat, now)
 
     def refuse(self, service):
         """Count a retry that the budget does not allow."""
@@ -183,7 +228,7 @@
         since = now - limits.window
         part = RATIO_FRACTION * limits.ratio * account.requests.since(since)
         part += SLACK_FRACTION * limits.slack * self.share
-        part -= account.spent.since(since)
+        part -= account.spent.since(since) + account.unsettled_tokens(now)
         return max(0.0, part - account.lent.since(since - LOAN_SECONDS))
 
     # -- loans --------------------------------------------------------------
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -26,6 +26,7 @@
 from . import retry_budget
 from . import server_table
 from . import service_traits
+from . import unsettled_repeats
 from . import usable_servers
 from . import version_choice
 from . import work as work_module
@@ -59,7 +60,8 @@
     the next incarnation.  ``domain`` is the server's failure domain,
     ``placed_at`` when the work was placed, ``unread`` the prompt tokens that
     the server has yet to prefill for it.  ``peer`` is the instance through
-    which the server is reached, '' for a direct path.
+    which the server is reached, '' for a direct path.  ``arrived`` tells that
+    the server has answered, or that nothing was sent.
     """
 
     work: work_module.Work
@@ -69,6 +71,7 @@
     placed_at: float
     unread: float
     peer: str = ""
+    arrived: bool = False
 
 
 class SharedServersPolicy(path_feedback.PathFeedback):
@@ -82,6 +85,9 @@
         self._routing = state.routing
         self._permits = state.permits
         self.retry_budget = retry_budget.RetryBudget(limits)
+        self._repeats = unsettled_repeats.UnsettledRepeats(
+            self.retry_budget, self._attempts, table
+        )
         self._queue = {}
         self._searches = hedge_searches.HedgeSearches()
         self._engines = engine_choice.EngineChoice(table, domain)
@@ -182,6 +188,7 @@
         long prompt in the same round: otherwise it would never become idle
         enough for a long prompt.
         """
+        self._repeats.settle(now)
         if self._permits.active:
             self._permit_waits.begin_round(now)
         if not self._queue and not self._searches:
@@ -259,7 +266,8 @@
                 continue
             decision = self._decide(work, now, directory, blocked, hedge=True)
             if isinstance(decision, work_module.Placement):
-                self.retry_budget.spend(work.service, now)
+                repeat = self.retry_budget.begin(work.service, now)
+                self._repeats.begin(work.request_id, repeat)
                 self._searches.end(work.request_id)
                 decisions.append(decision)
             elif decision is not None:
@@ -469,11 +477,13 @@
         """
         if work.is_repeat and not hedge:
             work.is_repeat = False
+            repeat = self.retry_budget.begin(work.service, now)
             invariants.check(
-                self.retry_budget.spend(work.service, now),
+                repeat is not None,
                 "retries-within-the-budget",
                 f"{work.request_id} to {name}",
             )
+            self._repeats.begin(work.request_id, repeat)
         state = self._table.server(name)
         domain = usable.servers[name].announcement.failure_domain
         peer = ""
@@ -525,12 +535,18 @@
 
     # -- feedback -----------------------------------------------------------
 
+    def forget_server(self, name):
+        """Drop the state of a server that is gone."""
+        super().forget_server(name)
+        self._repeats.forget_server(name)
+
     def first_output(self, request_id, now):
         """Record that an attempt has output: its prompt is prefilled."""
         attempt = self._attempts.get(request_id)
         if attempt is not None:
             attempt.server_state.unread -= attempt.unread
             attempt.unread = 0.0
+            self._repeats.record_answer(attempt)
             self._record_answering(attempt, now)
 
     def ended(self, ended, now):
@@ -544,6 +560,7 @@
         state.running -= 1
         state.unread -= attempt.unread
         health = state.health
+        self._record_arrival(ended, attempt, now)
         if attempt.peer:
             self._peer_paths.record_closed(attempt.peer)
         if ended.path_failure:
@@ -566,3 +583,14 @@
         elif not ended.wasted:
             self._record_answering(attempt, now)
             health.record_success()
+
+    def _record_arrival(self, ended, attempt, now):
+        """Record whether an attempt that ended may still arrive."""
+        if ended.path_failure or ended.unreachable:
+            return
+        if ended.wasted or ended.overtaken:
+            self._repeats.record_given_up(ended.request_id, attempt, now)
+        elif ended.broken:
+            self._repeats.record_ended(attempt)
+        else:
+            self._repeats.record_answer(attempt)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -182,7 +182,8 @@
 
     ``wasted``: no caller could use the output. ``refused``: the server said
     that it did not run the request. ``unreachable``: no connection to the
-    server was established. ``gone``: another server has taken over its
+    server was established. ``overtaken``: it was given up, since a hedge had
+    output first. ``gone``: another server has taken over its
     address. ``broken``: the connection failed before the answer was whole.
     ``path_failure`` tells why a tunnel through a peer was not opened
     (:class:`.peer_paths.PathFailure`).
@@ -195,6 +196,7 @@
     wasted: bool = False
     refused: bool = False
     unreachable: bool = False
+    overtaken: bool = False
     gone: bool = False
     broken: bool = False
     path_failure: object = None
--- a/tests/cover/test_retry_budget.py
+++ b/tests/cover/test_retry_budget.py
@@ -15,7 +15,8 @@
 
 def spend_all(budget, now):
     count = 0
-    while budget.spend("s", now):
+    while (repeat := budget.begin("s", now)) is not None:
+        budget.settle(repeat, now)
         count += 1
     return count
 
@@ -96,3 +97,30 @@
     assert budget.take_changes(0.1) == {}
     assert budget.take_changes(11.0) == {"s": False}
     assert budget.counts()["s"].refused == 3
+
+
+def test_a_repeat_counts_while_it_may_still_arrive_and_a_window_longer():
+    budget = budget_of(0.2)
+    repeat = budget.begin("s", 0.0)
+    assert not budget.allows("s", 30.0)
+    budget.settle(repeat, 30.0)
+    assert not budget.allows("s", 40.0)
+    assert budget.allows("s", 40.1)
+
+
+def test_a_borrowed_repeat_counts_here_once_its_lender_counts_it_no_more():
+    budget = budget_of(0.2)
+    budget.borrow("s", 1.0, 0.0, 0.1)
+    repeat = budget.begin("s", 0.2)
+    assert budget.allows("s", retry_budget.LOAN_SECONDS)
+    assert not budget.allows("s", retry_budget.LOAN_SECONDS + 0.1)
+    budget.settle(repeat, 5.0)
+    assert not budget.allows("s", 15.0)
+    assert budget.allows("s", 15.1)
+
+
+def test_a_borrowed_repeat_that_arrived_in_time_counts_at_its_lender_alone():
+    budget = budget_of(0.2)
+    budget.borrow("s", 1.0, 0.0, 0.1)
+    budget.settle(budget.begin("s", 0.2), 0.3)
+    assert budget.allows("s", 0.3)
