--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/retry_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/retry_views.py
@@ -14,6 +14,7 @@
         found.update(
             {
                 f"retries_available{label}": budget.available(service, now),
+                f"retries_unsettled{label}": budget.unsettled(service),
                 f"retries_spent_total{label}": counts.spent,
                 f"retries_refused_total{label}": counts.refused,
                 f"retries_borrowed_total{label}": counts.borrowed,
--- a/packages/dandeliontrail/src/dandeliontrail/components/retry_loans.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/retry_loans.py
@@ -170,6 +170,7 @@
                     "available": round(
                         self._budget.available(service, now), 2
                     ),
+                    "unsettled": self._budget.unsettled(service),
                     "instances": self._counts.largest,
                     "important": True,
                 },
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/retry_budget.py
@@ -196,6 +196,10 @@
         account = self._accounts[service]
         return self._own(account, now) + account.borrowed(now)
 
+    def unsettled(self, service):
+        """Return how many retries may still arrive at a server."""
+        return len(self._accounts[service].unsettled)
+
     def allows(self, service, now):
         """Return whether another retry is within the budget."""
         return self.available(service, now) >= 1.0 - TOLERANCE
