Connections on which a request is given up are reset

A server that read late got all 64 KB of a request whose caller had been told 504 before (test_given_up_attempts, which failed before): after a close the kernel goes on sending, for seconds. Such an arrival after its retry is a repeat that nobody counts any more.

Connections to servers, and those of tunnels, now linger for 0 s: a close, also by the end of the process, sends a reset and drops what was not sent. One whose answer is complete is closed as before, and so is that of work that may not be repeated. Tests whose servers wait for the end of a connection take a reset for the end, which it is; they still ask for it in time.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -1,6 +1,7 @@
 """Connections to backend servers, with limits on silence and on size."""
 
 import socket
+import struct
 
 from gevent import socket as gevent_socket
 
@@ -14,6 +15,8 @@
 KEEPALIVE_INTERVAL_SECONDS = 2
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_TIMEOUT_MS = 10_000
+_LINGER_ZERO = struct.pack("ii", 1, 0)
+_NO_LINGER = struct.pack("ii", 0, 0)
 # Limits what is buffered here for a server that never ends its headers or an
 # event. Real events are below 1 KB.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -181,6 +184,20 @@
     return None
 
 
+def reset_on_close(sock):
+    """Have a connection reset when it is closed, also by the process's end.
+
+    A reset discards what the kernel has not sent yet, so that nothing arrives
+    after the request was given up.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+
+
+def end_on_close(sock):
+    """Undo :func:`reset_on_close`, for a connection whose work is done."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def enable_tcp_keepalive(sock):
     """Enable the kernel's detection of a connection whose path is lost."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -190,11 +190,12 @@
             )
 
     def release(self):
-        """Return the connection to the pool, or close it.
+        """Return the connection to the pool, or close or reset it.
 
-        It is closed unless the answer is complete and the connection can be
-        reused.  Closing it before the answer is complete tells the server to
-        stop.
+        It is kept if the answer is complete and the connection can be reused.
+        Resetting it before the answer is complete tells the server to stop,
+        and drops what has not been sent.  Work that may not be repeated is
+        better completed: its connection is closed.
         """
         conn, self._conn = self._conn, None
         if conn is None:
@@ -209,8 +210,12 @@
             and not parser.parser_failed()
         ):
             self._connections.keep(conn, answer)
-        else:
+        elif not self._dispatch.repeatable:
+            conn.close()
+        elif answer is not None and answer.complete:
             conn.close()
+        else:
+            conn.reset()
 
 
 def _raise_if_silent(operation, exc):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -46,14 +46,23 @@
         self.used = False
         self.heard_at = time.monotonic()
 
-    def close(self):
-        """Close it; the server then stops working on its request."""
+    def reset(self):
+        """Reset it; the server then stops working on its request."""
         try:
             self.sock.close()
         except OSError:
             # The connection is unusable either way.
             return
 
+    def close(self):
+        """Close it after its last answer; nothing is under way on it."""
+        try:
+            connection.end_on_close(self.sock)
+        except OSError:
+            # The other end has closed it before.
+            pass
+        self.reset()
+
     def is_reusable(self):
         """Return whether it is open and has no unsolicited data to read."""
         self.sock.settimeout(0.0)
@@ -101,6 +110,7 @@
         sock = self.connect(address, self._connect_seconds)
         sock.settimeout(None)
         connection.enable_tcp_keepalive(sock)
+        connection.reset_on_close(sock)
         self._heard_at = time.monotonic()
         return sock
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -90,6 +90,7 @@
         sock = connection.connect(peer_address, self._connect_seconds)
         sock.settimeout(None)
         connection.enable_tcp_keepalive(sock)
+        connection.reset_on_close(sock)
         context = self._new_context()
         return sock if context is None else context.wrap_socket(sock)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/leased_call.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/leased_call.py
@@ -7,17 +7,15 @@
 """
 
 import socket
-import struct
 
 import gevent
 import geventhttpclient
 from geventhttpclient import url as url_module
 
+from . import connection
+
 CONNECT_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
-# Closing with a linger time of zero resets the connection and discards unsent
-# data in the kernel, so that no part of a call arrives after its deadline.
-LINGER_ZERO = struct.pack("ii", 1, 0)
 FAILURES = (OSError, gevent.Timeout, geventhttpclient.response.HTTPParseError)
 
 
@@ -64,7 +62,7 @@
     If the process is paused while the call is in the kernel's send buffer,
     only the kernel can drop it, by its user timeout (RFC 5482).
     """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    connection.reset_on_close(sock)
     sock.setsockopt(
         socket.IPPROTO_TCP,
         socket.TCP_USER_TIMEOUT,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -6,13 +6,13 @@
 
 import contextlib
 import socket
-import struct
 
 import gevent
 
 from dandeliontrail.decisions import tunnel_admission
 from dandeliontrail import events
 
+from .. import connection
 from .. import tunnel_messages
 from .. import wsgi
 from ..forwarding import connections
@@ -22,8 +22,6 @@
 CHUNK_BYTES = 16 * 1024
 MAX_REQUEST_BYTES = 16 * 1024
 REQUEST_SECONDS = 1.0
-# With a linger time of zero, closing sends a reset.
-LINGER_RESET = struct.pack("ii", 1, 0)
 SWITCHING = (
     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
     f"Upgrade: {tunnel_messages.PROTOCOL}\r\n\r\n"
@@ -202,9 +200,7 @@
     def _reset_origin(self):
         self.ended_by = "server reset"
         with contextlib.suppress(OSError):
-            self._origin_sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
-            )
+            connection.reset_on_close(self._origin_sock)
 
 
 def _fields(request):
--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -410,6 +410,14 @@
     sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+def ends(sock):
+    """Wait for the other end; return whether it closed or reset, unheard."""
+    try:
+        return not sock.recv(1)
+    except ConnectionResetError:
+        return True
+
+
 def read_to_end(sock):
     """Read until the other end closes or resets the connection."""
     data = b""
