--- /dev/null
+++ b/tests/cover/test_servers_that_rest.py
@@ -0,0 +1,214 @@
+"""Instances leave a server alone that turned them away and asked for rest."""
+
+import time
+
+import gevent
+import pytest
+
+from tests.common import platform_world
+from tests.common import rest_judge
+from tests.common import resting_server
+
+ROUTES = (
+    platform_world.route("read", "safe", timeout_ms=8000, max_attempts=3),
+    platform_world.route(
+        "order", "non_idempotent", timeout_ms=8000, max_attempts=3
+    ),
+    platform_world.route(
+        "chat",
+        "streaming",
+        resumable=True,
+        gap_aim_ms=300,
+        timeout_ms=8000,
+        max_attempts=3,
+    ),
+    platform_world.route(
+        "report", "streaming", gap_aim_ms=1000, timeout_ms=8000
+    ),
+)
+REST_SECONDS = 3.0
+TOLD_SECONDS = 0.5
+PAUSE_SECONDS = 0.02
+CALLERS = 3
+HEARTBEAT_SECONDS = 0.5
+
+
+def call_until(platform, entry, path, name, deadline, left="8000"):
+    replies = []
+    while time.monotonic() < deadline:
+        request_id = f"{name}-{len(replies)}"
+        replies.append(
+            platform.call(entry, "POST", path, request_id, left=left)
+        )
+        gevent.sleep(PAUSE_SECONDS)
+    return replies
+
+
+def press(platform, entries, path, seconds, left="8000", callers=CALLERS):
+    """Have callers ask at each entry for some seconds; return the job."""
+    deadline = time.monotonic() + seconds
+    return [
+        gevent.spawn(
+            call_until,
+            platform,
+            entry,
+            path,
+            f"{entry.ip}-{number}",
+            deadline,
+            left,
+        )
+        for entry in entries
+        for number in range(callers)
+    ]
+
+
+def replies_of(jobs):
+    gevent.joinall(jobs, raise_error=True)
+    return [reply for job in jobs for reply in job.value]
+
+
+def heartbeats(platform, servers):
+    while True:
+        gevent.sleep(HEARTBEAT_SECONDS)
+        for item in servers:
+            platform.heartbeat(item.server)
+
+
+def start(platform, entry_count, server_count, **more):
+    entries = [platform.entry() for _ in range(entry_count)]
+    for entry in entries:
+        resting_server.connects_from_its_address(entry)
+    servers = [
+        resting_server.RestingServer(platform, entries, **more)
+        for _ in range(server_count)
+    ]
+    job = gevent.spawn(heartbeats, platform, servers)
+    platform.at_end(job.kill)
+    return entries, servers
+
+
+def assert_left_alone(servers):
+    worst = max(item.judge.worst for item in servers)
+    assert worst <= rest_judge.MAX_REQUESTS_IN_REST
+
+
+@pytest.mark.parametrize(
+    "path", ["/read/x", "/order/x", "/chat/x", "/report/x"]
+)
+def test_one_of_three_servers_gets_no_requests_in_its_rest(path):
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 1, 3)
+        jobs = press(platform, entries, path, REST_SECONDS + 1.0)
+        servers[0].ask_for_rest(REST_SECONDS, TOLD_SECONDS)
+        replies = replies_of(jobs)
+    assert_left_alone(servers)
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_servers_that_all_rest_are_waited_for_while_there_is_time():
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 2, 2)
+        jobs = press(platform, entries, "/read/x", REST_SECONDS + 1.0)
+        asking = [
+            gevent.spawn(item.ask_for_rest, REST_SECONDS, TOLD_SECONDS)
+            for item in servers
+        ]
+        gevent.joinall(asking)
+        replies = replies_of(jobs)
+    assert_left_alone(servers)
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_callers_without_time_to_wait_are_told_how_long_the_rest_lasts():
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 1, 1)
+        asking = gevent.spawn(servers[0].ask_for_rest, 5.0, TOLD_SECONDS)
+        asked = time.monotonic()
+        gevent.sleep(0.05)
+        platform.call(entries[0], "POST", "/read/x", "first", left="2000")
+        began = time.monotonic()
+        reply = platform.call(
+            entries[0], "POST", "/read/x", "second", left="2000"
+        )
+        took = time.monotonic() - began
+        asking.join()
+    assert reply.status == 503 and took < 0.2
+    assert b"backend_servers_rest" in reply.body
+    left = asked + 5.0 - began
+    assert left - 0.2 <= float(reply.headers["retry-after"]) <= left + 1.5
+
+
+def test_the_longest_rest_counts_when_answers_name_several():
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 1, 2)
+        jobs = press(platform, entries, "/read/x", 4.5)
+        servers[0].ask_for_rest(4.0, 0.1)
+        servers[0].ask_for_rest(0.5, 0.3)
+        replies = replies_of(jobs)
+    assert_left_alone(servers)
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_a_server_is_used_again_after_its_rest_without_a_rush():
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 3, 1, answer_seconds=0.1)
+        jobs = press(platform, entries, "/read/x", 5.0, callers=20)
+        servers[0].ask_for_rest(2.0, TOLD_SECONDS)
+        asked = max(at for at, _ in servers[0].arrivals)
+        replies = replies_of(jobs)
+    began = min(at for at, _ in servers[0].arrivals if at > asked + 1.0)
+    assert servers[0].arrivals_between(began - 0.01, began + 0.09) <= 12
+    assert_left_alone(servers)
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_a_new_start_at_the_address_owes_no_rest():
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 1, 1)
+        asking = gevent.spawn(servers[0].ask_for_rest, 30.0, TOLD_SECONDS)
+        gevent.sleep(0.05)
+        first = platform.call(entries[0], "POST", "/read/x", "1", left="1000")
+        asking.join()
+        servers[0].server.id += "-again"
+        platform.heartbeat(servers[0].server)
+        platform.knows(entries[0], servers[0].server)
+        reply = platform.call(entries[0], "POST", "/read/x", "2", left="1000")
+    assert (first.status, reply.status) == (503, 200)
+
+
+BAD_VALUES = (
+    "0",
+    "-1",
+    "nan",
+    "inf",
+    "soon",
+    "Wed, 21 Oct 2026 07:28:00 GMT",
+    "9" * 400,
+    "1e9",
+)
+
+
+@pytest.mark.parametrize("value", BAD_VALUES)
+def test_a_bad_time_of_rest_loses_no_server(value):
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 1, 1)
+        asking = gevent.spawn(servers[0].ask_for_rest, value, 0.3)
+        gevent.sleep(0.05)
+        platform.call(entries[0], "POST", "/read/x", "1", left="1000")
+        asking.join()
+        gevent.sleep(0.5)
+        reply = platform.call(entries[0], "POST", "/read/x", "2")
+        assert reply.status == 200
+        assert not entries[0].host.metrics.counters["faults_total"]
+
+
+def test_a_503_without_a_time_asks_for_no_rest():
+    with platform_world.declared(ROUTES) as platform:
+        entries, servers = start(platform, 1, 1)
+        asking = gevent.spawn(servers[0].ask_for_rest, "0", 0.3)
+        gevent.sleep(0.05)
+        platform.call(entries[0], "POST", "/read/x", "1", left="1000")
+        asking.join()
+        gevent.sleep(0.2)
+        reply = platform.call(entries[0], "POST", "/read/x", "2")
+    assert reply.status == 200
