A server that asks for rest gets nothing from that instance meanwhile

Cause: what an answer says of its server is read as if it spoke of its request. A rejection excluded the server for that request and took it for full for 0.15 s; Retry-After was read on the own interface alone, and delayed that request only.

Now the record of the server's start is marked, and all policies, tunnels and the dispatch (asserted) keep to it. Work waits for the end if most of its time is left, or is refused at once with the time; after it a server gets one request and one more with each answer.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
@@ -13,7 +13,7 @@
 
 from . import connection
 from . import engine_client
-from . import server_limit_report
+from . import server_report
 from . import silence_monitor
 from . import transcript
 
@@ -26,6 +26,8 @@
 # The header in which a server names how many requests per second it takes
 # from all instances together.
 LIMIT_HEADER = "X-Max-Request-Rate"
+# The status of a server that turns a request away and may ask for rest.
+UNAVAILABLE = 503
 
 
 class AttemptResponse:
@@ -48,7 +50,7 @@
         self._began_reported = False
         self._on_silence = None
         self._old_connections = contextlib.ExitStack()
-        self._limit_report = None
+        self._server_report = None
 
     def on_silence(self, callback):
         """Set the callback that receives this object during silence."""
@@ -76,16 +78,22 @@
         life = self._host.request_lifecycle(self.dispatch.request_id)
         if life is None:
             return
-        self._limit_report = server_limit_report.LimitReport(
+        self._server_report = server_report.ServerReport(
             self._host, life.incarnation_of(self.dispatch.attempt)
         )
         if again:
-            self._limit_report.submit_sent_again()
+            self._server_report.submit_sent_again()
 
     def head_received(self, answer, refused=False):
-        """Report the limit that the server names in the head of an answer."""
-        if self._limit_report is not None:
-            self._limit_report.submit(answer.values(LIMIT_HEADER), refused)
+        """Report what the head of an answer says of its server."""
+        report = self._server_report
+        if report is None:
+            return
+        report.submit_limit(answer.values(LIMIT_HEADER), refused)
+        if refused and answer.status == UNAVAILABLE:
+            report.submit_rest(
+                answer.values("Retry-After"), self.dispatch.request_id
+            )
 
     def open(self, outgoing):
         """Send the request; return the status of the answer."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -11,7 +11,7 @@
 
 from dandeliontrail import events
 
-from .. import server_limit_report
+from .. import server_report
 from . import backend_request
 from . import dialect as dialect_module
 from . import events_splitter
@@ -46,6 +46,10 @@
         self.output = output
 
 
+class ServerRests(Exception):
+    """The server asked for rest while the attempt was connecting to it."""
+
+
 class Superseded(Exception):
     """The reducer ended or withdrew the attempt while it was connecting."""
 
@@ -94,7 +98,7 @@
         self._splitter = events_splitter.EventsSplitter(last_id)
         self._request = None
         self._answer = None
-        self._limit_report = None
+        self._server_report = None
         self._is_stream = False
 
     @property
@@ -166,9 +170,14 @@
             # the request must not be sent.
             self.close()
             raise Superseded()
+        if context.host.is_resting(dispatch):
+            self.close()
+            raise ServerRests("the server rests, nothing was sent")
         life = context.host.request_lifecycle(incoming.request_id)
-        self._limit_report = server_limit_report.LimitReport(
-            context.host, life.incarnation_of(dispatch.attempt)
+        self._server_report = server_report.ServerReport(
+            context.host,
+            life.incarnation_of(dispatch.attempt),
+            dispatch.peer_address,
         )
         context.host.submit(
             events.AttemptBegan(incoming.request_id, dispatch.attempt)
@@ -198,9 +207,7 @@
         is_other_server = dialect.is_other_server(answer)
         refused = dialect.not_executed(answer)
         if not is_other_server:
-            self._limit_report.submit(
-                dialect.limits_of(answer), refused, dialect.brittle_of(answer)
-            )
+            self._report_server(answer, refused)
         if refused:
             raise NotExecuted(answer, is_other_server)
         self._is_stream = _is_stream(answer)
@@ -212,6 +219,17 @@
         self._answer = answer
         return answer
 
+    def _report_server(self, answer, refused):
+        """Report what an answer says of its server, not of the request."""
+        report = self._server_report
+        dialect = self._context.dialect
+        report.submit_limit(
+            dialect.limits_of(answer), refused, dialect.brittle_of(answer)
+        )
+        report.submit_rest(
+            dialect.rest_of(answer), self._context.incoming.request_id
+        )
+
     def _read_events(self):
         """Return the next whole events, ``b""`` at the end of the stream."""
         request = self._request
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -83,6 +83,10 @@
         """
         return []
 
+    def rest_of(self, answer):
+        """Return the values that ask for rest, in seconds, without work."""
+        return []
+
     @abc.abstractmethod
     def request_id_of(self, answer):
         """Return the id of the request that an answer belongs to, or ''."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -54,6 +54,7 @@
     backend_request.NotSent,
     backend_request.Broken,
     attempt_module.NotExecuted,
+    attempt_module.ServerRests,
     attempt_module.ServerFailed,
     events_splitter.EventTooLong,
 )
@@ -386,6 +387,15 @@
                 path_failure=exc.path_failure,
             )
             return
+        if isinstance(exc, attempt_module.ServerRests):
+            self._submit(
+                events.NotBegun,
+                attempt,
+                server_said=False,
+                detail=str(exc),
+                rests=True,
+            )
+            return
         if isinstance(exc, attempt_module.NotExecuted):
             self._submit(
                 events.NotBegun,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -215,6 +215,14 @@
         life = self.request_lifecycle(dispatch.request_id)
         return life is not None and life.has_attempt(dispatch.attempt)
 
+    def is_resting(self, dispatch):
+        """Return whether the server of a dispatch has asked for rest since.
+
+        Only work that has not been sent yet is held back.
+        """
+        server = self.state.directory.server(dispatch.backend_server)
+        return server is not None and server.rests(self.clock.now())
+
     def attach(self, exchange):
         """Deliver the effects for a request to its exchange."""
         self._exchanges[exchange.request_id] = exchange
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
@@ -14,6 +14,7 @@
 from . import limit_views
 from . import log_views
 from . import placement_status
+from . import rest_views
 from . import retry_views
 from . import version_views
 
@@ -255,6 +256,7 @@
     named.update(
         retry_views.gauges(host.reducer.policy.retry_budget, host.clock.now())
     )
+    named.update(rest_views.gauges(host))
     lost = host.reducer.policy.lost_servers()
     named["backend_servers_unreachable"] = len(lost)
     named["tunnels_open"] = host.open_tunnels
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/server_limit_report.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/server_report.py
@@ -1,23 +1,25 @@
-"""Reports to the reducer which limit a server names in an answer."""
+"""Reports to the reducer what an answer says of the server that sent it."""
 
 from dandeliontrail import events
 
 
-class LimitReport:
-    """Reports what the answer to one request says of its server's limit.
+class ServerReport:
+    """Reports what the answer to one request says of its server.
 
     Made when the request is sent to ``incarnation``, a server's name and
-    epoch.
+    epoch; ``peer_address`` is that of the instance through which it is
+    reached, '' for a direct path.
     """
 
-    __slots__ = ("_host", "_incarnation", "_sent_at")
+    __slots__ = ("_host", "_incarnation", "_peer_address", "_sent_at")
 
-    def __init__(self, host, incarnation):
+    def __init__(self, host, incarnation, peer_address=""):
         self._host = host
         self._incarnation = incarnation
+        self._peer_address = peer_address
         self._sent_at = host.clock.now()
 
-    def submit(self, texts, refused=False, brittle_texts=()):
+    def submit_limit(self, texts, refused=False, brittle_texts=()):
         """Report the values that name a limit in an answer.
 
         ``texts`` name a rate and ``brittle_texts`` how much the server may
@@ -44,5 +46,16 @@
         if self._is_limited(server):
             self._host.submit(events.SentWithoutPermit(server))
 
+    def submit_rest(self, texts, request_id):
+        """Report the values that say how long the server wants to rest."""
+        if not texts:
+            return
+        server, epoch = self._incarnation
+        self._host.submit(
+            events.RestAsked(
+                server, epoch, texts, request_id, self._peer_address
+            )
+        )
+
     def _is_limited(self, server):
         return self._host.state.limits.is_named(server)
--- a/packages/dandeliontrail/src/dandeliontrail/components/answers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/answers.py
@@ -80,6 +80,12 @@
         "The backend servers take fewer requests a second than wait for them.",
         "come back after Retry-After seconds",
     ),
+    sentinels.Reason.SERVERS_REST: _RefusalText(
+        503,
+        "backend_servers_rest",
+        "The backend servers have asked not to be sent anything for a while.",
+        "come back after Retry-After seconds",
+    ),
     sentinels.Reason.NO_VERSION: _RefusalText(
         503,
         "software_version_gone",
--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -107,7 +107,7 @@
         before = (
             directory.signature(previous.announcement) if previous else None
         )
-        start = _start_of(previous.announcement) if previous else None
+        start = previous.announcement.start() if previous else None
         if not registry.learn(announcement, age, now):
             return False
         server = registry.servers[announcement.backend_server]
@@ -116,7 +116,7 @@
             self._pending_effects.append(
                 _log_effect(server.announcement, previous is None, age)
             )
-        if start != _start_of(server.announcement):
+        if start != server.announcement.start():
             # The process that used this address before has ended.  A request
             # sent on an idle connection to it may or may not have run, so
             # these connections are dropped.
@@ -126,11 +126,6 @@
         return True
 
 
-def _start_of(announcement):
-    """Return what tells two starts of a server under one name apart."""
-    return (announcement.epoch, announcement.software_version)
-
-
 def _log_effect(announcement, is_new, age):
     """Return the log effect for a server that is new, changed or leaving."""
     if announcement.leaving:
--- a/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
@@ -21,6 +21,11 @@
         f"{work.request_id} to {server}",
     )
     state.permits.confirm(work.request_id, server)
+    invariants.check(
+        not record.rests(now),
+        "no-new-work-for-a-resting-server",
+        f"{work.request_id} to {server}",
+    )
     announcement = record.announcement
     incarnation = (server, announcement.epoch)
     peer_address = state.members.address_of(placement.peer)
--- a/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/hedges.py
@@ -104,10 +104,7 @@
             request,
             now,
             pause,
-            refused=event.server_said,
-            unreachable=not event.server_said,
-            gone=event.gone,
-            path_failure=event.path_failure,
+            **end_of(event),
         )
 
     def failed(self, request, event, now):
@@ -131,3 +128,17 @@
             request.work.request_id, server, **details
         )
         self._policy.ended(ended, now)
+
+
+def end_of(not_begun):
+    """Return what an ``events.NotBegun`` says of the end of its attempt.
+
+    These are fields of :class:`.work.AttemptEnd`.
+    """
+    return {
+        "refused": not_begun.server_said,
+        "unreachable": not (not_begun.server_said or not_begun.rests),
+        "withheld": not_begun.rests,
+        "gone": not_begun.gone,
+        "path_failure": not_begun.path_failure,
+    }
--- a/packages/dandeliontrail/src/dandeliontrail/components/request_retries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/request_retries.py
@@ -91,7 +91,8 @@
         was unreachable count against neither.
         """
         work = request.work
-        work.excluded_servers.add(request.server)
+        if not self._rests(request.server, now):
+            work.excluded_servers.add(request.server)
         if self._ends.is_blocked(work, now):
             return self._endings.refuse(request, ENDS_SERVERS, now)
         rejected = request.servers_reached - request.attempts_begun
@@ -108,6 +109,11 @@
                 return self._endings.refuse(request, queued, now)
         return []
 
+    def _rests(self, name, now):
+        """Return whether a server rests; it may take the work afterwards."""
+        server = self._state.directory.server(name)
+        return server is not None and server.rests(now)
+
     def _refuse_after_failures(self, request, now):
         nothing = sentinels.Nothing(
             sentinels.Reason.SERVER_FAILED
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -319,18 +319,15 @@
         if request is None:
             return []
         self._endings.report_attempt_end(
-            request,
-            now,
-            failed=True,
-            refused=event.server_said,
-            unreachable=not event.server_said,
-            gone=event.gone,
-            path_failure=event.path_failure,
+            request, now, failed=True, **hedges.end_of(event)
         )
         request.mark_not_begun()
         if self._hedges.continue_with_hedge(request):
             return self._run_policy(now)
-        if event.path_failure:
+        if event.rests:
+            self._policy.requeue(request.work, now)
+            out = []
+        elif event.path_failure:
             out = self._retries.retry_through_peer(request, now)
         elif request.work.routed:
             out = self._retries.retry_routed(
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -17,6 +17,7 @@
 from . import server_ends
 from . import server_limits
 from . import server_loads
+from . import server_rests
 from . import servers
 from . import stream_records
 from . import usage
@@ -32,6 +33,7 @@
     *permits.MESSAGES,
     *stream_records.MESSAGES,
     *retry_loans.MESSAGES,
+    server_rests.ServerRest,
     server_loads.ServerLoads,
     *claims.MESSAGES,
     order_reports.OrdersReport,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -68,7 +68,8 @@
     ``expires`` and ``heard_at`` are times on this instance's monotonic clock;
     ``heard_at`` is when any instance first received the announcement.
     ``content_hash`` covers the announcement without sequence and load,
-    ``lease`` the duration of the lease in seconds.
+    ``lease`` the duration of the lease in seconds.  Until ``rests_until`` this
+    start of the server wants no work from this instance.
     """
 
     announcement: announcements.Announcement
@@ -76,11 +77,20 @@
     expires: float
     content_hash: int = 0
     lease: float = MAX_LEASE_SECONDS
+    rests_until: float = float("-inf")
 
     def serves(self, now):
-        """Return whether the server may get new work."""
+        """Return whether the server runs and does not leave."""
         return now < self.expires and not self.announcement.leaving
 
+    def rests(self, now):
+        """Return whether the server wants no work from this instance."""
+        return now < self.rests_until
+
+    def takes_work(self, now):
+        """Return whether the server may get new work."""
+        return self.serves(now) and not self.rests(now)
+
     def load_age(self, now):
         """Return the age of the server's load report in seconds."""
         measured = self.announcement.load.measured_ms_ago / 1000.0
@@ -185,6 +195,8 @@
         elif before.epoch == announcement.epoch:
             # A relay may have renewed the lease after that announcement.
             heard = max(heard, server.heard_at)
+        if before.start() != announcement.start():
+            server.rests_until = float("-inf")
         if before.failure_domain != announcement.failure_domain:
             self._remove_from_digests(announcement.backend_server)
         # Updated in place, since the lists of the directory refer to it.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/adaptive.py
@@ -299,7 +299,7 @@
         throttled = []
         for server in servers:
             name = server.announcement.backend_server
-            if name in work.excluded_servers or not server.serves(now):
+            if name in work.excluded_servers or not server.takes_work(now):
                 continue
             if self._permits.has(name, work.priority, now):
                 return None
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/baselines.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/baselines.py
@@ -65,7 +65,7 @@
         for server in servers:
             name = server.announcement.backend_server
             count = self._outstanding[name]
-            if not server.serves(now) or name in work.excluded_servers:
+            if not server.takes_work(now) or name in work.excluded_servers:
                 continue
             if count >= server.announcement.slots:
                 continue
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/fleet.py
@@ -110,7 +110,7 @@
                 engine, burst, extra, count
             )
             reserved += engine.reserve
-            if not self.servers[engine.name].serves(now):
+            if not self.servers[engine.name].takes_work(now):
                 engine.allowed = 0
             self._count_free(engine)
         self.reserved = reserved / self.sharing.instances
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/placing.py
@@ -184,7 +184,7 @@
             untried = engine.name not in requirements.work.excluded_servers
             if not self._permits.has(engine.name, priority, now):
                 continue
-            if untried and server.serves(now) and engine.may_probe(now):
+            if untried and server.takes_work(now) and engine.may_probe(now):
                 return engine.name
         return None
 
@@ -196,7 +196,7 @@
 
     def _may_place(self, requirements, server, engine, fleet, now):
         if (
-            not server.serves(now)
+            not server.takes_work(now)
             or engine.name in requirements.work.excluded_servers
         ):
             return False
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import types
 
 from . import tunnel_admission
 
@@ -13,10 +14,12 @@
     """Owns the queues and the view of load; one for each instance.
 
     ``retry_budget`` is the :class:`.retry_budget.RetryBudget` that it shares
-    with the other instances, if any.
+    with the other instances, if any.  ``held_for_rest`` counts by service the
+    requests that had to wait, or were refused, since servers rest.
     """
 
     retry_budget = None
+    held_for_rest = types.MappingProxyType({})
 
     @abc.abstractmethod
     def offer(self, work, now):
@@ -102,6 +105,9 @@
     def observe(self, server, now):
         """Process a server's new load report."""
 
+    def rest_began(self, name):
+        """Record that a server has asked this instance for rest."""
+
     def forget_server(self, name):
         """Drop the state of a server that is gone."""
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
@@ -20,6 +20,9 @@
 # A server that refused a request because it is full gets none for this long:
 # one of its requests ends every few tens of milliseconds.
 FULL_BACKOFF_SECONDS = 0.15
+# After a rest a server gets one request at a time, one more with each answer,
+# up to this number; then as many as it takes.
+MAX_RAMP_REQUESTS = 16
 # Weight of the newest answer in the share of failures.
 FAILURE_WEIGHT = 0.15
 
@@ -32,7 +35,8 @@
     ``failure_share`` is a moving average of the share of failed answers.
     ``unreachable_at`` is when a connection to it last failed,
     ``full_until`` is until when it counts as full, ``heard_at`` when it was
-    last heard and ``checked_at`` when its path was last checked.
+    last heard and ``checked_at`` when its path was last checked.  ``ramp`` is
+    how many requests it gets at a time after a rest, ``None`` at other times.
     """
 
     blocked_until: float = float("-inf")
@@ -42,6 +46,7 @@
     full_until: float = float("-inf")
     heard_at: float = float("-inf")
     checked_at: float = float("-inf")
+    ramp: int | None = None
 
     def usable(self, now):
         """Return whether the server may get new work."""
@@ -51,6 +56,21 @@
         """Return whether the server may get new work over another path."""
         return now >= self.full_until
 
+    def has_room(self, running):
+        """Return whether it may get one more request beside ``running``."""
+        return self.ramp is None or running < self.ramp
+
+    def record_rest(self):
+        """Record that the server asked for rest: begin again with one."""
+        self.ramp = 1
+
+    def record_output(self):
+        """Record that a request of this instance has output."""
+        if self.ramp is not None:
+            self.ramp += 1
+            if self.ramp > MAX_RAMP_REQUESTS:
+                self.ramp = None
+
     def record_unreachable(self, now):
         """Record that a connection could not be established."""
         self.backoff = min(
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -48,6 +48,8 @@
 # The Retry-After of a request that the retry budget refused: the caller's next
 # try is a request of its own and reaches another instance.
 RETRY_BUDGET_RETRY_SECONDS = 0.5
+# How much later callers return after a rest for each step of priority.
+RETURN_STEP_SECONDS = 0.2
 # How long a retry waits for a loan of another instance: two rounds of asks.
 LOAN_WAIT_SECONDS = 0.3
 
@@ -90,6 +92,7 @@
         )
         self._queue = {}
         self._searches = hedge_searches.HedgeSearches()
+        self.held_for_rest = collections.Counter()
         self._engines = engine_choice.EngineChoice(table, domain)
         self._prefixes = prefix_announcements.PrefixAnnouncements(table)
         # The revision that the traits were read from, and those by service.
@@ -313,12 +316,12 @@
         servers = directory.of_service(work.service)
         if left <= 0 or (work.parts and left < MIN_SERVICE_SECONDS):
             return self._refusal(work, sentinels.Reason.ALL_BUSY, servers)
-        if work.is_repeat and not self.retry_budget.allows(work.service, now):
-            return self._wait_for_retry_budget(work, now)
         usable = self._usable.of(work, servers, now)
         candidates = usable.servers
         if not candidates:
             return self._decide_without_server(work, servers, now, hedge)
+        if work.is_repeat and not self.retry_budget.allows(work.service, now):
+            return self._wait_for_retry_budget(work, now)
         if self._permits.active:
             choice = self._permit_waits.split(work, candidates, now)
             if not choice.permitted:
@@ -370,9 +373,14 @@
 
     def _decide_without_server(self, work, servers, now, hedge):
         """Refuse work that no server may take now, or leave it queued."""
+        rest = self._usable.rest_of(work, servers, now)
+        if rest is not None:
+            decision = self._decide_in_rest(work, rest, now, hedge)
+            if decision is None or rest.is_sole_reason:
+                return decision
         if work.software_version is not None and not hedge:
             return self._decide_without_version(work, servers, now)
-        waited = now - work.received
+        waited = now - max(work.received, work.held_at or 0.0)
         wait = NO_SERVER_WAIT_SECONDS
         if work.begins_stream and self._usable.exist_of_any_version(
             work, servers, now
@@ -382,6 +390,26 @@
             return None
         return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
 
+    def _decide_in_rest(self, work, rest, now, hedge):
+        """Have work wait for the end of a rest, or refuse it.
+
+        It is refused at once, with the time until then, if too little of its
+        own would be left.  The less urgent come back later.
+        """
+        if work.held_at is None:
+            self.held_for_rest[work.service] += 1
+        work.held_at = now
+        wait = rest.until - now
+        left = work.deadline - now - MIN_SERVICE_SECONDS
+        if hedge or wait <= left * MAX_QUEUE_TIME_FRACTION:
+            return None
+        wait += work.priority * RETURN_STEP_SECONDS
+        nothing = sentinels.Nothing(sentinels.Reason.SERVERS_REST, wait)
+        grounds = work_module.DecisionInputs(
+            need=work.prompt_tokens, waiting=len(self._queue) - 1
+        )
+        return work_module.Refusal(work, nothing, grounds)
+
     def _decide_without_version(self, work, servers, now):
         """Decide about a stream whose version no usable server runs.
 
@@ -505,7 +533,7 @@
             grounds.through = peer
             grounds.unreachable = len(self._checks.unreachable)
             self._peer_paths.record_opening(peer)
-        elif state.health.backoff:
+        elif state.health.backoff or state.health.ramp is not None:
             # This request probes whether the server is back; the others of
             # the round must see that it is not usable meanwhile.
             self._usable.begin_round()
@@ -535,6 +563,10 @@
 
     # -- feedback -----------------------------------------------------------
 
+    def rest_began(self, name):
+        """Record that a server has asked this instance for rest."""
+        self._table.server(name).health.record_rest()
+
     def forget_server(self, name):
         """Drop the state of a server that is gone."""
         super().forget_server(name)
@@ -547,6 +579,7 @@
             attempt.server_state.unread -= attempt.unread
             attempt.unread = 0.0
             self._repeats.record_answer(attempt)
+            attempt.server_state.health.record_output()
             self._record_answering(attempt, now)
 
     def ended(self, ended, now):
@@ -574,6 +607,8 @@
             )
         elif ended.unreachable:
             self._record_unreachable(attempt, now)
+        elif ended.withheld:
+            return
         elif ended.refused:
             state.health.record_full(now)
         elif ended.failed:
@@ -586,7 +621,7 @@
 
     def _record_arrival(self, ended, attempt, now):
         """Record whether an attempt that ended may still arrive."""
-        if ended.path_failure or ended.unreachable:
+        if ended.path_failure or ended.unreachable or ended.withheld:
             return
         if ended.wasted or ended.overtaken:
             self._repeats.record_given_up(ended.request_id, attempt, now)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/tunnel_admission.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/tunnel_admission.py
@@ -12,7 +12,8 @@
 
     ``UNKNOWN_SERVER``: its registry has no such start at this address, or the
     server leaves.  ``NO_SERVERS``: it reaches no server itself.  ``SERVER``:
-    it does not reach this one.  ``FULL``: it has as many tunnels as it takes.
+    it does not reach this one, or this one
+    asked it for rest.  ``FULL``: it has as many tunnels as it takes.
     ``NOT_SERVING``: it serves no routes.
     """
 
@@ -48,6 +49,8 @@
     announcement = server.announcement
     if (announcement.epoch, announcement.url) != (epoch, url):
         return Refusal.UNKNOWN_SERVER
+    if server.rests(now):
+        return Refusal.SERVER
     if open_tunnels >= MAX_TUNNELS:
         return Refusal.FULL
     return _REFUSALS.get(reach)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
@@ -20,6 +20,17 @@
     preferred: dict | None = None
 
 
+class Rest(msgspec.Struct):
+    """Servers rest, the first of them until ``until``.
+
+    That is the present for one that is used again little by little.
+    ``is_sole_reason`` tells that no other server may take the work.
+    """
+
+    until: float
+    is_sole_reason: bool = True
+
+
 class UsableServerLists:
     """Lists the usable servers of a service, cached for one round.
 
@@ -64,6 +75,22 @@
         """Return whether any server is usable, whatever software it runs."""
         return bool(self._find(work, servers, now).servers)
 
+    def rest_of(self, work, servers, now):
+        """Return the :class:`Rest` that ``work`` may wait for, or ``None``."""
+        found = Rest(float("inf"))
+        for name, server in _newest_at_addresses(
+            self._versions.allowed(work, servers)
+        ):
+            if not server.serves(now) or name in work.excluded_servers:
+                continue
+            if server.rests(now):
+                found.until = min(found.until, server.rests_until)
+            elif not self._table.server(name).has_room():
+                found.until = now
+            else:
+                found.is_sole_reason = False
+        return found if found.until < float("inf") else None
+
     def _of_allowed(self, work, servers, now):
         allowed = self._versions.allowed(work, servers)
         found = self._find(work, allowed, now)
@@ -92,11 +119,12 @@
             lost = ()
         found = {}
         for name, server in _newest_at_addresses(servers):
-            if not server.serves(now) or name in work.excluded_servers:
+            if not server.takes_work(now) or name in work.excluded_servers:
                 continue
-            health = self._table.server(name).health
-            if name not in lost and health.usable(now):
-                found[name] = server
+            state = self._table.server(name)
+            if name not in lost and state.health.usable(now):
+                if state.has_room():
+                    found[name] = server
         return self._without_partitioned_domains(found, now)
 
     def _without_partitioned_domains(self, usable, now):
@@ -140,13 +168,15 @@
         """
         found = {}
         for name, server in _newest_at_addresses(servers):
-            health = self._table.server(name).health
+            state = self._table.server(name)
             is_excluded = name in work.excluded_servers and (
                 name not in work.unreached_servers
             )
-            if name in direct or is_excluded or not server.serves(now):
+            if name in direct or is_excluded or not server.takes_work(now):
+                continue
+            if not state.health.usable_through_peer(now):
                 continue
-            if not health.usable_through_peer(now):
+            if not state.has_room():
                 continue
             if direct and not (
                 name in self._checks.unreachable
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -39,7 +39,8 @@
     ``is_repeat`` is true while the work waits to be sent once more after a
     server got it, which counts against the retry budget.
     ``is_continuing`` is true once the caller holds events of this answer, and
-    ``queued_at`` is when the work was last queued.
+    ``queued_at`` is when the work was last queued.  ``held_at`` is when it was
+    last held back since servers rest, ``None`` if it never was.
 
     ``limits`` are those of the organisation, ``class_limits`` those of each
     organisation in the class (``resources.specs.Limits``).
@@ -85,6 +86,7 @@
     is_continuing: bool = False
     queued_at: float = 0.0
     is_repeat: bool = False
+    held_at: float | None = None
 
     @property
     def begins_stream(self):
@@ -183,7 +185,8 @@
     ``wasted``: no caller could use the output. ``refused``: the server said
     that it did not run the request. ``unreachable``: no connection to the
     server was established. ``overtaken``: it was given up, since a hedge had
-    output first. ``gone``: another server has taken over its
+    output first. ``withheld``: nothing was sent, since the server had asked
+    for rest meanwhile. ``gone``: another server has taken over its
     address. ``broken``: the connection failed before the answer was whole.
     ``path_failure`` tells why a tunnel through a peer was not opened
     (:class:`.peer_paths.PathFailure`).
@@ -197,6 +200,7 @@
     refused: bool = False
     unreachable: bool = False
     overtaken: bool = False
+    withheld: bool = False
     gone: bool = False
     broken: bool = False
     path_failure: object = None
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -36,6 +36,7 @@
 from .servers import Announced
 from .servers import LimitRead
 from .servers import PathChecked
+from .servers import RestAsked
 from .servers import SentWithoutPermit
 from .usage import DayBegan
 from .usage import UsageLoaded
@@ -67,6 +68,7 @@
     "PeerMessageReceived",
     "ReadSubmitted",
     "RequestReceived",
+    "RestAsked",
     "RevisionSubmitted",
     "SentWithoutPermit",
     "ShutdownBegan",
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -71,6 +71,7 @@
     false if no byte of the request left this instance.  ``gone`` is true if
     another server answered at its address.  ``retry_after`` is in seconds.
     ``path_failure`` tells why a tunnel through a peer was not opened.
+    ``rests`` is true if the server asked for rest before anything was sent.
     """
 
     request_id: str
@@ -80,6 +81,7 @@
     detail: str = ""
     gone: bool = False
     path_failure: peer_paths.PathFailure | None = None
+    rests: bool = False
 
 
 class FirstOutput(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/events/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/servers.py
@@ -30,6 +30,21 @@
     brittle_texts: list[str] = []
 
 
+class RestAsked(msgspec.Struct):
+    """A server turned a request away and asked for rest.
+
+    ``texts`` are the values that say for how many seconds.  ``peer_address``
+    is that of the instance through which the request went, '' for a direct
+    path: the server asked that one.
+    """
+
+    backend_server: str
+    epoch: int
+    texts: list[str]
+    request_id: str = ""
+    peer_address: str = ""
+
+
 class SentWithoutPermit(msgspec.Struct):
     """A request was sent to a limited server without asking the reducer.
 
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -29,6 +29,7 @@
 from .components import server_limits
 from .components import server_loads
 from .components import server_paths
+from .components import server_rests
 from .components import state as state_module
 from .components import stream_versions
 from .components import usage
@@ -178,6 +179,7 @@
         ends,
         server_loads.ServerLoads(state, chosen_policy),
         limits_component,
+        server_rests.ServerRests(state, chosen_policy),
         usage_windows.UsageWindows(state),
         version_admission.VersionAdmission(state),
         retry_loans.RetryLoans(
--- a/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/announcements.py
@@ -54,6 +54,10 @@
     spot: bool = False
     software_version: str = ""
 
+    def start(self):
+        """Return what tells two starts of a server under one name apart."""
+        return (self.epoch, self.software_version)
+
     def order(self):
         """Return the pair by which announcements are ordered."""
         return (self.epoch, self.sequence)
--- a/packages/dandeliontrail/src/dandeliontrail/sentinels.py
+++ b/packages/dandeliontrail/src/dandeliontrail/sentinels.py
@@ -29,6 +29,7 @@
     UNKNOWN_STREAM = "stream_unknown"
     ALL_BUSY = "all_backend_servers_busy"
     SERVER_LIMIT = "backend_server_limit"
+    SERVERS_REST = "backend_servers_rest"
     DRAINING = "instance_draining"
     SERVER_FAILED = "backend_server_failed"
     RETRY_BUDGET = "retry_budget_used_up"
--- a/tests/cover/test_bad_servers.py
+++ b/tests/cover/test_bad_servers.py
@@ -28,6 +28,7 @@
         self._prefix = prefix
         self._repeated = repeated
         self.sent = 0
+        self.connections = 0
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
 
@@ -35,6 +36,7 @@
         """Accept connections forever."""
         while True:
             conn, _ = self._listener.accept()
+            self.connections += 1
             gevent.spawn(self._serve, conn)
 
     def _serve(self, conn):
