--- a/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_limits.py
@@ -18,6 +18,7 @@
 from ..decisions import permit_issuer
 from ..decisions import permits as permits_module
 from ..decisions import server_permits
+from . import logged_once
 
 # A holder whose last contact with a majority is older than this issues only
 # the parts of the instances that it reaches.  It is shorter than the time
@@ -25,9 +26,6 @@
 MAX_PROOF_SECONDS = 3.0
 # How often the limits of servers that restarted or are gone are dropped.
 REMOVAL_INTERVAL_SECONDS = 0.5
-# How many starts of servers are remembered that named a limit which could not
-# be read, so that each is logged once.
-MAX_LOGGED_BAD = 4096
 
 
 class ServerLimits(interfaces.Component):
@@ -39,7 +37,7 @@
         self._permits = state.permits
         self._holders = holders_module.Holders(state.identity.instance)
         self._issuer = permit_issuer.PermitIssuer(self._rate, self._places)
-        self._logged_bad = collections.OrderedDict()
+        self._logged_bad = logged_once.LoggedOnce()
         self._max_instances = 1
         self._next_removal = float("-inf")
 
@@ -180,11 +178,8 @@
     def _report_bad(self, event, exc):
         """Log, once for each incarnation, a limit that cannot be read."""
         incarnation = (event.backend_server, event.epoch)
-        if incarnation in self._logged_bad:
+        if not self._logged_bad.is_first(incarnation):
             return []
-        self._logged_bad[incarnation] = None
-        if len(self._logged_bad) > MAX_LOGGED_BAD:
-            self._logged_bad.popitem(last=False)
         fields = {
             "backend_server": event.backend_server,
             "detail": str(exc),
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_rests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_rests.py
@@ -5,21 +5,17 @@
 the request came over, so a peer that opened a tunnel is told.
 """
 
-import collections
-
 import msgspec
 
 from .. import effects
 from .. import events
 from .. import interfaces
 from ..coordination import server_rests
+from . import logged_once
 
 # Instances that were asked at once come back within this many seconds of one
 # another.
 SPREAD_SECONDS = 0.3
-# How many starts of servers are remembered that named a time which could not
-# be read, so that each is logged once.
-MAX_LOGGED_BAD = 4096
 
 
 class _Rest(msgspec.Struct):
@@ -37,7 +33,7 @@
         self._state = state
         self._policy = policy
         self._rests = {}
-        self._logged_bad = collections.OrderedDict()
+        self._logged_bad = logged_once.LoggedOnce()
 
     def handlers(self):
         """Return the handlers of answers and of what peers were told."""
@@ -119,11 +115,8 @@
     def _report_bad(self, event, exc):
         """Log, once for each start of a server, a time it cannot mean."""
         start = (event.backend_server, event.epoch)
-        if start in self._logged_bad:
+        if not self._logged_bad.is_first(start):
             return []
-        self._logged_bad[start] = None
-        if len(self._logged_bad) > MAX_LOGGED_BAD:
-            self._logged_bad.popitem(last=False)
         fields = {
             "backend_server": event.backend_server,
             "detail": str(exc),
