A server that says in an answer that it leaves gets no new work

Cause: nothing read Server-Leaving; that a server leaves was taken from its announcements alone, which come by other ways and may say otherwise.

Its record becomes one that leaves, as with a departure, and the other instances are told. The start is noted, so that a record which was removed is not learned again as ready. Values other than 1 are ignored with one line.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -226,9 +226,9 @@
         report.submit_limit(
             dialect.limits_of(answer), refused, dialect.brittle_of(answer)
         )
-        report.submit_rest(
-            dialect.rest_of(answer), self._context.incoming.request_id
-        )
+        request_id = self._context.incoming.request_id
+        report.submit_rest(dialect.rest_of(answer), request_id)
+        report.submit_leaving(dialect.leaving_of(answer), request_id)
 
     def _read_events(self):
         """Return the next whole events, ``b""`` at the end of the stream."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -87,6 +87,10 @@
         """Return the values that ask for rest, in seconds, without work."""
         return []
 
+    def leaving_of(self, answer):
+        """Return the values that say whether the server leaves."""
+        return []
+
     @abc.abstractmethod
     def request_id_of(self, answer):
         """Return the id of the request that an answer belongs to, or ''."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/server_report.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/server_report.py
@@ -57,5 +57,12 @@
             )
         )
 
+    def submit_leaving(self, texts, request_id):
+        """Report the values that say whether the server leaves."""
+        if not texts:
+            return
+        server, epoch = self._incarnation
+        self._host.submit(events.LeavingSaid(server, epoch, texts, request_id))
+
     def _is_limited(self, server):
         return self._host.state.limits.is_named(server)
--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -1,10 +1,18 @@
 """The component that maintains the registry of backend servers."""
 
+import msgspec
+
 from .. import effects
 from .. import events
 from .. import interfaces
 from ..coordination import servers
 from ..decisions import directory
+from . import logged_once
+
+
+# What a server that leaves says in its answers.
+LEAVING = "1"
+MAX_LOGGED_CHARACTERS = 32
 
 
 class BackendServers(interfaces.Component):
@@ -21,11 +29,13 @@
         self._renewals = renewals
         self._batched_names = {}
         self._pending_effects = []
+        self._logged_bad = logged_once.LoggedOnce()
 
     def handlers(self):
         """Return the handlers of announcements and of server records."""
         return {
             events.Announced: self._handle_announced,
+            events.LeavingSaid: self._handle_leaving,
             servers.ServerRecords: self._handle_records,
         }
 
@@ -55,6 +65,46 @@
             return []
         return self._forward([name], now)
 
+    def _handle_leaving(self, event, now):
+        """Take a server for leaving that says so in an answer.
+
+        The other instances are told: it may not reach those that it announces
+        itself to, or may go on to announce that it is ready.
+        """
+        name = event.backend_server
+        server = self._state.registry.servers.get(name)
+        if server is None or server.announcement.epoch != event.epoch:
+            return []
+        if event.texts != [LEAVING]:
+            return self._report_bad(event)
+        if server.announcement.leaving:
+            return []
+        self._state.registry.note_left(server.announcement)
+        leaving = msgspec.structs.replace(server.announcement, leaving=True)
+        self._learn(leaving, 0.0, now)
+        fields = {
+            "backend_server": name,
+            "service": leaving.service,
+            "for_request": event.request_id,
+            "important": True,
+        }
+        line = effects.Log(
+            "info", "backend server said that it leaves", fields
+        )
+        return [line, *self._forward([name], now)]
+
+    def _report_bad(self, event):
+        if not self._logged_bad.is_first((event.backend_server, event.epoch)):
+            return []
+        fields = {
+            "backend_server": event.backend_server,
+            "detail": f"{event.texts[0][:MAX_LOGGED_CHARACTERS]!r} is not"
+            f" {LEAVING!r}",
+            "important": True,
+        }
+        text = "backend server's leaving ignored"
+        return [effects.Log("warning", text, fields)]
+
     def _handle_records(self, source, message, now):
         delay = self._state.members.delay(source, now)
         changed = []
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -8,6 +8,8 @@
 a lease.
 """
 
+import collections
+
 import msgspec
 
 from .. import invariants
@@ -110,6 +112,7 @@
         "digest",
         "running_by_domain",
         "longest_lease",
+        "_left",
         "_lapsed",
         "_next_lapse",
     )
@@ -119,6 +122,7 @@
         self.servers = {}
         self.digest = digests.TableDigest()
         self.running_by_domain = {}
+        self._left = collections.OrderedDict()
         self._lapsed = {}
         self._next_lapse = 0.0
 
@@ -126,9 +130,21 @@
         """Return the duration of the lease of an announcement, in seconds."""
         return min(announcement.lease, self.longest_lease)
 
+    def note_left(self, announcement):
+        """Note that a start of a server told this instance that it leaves.
+
+        That holds whatever its announcements say, also once its record has
+        been removed.
+        """
+        self._left[_start_of(announcement)] = None
+        if len(self._left) > MAX_EXPIRED_RECORDS:
+            self._left.popitem(last=False)
+
     def learn(self, announcement, age, now):
         """Merge a record of ``age`` seconds; return whether it was new."""
         name = announcement.backend_server
+        if _start_of(announcement) in self._left:
+            announcement = msgspec.structs.replace(announcement, leaving=True)
         server = self.servers.get(name)
         lease = self._lease_seconds(announcement)
         if server is None:
@@ -342,6 +358,10 @@
     return digests.hash_of(msgspec.json.encode(constant))
 
 
+def _start_of(announcement):
+    return (announcement.backend_server, *announcement.start())
+
+
 def _has_left(announcement, epoch):
     return announcement.leaving and announcement.epoch == epoch
 
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -34,6 +34,7 @@
 from .requests import RequestReceived
 from .requests import RoutedRequestReceived
 from .servers import Announced
+from .servers import LeavingSaid
 from .servers import LimitRead
 from .servers import PathChecked
 from .servers import RestAsked
@@ -58,6 +59,7 @@
     "FirstOutput",
     "Left",
     "InForceAsked",
+    "LeavingSaid",
     "LimitRead",
     "LogSynced",
     "NotBegun",
--- a/packages/dandeliontrail/src/dandeliontrail/events/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/servers.py
@@ -45,6 +45,15 @@
     peer_address: str = ""
 
 
+class LeavingSaid(msgspec.Struct):
+    """An answer of a server says whether it leaves, in ``texts``."""
+
+    backend_server: str
+    epoch: int
+    texts: list[str]
+    request_id: str = ""
+
+
 class SentWithoutPermit(msgspec.Struct):
     """A request was sent to a limited server without asking the reducer.
 
