Answers of servers are bounded in each part

Cause: bodies alone had a bound, of 64 MB for each of any number; what belongs to no body had none, and a loop that always has something to read does not turn to other requests until it has none or the deadline comes.

A head with its interim answers, the number of headers, the framing of a body, what belongs to other requests, a body, all bodies together and an event have bounds; beyond one the connection is reset and the answer counts as broken. The own interface takes 8 MB of an answer instead of 64.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -22,7 +22,7 @@
 PROBE_SECONDS = 2.0
 EVENT_END = b"\n\n"
 # Real answers are below 1 MB.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 CONNECTION_ERRORS = (
     OSError,
     gevent.Timeout,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -10,6 +10,8 @@
 
 from geventhttpclient import response as http_response
 
+from . import answer_bounds
+
 ParseError = http_response.HTTPParseError
 
 
@@ -51,6 +53,9 @@
 class AnswerParser(http_response.HTTPResponseParser):
     """Turns the bytes of a connection into :class:`Answer` objects.
 
+    :meth:`feed` raises ``answer_bounds.TooLarge`` if a head, or the framing of
+    a body, goes beyond its bound.
+
     The parser is that of geventhttpclient.  Its own response class keeps one
     message at a time and discards it when the next begins.
     """
@@ -61,6 +66,38 @@
         self._field = ""
         self._value = ""
         self._in_value = False
+        # Bytes that belong to no body, and those of bodies.
+        self._other_bytes = 0
+        self._body_bytes = 0
+        self._interim_answers = 0
+        self._in_head = True
+
+    def feed(self, data):
+        """Parse the next bytes, ``b""`` at the end of the connection."""
+        bodies = self._body_bytes
+        super().feed(data)
+        self._other_bytes += len(data) - (self._body_bytes - bodies)
+        self._check_bounds()
+
+    def _check_bounds(self):
+        if self._interim_answers > answer_bounds.MAX_INTERIM_ANSWERS:
+            raise answer_bounds.TooLarge("too many interim answers")
+        if self._in_head:
+            if self._other_bytes > answer_bounds.MAX_HEAD_BYTES:
+                raise answer_bounds.TooLarge(
+                    "the head of the answer is too long"
+                )
+        elif self._other_bytes > (
+            answer_bounds.MAX_HEAD_BYTES
+            + answer_bounds.MAX_FRAMING_BYTES
+            + answer_bounds.MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+        ):
+            raise answer_bounds.TooLarge("the framing of the body is too long")
+        if (
+            self.answers
+            and len(self.answers[-1].headers) > answer_bounds.MAX_HEADERS
+        ):
+            raise answer_bounds.TooLarge("the answer has too many headers")
 
     def pop(self):
         """Remove the oldest answer and return it."""
@@ -68,6 +105,7 @@
 
     def _on_message_begin(self):
         self.answers.append(Answer())
+        self._in_head = True
 
     def _on_status(self, text):
         """Ignore the reason phrase."""
@@ -93,15 +131,18 @@
         answer = self.answers[-1]
         answer.status = self.get_code()
         answer.head_done = True
+        self._in_head = answer.status < 200
         return False
 
     def _on_body(self, data):
         self.answers[-1].body += data
+        self._body_bytes += len(data)
 
     def _on_message_complete(self):
         answer = self.answers[-1]
         if answer.status < 200:
             # An interim (1xx) answer; the final one follows.
             self.answers.pop()
+            self._interim_answers += 1
             return
         answer.complete = True
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from . import answer_bounds
 from . import answer_parser
 from . import connections as connections_module
 from . import tunnels
@@ -17,8 +18,6 @@
 FAILURES = (OSError, gevent.Timeout, answer_parser.ParseError)
 # Late answers to earlier requests that are skipped on one connection.
 MAX_STALE_ANSWERS = 4
-# Real answers are below 1 MB.
-MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
 class NotSent(Exception):
@@ -139,17 +138,16 @@
             skipped += 1
             if skipped > MAX_STALE_ANSWERS:
                 raise Broken("all answers received were for other requests")
-            self._read_until(lambda answers: answers[0].complete)
-            self._parser.pop()
+            self._skip_answer()
 
     def read_whole_body(self):
         """Return the whole body; raises :class:`Broken` if it is truncated."""
         answer = self.answer
-        while not answer.complete:
-            if len(answer.body) > MAX_BODY_BYTES:
-                raise Broken("the body of the answer is too long")
-            self._receive()
-        return answer.take()
+        with answer_bounds.BodyHold(self._connections.held_bytes) as hold:
+            while not answer.complete:
+                _resize(hold, len(answer.body))
+                self._receive()
+            return answer.take()
 
     def read_body_part(self):
         """Return the next bytes of the body, ``b""`` once it is complete."""
@@ -160,6 +158,17 @@
             self._receive()
         return answer.take()
 
+    def _skip_answer(self):
+        """Read an answer to an earlier request to its end, and drop it."""
+        answer = self._parser.answers[0]
+        skipped = 0
+        while not answer.complete:
+            skipped += len(answer.take())
+            if skipped > answer_bounds.MAX_STALE_BYTES:
+                raise Broken("an answer to another request is too long")
+            self._receive()
+        self._parser.pop()
+
     def _read_until(self, condition):
         while not condition(self._parser.answers):
             self._receive()
@@ -170,7 +179,7 @@
         try:
             data = self._conn.sock.recv(connections_module.RECEIVE_BYTES)
             self._parser.feed(data)
-        except FAILURES as exc:
+        except (*FAILURES, answer_bounds.TooLarge) as exc:
             _raise_if_silent("reading", exc)
             if self.answer is not None and self.answer.complete:
                 # Bytes after the complete answer: ignore them, and do not
@@ -232,3 +241,11 @@
     """Return a :class:`Broken` that describes a connection failure."""
     closed = at_end or isinstance(exc, ConnectionError)
     return Broken(f"{operation}: {type(exc).__name__}: {exc}", closed)
+
+
+def _resize(hold, size):
+    """Hold ``size`` bytes of a body; raises ``Broken`` beyond a bound."""
+    try:
+        hold.resize(size)
+    except answer_bounds.TooLarge as exc:
+        raise Broken(str(exc)) from exc
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -15,6 +15,7 @@
 import gevent
 
 from .. import connection
+from . import answer_bounds
 from . import tunnels
 
 # The fraction of the server's idle timeout within which a connection is
@@ -82,6 +83,7 @@
 
     ``connect(address, seconds)`` opens a new one, ``tunnels``
     (:class:`.tunnels.TunnelOpener`) one through another instance.
+    ``held_bytes`` counts what the bodies of all answers hold.
     """
 
     def __init__(self, connect_seconds):
@@ -90,6 +92,7 @@
         self._idle = collections.defaultdict(list)
         self._heard_at = float("-inf")
         self.tunnels = None
+        self.held_bytes = answer_bounds.HeldBytes()
 
     def open(self, address):
         """Return an idle or new connection to ``address`` (``host:port``).
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/events_splitter.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/events_splitter.py
@@ -10,8 +10,9 @@
 
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
-# Limits the memory used for a server that never ends an event.
-MAX_EVENT_BYTES = 1024 * 1024
+# Limits the memory used for a server that never ends an event.  Real events
+# are below 1 KB.
+MAX_EVENT_BYTES = 256 * 1024
 
 
 class EventTooLong(ValueError):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -9,6 +9,7 @@
 from .. import connection
 from .. import peer_link
 from .. import tunnel_messages
+from . import answer_bounds
 from . import answer_parser
 
 # The peer connects to the server within 0.2 s.
@@ -18,6 +19,7 @@
     OSError,
     gevent.Timeout,
     answer_parser.ParseError,
+    answer_bounds.TooLarge,
     msgspec.DecodeError,
 )
 
