Soak: servers that rest, leave by their answers and send without end

Judged at the servers, by the instance that sends, with restarts, freezes and cuts excused; and by how much the memory of an entry grows.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,13 +34,16 @@
 
     With ``strikes_early`` the loss of a keeper that has to wait for another
     one is not skipped.  With ``has_end`` the run ends with a final fault, and
-    with ``has_parts`` some requests crash their servers.
+    with ``has_parts`` some requests crash their servers; with
+    ``has_troubled`` servers ask for rest, leave by their answers and send
+    without end.
     """
 
     kinds: tuple
     strikes_early: bool
     has_end: bool
     has_parts: bool = False
+    has_troubled: bool = False
 
 
 def plan(seed, seconds, kinds):
@@ -273,5 +276,6 @@
     strikes_early=True,
     has_end=True,
     has_parts=True,
+    has_troubled=True,
 )
 MIXES = {"first": FIRST_MIX, "keepers": KEEPER_MIX, "all": ALL_MIX}
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -24,6 +24,7 @@
 POLL_SECONDS = 0.05
 # A start or a stop affects callers for so long.
 TOUCH_EFFECT_SECONDS = 8.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 class Program:
@@ -165,6 +166,22 @@
         (caught,) = [line for line in lines if line.startswith("SigCgt:")]
         return bool(int(caught.split()[1], 16) & 1 << (number - 1))
 
+    @property
+    def pid(self):
+        """The id of the present process."""
+        return self._process.pid
+
+    def memory_mb(self):
+        """Return the resident memory in MB, ``None`` if it has ended."""
+        if not self.running:
+            return None
+        path = pathlib.Path(f"/proc/{self.pid}/statm")
+        try:
+            pages = int(path.read_text().split()[1])
+        except OSError:
+            return None
+        return pages * PAGE_BYTES / 1024**2
+
     def wait(self, seconds):
         """Wait up to ``seconds`` for the present process; tell if it ended.
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -45,6 +45,8 @@
         self._by_address = by_address
         self.mode = Mode.PASS
         self.modes = {}
+        # The sending instance by the port from which the target is reached.
+        self.senders = {}
         self._open = set()
         self._server = gevent_server.StreamServer(listen, self._serve)
         self._server.start()
@@ -60,8 +62,9 @@
             self._reset(client_sock)
             return
         connection = _Connection(client_sock, server_sock)
+        port = server_sock.getsockname()[1]
         if self._by_address:
-            connection.sender = address[0]
+            connection.sender = self.senders[port] = address[0]
         self._open.add(connection)
         jobs = [
             gevent.spawn(
@@ -76,6 +79,7 @@
         finally:
             gevent.killall(jobs)
             self._open.discard(connection)
+            self.senders.pop(port, None)
             for sock in (client_sock, server_sock):
                 sock.close()
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,7 +28,9 @@
     largest part of what a limit allows in a window that a server got;
     ``retries`` are repeats and their bound in the worst window;
     ``part_crashes`` are the crashes of each bad part, ``late_parts`` the sends
-    of each that came too late.
+    of each that came too late; ``troubled`` counts the rests, the servers that
+    left by their answers and those that sent without end, and
+    ``most_growth_mb`` is how much the memory of an entry grew at the most.
     ``end`` is the final fault, and ``recovered`` the seconds until the
     operator read and changed the configuration after it; ``longest_wait`` is
     the longest time between two accepted changes.
@@ -46,6 +48,8 @@
     retries: tuple
     part_crashes: list
     late_parts: list
+    troubled: tuple
+    most_growth_mb: float
     end: str
     recovered: tuple
     longest_wait: float
@@ -85,6 +89,9 @@
                 world.spawn(versions.call_forever)
             if mix.has_parts:
                 world.spawn(world.parts.run_forever)
+            if mix.has_troubled:
+                world.spawn(world.troubled.run_forever)
+            world.spawn(world.troubled.watch_memory)
             faults = faults_module.Faults(world, seed, mix)
             faults.run(seconds)
             end = ""
@@ -101,8 +108,10 @@
             paths.check()
             versions.check()
             world.parts.check()
+            world.troubled.check()
             if logs and (world.findings or keep_all):
                 world.keep_logs(pathlib.Path(logs) / f"seed-{seed}")
+            troubled = world.troubled
             fault_counts = {
                 name: faults.injected.count(name)
                 for name in set(faults.injected)
@@ -120,6 +129,8 @@
                 world.retries.worst(),
                 [len(spell.crashes) for spell in world.parts.spells],
                 world.parts.late_sends(),
+                (troubled.rests, troubled.leavings, troubled.endless),
+                troubled.most_growth_mb,
                 end,
                 recovered,
                 round(world.longest_wait, 2),
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -9,6 +9,7 @@
 from tests.common import limited_server
 from tests.common import platform_world
 from tests.soak import proxy as proxy_module
+from tests.soak import troubled
 from tests.soak import versions
 
 STREAM_PIECES = 8
@@ -44,8 +45,15 @@
         self.disrupted_at = float("-inf")
         self._new_judge()
 
+    @property
+    def _extra(self):
+        """The header lines that all answers have."""
+        limit = limited_server.limit_header(self.judge.limit)
+        return f"{limit}{self.trouble.extra}"
+
     def _new_judge(self):
         """Judge this incarnation by itself."""
+        self.trouble = troubled.ServerTrouble()
         self.judge = limit_judge.RunningJudge()
         self._world.judges.append(self.judge)
 
@@ -102,27 +110,33 @@
                 self._world.report_violation(
                     "leaving", f"{request_id} after {late:.1f} s"
                 )
-        self._world.runs[request_id].append(
-            Run(request_id, self.id, time.monotonic())
-        )
         broken = self.judge.arrived(time.monotonic())
         if broken:
             self._world.report_violation(
                 "keeps a server's limit", f"{self.id}: {broken}"
             )
+        trouble = self.trouble
+        entry = self.proxy.senders.get(sock.getpeername()[1], "")
+        self._world.troubled.judge(self, entry, request_id)
+        if trouble.leaves:
+            trouble.said_leaving(entry, time.monotonic())
+        if trouble.retry_after is None:
+            self._world.runs[request_id].append(
+                Run(request_id, self.id, time.monotonic())
+            )
+        if self._world.troubled.answer(self, sock, entry, request_id):
+            return "close"
         if self._world.parts.arrived(self, request_id, head):
             return "close"
         gevent.sleep(self._world.rng.uniform(0.005, 0.06))
         if " /chat/" in head.split("\r\n")[0]:
             return self._stream(sock, head, request_id, self.version)
         body = f"answer to {request_id}".encode()
-        extra = limited_server.limit_header(self.judge.limit)
-        sock.sendall(platform_world.whole(200, body, request_id, extra))
+        sock.sendall(platform_world.whole(200, body, request_id, self._extra))
         return None
 
     def _stream(self, sock, head, request_id, version):
-        extra = limited_server.limit_header(self.judge.limit)
-        sock.sendall(platform_world.stream_head(request_id, extra))
+        sock.sendall(platform_world.stream_head(request_id, self._extra))
         last_event_id = int(platform_world.header(head, "last-event-id") or 0)
         count, pause = STREAM_PIECES, 0.02
         if versions.LONG_PATH in head.split("\r\n")[0]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from tests.soak import paths
 from tests.soak import processes
 from tests.soak import servers as servers_module
+from tests.soak import troubled as troubled_module
 
 ENTRIES = 3
 # As in the settings that all programs get.
@@ -72,6 +73,7 @@
         self.refused = []
         self.judges = []
         self.parts = parts_module.Parts(self, seed)
+        self.troubled = troubled_module.Troubled(self, seed)
         self.retries = retry_judge.RetryJudge(RETRY_LIMITS)
         self.orders = []
         self.first_tries = []
