--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -12,8 +12,6 @@
 
 import collections
 
-import msgspec
-
 from .. import invariants
 from .. import sentinels
 from . import engine_choice
@@ -24,58 +22,22 @@
 from . import plain_server_choice
 from . import prefix_announcements
 from . import retry_budget
+from . import server_attempt
 from . import server_table
 from . import service_traits
+from . import unplaceable_work
 from . import unsettled_repeats
 from . import usable_servers
 from . import version_choice
 from . import work as work_module
 
-# The Retry-After of a refusal for want of a usable server: about the time in
-# which a server restarts.
-NO_SERVER_RETRY_SECONDS = 1.0
-# How long work waits for a server to become usable again before it is
-# refused: most backoffs are over by then, and little of the work's latency
-# target is used up.
-NO_SERVER_WAIT_SECONDS = 0.3
-# Queued work is refused once less than this is left until its deadline: the
-# time that a short answer takes on a lightly loaded engine.
-MIN_SERVICE_SECONDS = 0.5
-# Queued work is also refused once the queue ahead of it takes more than this
-# fraction of its remaining time: its own answer takes time too, and the
-# placement rate is only an estimate.
-MAX_QUEUE_TIME_FRACTION = 0.7
 # The Retry-After of a request that the retry budget refused: the caller's next
 # try is a request of its own and reaches another instance.
 RETRY_BUDGET_RETRY_SECONDS = 0.5
-# How much later callers return after a rest for each step of priority.
-RETURN_STEP_SECONDS = 0.2
 # How long a retry waits for a loan of another instance: two rounds of asks.
 LOAN_WAIT_SECONDS = 0.3
 
 
-class Attempt(msgspec.Struct):
-    """An outstanding attempt at a server.
-
-    ``server_state`` is the state of the incarnation that got the work, so
-    that work which ends after a restart is not subtracted from the count of
-    the next incarnation.  ``domain`` is the server's failure domain,
-    ``placed_at`` when the work was placed, ``unread`` the prompt tokens that
-    the server has yet to prefill for it.  ``peer`` is the instance through
-    which the server is reached, '' for a direct path.  ``arrived`` tells that
-    the server has answered, or that nothing was sent.
-    """
-
-    work: work_module.Work
-    server: str
-    server_state: server_table.ServerState
-    domain: str
-    placed_at: float
-    unread: float
-    peer: str = ""
-    arrived: bool = False
-
-
 class SharedServersPolicy(path_feedback.PathFeedback):
     """Schedules for one instance, by its own and the others' work."""
 
@@ -92,7 +54,6 @@
         )
         self._queue = {}
         self._searches = hedge_searches.HedgeSearches()
-        self.held_for_rest = collections.Counter()
         self._engines = engine_choice.EngineChoice(table, domain)
         self._prefixes = prefix_announcements.PrefixAnnouncements(table)
         # The revision that the traits were read from, and those by service.
@@ -106,6 +67,14 @@
             self._domain_reach,
             version_choice.VersionChoice(state.software_versions),
         )
+        self._unplaceable = unplaceable_work.UnplaceableWork(
+            self._usable, self._queue
+        )
+
+    @property
+    def held_for_rest(self):
+        """The requests by service that were held back for rests."""
+        return self._unplaceable.held_for_rest
 
     # -- exchange with the other instances ----------------------------------
 
@@ -301,8 +270,8 @@
         wait = self._placement_rate.estimate_seconds(
             work.service, tokens_ahead, now
         )
-        left = work.deadline - now - MIN_SERVICE_SECONDS
-        if wait <= left * MAX_QUEUE_TIME_FRACTION:
+        left = work.deadline - now - unplaceable_work.MIN_SERVICE_SECONDS
+        if wait <= left * unplaceable_work.MAX_QUEUE_TIME_FRACTION:
             return None
         nothing = sentinels.Nothing(sentinels.Reason.QUEUE_FULL, wait / 2)
         grounds = work_module.DecisionInputs(
@@ -314,12 +283,16 @@
         """Return a placement, a refusal, or ``None`` to leave it queued."""
         left = work.deadline - now
         servers = directory.of_service(work.service)
-        if left <= 0 or (work.parts and left < MIN_SERVICE_SECONDS):
-            return self._refusal(work, sentinels.Reason.ALL_BUSY, servers)
+        if left <= 0 or (
+            work.parts and left < unplaceable_work.MIN_SERVICE_SECONDS
+        ):
+            return self._unplaceable.refusal(
+                work, sentinels.Reason.ALL_BUSY, servers
+            )
         usable = self._usable.of(work, servers, now)
         candidates = usable.servers
         if not candidates:
-            return self._decide_without_server(work, servers, now, hedge)
+            return self._unplaceable.decide(work, servers, now, hedge)
         if work.is_repeat and not self.retry_budget.allows(work.service, now):
             return self._wait_for_retry_budget(work, now)
         if self._permits.active:
@@ -371,67 +344,6 @@
             return None
         return work_module.Refusal(work, self._refuse_retry(work))
 
-    def _decide_without_server(self, work, servers, now, hedge):
-        """Refuse work that no server may take now, or leave it queued."""
-        rest = self._usable.rest_of(work, servers, now)
-        if rest is not None:
-            decision = self._decide_in_rest(work, rest, now, hedge)
-            if decision is None or rest.is_sole_reason:
-                return decision
-        if work.software_version is not None and not hedge:
-            return self._decide_without_version(work, servers, now)
-        waited = now - max(work.received, work.held_at or 0.0)
-        wait = NO_SERVER_WAIT_SECONDS
-        if work.begins_stream and self._usable.exist_of_any_version(
-            work, servers, now
-        ):
-            wait = version_choice.wait_seconds(work)
-        if waited < wait and len(work.excluded_servers) < len(servers):
-            return None
-        return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
-
-    def _decide_in_rest(self, work, rest, now, hedge):
-        """Have work wait for the end of a rest, or refuse it.
-
-        It is refused at once, with the time until then, if too little of its
-        own would be left.  The less urgent come back later.
-        """
-        if work.held_at is None:
-            self.held_for_rest[work.service] += 1
-        work.held_at = now
-        wait = rest.until - now
-        left = work.deadline - now - MIN_SERVICE_SECONDS
-        if hedge or wait <= left * MAX_QUEUE_TIME_FRACTION:
-            return None
-        wait += work.priority * RETURN_STEP_SECONDS
-        nothing = sentinels.Nothing(sentinels.Reason.SERVERS_REST, wait)
-        grounds = work_module.DecisionInputs(
-            need=work.prompt_tokens, waiting=len(self._queue) - 1
-        )
-        return work_module.Refusal(work, nothing, grounds)
-
-    def _decide_without_version(self, work, servers, now):
-        """Decide about a stream whose version no usable server runs.
-
-        A server that is the last of its version is asked again, though an
-        attempt there has failed: a reset connection is no lost server.  It
-        must have announced itself since, for it may be back with other
-        software under its name.
-        """
-        serving = version_choice.serving(work, servers, now)
-        if not serving:
-            return self._refusal(work, sentinels.Reason.NO_VERSION, servers)
-        if work.excluded_servers.issuperset(serving):
-            work.excluded_servers.difference_update(
-                name
-                for name, server in serving.items()
-                if server.heard_at > work.queued_at
-            )
-        since = work.queued_at if work.is_continuing else work.received
-        if now - since < version_choice.wait_seconds(work):
-            return None
-        return self._refusal(work, sentinels.Reason.NO_SERVER, servers)
-
     def _choose_plain(self, candidates, usable):
         return plain_server_choice.choose(
             candidates,
@@ -446,7 +358,9 @@
 
         It is refused at once if a permit is expected to come too late.
         """
-        waiting = self._permit_waits.waiting(work, MIN_SERVICE_SECONDS, now)
+        waiting = self._permit_waits.waiting(
+            work, unplaceable_work.MIN_SERVICE_SECONDS, now
+        )
         search = self._permit_waits.find(waiting, choice.throttled, now)
         if hedge or search.servers:
             self._permit_waits.wait(waiting, search.servers)
@@ -547,20 +461,12 @@
         shared = work.parts[:-1]
         if shared:
             self._prefixes.record_sent(name, list(shared), now)
-        attempt = Attempt(work, name, state, domain, now, need, peer)
+        attempt = server_attempt.ServerAttempt(
+            work, name, state, domain, now, need, peer
+        )
         self._attempts.add(work.request_id, attempt, hedge)
         return work_module.Placement(work, name, grounds, hedge, peer)
 
-    def _refusal(self, work, reason, servers):
-        retry_after = NO_SERVER_RETRY_SECONDS
-        if reason is sentinels.Reason.NO_VERSION:
-            retry_after = None
-        nothing = sentinels.Nothing(reason, retry_after)
-        grounds = work_module.DecisionInputs(
-            usable=len(servers), waiting=len(self._queue) - 1
-        )
-        return work_module.Refusal(work, nothing, grounds)
-
     # -- feedback -----------------------------------------------------------
 
     def rest_began(self, name):
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -9,7 +9,7 @@
 from dandeliontrail.decisions import affinity
 from dandeliontrail.decisions import engine_choice
 from dandeliontrail.decisions import prefix_announcements
-from dandeliontrail.decisions import shared_policy
+from dandeliontrail.decisions import unplaceable_work
 from dandeliontrail.decisions import work as work_module
 from dandeliontrail import sentinels
 import pytest
@@ -294,7 +294,7 @@
     )
     waiting = harness.review(2)
     assert harness.next() == {}
-    harness.now += shared_policy.NO_SERVER_WAIT_SECONDS + 0.01
+    harness.now += unplaceable_work.NO_SERVER_WAIT_SECONDS + 0.01
     assert waiting.request_id in harness.next()
 
 
