--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -19,7 +19,6 @@
 from ..coordination import usage
 from ..decisions import work as work_module
 from . import dispatching
-from . import early_requests
 from ..effects import reports
 from . import endings
 from . import hedges
@@ -28,8 +27,8 @@
 from . import measures
 from . import request_lifecycle
 from . import request_retries
+from . import routed_admission
 from . import start_counter
-from . import stream_resumptions
 
 # Sent to callers whose requests a draining instance cannot finish.  Within the
 # given time the load balancer notices and uses other instances.
@@ -50,11 +49,10 @@
         self._ends = ends
         self._limits = limits
         self._streams = streams
-        self._resumptions = stream_resumptions.StreamResumptions(
-            state, streams
+        self._admission = routed_admission.RoutedAdmission(
+            state, streams, self._open_routed
         )
         claimer.listener = self
-        self._early_requests = early_requests.EarlyRequests()
         self._start_counter = start_counter.StartCounter(state.duties)
         self._hedges = hedges.Hedges(policy, ends)
         self.lives = lives
@@ -75,7 +73,7 @@
         """Return the handlers of request events and of peers' load reports."""
         return {
             events.RequestReceived: self._request_received,
-            events.RoutedRequestReceived: self._routed_request_received,
+            events.RoutedRequestReceived: self._admission.receive,
             events.AttemptBegan: self._attempt_began,
             events.NotBegun: self._not_begun,
             events.FirstOutput: self._first_output,
@@ -88,7 +86,7 @@
             events.CutShort: self._cut_short,
             server_loads.ServerLoads: self._server_loads_received,
             permits.PermitGrants: self._permits_received,
-            stream_records.StreamAnswers: self._stream_answers_received,
+            stream_records.StreamAnswers: self._admission.handle_answers,
         }
 
     def tick(self, now):
@@ -99,11 +97,7 @@
                 self._policy.requeue(request.work, now)
         self._lasting_answers.tick(now)
         out = answers.health_lines(self._policy.take_beliefs())
-        ready = intake.has_state(self._state)
-        for event, received in self._early_requests.due(ready, now):
-            out.extend(self._admit_routed(event, received, now))
-        out.extend(self._resumptions.tick(now))
-        out.extend(self._admit_resumed(now))
+        out.extend(self._admission.tick(now))
         return out + self._run_policy(now)
 
     def _request_received(self, event, now):
@@ -124,55 +118,11 @@
         )
         return self._claims.begin(wanted, now)
 
-    def _routed_request_received(self, event, now):
-        """Admit a routed request, or hold it until the state has loaded.
-
-        Routed requests have no idempotency key to claim.
-        """
-        if not intake.has_state(self._state) and (
-            self._early_requests.hold(event, now)
-        ):
-            return []
-        return self._admit_routed(event, now, now)
-
-    def _admit_routed(self, event, received, now):
-        """Queue a request that arrived at ``received``, or refuse it."""
-        work = intake.routed_work_of(self._state, event, received, now)
-        if not work:
-            return [
-                answers.refusal(event.request_id, work),
-                answers.turned_away_line(self._state, event, work, now),
-            ]
-        if intake.resumes_stream(work, event):
-            out = self._resumptions.begin(event, work, received, now)
-            return out + self._admit_resumed(now)
-        return self._open_routed(work, now)
-
     def _open_routed(self, work, now):
         request = request_lifecycle.RequestLifecycle(work)
         self.lives[work.request_id] = request
         return self._enqueue(request, now)
 
-    def _admit_resumed(self, now):
-        """Queue or refuse the requests whose stream was found, or was not."""
-        out = []
-        for item in self._resumptions.take_outcomes():
-            if item.nothing is None:
-                out.extend(self._open_routed(item.work, now))
-                continue
-            request_id = item.event.request_id
-            out.append(answers.refusal(request_id, item.nothing))
-            out.append(
-                answers.turned_away_line(
-                    self._state, item.event, item.nothing, now
-                )
-            )
-        return out
-
-    def _stream_answers_received(self, source, message, now):
-        out = self._resumptions.handle_answers(source, message, now)
-        return out + self._admit_resumed(now)
-
     # Results of idempotency key claims; see ``claim_rounds.Listener``.
 
     def claim_granted(self, request_id, now):
@@ -439,7 +389,7 @@
         """Stop a request whose caller left, if stopping it is harmless."""
         request = self.lives.get(event.request_id)
         if request is None:
-            self._drop_waiting(event.request_id)
+            self._admission.drop(event.request_id)
             return []
         if (
             request.phase not in request_lifecycle.WAITING
@@ -483,17 +433,9 @@
         out = self._stop(request, "cut_short", now)
         return [effects.CutOff(refusal)] + out
 
-    def _drop_waiting(self, request_id):
-        """Forget a request that waits for state or for its stream's version.
-
-        Returns whether there was one.
-        """
-        is_early = self._early_requests.drop(request_id)
-        return self._resumptions.drop(request_id) or is_early
-
     def _cut_short_early(self, request_id):
         """Cut off the caller of a request that was not admitted yet."""
-        if not self._drop_waiting(request_id):
+        if not self._admission.drop(request_id):
             return []
         return [effects.CutOff(answers.refusal(request_id, DRAINING))]
 
