After a rest only requests without output count against the slow start

A server whose streams outlast its rest got no new work until they had ended: requests of the last rest's time waited 4 s and more for a server with one of four places taken (test_streams_that_outlast_a_rest_do_not_keep_new_work_out, which failed before). The slow start counted all that ran there; now it counts the requests that were sent since the rest and wait for output.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_attempt.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_attempt.py
@@ -15,7 +15,8 @@
     ``placed_at`` when the work was placed, ``unread`` the prompt tokens that
     the server has yet to prefill for it.  ``peer`` is the instance through
     which the server is reached, '' for a direct path.  ``arrived`` tells that
-    the server has answered, or that nothing was sent.
+    the server has answered, or that nothing was sent; ``is_probe`` that it is
+    one of the first after a rest of the server and has no output yet.
     """
 
     work: work_module.Work
@@ -26,3 +27,4 @@
     unread: float
     peer: str = ""
     arrived: bool = False
+    is_probe: bool = False
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_health.py
@@ -20,9 +20,9 @@
 # A server that refused a request because it is full gets none for this long:
 # one of its requests ends every few tens of milliseconds.
 FULL_BACKOFF_SECONDS = 0.15
-# After a rest a server gets one request at a time, one more with each answer,
-# up to this number; then as many as it takes.
-MAX_RAMP_REQUESTS = 16
+# After a rest a server gets one request that waits for output, one more with
+# each output, up to this number; then as many as it takes.
+MAX_PROBES = 16
 # Weight of the newest answer in the share of failures.
 FAILURE_WEIGHT = 0.15
 
@@ -35,8 +35,9 @@
     ``failure_share`` is a moving average of the share of failed answers.
     ``unreachable_at`` is when a connection to it last failed,
     ``full_until`` is until when it counts as full, ``heard_at`` when it was
-    last heard and ``checked_at`` when its path was last checked.  ``ramp`` is
-    how many requests it gets at a time after a rest, ``None`` at other times.
+    last heard and ``checked_at`` when its path was last checked.  After a
+    rest, ``probe_limit`` is how many of the requests sent since then may wait
+    for output, ``None`` at other times, and ``probes`` how many do.
     """
 
     blocked_until: float = float("-inf")
@@ -46,7 +47,8 @@
     full_until: float = float("-inf")
     heard_at: float = float("-inf")
     checked_at: float = float("-inf")
-    ramp: int | None = None
+    probe_limit: int | None = None
+    probes: int = 0
 
     def usable(self, now):
         """Return whether the server may get new work."""
@@ -56,20 +58,28 @@
         """Return whether the server may get new work over another path."""
         return now >= self.full_until
 
-    def has_room(self, running):
-        """Return whether it may get one more request beside ``running``."""
-        return self.ramp is None or running < self.ramp
+    def has_room(self):
+        """Return whether it may get one more request after a rest."""
+        return self.probe_limit is None or self.probes < self.probe_limit
 
     def record_rest(self):
         """Record that the server asked for rest: begin again with one."""
-        self.ramp = 1
-
-    def record_output(self):
-        """Record that a request of this instance has output."""
-        if self.ramp is not None:
-            self.ramp += 1
-            if self.ramp > MAX_RAMP_REQUESTS:
-                self.ramp = None
+        self.probe_limit = 1
+
+    def begin_probe(self):
+        """Record a request after a rest; return whether it is a probe."""
+        if self.probe_limit is None:
+            return False
+        self.probes += 1
+        return True
+
+    def end_probe(self, has_output):
+        """Record that a probe has output, or has ended without."""
+        self.probes -= 1
+        if has_output and self.probe_limit is not None:
+            self.probe_limit += 1
+            if self.probe_limit > MAX_PROBES:
+                self.probe_limit = None
 
     def record_unreachable(self, now):
         """Record that a connection could not be established."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_table.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_table.py
@@ -37,10 +37,6 @@
         self.health = server_health.Health()
         self.cache = prompt_cache.PromptCache(kv_tokens)
 
-    def has_room(self):
-        """Return whether the server may get one more request after a rest."""
-        return self.health.has_room(self.running)
-
 
 class ServerTable:
     """The state of all servers by name, combined with the others' ``loads``.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -447,7 +447,7 @@
             grounds.through = peer
             grounds.unreachable = len(self._checks.unreachable)
             self._peer_paths.record_opening(peer)
-        elif state.health.backoff or state.health.ramp is not None:
+        elif state.health.backoff or state.health.probe_limit is not None:
             # This request probes whether the server is back; the others of
             # the round must see that it is not usable meanwhile.
             self._usable.begin_round()
@@ -464,6 +464,7 @@
         attempt = server_attempt.ServerAttempt(
             work, name, state, domain, now, need, peer
         )
+        attempt.is_probe = state.health.begin_probe()
         self._attempts.add(work.request_id, attempt, hedge)
         return work_module.Placement(work, name, grounds, hedge, peer)
 
@@ -485,7 +486,7 @@
             attempt.server_state.unread -= attempt.unread
             attempt.unread = 0.0
             self._repeats.record_answer(attempt)
-            attempt.server_state.health.record_output()
+            self._end_probe(attempt, has_output=True)
             self._record_answering(attempt, now)
 
     def ended(self, ended, now):
@@ -500,6 +501,7 @@
         state.unread -= attempt.unread
         health = state.health
         self._record_arrival(ended, attempt, now)
+        self._end_probe(attempt, has_output=False)
         if attempt.peer:
             self._peer_paths.record_closed(attempt.peer)
         if ended.path_failure:
@@ -525,6 +527,12 @@
             self._record_answering(attempt, now)
             health.record_success()
 
+    @staticmethod
+    def _end_probe(attempt, has_output):
+        if attempt.is_probe:
+            attempt.is_probe = False
+            attempt.server_state.health.end_probe(has_output)
+
     def _record_arrival(self, ended, attempt, now):
         """Record whether an attempt that ended may still arrive."""
         if ended.path_failure or ended.unreachable or ended.withheld:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/usable_servers.py
@@ -85,7 +85,7 @@
                 continue
             if server.rests(now):
                 found.until = min(found.until, server.rests_until)
-            elif not self._table.server(name).has_room():
+            elif not self._table.server(name).health.has_room():
                 found.until = now
             else:
                 found.is_sole_reason = False
@@ -121,10 +121,9 @@
         for name, server in _newest_at_addresses(servers):
             if not server.takes_work(now) or name in work.excluded_servers:
                 continue
-            state = self._table.server(name)
-            if name not in lost and state.health.usable(now):
-                if state.has_room():
-                    found[name] = server
+            health = self._table.server(name).health
+            if name not in lost and health.usable(now) and health.has_room():
+                found[name] = server
         return self._without_partitioned_domains(found, now)
 
     def _without_partitioned_domains(self, usable, now):
@@ -168,15 +167,13 @@
         """
         found = {}
         for name, server in _newest_at_addresses(servers):
-            state = self._table.server(name)
+            health = self._table.server(name).health
             is_excluded = name in work.excluded_servers and (
                 name not in work.unreached_servers
             )
             if name in direct or is_excluded or not server.takes_work(now):
                 continue
-            if not state.health.usable_through_peer(now):
-                continue
-            if not state.has_room():
+            if not (health.usable_through_peer(now) and health.has_room()):
                 continue
             if direct and not (
                 name in self._checks.unreachable
--- a/tests/cover/test_servers_that_rest.py
+++ b/tests/cover/test_servers_that_rest.py
@@ -265,3 +265,40 @@
         gevent.sleep(0.2)
         reply = platform.call(entries[0], "POST", "/read/x", "2")
     assert reply.status == 200
+
+
+def test_streams_that_outlast_a_rest_do_not_keep_new_work_out():
+    def long_stream(server, sock, head):
+        request_id = platform_world.id_of(head)
+        if platform_world.id_of(head) == "tired":
+            sock.sendall(
+                platform_world.whole(
+                    503,
+                    b"",
+                    request_id,
+                    "X-Dandeliontrail-Not-Executed: 1\r\nRetry-After: 1\r\n",
+                )
+            )
+            return
+        sock.sendall(platform_world.stream_head(request_id))
+        sock.sendall(platform_world.chunk(platform_world.event(1)))
+        gevent.sleep(4.0 if request_id.startswith("long") else 0.0)
+        sock.sendall(platform_world.chunk(platform_world.event(2)))
+        sock.sendall(platform_world.END)
+
+    with platform_world.declared(ROUTES) as platform:
+        entry = platform.entry()
+        platform.knows(entry, platform.server(long_stream))
+        jobs = [
+            gevent.spawn(
+                platform.call, entry, "POST", "/report/x", f"long{number}"
+            )
+            for number in range(3)
+        ]
+        gevent.sleep(0.2)
+        platform.call(entry, "POST", "/report/x", "tired", left="500")
+        began = time.monotonic()
+        reply = platform.call(entry, "POST", "/report/x", "next", left="6000")
+        took = time.monotonic() - began
+        gevent.joinall(jobs, raise_error=True)
+    assert reply.status == 200 and took < 2.0
