Work that waits for servers at rest is not refused for their pace

While all engines of a service rest, requests that had time for it were refused as queue_full (the new test, which failed before): the pace of placements, by which a queue is judged, falls in a rest for no other reason.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -265,8 +265,11 @@
         In a burst beyond what the engines can prefill, a caller that cannot
         be served in time is refused at once, with a Retry-After of half the
         expected wait, and not only at its deadline.  Returns ``None`` if the
-        work may still be served in time.
+        work may still be served in time, or waits for servers that rest: the
+        pace of that time tells nothing.
         """
+        if work.held_at == now:
+            return None
         wait = self._placement_rate.estimate_seconds(
             work.service, tokens_ahead, now
         )
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -544,3 +544,18 @@
     for step in range(60, 80):
         groups.resize(lambda name: 40, idle, 64, step * 0.5)
     assert len(groups.members(low_latency=False)) < 32
+
+
+def test_work_that_waits_for_servers_at_rest_is_not_refused_for_their_pace():
+    harness = shared_policy_harness.PolicyHarness(count=2)
+    for step in range(30):
+        harness.now = step * 0.1
+        harness.review(step)
+        for request_id, server in harness.next().items():
+            harness.policy.first_output(request_id, harness.now)
+    for server in harness.directory.of_service("llm"):
+        server.rests_until = harness.now + 3.0
+    for step in range(20):
+        harness.now += 0.1
+        harness.review(100 + step, deadline=6.0)
+        assert harness.next() == {}
