--- a/tests/cover/test_bytes_without_end.py
+++ b/tests/cover/test_bytes_without_end.py
@@ -11,7 +11,7 @@
 from tests.cover import test_servers_that_rest
 
 REQUESTS = 20
-SPREAD_SECONDS = 2.0
+SPREAD_SECONDS = 0.5
 SEND_BUFFER_BYTES = 64 * 1024
 # Of one answer, read and in the buffers of the two sockets.
 MAX_HEAD_SENT_BYTES = 1024 * 1024
