Soak: servers name their limit also where they ask for rest; frozen entries

The rule is for machines in touch; an entry that was signalled within the contact time is excused, as one that was cut is.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -207,6 +207,10 @@
             began - TOUCH_EFFECT_SECONDS < at < ended for at in self._touched
         )
 
+    def was_signalled(self, since):
+        """Return whether it was stopped, frozen or thawed from then on."""
+        return any(at > since for at in self._touched)
+
     def cut_from_servers(self, mode):
         """Cut the paths to all backend servers, as ``mode`` says."""
         self._cuts += 1
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -46,7 +46,7 @@
         self._new_judge()
 
     @property
-    def _extra(self):
+    def extra(self):
         """The header lines that all answers have."""
         limit = limited_server.limit_header(self.judge.limit)
         return f"{limit}{self.trouble.extra}"
@@ -106,7 +106,7 @@
         if self.leaving_acked is not None:
             late = time.monotonic() - self.leaving_acked
             is_late = late > DRAIN_SECONDS + TIMING_SLACK_SECONDS
-            if is_late and not self._world.was_held_up(request_id):
+            if is_late and not self._world.was_out_of_touch(request_id):
                 self._world.report_violation(
                     "leaving", f"{request_id} after {late:.1f} s"
                 )
@@ -132,11 +132,11 @@
         if " /chat/" in head.split("\r\n")[0]:
             return self._stream(sock, head, request_id, self.version)
         body = f"answer to {request_id}".encode()
-        sock.sendall(platform_world.whole(200, body, request_id, self._extra))
+        sock.sendall(platform_world.whole(200, body, request_id, self.extra))
         return None
 
     def _stream(self, sock, head, request_id, version):
-        sock.sendall(platform_world.stream_head(request_id, self._extra))
+        sock.sendall(platform_world.stream_head(request_id, self.extra))
         last_event_id = int(platform_world.header(head, "last-event-id") or 0)
         count, pause = STREAM_PIECES, 0.02
         if versions.LONG_PATH in head.split("\r\n")[0]:
--- a/tests/soak/troubled.py
+++ b/tests/soak/troubled.py
@@ -156,6 +156,9 @@
         gevent.sleep(self._rng.uniform(*ENDLESS_SECONDS))
         for trouble in troubles:
             trouble.endless = None
+        for server in servers:
+            # It could not name its limit meanwhile.
+            server.name_limit(server.judge.limit)
 
     # -- at the servers -----------------------------------------------------
 
@@ -192,7 +195,7 @@
         trouble = server.trouble
         if trouble.retry_after is not None:
             extra = (
-                f"X-Dandeliontrail-Not-Executed: 1\r\n{trouble.extra}"
+                f"X-Dandeliontrail-Not-Executed: 1\r\n{server.extra}"
                 f"Retry-After: {trouble.retry_after}\r\n"
             )
             sock.sendall(platform_world.whole(503, b"", request_id, extra))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -129,16 +129,21 @@
         job = gevent.spawn(call, *args)
         self._stack.callback(job.kill)
 
-    def was_held_up(self, request_id):
-        """Return whether a request's entry was cut from the servers lately.
+    def was_out_of_touch(self, request_id):
+        """Return whether a request's entry was cut off or stopped lately.
 
-        What it had sent before then arrives once the cut heals.
+        What it had sent before a cut arrives once that heals, and an entry
+        that was frozen has not heard what was said meanwhile.
         """
         entry = self.taken_by.get(request_id)
         if entry is None:
             return False
         since = time.monotonic() - paths.CONTACT_SECONDS
-        return entry.is_cut or entry.healed_at > since
+        return (
+            entry.is_cut
+            or entry.healed_at > since
+            or entry.was_signalled(since)
+        )
 
     def note(self, text):
         """Record an event with the time of day, as the logs have it."""
