--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -10,6 +10,7 @@
 from . import messages
 from . import order_reports
 from . import permits
+from . import prefill_messages
 from . import quorum_log_messages
 from . import quorum_log_voters
 from ..resources import announcements
@@ -31,6 +32,7 @@
     *server_ends.MESSAGES,
     server_limits.LimitRecords,
     *permits.MESSAGES,
+    *prefill_messages.MESSAGES,
     *stream_records.MESSAGES,
     *retry_loans.MESSAGES,
     server_rests.ServerRest,
