Prefill queues: usage of old queues, pace per batch, one job a module

The decayed usage of a queue without grants for 34 minutes raised OverflowError; the exponent is bounded now. The pace is computed once for all answers of a batch. Turns and groups of prompts have modules of their own.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_outstanding.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_outstanding.py
@@ -13,32 +13,66 @@
 
 
 class OutstandingPrompts:
-    """The outstanding prompts of one engine; ``tokens`` is their sum.
-
-    ``estimate`` is the :class:`.prefill_pace.PaceEstimate` of the engine.
-    """
-
-    __slots__ = ("tokens", "estimate", "_prompts", "_by_step", "_last_end")
+    """The outstanding prompts of one engine; ``tokens`` is their sum."""
+
+    __slots__ = (
+        "tokens",
+        "_estimate",
+        "_prompts",
+        "_by_step",
+        "_last_end",
+        "_pace",
+        "_pace_at",
+    )
 
     def __init__(self, typical_pace, now):
         self.tokens = 0
-        self.estimate = prefill_pace.PaceEstimate(typical_pace)
+        self._estimate = prefill_pace.PaceEstimate(typical_pace)
         # By instance and number, in the order of the grants.
         self._prompts = {}
         # Sums of tokens.
         self._by_step = collections.Counter()
         self._last_end = now
+        # The pace at one time, as all asks of a batch are answered with it;
+        # ``None`` after a change.
+        self._pace = None
+        self._pace_at = now
+
+    @property
+    def typical_pace(self):
+        return self._estimate.typical
+
+    @typical_pace.setter
+    def typical_pace(self, pace):
+        self._estimate.typical = pace
+        self._pace = None
+
+    def has_known_pace(self):
+        """Return whether a prompt has been measured."""
+        return self._estimate.is_known
 
-    def add(self, key, prompt, now):
-        """Enter a prompt that is granted now."""
+    def add(self, key, prompt, measured, now):
+        """Enter a prompt that is granted now.
+
+        It is ``measured`` if its instance learns of the grant at once.
+        """
         prompt.granted_at = now
         prompt.began_at = now
+        prompt.measured = measured
+        self._pace = None
         self._prompts[key] = prompt
         self._by_step[prompt.step] += prompt.tokens
         self.tokens += prompt.tokens
 
+    def grant_again(self, prompt, now):
+        """Enter that the instance has not received the grant until now."""
+        prompt.began_at = now
+        prompt.measured = False
+        self._pace = None
+
     def remove(self, key):
         """Remove a prompt."""
+        self._pace = None
         prompt = self._prompts.pop(key)
         self._by_step[prompt.step] -= prompt.tokens
         self.tokens -= prompt.tokens
@@ -51,8 +85,9 @@
         """
         if prompt.measured:
             began = max(prompt.began_at, self._last_end)
-            self.estimate.add(prompt.tokens, now - began)
+            self._estimate.add(prompt.tokens, now - began)
         self._last_end = now
+        self._pace = None
 
     def has_step(self, step):
         """Return whether a prompt of a step is outstanding."""
@@ -78,10 +113,16 @@
 
     def pace(self, now):
         """Return how many tokens a second the engine prefills."""
+        if self._pace is None or now != self._pace_at:
+            self._pace = self._pace_now(now)
+            self._pace_at = now
+        return self._pace
+
+    def _pace_now(self, now):
         if not self._prompts:
-            return self.estimate.value()
+            return self._estimate.value()
         oldest = next(iter(self._prompts.values()))
         # Engines prefill more urgent prompts first.
         tokens = oldest.tokens + self.tokens_up_to(oldest.step - 1)
         began = max(oldest.began_at, self._last_end)
-        return self.estimate.value_while(tokens, now - began)
+        return self._estimate.value_while(tokens, now - began)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_queue.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_queue.py
@@ -6,22 +6,19 @@
 messages and instances that end leave nothing behind.
 """
 
-import collections
-
 import msgspec
 
 from ..coordination import prefill_messages
 from . import ended_prompts
 from . import prefill_order
 from . import prefill_outstanding
+from . import prefill_turns
 from . import prefill_usage
+from . import prompt_group
 
 # What was not renewed for this long is dropped.  Instances renew every half
 # second.
 ASK_TTL_SECONDS = 1.5
-# The least urgent waiting prompt is next if none of this many grants went to
-# its step, so that each step is served eventually.
-MAX_PASSED_OVER = 19
 # A queue that nobody has used for this long may be dropped.
 IDLE_SECONDS = 60.0
 
@@ -62,17 +59,16 @@
             self._usage, self._outstanding, now
         )
         self._ended = ended_prompts.EndedPrompts()
-        # The steps of the last grants.
-        self._recent = collections.deque(maxlen=MAX_PASSED_OVER)
+        self._turns = prefill_turns.Turns(self._waiting, self._outstanding)
         self._used_at = now
 
     @property
     def typical_pace(self):
-        return self._outstanding.estimate.typical
+        return self._outstanding.typical_pace
 
     @typical_pace.setter
     def typical_pace(self, pace):
-        self._outstanding.estimate.typical = pace
+        self._outstanding.typical_pace = pace
 
     def __len__(self):
         """Return how many prompts wait or are outstanding."""
@@ -107,7 +103,7 @@
         return True
 
     def _enter(self, key, asker, ask, now):
-        prompt = prefill_order.Prompt(
+        prompt = prompt_group.Prompt(
             asker,
             ask.number,
             max(1, ask.tokens),
@@ -120,8 +116,7 @@
         self._prompts[key] = prompt
         if ask.granted:
             # Another holder has granted it, at an unknown time.
-            prompt.measured = False
-            self._set_granted(key, prompt, now)
+            self._set_granted(key, prompt, False, now)
         else:
             self._waiting.add(prompt, now)
 
@@ -132,12 +127,9 @@
         if prompt.granted_at is None:
             if ask.granted:
                 self._waiting.remove(prompt)
-                prompt.measured = False
-                self._set_granted(key, prompt, now)
+                self._set_granted(key, prompt, False, now)
         elif not ask.granted:
-            # Its instance has not received the grant and gets it again.
-            prompt.began_at = now
-            prompt.measured = False
+            self._outstanding.grant_again(prompt, now)
 
     def end(self, asker, number, prefilled, now):
         """Remove a prompt that was prefilled, or that will not be."""
@@ -177,52 +169,21 @@
             return issued
         self._waiting.recheck(now)
         while self._waiting:
-            prompt, step = self._next(now)
-            if not self._has_room(prompt, step, now):
+            prompt = self._turns.next(self.least_urgent_step, now)
+            if prompt is None:
                 break
             self._grant(prompt, now)
             issued.append(Issued(prompt.asker, prompt.number))
         return issued
 
-    def _next(self, now):
-        """Return the next prompt, and the step of which it takes the room.
-
-        The least urgent prompt that was passed over takes the room of the
-        prompt that would be next, so that this one need not wait until the
-        engine has room for the least urgent step.
-        """
-        first = self._waiting.first_step()
-        last = self._waiting.last_step()
-        step = last if self._is_passed_over(last) else first
-        return self._waiting.head(step, now), first
-
-    def _is_passed_over(self, step):
-        """Return whether a prompt of a step is next whatever else waits.
-
-        An engine that prefills by priority may have left the one before
-        waiting; more of them would not help.
-        """
-        return (
-            len(self._recent) == MAX_PASSED_OVER
-            and step not in self._recent
-            and not self._outstanding.has_step(step)
-        )
-
-    def _has_room(self, prompt, step, now):
-        steps_above = max(0, self.least_urgent_step - step)
-        pace = self.pace(now)
-        return self._outstanding.has_room(
-            prompt.tokens, step, steps_above, pace
-        )
-
     def _grant(self, prompt, now):
         self._waiting.remove(prompt)
-        self._recent.append(prompt.step)
+        self._turns.granted(prompt.step)
         key = (prompt.asker.instance, prompt.number)
-        self._set_granted(key, prompt, now)
+        self._set_granted(key, prompt, True, now)
 
-    def _set_granted(self, key, prompt, now):
-        self._outstanding.add(key, prompt, now)
+    def _set_granted(self, key, prompt, measured, now):
+        self._outstanding.add(key, prompt, measured, now)
         self._usage.charge(prompt.organisation, prompt.tokens, now)
 
     def answer(self, asker, number, now):
@@ -284,7 +245,7 @@
 
     def known_pace(self, now):
         """Return the pace, or ``None`` while nothing has been measured."""
-        return self.pace(now) if self._outstanding.estimate.is_known else None
+        return self.pace(now) if self._outstanding.has_known_pace() else None
 
     def backlog(self):
         """Return the tokens of all prompts that wait or are outstanding."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_usage.py
@@ -9,6 +9,9 @@
 # The base time is moved after this long, before the factor 2 ** 20 costs
 # precision.
 REBASE_SECONDS = 40.0
+# Nothing is left after this many; without a bound, the factor would overflow
+# after half an hour without a grant.
+MAX_HALVINGS = 100.0
 # Smaller amounts are forgotten when the base time is moved.
 MIN_TOKENS = 1.0
 
@@ -51,7 +54,8 @@
         return self.scaled(organisation) / self._factor(now)
 
     def _factor(self, now):
-        return 2.0 ** ((now - self._base) / HALF_LIFE_SECONDS)
+        halvings = (now - self._base) / HALF_LIFE_SECONDS
+        return 2.0 ** min(MAX_HALVINGS, halvings)
 
     def _rebase(self, now):
         factor = self._factor(now)
--- a/tests/cover/test_prefill_load.py
+++ b/tests/cover/test_prefill_load.py
@@ -16,6 +16,7 @@
 from dandeliontrail.decisions import prefill_outstanding
 from dandeliontrail.decisions import prefill_pace
 from dandeliontrail.decisions import prefill_queue
+from dandeliontrail.decisions import prefill_turns
 
 PACE = prefill_pace.TYPICAL_PACE
 ROOM = prefill_outstanding.ROOM_SECONDS
@@ -81,19 +82,17 @@
         self._order = itertools.count()
         self._engine = []
         self._running = None
-        self.queue = self._new_queue(kinds)
+        self._last_step = max(kind.step for kind in kinds)
+        self.replace_holder()
         for kind in kinds:
             self._arrive_later(kind)
         self._at(TICK_SECONDS, self._tick)
 
-    def _new_queue(self, kinds):
-        steps = max(kind.step for kind in kinds)
-        return prefill_queue.PrefillQueue(1, self.now, PACE, steps)
-
     def replace_holder(self):
         """Let another instance hold the queue, which knows nothing."""
-        steps = self.queue.least_urgent_step
-        self.queue = prefill_queue.PrefillQueue(1, self.now, PACE, steps)
+        self.queue = prefill_queue.PrefillQueue(
+            1, self.now, PACE, self._last_step
+        )
 
     def run(self, seconds):
         """Run the play for a while."""
@@ -320,7 +319,7 @@
     play = Play(kinds, by_step=False)
     play.run(SECONDS)
     done = count_by_step(p for p in play.prompts if p.done_at is not None)
-    assert done[2] >= done[0] // (prefill_queue.MAX_PASSED_OVER + 1) - 1
+    assert done[2] >= done[0] // (prefill_turns.MAX_PASSED_OVER + 1) - 1
 
 
 def test_prompts_that_an_engine_leaves_waiting_do_not_pile_up_there():
--- a/tests/cover/test_prefill_queue.py
+++ b/tests/cover/test_prefill_queue.py
@@ -7,6 +7,7 @@
 from dandeliontrail.decisions import prefill_outstanding
 from dandeliontrail.decisions import prefill_pace
 from dandeliontrail.decisions import prefill_queue
+from dandeliontrail.decisions import prefill_usage
 
 PACE = prefill_pace.TYPICAL_PACE
 # Takes the engine 0.1 s.
@@ -118,6 +119,23 @@
     assert places[1] == places[0] + 20
 
 
+def test_a_less_urgent_prompt_does_not_hold_up_the_more_urgent_ones():
+    queue = make_queue(least_urgent_step=2)
+    queue.ask(FIRST, make_ask(100, step=2), 0.0)
+    queue.ask(FIRST, make_ask(200, 20_000, step=1, granted=True), 0.0)
+    for number in range(30):
+        queue.ask(FIRST, make_ask(number, step=0), 0.0)
+    granted = issue(queue)
+    for number in range(20):
+        now = (number + 1) * TOKENS / PACE
+        queue.end(FIRST, number, True, now)
+        next_granted = issue(queue, now)
+        # Nothing waits until there is room for a less urgent prompt.
+        assert next_granted
+        granted += next_granted
+    assert 100 in granted
+
+
 def test_prompts_that_miss_their_target_wait_for_those_that_can_meet_it():
     queue = make_queue()
     fill(queue)
@@ -136,6 +154,17 @@
     assert issue(queue, 1.0)[0] == 2
 
 
+def test_a_renewal_corrects_the_target_of_an_ask_that_was_delayed():
+    queue = make_queue()
+    fill(queue)
+    queue.ask(FIRST, make_ask(1, target_left=1.0), 0.3)
+    queue.ask(FIRST, make_ask(1, target_left=0.55, waited=0.5), 0.5)
+    queue.ask(FIRST, make_ask(2, target_left=5.0), 0.5)
+    # The first prompt would have to be granted by 0.93 s.
+    withdraw_filler(queue, 1.0)
+    assert issue(queue, 1.0)[0] == 2
+
+
 def test_a_prompt_is_late_if_it_is_behind_those_that_were_granted():
     queue = make_queue()
     for number in range(2):
@@ -180,6 +209,32 @@
     assert issue(queue, 0.02) == [2, 3]
 
 
+def test_what_an_organisation_was_granted_is_forgotten_within_seconds():
+    queue = make_queue()
+    queue.ask(FIRST, make_ask(1, 40_000, organisation="o1"), 0.0)
+    assert issue(queue) == [1]
+    queue.end(FIRST, 1, True, 0.8)
+    queue.ask(FIRST, make_ask(2, 1_000, organisation="o2"), 20.0)
+    assert issue(queue, 20.0) == [2]
+    queue.ask(FIRST, make_ask(3, 20_000, organisation="o1"), 20.0)
+    queue.ask(FIRST, make_ask(4, 20_000, organisation="o2"), 20.0)
+    queue.end(FIRST, 2, True, 20.1)
+    assert issue(queue, 20.1) == [3]
+
+
+@pytest.mark.parametrize("spacing", [1.0, 7.0, 45.0, 10_000.0])
+def test_usage_is_halved_every_two_seconds_however_old_the_queue(spacing):
+    usage = prefill_usage.DecayedUsage(0.0)
+    times = [spacing * count for count in range(60)]
+    for at in times:
+        usage.charge("o1", 10_000, at)
+    now = times[-1] + 3.0
+    expected = sum(10_000 * 0.5 ** ((now - at) / 2.0) for at in times)
+    assert usage.tokens("o1", now) == pytest.approx(expected, abs=1.0)
+    # An idle queue is asked about long after the last grant.
+    assert usage.tokens("o1", now + 10_000.0) == pytest.approx(0.0)
+
+
 def test_the_answer_says_what_is_ahead():
     queue = make_queue(least_urgent_step=1)
     fill(queue)
@@ -387,6 +442,25 @@
     assert issue(queue, 1.0) == []
 
 
+def test_an_engine_that_prefills_urgent_prompts_first_is_not_slow():
+    queue = make_queue(least_urgent_step=1)
+    queue.ask(FIRST, make_ask(1, step=1), 0.0)
+    assert issue(queue) == [1]
+    queue.ask(FIRST, make_ask(2, 17_000, step=0), 0.0)
+    assert issue(queue) == [2]
+    assert queue.pace(0.34) == PACE
+
+
+def test_the_answer_follows_what_has_changed():
+    queue = make_queue()
+    fill(queue)
+    for number in range(3):
+        queue.ask(FIRST, make_ask(number), 0.0)
+    before = queue.answer(FIRST, 2, 0.0).ahead
+    queue.end(FIRST, 0, False, 0.1)
+    assert queue.answer(FIRST, 2, 0.1).ahead == before - TOKENS
+
+
 def test_a_queue_without_prompts_becomes_idle():
     queue = make_queue()
     queue.ask(FIRST, make_ask(1), 0.0)
