The build writes the bytecode of the programs

Where PYTHONDONTWRITEBYTECODE is set or the tree is read-only, each start compiled the 303 modules of the product.

--- a/tests/cover/test_start_costs.py
+++ b/tests/cover/test_start_costs.py
@@ -3,6 +3,7 @@
 import pathlib
 import subprocess
 import sys
+import tomllib
 
 ROOT = pathlib.Path(__file__).parents[2]
 # Each adds to the 0.3 s of processor time of a start, twice that on a host
@@ -34,6 +35,21 @@
     assert not loaded & set(UNNEEDED_MODULES)
 
 
+def test_the_build_compiles_all_that_a_start_imports():
+    # Where programs may not write bytecode, each start compiled the modules
+    # of the product again, which doubled its processor time.
+    system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    _, _, compiled = system["build"].partition("python3 -m compileall")
+    imported = [
+        str(path.relative_to(ROOT))
+        for package in ("dandeliontrail", "dandeliontrail_node")
+        for path in ROOT.glob(f"packages/*/src/{package}")
+    ]
+    assert len(imported) == 2
+    for folder in (*imported, "platform"):
+        assert folder in compiled.split()
+
+
 def test_data_classes_of_the_programs_are_structs():
     # A data class is generated at each start, which takes 0.7 to 1.3 ms; the
     # 111 that existed took a third of a start.
