The platform's programs do not load the standard interface and policy

An instance with listeners and a policy of its own imported those of the product's standard interface as well: 30 modules, and statistics and fractions of the standard library. They are imported where an instance uses them.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -29,7 +29,6 @@
 from . import peer_link
 from . import retrying_writer
 from . import settings
-from . import standard_listeners
 from . import tokens
 from . import usage_disk
 from . import wsgi
@@ -52,9 +51,7 @@
 
     def __init__(self, cfg, logger, settings_path=None, listener_factory=None):
         self._cfg = cfg
-        self._listener_factory = (
-            listener_factory or standard_listeners.StandardListeners()
-        )
+        self._listener_factory = listener_factory or _standard_listeners()
         self._settings_path = settings_path
         self._logger = logger
         self._stack = contextlib.ExitStack()
@@ -290,6 +287,13 @@
         self._logger.setLevel(cfg.log.level.upper())
 
 
+def _standard_listeners():
+    # A program with listeners of its own does not load the standard ones.
+    from . import standard_listeners
+
+    return standard_listeners.StandardListeners()
+
+
 def _take_early_socket(address):
     """Return the listening socket that was opened early, or ``None``."""
     descriptor = early_listener.take(address)
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -37,7 +37,6 @@
 from .components import version_admission
 from .coordination import quorum_log_options
 from .coordination import servers
-from .decisions import adaptive
 
 
 class Reducer:
@@ -98,6 +97,18 @@
         return out
 
 
+def _new_adaptive_policy(identity, rng, state):
+    # An instance with a policy of its own does not load this one.
+    from .decisions import adaptive
+
+    return adaptive.Adaptive(
+        rng,
+        cluster_view.StateView(state),
+        (identity.instance, identity.failure_domain),
+        permits=state.permits,
+    )
+
+
 def new_reducer(
     identity,
     rng,
@@ -142,12 +153,7 @@
     if new_policy is not None:
         view = cluster_view.StateView(state)
         policy = new_policy(rng, view, state)
-    chosen_policy = policy or adaptive.Adaptive(
-        rng,
-        cluster_view.StateView(state),
-        (identity.instance, identity.failure_domain),
-        permits=state.permits,
-    )
+    chosen_policy = policy or _new_adaptive_policy(identity, rng, state)
     voting_component = claim_voting.ClaimVoting(state, bootstrap)
     claims_component = claims.Claims(state, voting_component)
     renewals_component = renewals.Renewals(state, chosen_policy)
--- a/tests/cover/test_start_costs.py
+++ b/tests/cover/test_start_costs.py
@@ -28,6 +28,11 @@
     "ctypes",
     # Hints at misspelt settings.
     "difflib",
+    # What the standard interface of an instance has and the platform has not.
+    "dandeliontrail_node.standard_listeners",
+    "dandeliontrail_node.worker",
+    "dandeliontrail.decisions.adaptive",
+    "statistics",
     # A look-up of the name of each listener's address.
     "gevent.resolver.thread",
 )
