--- a/packages/dandeliontrail-node/src/dandeliontrail_node/early_listener.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/early_listener.py
@@ -1,7 +1,7 @@
 """Accepts connections during the start if no other instance is up.
 
 After all processes were killed or all hosts lost power, each start imports
-modules for 0.3 s of processor time, 0.6 s and more on a host with half a
+modules for 0.2 s of processor time, 0.4 s and more on a host with half a
 core.  Meanwhile every instance refuses connections, and most callers try at
 most twice.  A socket that listens from the first lines of the program on lets
 callers wait in the backlog of the kernel until the instance runs.
