--- a/packages/dandeliontrail/src/dandeliontrail/decisions/holders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/holders.py
@@ -1,4 +1,4 @@
-"""Which instance holds the permits of a limited server.
+"""Which instance holds the permits or the prefill queue of a server.
 
 The holder is chosen by rendezvous hashing (Thaler and Ravishankar, "Using
 name-based mappings to increase hit rates", 1998): all instances that know the
@@ -6,6 +6,7 @@
 and a member that comes or goes moves only its own servers.
 """
 
+import collections
 import hashlib
 
 import msgspec
@@ -81,11 +82,7 @@
         self._chosen.pop(server, None)
 
     def _choose(self, server, before):
-        def weight(instance):
-            data = f"{server} {instance}".encode()
-            return hashlib.blake2b(data, digest_size=8).digest()
-
-        instance = max(self._candidates, key=weight)
+        instance = _highest_hash(server, self._candidates)
         since = self._changed_at
         if (
             before is not None
@@ -94,3 +91,71 @@
         ):
             since = before.since
         return Holder(instance, since, self._version)
+
+
+class DomainHolders:
+    """The holders of servers, each among the instances of a failure domain.
+
+    A holder in the server's own failure domain is usually lost only together
+    with the server.  The holder may act as soon as it is chosen: for a moment
+    a server may have two.
+
+    >>> chosen = DomainHolders("i1", "a")
+    >>> chosen.set_domains({"i2": "b"})
+    >>> chosen.of("s1", "b")
+    'i2'
+    """
+
+    __slots__ = ("_own", "_domain", "_domain_of", "_by_domain", "_chosen")
+
+    def __init__(self, own, domain):
+        self._own = own
+        self._domain = domain
+        self._domain_of = {}
+        self._by_domain = {}
+        self._chosen = {}
+        self._group({own: domain})
+
+    def set_domains(self, domain_of):
+        """Choose from this instance and the keys of ``domain_of``.
+
+        The values are the failure domains of the instances.
+        """
+        domain_of = {**domain_of, self._own: self._domain}
+        if domain_of != self._domain_of:
+            self._group(domain_of)
+
+    def _group(self, domain_of):
+        self._domain_of = domain_of
+        self._chosen.clear()
+        self._by_domain = collections.defaultdict(list)
+        for instance, domain in sorted(domain_of.items()):
+            self._by_domain[domain].append(instance)
+
+    def of(self, server, domain):
+        """Return the holder of a server in a failure domain.
+
+        It is one of all instances if the domain is '' or has none.
+        """
+        key = (server, domain)
+        holder = self._chosen.get(key)
+        if holder is None:
+            holder = self._chosen[key] = _highest_hash(
+                server, self._candidates(domain)
+            )
+        return holder
+
+    def _candidates(self, domain):
+        if domain and domain in self._by_domain:
+            return self._by_domain[domain]
+        return sorted(self._domain_of)
+
+
+def _highest_hash(server, candidates):
+    """Return the candidate with the highest hash of server and candidate."""
+
+    def weight(instance):
+        data = f"{server} {instance}".encode()
+        return hashlib.blake2b(data, digest_size=8).digest()
+
+    return max(candidates, key=weight)
--- a/tests/cover/test_limit_records.py
+++ b/tests/cover/test_limit_records.py
@@ -140,6 +140,34 @@
     assert any(chosen.may_grant(server, until) for server in servers)
 
 
+def test_a_failure_domain_that_is_lost_takes_only_its_own_prefill_queues():
+    # The queues of all other engines would move, and be empty, too.
+    chosen = holders.DomainHolders("i1", "a")
+    domains = {"i1": "a", "i2": "a", "i3": "b", "i4": "b"}
+    chosen.set_domains(domains)
+    servers = [f"s{number}" for number in range(50)]
+    before = {server: chosen.of(server, "a") for server in servers}
+    assert set(before.values()) == {"i1", "i2"}
+    assert {chosen.of(server, "b") for server in servers} == {"i3", "i4"}
+    chosen.set_domains({"i2": "a"})
+    assert {server: chosen.of(server, "a") for server in servers} == before
+    assert {chosen.of(server, "b") for server in servers} == {"i1", "i2"}
+
+
+def test_all_instances_choose_the_same_holder_of_a_prefill_queue():
+    domains = {"i1": "a", "i2": "a", "i3": "b", "i4": "b"}
+    views = []
+    for name, domain in domains.items():
+        view = holders.DomainHolders(name, domain)
+        others = [item for item in domains.items() if item[0] != name]
+        view.set_domains(dict(others))
+        views.append(view)
+    for domain in ("", "a", "b", "c"):
+        for number in range(20):
+            chosen = {view.of(f"s{number}", domain) for view in views}
+            assert len(chosen) == 1
+
+
 def test_a_holder_of_the_same_servers_goes_on_when_members_change():
     chosen = holders.Holders("i1")
     chosen.set_candidates(["i2", "i3"], 1.0)
--- a/tests/cover/test_platform_settings.py
+++ b/tests/cover/test_platform_settings.py
@@ -34,6 +34,15 @@
     assert found.first_start
 
 
+def test_contracts_name_callers_that_compete_for_capacity():
+    # An item that only contains the word must not enable prefill queues.
+    assert not settings_file.parse(VALID_SETTINGS).contended
+    named = VALID_SETTINGS + "contracts=base, pressure,later\n"
+    assert settings_file.parse(named).contended
+    others = VALID_SETTINGS + "contracts=base,backpressure\n"
+    assert not settings_file.parse(others).contended
+
+
 def test_seeds_become_peers_at_the_inner_port():
     found = settings_file.parse(VALID_SETTINGS)
     assert programs.peer_addresses(found) == [
