Refusals of late work move out of the shared policy

What refuses queued work that would be placed too late is a module of its own now; the decisions are the same (tests of the shared policy, situations and hedges pass unchanged).

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -16,9 +16,9 @@
 from .. import sentinels
 from . import engine_choice
 from . import hedge_searches
+from . import late_refusals
 from . import path_feedback
 from . import permit_waits
-from . import placement_rate
 from . import plain_server_choice
 from . import prefix_announcements
 from . import retry_budget
@@ -59,7 +59,7 @@
         # The revision that the traits were read from, and those by service.
         self._traits_cache = (None, {})
         self._permit_waits = permit_waits.PermitWaits(state.permits, rng)
-        self._placement_rate = placement_rate.PlacementRate()
+        self._late_refusals = late_refusals.LateRefusals()
         self._usable = usable_servers.UsableServerLists(
             table,
             self._checks,
@@ -185,8 +185,11 @@
             decision = self._decide(work, now, directory, blocked)
             if decision is None:
                 tokens_ahead[work.service] += work.prompt_tokens
-                decision = self._refuse_if_too_late(
-                    work, tokens_ahead[work.service], now
+                decision = self._late_refusals.refuse_if_late(
+                    work,
+                    tokens_ahead[work.service],
+                    len(self._queue) - 1,
+                    now,
                 )
             if decision is not None:
                 del self._queue[work.request_id]
@@ -259,29 +262,6 @@
             attempt.server_state.health.backoff
         ) or self._domain_reach.is_partitioned(attempt.domain, now)
 
-    def _refuse_if_too_late(self, work, tokens_ahead, now):
-        """Return a refusal if the queue is too long for the work's deadline.
-
-        In a burst beyond what the engines can prefill, a caller that cannot
-        be served in time is refused at once, with a Retry-After of half the
-        expected wait, and not only at its deadline.  Returns ``None`` if the
-        work may still be served in time, or waits for servers that rest: the
-        pace of that time tells nothing.
-        """
-        if work.held_at == now:
-            return None
-        wait = self._placement_rate.estimate_seconds(
-            work.service, tokens_ahead, now
-        )
-        left = work.deadline - now - unplaceable_work.MIN_SERVICE_SECONDS
-        if wait <= left * unplaceable_work.MAX_QUEUE_TIME_FRACTION:
-            return None
-        nothing = sentinels.Nothing(sentinels.Reason.QUEUE_FULL, wait / 2)
-        grounds = work_module.DecisionInputs(
-            need=work.prompt_tokens, waiting=len(self._queue) - 1
-        )
-        return work_module.Refusal(work, nothing, grounds)
-
     def _decide(self, work, now, directory, blocked, hedge=False):
         """Return a placement, a refusal, or ``None`` to leave it queued."""
         left = work.deadline - now
@@ -460,7 +440,7 @@
         state.running += 1
         state.unread += need
         if need > engine_choice.SHORT_PROMPT_TOKENS:
-            self._placement_rate.record(work.service, work.prompt_tokens, now)
+            self._late_refusals.record_placed(work, now)
         shared = work.parts[:-1]
         if shared:
             self._prefixes.record_sent(name, list(shared), now)
