Long prompts ask the holder of an engine's prefill queue

Many instances that choose by reports up to 0.4 s old send long prompts to the same engines. Where a service queues prefill, an instance asks the holder of the queue before it sends a long prompt, asks up to two further engines that would be sooner, and decides on its own while a holder is silent. Engines are weighed by their pace. Without state.prefill nothing changes: the tests of the shared policy, situations, hedges, traits and relays pass unchanged.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/server_loads.py
@@ -35,12 +35,16 @@
     """The requests that an instance has in progress at one server.
 
     ``running`` is the number of requests, ``unread`` the number of prompt
-    tokens of those that have not produced any output yet.
+    tokens of those that have not produced any output yet and of those that
+    this instance has asked the holder of the server's prefill queue for.
+    ``pace`` is the number of prompt tokens per second that the server
+    prefills, 0 if unknown; only the holder of its prefill queue fills it.
     """
 
     server: str
     running: int
     unread: int
+    pace: int = 0
 
 
 class Read(msgspec.Struct, array_like=True):
@@ -96,7 +100,8 @@
     """Return ``loads`` with the contribution ``own`` subtracted.
 
     The sum that a relay sends includes the last report of this instance,
-    which may differ slightly from ``own``; no result is below 0.
+    which may differ slightly from ``own``; no result is below 0.  A pace has
+    one source, so it is removed if this instance has reported one.
     """
     own_by_server = {load.server: load for load in own}
     remaining = []
@@ -107,6 +112,7 @@
                 load.server,
                 max(0, load.running - own_load.running),
                 max(0, load.unread - own_load.unread),
+                0 if own_load.pace else load.pace,
             )
         remaining.append(load)
     return remaining
@@ -191,21 +197,25 @@
         total = self._sums.get(server)
         return total[1] if total else 0
 
+    def pace(self, server):
+        """Return the tokens per second that a holder reported, or 0."""
+        total = self._sums.get(server)
+        return total[2] if total else 0
+
 
 def _add(sums, loads, sign):
     """Add ``loads`` times ``sign`` (1 or -1) to ``sums``; drop zeros."""
     for load in loads:
-        total = sums.setdefault(load.server, [0, 0])
+        total = sums.setdefault(load.server, [0, 0, 0])
         total[0] += sign * load.running
         total[1] += sign * load.unread
-        if total == [0, 0]:
+        total[2] += sign * load.pace
+        if total == [0, 0, 0]:
             del sums[load.server]
 
 
 def _loads_from_sums(sums):
-    return [
-        Load(name, running, unread) for name, (running, unread) in sums.items()
-    ]
+    return [Load(name, *total) for name, total in sums.items()]
 
 
 class SentPromptLog:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from . import affinity
+from . import engine_paces
 
 # An engine gets a further long prompt while it has fewer tokens than this to
 # prefill, the new prompt included: two prefill steps, so that its streams
@@ -30,6 +31,10 @@
 UNREAD_TOKENS_PER_STEP = 24_000.0
 # Prompts up to this length are no burden: less than half a prefill step.
 SHORT_PROMPT_TOKENS = 2000.0
+# A prompt that waits asks for an engine that has less of it cached only if
+# that engine would be done sooner with this many times the tokens: to prefill
+# a shared part twice is wasted work.
+REREAD_FACTOR = 8.0
 
 
 class ChosenEngine(msgspec.Struct, frozen=True):
@@ -48,13 +53,23 @@
     time that a decision among 56 engines takes.
     """
 
-    __slots__ = ("usable", "through_peers", "groups", "costs")
+    __slots__ = (
+        "usable",
+        "through_peers",
+        "groups",
+        "paces",
+        "costs",
+        "waits",
+    )
 
-    def __init__(self, usable, through_peers, groups):
+    def __init__(self, usable, through_peers, groups, paces):
         self.usable = usable
         self.through_peers = through_peers
         self.groups = groups
+        self.paces = paces
         self.costs = {}
+        # The seconds until an engine has prefilled what it has, by name.
+        self.waits = {}
 
 
 class EngineChoice:
@@ -62,14 +77,15 @@
 
     Prompt tokens stand for an engine's time.  ``table`` is the
     :class:`.server_table.ServerTable`, ``domain`` the failure domain of this
-    instance.
+    instance.  ``rng`` draws engines where prefill queues are enabled.
     """
 
-    def __init__(self, table, domain):
+    def __init__(self, table, domain, rng=None):
         self._table = table
         self._domain = domain
+        self._rng = rng
         self._groups = collections.defaultdict(affinity.EngineGroups)
-        self._round = _RoundCache(None, (), None)
+        self._round = _RoundCache(None, (), None, engine_paces.SAME)
         self._large_waiting = frozenset()
 
     def note_queue(self, queued):
@@ -83,6 +99,7 @@
     def note_placed(self, name):
         """Drop the cached cost of an engine that has got another request."""
         self._round.costs.pop(name, None)
+        self._round.waits.pop(name, None)
 
     def choose(self, work, traits, servers, usable, now, through_peers=()):
         """Return the cheapest of the ``usable`` engines.
@@ -94,22 +111,25 @@
         engine further back is taken only where it has the whole prefix cached.
         """
         cached_round = self._round_for(
-            work.service, servers, usable, now, through_peers
+            work.service, traits, servers, usable, now, through_peers
         )
         groups = cached_round.groups
-        low_latency = _is_low_latency(work, traits)
+        paces = cached_round.paces
+        low_latency = is_low_latency(work, traits)
         key = affinity.affinity_key(work.parts)
         ranked = [
             name for name in groups.ranked(key, low_latency) if name in usable
         ]
         if not ranked:
             ranked = affinity.rendezvous_order(key, usable)
+        if low_latency and traits.queues_prefill:
+            ranked = self._without_most_reserved(ranked, groups)
         shared = work.parts[:-1]
         own = work.parts[-1][1]
         best = None
         for position, name in enumerate(ranked):
             min_cost = own + position * affinity.RANK_STEP_TOKENS
-            if best is not None and best[0] <= min_cost:
+            if best is not None and best[0] <= min_cost - own * paces.bonus:
                 # No engine from here on can be cheaper.
                 break
             cache = self._table.server(name).cache
@@ -126,14 +146,86 @@
                 self._cached_cost(cached_round, name)
                 + min_cost
                 + missing * (1.0 + affinity.MISSING_PREFIX_FACTOR)
+                + (own + missing) * (paces.token_cost(name) - 1.0)
             )
-            if low_latency and not groups.is_reserved(name):
-                cost += affinity.UNRESERVED_TOKENS
+            if low_latency:
+                cost += paces.slow_cost(name)
+                if not groups.is_reserved(name):
+                    cost += affinity.UNRESERVED_TOKENS
             if best is None or cost < best[0]:
                 best = (cost, ChosenEngine(name, own + missing))
         return best[1]
 
-    def _round_for(self, service, servers, usable, now, through_peers):
+    def _without_most_reserved(self, ranked, groups):
+        """Return ``ranked`` with two of the reserved engines.
+
+        With a free choice, all instances place low-latency streams at the
+        reserved engine that was idle in the last report.
+        """
+        reserved = [name for name in ranked if groups.is_reserved(name)]
+        if len(reserved) < 2:
+            return ranked
+        drawn = self._rng.sample(reserved, 2)
+        return [
+            name
+            for name in ranked
+            if name in drawn or not groups.is_reserved(name)
+        ]
+
+    def find_sooner(self, search, asks, is_held):
+        """Return an engine that would prefill a prompt sooner, or ``None``.
+
+        ``search`` is a :class:`.prefill_placement.EngineSearch`, ``asks`` are
+        those that were made for its work, and ``is_held(name, now)`` returns
+        whether an engine's queue has a holder.
+        """
+        cached_round = self._round_for(
+            search.work.service,
+            search.traits,
+            search.servers,
+            search.usable,
+            search.now,
+            search.through_peers,
+        )
+        parts = search.work.parts
+        own = parts[-1][1]
+        asked = {ask.server for ask in asks}
+        fewest_tokens = min(ask.tokens for ask in asks)
+        soonest = min((ask.ahead + ask.tokens) / ask.pace for ask in asks)
+        found = None
+        for name in cached_round.groups.members(low_latency=False):
+            if name not in search.usable or name in asked:
+                continue
+            pace = cached_round.paces.of(name)
+            wait = self._cached_wait(cached_round, name)
+            if wait + own / pace >= soonest:
+                # It is checked first because it is computed fastest.
+                continue
+            cache = self._table.server(name).cache
+            tokens = own + cache.missing_tokens(parts[:-1])
+            factor = 1.0 if tokens <= fewest_tokens else REREAD_FACTOR
+            seconds = wait + factor * tokens / pace
+            if seconds < soonest and is_held(name, search.now):
+                soonest = seconds
+                found = ChosenEngine(name, tokens)
+        return found
+
+    @staticmethod
+    def _slots_of(cached_round, name):
+        return cached_round.usable[name].announcement.slots
+
+    def _cached_wait(self, cached_round, name):
+        """Return the seconds until an engine begins with a new prompt."""
+        wait = cached_round.waits.get(name)
+        if wait is None:
+            tokens = self._table.unread(name) + affinity.slot_wait_cost(
+                self._table.running(name), self._slots_of(cached_round, name)
+            )
+            wait = tokens / cached_round.paces.of(name)
+            cached_round.waits[name] = wait
+        return wait
+
+    def _round_for(self, service, traits, servers, usable, now, through_peers):
         """Return the cache of the round, which has one ``usable`` object."""
         if self._round.usable is not usable:
             groups = self._groups[service]
@@ -144,29 +236,37 @@
             slots = servers[0].announcement.slots
             table = self._table
             groups.resize(table.running, table.unread, slots, now)
-            self._round = _RoundCache(usable, through_peers, groups)
+            paces = engine_paces.SAME
+            if traits.queues_prefill:
+                paces = engine_paces.EnginePaces(table.pace, names)
+            self._round = _RoundCache(usable, through_peers, groups, paces)
         return self._round
 
     def _cached_cost(self, cached_round, name):
         cost = cached_round.costs.get(name)
         if cost is None:
-            cost = self._cost(name, cached_round.usable[name].announcement)
+            cost = self._cost(
+                name,
+                cached_round.usable[name].announcement,
+                cached_round.paces.token_cost(name),
+            )
             if name in cached_round.through_peers:
                 cost += affinity.REMOTE_DOMAIN_TOKENS
             cached_round.costs[name] = cost
         return cost
 
-    def _cost(self, name, announcement):
+    def _cost(self, name, announcement, token_cost):
         """Return the cost of an engine that holds for any request.
 
         It covers load, the wait for a slot, failures and the distance.
+        ``token_cost`` is the time of a token there relative to other engines.
         """
         running = self._table.running(name)
         health = self._table.server(name).health
         is_remote = announcement.failure_domain != self._domain
         return (
-            self._table.unread(name)
-            + running * affinity.TOKENS_PER_RUNNING
+            self._table.unread(name) * token_cost
+            + running * affinity.TOKENS_PER_RUNNING * token_cost
             + affinity.slot_wait_cost(running, announcement.slots)
             + health.failure_share * affinity.TOKENS_PER_FAILURE
             + is_remote * affinity.REMOTE_DOMAIN_TOKENS
@@ -191,6 +291,7 @@
         return unread + chosen.need <= MAX_UNREAD_TOKENS * (1 + steps)
 
 
-def _is_low_latency(work, traits):
+def is_low_latency(work, traits):
+    """Return whether work is a low-latency stream of its service."""
     gap = (work.between_tokens_ms or 0.0) / 1000.0
     return affinity.is_low_latency(gap, traits.shortest_gap_seconds)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/server_table.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/server_table.py
@@ -42,13 +42,17 @@
     """The state of all servers by name, combined with the others' ``loads``.
 
     ``kv_tokens()`` returns how many tokens fit into an engine's KV cache.
+    ``asks`` are the :class:`.prefill_asks.PrefillAsks` of this instance, or
+    ``None``; ``now`` is the time of the round, for the age of their answers.
     """
 
-    __slots__ = ("_loads", "_kv_tokens", "_servers")
+    __slots__ = ("now", "_loads", "_kv_tokens", "_asks", "_servers")
 
-    def __init__(self, loads, kv_tokens):
+    def __init__(self, loads, kv_tokens, asks=None):
+        self.now = 0.0
         self._loads = loads
         self._kv_tokens = kv_tokens
+        self._asks = asks
         self._servers = {}
 
     def server(self, name):
@@ -67,20 +71,49 @@
         return self.server(name).running + self._loads.running(name)
 
     def unread(self, name):
-        """Return the prompt tokens of all instances yet to be prefilled."""
-        return self.server(name).unread + self._loads.unread(name)
+        """Return the prompt tokens of all instances yet to be prefilled.
+
+        Those in its prefill queue are included.
+        """
+        reported = self.server(name).unread + self._loads.unread(name)
+        if self._asks is None:
+            return reported
+        backlog = self._asks.backlog(name, self.now)
+        if backlog is not None:
+            return backlog
+        return reported + self._asks.asked_tokens(name)
+
+    def pace(self, name):
+        """Return the prompt tokens per second of an engine, 0 if unknown."""
+        pace = self._asks.pace(name, self.now) if self._asks else 0
+        return pace or self._loads.pace(name)
 
     def remote_load(self, name):
         """Return ``(running, unread)`` of the other instances."""
         return self._loads.running(name), self._loads.unread(name)
 
     def own_loads(self):
-        """Return this instance's work at each server that has some."""
-        return [
-            server_loads.Load(name, state.running, int(state.unread))
+        """Return this instance's work at each server that has some.
+
+        Tokens that it has asked a holder for count as unread, and the paces
+        of the queues that it holds are added.
+        """
+        loads = {
+            name: server_loads.Load(name, state.running, int(state.unread))
             for name, state in self._servers.items()
             if state.running
-        ]
+        }
+        if self._asks is not None:
+            self._add_asked(loads)
+        return list(loads.values())
+
+    def _add_asked(self, loads):
+        for name, tokens in self._asks.all_asked_tokens().items():
+            load = loads.setdefault(name, server_loads.Load(name, 0, 0))
+            load.unread += tokens
+        for name, pace in self._asks.held_paces.items():
+            load = loads.setdefault(name, server_loads.Load(name, 0, 0))
+            load.pace = int(pace)
 
     def record_announcement(self, name, epoch, software_version=""):
         """Record the epoch and the version that a server announced.
@@ -101,10 +134,16 @@
             self._kv_tokens(), epoch, software_version
         )
         self._loads.forget(name)
+        self._forget_asks(name)
         return True
 
+    def _forget_asks(self, name):
+        if self._asks is not None:
+            self._asks.forget_server(name)
+
     def forget(self, name):
         """Drop the state of a server that is gone, unless it has own work."""
+        self._forget_asks(name)
         state = self._servers.get(name)
         if state is not None and not state.running:
             del self._servers[name]
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -20,6 +20,7 @@
 from . import path_feedback
 from . import permit_waits
 from . import plain_server_choice
+from . import prefill_placement
 from . import prefix_announcements
 from . import retry_budget
 from . import server_attempt
@@ -41,9 +42,10 @@
 class SharedServersPolicy(path_feedback.PathFeedback):
     """Schedules for one instance, by its own and the others' work."""
 
-    def __init__(self, rng, view, state, limits):
+    def __init__(self, rng, view, state, limits, contended=False):
         domain = state.identity.failure_domain
-        table = server_table.ServerTable(state.loads, self._kv_tokens)
+        asks = getattr(state, "prefill", None)
+        table = server_table.ServerTable(state.loads, self._kv_tokens, asks)
         super().__init__(rng, view, table, domain)
         self._rng = rng
         self._routing = state.routing
@@ -54,10 +56,14 @@
         )
         self._queue = {}
         self._searches = hedge_searches.HedgeSearches()
-        self._engines = engine_choice.EngineChoice(table, domain)
+        self._engines = engine_choice.EngineChoice(table, domain, rng)
+        self._prefill = prefill_placement.PrefillPlacement(
+            asks, self._engines, state.permits, rng
+        )
+        self._traits = service_traits.TraitsCache(
+            contended, allows_queues=asks is not None
+        )
         self._prefixes = prefix_announcements.PrefixAnnouncements(table)
-        # The revision that the traits were read from, and those by service.
-        self._traits_cache = (None, {})
         self._permit_waits = permit_waits.PermitWaits(state.permits, rng)
         self._late_refusals = late_refusals.LateRefusals()
         self._usable = usable_servers.UsableServerLists(
@@ -130,6 +136,7 @@
 
     def withdraw(self, request_id):
         """Remove queued work and return it, or ``None``."""
+        self._prefill.withdraw(request_id)
         return self._queue.pop(request_id, None)
 
     def seek(self, work, since):
@@ -161,6 +168,8 @@
         enough for a long prompt.
         """
         self._repeats.settle(now)
+        self._table.now = now
+        self._prefill.begin_round(now)
         if self._permits.active:
             self._permit_waits.begin_round(now)
         if not self._queue and not self._searches:
@@ -183,7 +192,11 @@
         self._engines.note_queue(queued)
         for work in queued:
             decision = self._decide(work, now, directory, blocked)
-            if decision is None:
+            if decision is None and self._prefill.waits(work):
+                decision = self._prefill.refuse_if_late(
+                    work, len(self._queue) - 1, now
+                )
+            elif decision is None:
                 tokens_ahead[work.service] += work.prompt_tokens
                 decision = self._late_refusals.refuse_if_late(
                     work,
@@ -194,6 +207,8 @@
             if decision is not None:
                 del self._queue[work.request_id]
                 decisions.append(decision)
+            if isinstance(decision, work_module.Refusal):
+                self._prefill.withdraw(work.request_id)
         return decisions
 
     def _queue_order(self, work, now):
@@ -290,18 +305,22 @@
         if not work.parts:
             name = self._choose_plain(candidates, usable)
             return self._place(work, name, 0.0, usable, now, hedge)
-        traits = self._traits(work)
-        chosen = self._engines.choose(
-            work, traits, servers, candidates, now, usable.through_peers
+        traits = self._traits.of(self._routing.table.revision, work.service)
+        search = prefill_placement.EngineSearch(
+            work, traits, servers, candidates, usable.through_peers, now
         )
-        if not self._engines.has_room(work, traits, chosen):
-            if not hedge:
-                blocked.add(chosen.name)
-            return None
-        if chosen.name in blocked and (
-            chosen.need > engine_choice.SHORT_PROMPT_TOKENS
-        ):
+        chosen = self._prefill.choose(search, hedge)
+        if chosen is None:
             return None
+        if not self._prefill.has_grant(work, chosen.name):
+            if not self._engines.has_room(work, traits, chosen):
+                if not hedge:
+                    blocked.add(chosen.name)
+                return None
+            if chosen.name in blocked and (
+                chosen.need > engine_choice.SHORT_PROMPT_TOKENS
+            ):
+                return None
         return self._place(work, chosen.name, chosen.need, usable, now, hedge)
 
     def _preferred(self, usable, candidates):
@@ -365,7 +384,7 @@
         if work.parts:
             chosen = self._engines.choose(
                 work,
-                self._traits(work),
+                self._traits.of(self._routing.table.revision, work.service),
                 servers,
                 usable.servers,
                 now,
@@ -382,19 +401,6 @@
         table = self._routing.table
         return service_traits.max_kv_tokens(table.revision if table else None)
 
-    def _traits(self, work):
-        """Return the traits of a service in the revision in force."""
-        revision = self._routing.table.revision
-        cached_revision, by_service = self._traits_cache
-        if cached_revision is not revision:
-            by_service = {}
-            self._traits_cache = (revision, by_service)
-        traits = by_service.get(work.service)
-        if traits is None:
-            traits = service_traits.read_traits(revision, work.service)
-            by_service[work.service] = traits
-        return traits
-
     def _place(self, work, name, need, usable, now, hedge=False):
         """Count the work as outstanding at a server; return a placement.
 
@@ -436,6 +442,8 @@
             self._usable.begin_round()
         if not peer:
             state.health.record_attempt(now)
+        if not hedge:
+            self._prefill.record_placed(work, name, grounds, now)
         self._engines.note_placed(name)
         state.running += 1
         state.unread += need
@@ -468,6 +476,7 @@
         if attempt is not None:
             attempt.server_state.unread -= attempt.unread
             attempt.unread = 0.0
+            self._prefill.prefilled(attempt, now)
             self._repeats.record_answer(attempt)
             self._end_probe(attempt, has_output=True)
             self._record_answering(attempt, now)
@@ -479,6 +488,7 @@
             return
         if self._permits.active:
             self._permits.release(attempt.server, ended.request_id, now)
+        self._prefill.ended(attempt, now)
         state = attempt.server_state
         state.running -= 1
         state.unread -= attempt.unread
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -123,7 +123,9 @@
     there; for a request refused because of limits, ``limited`` is the number
     of such servers and ``limit_wait_ms`` how long a permit would have taken.
     ``through`` is the peer by which a server is reached that has no direct
-    path, and ``unreachable`` the number of servers without one.
+    path, and ``unreachable`` the number of servers without one.  For a prompt
+    that waited for a grant, ``queued_ms`` is the time in prefill queues and
+    ``asked`` the number of engines that it was asked for at.
     """
 
     need: int = 0
@@ -139,6 +141,8 @@
     limit_wait_ms: float | None = None
     through: str | None = None
     unreachable: int | None = None
+    queued_ms: float | None = None
+    asked: int | None = None
 
 
 class Placement(msgspec.Struct):
