Prefill queues: the component that holds queues and sends asks

Cause: instances that see loads up to 0.4 s old send long prompts to the same engines at once, so the decision has to be made in one place for each engine. The policy made asks, and nothing carried them.

Change: `components.prefill_queues` sends the asks and ends of the policy to the holders in the round in which they were made, and an answer of this instance to itself runs a further round. Measured paces are reported with the loads. Metrics `prefill_...`, log lines of silent holders and long queues, and `holder` in the dispatch line. A pace alone does not raise the rate of load reports.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
@@ -14,6 +14,7 @@
 from . import limit_views
 from . import log_views
 from . import placement_status
+from . import prefill_views
 from . import rest_views
 from . import retry_views
 from . import version_views
@@ -252,6 +253,7 @@
     named = log_views.gauges(status)
     named.update(duty_views.gauges(host.state))
     named.update(limit_views.gauges(host.state))
+    named.update(prefill_views.gauges(host.state, host.clock.now()))
     named.update(version_views.gauges(host.state))
     named.update(
         retry_views.gauges(host.reducer.policy.retry_budget, host.clock.now())
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -14,6 +14,7 @@
 from . import claim_rounds
 from ..coordination import claims as claims_module
 from ..coordination import permits
+from ..coordination import prefill_messages
 from ..coordination import server_loads
 from ..coordination import stream_records
 from ..coordination import usage
@@ -33,6 +34,9 @@
 # Sent to callers whose requests a draining instance cannot finish.  Within the
 # given time the load balancer notices and uses other instances.
 DRAINING = sentinels.Nothing(sentinels.Reason.DRAINING, 1.0)
+# The most rounds at once in which an instance answers its own asks: one for
+# each engine that the policy may ask for a prompt.
+MAX_PREFILL_ROUNDS = 3
 
 
 class Requests(claim_rounds.Listener, interfaces.Component):
@@ -42,12 +46,15 @@
     ``request_lifecycle.RequestLifecycle``.
     """
 
-    def __init__(self, state, policy, claimer, ends, limits, streams, lives):
+    def __init__(
+        self, state, policy, claimer, ends, limits, prefills, streams, lives
+    ):
         self._state = state
         self._policy = policy
         self._claims = claimer
         self._ends = ends
         self._limits = limits
+        self._prefills = prefills
         self._streams = streams
         self._admission = routed_admission.RoutedAdmission(
             state, streams, self._open_routed
@@ -86,6 +93,8 @@
             events.CutShort: self._cut_short,
             server_loads.ServerLoads: self._server_loads_received,
             permits.PermitGrants: self._permits_received,
+            prefill_messages.PrefillAsks: self._prefill_asks_received,
+            prefill_messages.PrefillGrants: self._prefill_grants_received,
             stream_records.StreamAnswers: self._admission.handle_answers,
         }
 
@@ -176,6 +185,22 @@
             out.extend(asks)
             if has_permits:
                 out.extend(self._run_round(now))
+        out.extend(self._exchange_prefills(now))
+        return out
+
+    def _exchange_prefills(self, now):
+        """Send what is due to the holders of prefill queues.
+
+        Where this instance is the holder, the answers come at once and may
+        change what the policy decides.
+        """
+        out = []
+        for _ in range(MAX_PREFILL_ROUNDS):
+            messages, has_answers = self._prefills.exchange(now)
+            out.extend(messages)
+            if not has_answers:
+                break
+            out.extend(self._run_round(now))
         return out
 
     def _run_round(self, now):
@@ -186,6 +211,7 @@
             if request is None:
                 continue
             if isinstance(item, work_module.Placement):
+                self._prefills.record_placed(item, now)
                 out.extend(
                     dispatching.dispatch(self._state, request, item, now)
                 )
@@ -416,6 +442,14 @@
         """Run the policy: servers that name a limit take requests again."""
         return self._run_policy(now) if self.lives else []
 
+    def _prefill_asks_received(self, source, message, now):
+        """Run the policy if an end has led to a grant for this instance."""
+        return self._run_policy(now) if self._prefills.has_own_answers else []
+
+    def _prefill_grants_received(self, source, message, now):
+        """Run the policy: prompts were granted or know their place."""
+        return self._run_policy(now)
+
     def _cut_short(self, event, now):
         """Cut off a caller with the true outcome: the instance shuts down.
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -94,7 +94,12 @@
             )
             return self._send_domain_sum(now)
         loads = self._policy.own_loads()
-        has_work = loads or self._sent_loads or self._unsent_reads
+        # A pace of a server without work must only be repeated.
+        has_work = (
+            self._unsent_reads
+            or _has_requests(loads)
+            or _has_requests(self._sent_loads)
+        )
         interval = (
             RELAY_INTERVAL_SECONDS if has_work else REPEAT_INTERVAL_SECONDS
         )
@@ -182,3 +187,8 @@
             sorted(self._state.members.silent_domains(now)),
         )
         return [effects.SendPeer(source.address, answer)]
+
+
+def _has_requests(loads):
+    """Return whether loads tell of any requests, and not only of paces."""
+    return any(load.running or load.unread for load in loads)
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -22,7 +22,9 @@
 from ..coordination import usage
 from ..decisions import directory
 from ..decisions import permits as permits_module
+from ..decisions import prefill_asks
 from . import duties_state
+from . import held_queues
 from . import orders_state
 from ..resources import store
 from . import revisions
@@ -56,6 +58,8 @@
     - ``loads``: server loads
     - ``ends``: server ends
     - ``limits`` and ``permits``: server limits; policies use the permits
+    - ``prefill`` and ``held_queues``: prefill queues; policies ask through
+      ``prefill``
     - ``usage``: usage; the request component adds its counts
     - ``orders``: orders
     - ``duties``: duties
@@ -84,6 +88,8 @@
     instance_counts: instance_counts.InstanceCounts
     streams: stream_records.StreamTable
     stream_counts: stream_records.StreamCounts
+    prefill: prefill_asks.PrefillAsks
+    held_queues: held_queues.HeldQueues
     draining: bool = False
 
 
@@ -137,4 +143,6 @@
         instance_counts.InstanceCounts(),
         stream_records.StreamTable(),
         stream_records.StreamCounts(),
+        prefill_asks.PrefillAsks(),
+        held_queues.HeldQueues(),
     )
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/policy.py
@@ -21,6 +21,13 @@
     retry_budget = None
     held_for_rest = types.MappingProxyType({})
 
+    def traits_of(self, service):
+        """Return the :class:`.service_traits.Traits` of a service, if known.
+
+        ``None`` without a revision, and from policies that need none.
+        """
+        return None
+
     @abc.abstractmethod
     def offer(self, work, now):
         """Queue ``work`` and return it, or refuse it with a ``Nothing``."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
@@ -85,8 +85,9 @@
 
     ``held_paces`` maps the engines whose queues this instance holds to their
     measured paces in tokens per second; its owner is the component that holds
-    the queues.  ``asks_made``, ``grants_used`` and ``unheld`` (answers without
-    a holder) are counts for metrics.
+    the queues.  ``asks_made``, ``grants_used``, ``unheld`` (answers without
+    a holder) and ``placed_unheld`` (prompts that were placed while the holder
+    was silent) are counts for metrics.
     """
 
     __slots__ = (
@@ -95,6 +96,7 @@
         "asks_made",
         "grants_used",
         "unheld",
+        "placed_unheld",
         "_last_number",
         "_by_number",
         "_by_request",
@@ -111,6 +113,7 @@
         self.asks_made = 0
         self.grants_used = 0
         self.unheld = 0
+        self.placed_unheld = 0
         self._last_number = 0
         self._by_number = {}
         self._by_request = {}
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -77,6 +77,11 @@
             self._usable, self._queue
         )
 
+    def traits_of(self, service):
+        """Return the traits of a service, ``None`` without a revision."""
+        table = self._routing.table
+        return self._traits.of(table.revision, service) if table else None
+
     @property
     def held_for_rest(self):
         """The requests by service that were held back for rests."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -125,7 +125,8 @@
     ``through`` is the peer by which a server is reached that has no direct
     path, and ``unreachable`` the number of servers without one.  For a prompt
     that waited for a grant, ``queued_ms`` is the time in prefill queues and
-    ``asked`` the number of engines that it was asked for at.
+    ``asked`` the number of engines that it was asked for at;
+    ``holder`` is the instance that granted it.
     """
 
     need: int = 0
@@ -143,6 +144,7 @@
     unreachable: int | None = None
     queued_ms: float | None = None
     asked: int | None = None
+    holder: str | None = None
 
 
 class Placement(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -20,6 +20,7 @@
 from .components import duties_state
 from .components import members
 from .components import orders
+from .components import prefill_queues
 from .components import renewals
 from .components import repair
 from .components import requests
@@ -153,6 +154,7 @@
     renewals_component = renewals.Renewals(state, chosen_policy)
     ends = server_ends.ServerEnds(state)
     limits_component = server_limits.ServerLimits(state)
+    prefills_component = prefill_queues.PrefillQueues(state, chosen_policy)
     lives = {}
     streams_component = stream_versions.StreamVersions(state, lives)
     request_component = requests.Requests(
@@ -161,6 +163,7 @@
         claims_component,
         ends,
         limits_component,
+        prefills_component,
         streams_component,
         lives,
     )
@@ -179,6 +182,7 @@
         ends,
         server_loads.ServerLoads(state, chosen_policy),
         limits_component,
+        prefills_component,
         server_rests.ServerRests(state, chosen_policy),
         usage_windows.UsageWindows(state),
         version_admission.VersionAdmission(state),
--- a/tests/common/limit_world.py
+++ b/tests/common/limit_world.py
@@ -55,6 +55,7 @@
     slots = 64
     service_seconds = SERVICE_SECONDS
     brittle_texts = ()
+    failure_domain = "a"
 
     def __init__(self, name, limit=""):
         self.name = name
@@ -144,8 +145,8 @@
             revisions.Revision(
                 1,
                 "",
-                _routes(),
-                [revisions.Service(SERVICE)],
+                self.routes(),
+                [self.service()],
                 [
                     revisions.Organisation(name, [name], 0)
                     for name in ORGANISATIONS
@@ -154,6 +155,14 @@
         )
         return node
 
+    def routes(self):
+        """Return the routes of the revision in force."""
+        return _routes()
+
+    def service(self):
+        """Return the service that all servers belong to."""
+        return revisions.Service(SERVICE)
+
     def kill(self, name):
         """Stop an instance at once; its requests are lost."""
         self.nodes[name].up = False
@@ -229,7 +238,7 @@
             f"http://{server.name}",
             service=SERVICE,
             slots=server.slots,
-            failure_domain="a",
+            failure_domain=server.failure_domain,
         )
         for node in list(self.nodes.values()):
             self.apply(node, events.Announced(announcement))
@@ -263,16 +272,17 @@
         self._paths[request_id] = demand.path
         self._organisations[request_id] = demand.organisation
         self.asked[demand.organisation] += 1
-        self.apply(
-            node,
-            events.RoutedRequestReceived(
-                request_id,
-                "h",
-                demand.path,
-                demand.organisation,
-                timeout=DEADLINE_SECONDS,
-                content=request_id,
-            ),
+        self.apply(node, self.request(request_id, demand))
+
+    def request(self, request_id, demand):
+        """Return the event of a request."""
+        return events.RoutedRequestReceived(
+            request_id,
+            "h",
+            demand.path,
+            demand.organisation,
+            timeout=DEADLINE_SECONDS,
+            content=request_id,
         )
 
     # -- time ---------------------------------------------------------------
