--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -35,6 +35,10 @@
 # that engine would be done sooner with this many times the tokens: to prefill
 # a shared part twice is wasted work.
 REREAD_FACTOR = 8.0
+# The cost of each further position in rendezvous order for such an engine, so
+# that prompts with one new prefix which wait at the same time ask for the same
+# engines.
+FURTHER_RANK_TOKENS = 3000.0
 
 
 class ChosenEngine(msgspec.Struct, frozen=True):
@@ -192,21 +196,32 @@
         asked = {ask.server for ask in asks}
         fewest_tokens = min(ask.tokens for ask in asks)
         soonest = min((ask.ahead + ask.tokens) / ask.pace for ask in asks)
+        paces = cached_round.paces
+        ranked = cached_round.groups.ranked(
+            affinity.affinity_key(parts), low_latency=False
+        )
+        best = float("inf")
         found = None
-        for name in cached_round.groups.members(low_latency=False):
+        for position, name in enumerate(ranked):
             if name not in search.usable or name in asked:
                 continue
-            pace = cached_round.paces.of(name)
+            pace = paces.of(name)
             wait = self._cached_wait(cached_round, name)
-            if wait + own / pace >= soonest:
+            rank_cost = position * FURTHER_RANK_TOKENS / paces.typical
+            seconds = wait + own / pace
+            if seconds >= soonest or seconds + rank_cost >= best:
                 # It is checked first because it is computed fastest.
                 continue
             cache = self._table.server(name).cache
             tokens = own + cache.missing_tokens(parts[:-1])
             factor = 1.0 if tokens <= fewest_tokens else REREAD_FACTOR
             seconds = wait + factor * tokens / pace
-            if seconds < soonest and is_held(name, search.now):
-                soonest = seconds
+            if (
+                seconds < soonest
+                and seconds + rank_cost < best
+                and is_held(name, search.now)
+            ):
+                best = seconds + rank_cost
                 found = ChosenEngine(name, tokens)
         return found
 
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
@@ -15,6 +15,10 @@
 # How often what waits, or was granted and is not prefilled, is asked for
 # again.  Holders drop what was not renewed for three times as long.
 RENEWAL_SECONDS = 0.5
+# An ask without an answer is repeated after this long, and an end of a granted
+# prompt once.  Otherwise each lost ask would make its holder silent, and each
+# lost end would keep an engine waiting until the holder drops the prompt.
+REPEAT_SECONDS = 0.05
 # For how long the tokens that a holder returned replace those in reports.
 BACKLOG_TTL_SECONDS = 0.3
 # For how long the pace that a holder returned replaces the reported one: a few
@@ -72,6 +76,13 @@
         )
 
 
+class RepeatedEnd(msgspec.Struct):
+    """An end that is sent once more at ``due``."""
+
+    due: float
+    end: prefill_messages.PrefillEnd
+
+
 class Queue(msgspec.Struct):
     """What the holder of an engine's queue last answered, and when."""
 
@@ -85,8 +96,9 @@
 
     ``held_paces`` maps the engines whose queues this instance holds to their
     measured paces in tokens per second; its owner is the component that holds
-    the queues.  ``asks_made``, ``grants_used`` and ``unheld`` (answers without
-    a holder) are counts for metrics.
+    the queues.  ``asks_made``, ``grants_used``, ``unheld`` (answers without a
+    holder) and ``placed_unheld`` (prompts placed without one) are counts for
+    metrics.
     """
 
     __slots__ = (
@@ -95,6 +107,7 @@
         "asks_made",
         "grants_used",
         "unheld",
+        "placed_unheld",
         "_last_number",
         "_by_number",
         "_by_request",
@@ -102,6 +115,7 @@
         "_unanswered_tokens",
         "_checked_at",
         "_ends",
+        "_repeated_ends",
         "_queues",
     )
 
@@ -111,6 +125,7 @@
         self.asks_made = 0
         self.grants_used = 0
         self.unheld = 0
+        self.placed_unheld = 0
         self._last_number = 0
         self._by_number = {}
         self._by_request = {}
@@ -119,20 +134,36 @@
         # Those of them that no holder has answered.
         self._unanswered_tokens = collections.Counter()
         self._checked_at = float("-inf")
-        self._ends = collections.defaultdict(list)
+        self._ends = []
+        self._repeated_ends = collections.deque()
         self._queues = {}
 
     # -- the life cycle of a prompt -----------------------------------------
 
     def begin(self, work, server, epoch, tokens, now):
         """Ask for a prompt of which a server has to prefill ``tokens``."""
+        self.asks_made += 1
+        return self._add(work, server, epoch, tokens, now)
+
+    def record_unheld(self, work, server, epoch, tokens, now):
+        """Record a prompt that was sent while the holder seemed silent.
+
+        The holder is told, as it may be alive: it would else grant others
+        room that this prompt takes.
+        """
+        ask = self._add(work, server, epoch, tokens, now)
+        self.placed_unheld += 1
+        self._count_as_sent(ask)
+        ask.is_granted = ask.is_used = True
+
+    def _add(self, work, server, epoch, tokens, now):
         self._last_number += 1
         ask = Ask(self._last_number, server, epoch, int(tokens), work, now)
-        self.asks_made += 1
         self._by_number[ask.number] = ask
         self._by_request.setdefault(work.request_id, []).append(ask)
         self._asked_tokens[server] += ask.tokens
         self._unanswered_tokens[server] += ask.tokens
+        return ask
 
     def of(self, request_id):
         """Return the asks of a request."""
@@ -188,11 +219,10 @@
     def _end(self, ask, prefilled):
         self._remove(ask)
         if ask.sent_at is not None:
-            self._add_end(ask.server, ask.number, prefilled)
-
-    def _add_end(self, server, number, prefilled):
-        end = prefill_messages.PrefillEnd(server, number, prefilled)
-        self._ends[server].append(end)
+            end = prefill_messages.PrefillEnd(
+                ask.server, ask.number, prefilled
+            )
+            self._ends.append((end, ask.is_granted))
 
     def _remove(self, ask):
         del self._by_number[ask.number]
@@ -218,7 +248,7 @@
         for ask in list(self._by_number.values()):
             if ask.server == server:
                 self._remove(ask)
-        self._ends.pop(server, None)
+        self._ends = [item for item in self._ends if item[0].server != server]
         self._queues.pop(server, None)
         self._unanswered_tokens.pop(server, None)
         self.silence.forget(server)
@@ -230,14 +260,34 @@
         self.check_silence(now)
         messages = {}
         for ask in self._by_number.values():
-            if ask.sent_at is None or now >= ask.sent_at + RENEWAL_SECONDS:
+            if self._is_due(ask, now):
                 message = self._message_to(messages, ask.server)
                 message.asks.append(self._send(ask, now))
-        for server, ends in self._ends.items():
-            self._message_to(messages, server).ends.extend(ends)
-        self._ends.clear()
+        for end in self._take_ends(now):
+            self._message_to(messages, end.server).ends.append(end)
         return messages
 
+    @staticmethod
+    def _is_due(ask, now):
+        if ask.sent_at is None:
+            return True
+        is_answered = ask.unanswered_since is None
+        interval = RENEWAL_SECONDS if is_answered else REPEAT_SECONDS
+        return now >= ask.sent_at + interval
+
+    def _take_ends(self, now):
+        """Return the new ends and those that are repeated now."""
+        ends = []
+        repeated = self._repeated_ends
+        while repeated and now >= repeated[0].due:
+            ends.append(repeated.popleft().end)
+        for end, is_repeated in self._ends:
+            ends.append(end)
+            if is_repeated:
+                repeated.append(RepeatedEnd(now + REPEAT_SECONDS, end))
+        self._ends.clear()
+        return ends
+
     @staticmethod
     def _message_to(messages, server):
         if server not in messages:
@@ -298,7 +348,10 @@
             return
         if ask is None:
             if grant.granted:
-                self._add_end(grant.server, grant.number, prefilled=False)
+                end = prefill_messages.PrefillEnd(
+                    grant.server, grant.number, prefilled=False
+                )
+                self._ends.append((end, False))
             return
         self.silence.record_answer(grant.server, now)
         self._queues[grant.server] = Queue(now, grant.backlog, grant.pace)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
@@ -172,8 +172,27 @@
         if self._asks is not None:
             self._asks.withdraw(request_id)
 
-    def record_placed(self, work, server, grounds, now):
+    def record_placed(self, work, announcement, grounds, now):
         """Use the grant of a server, if work waited for one."""
+        if self._asks is None:
+            return
+        server = announcement.backend_server
+        self._use_grant(work, server, grounds, now)
+        is_long = grounds.need > engine_choice.SHORT_PROMPT_TOKENS
+        if is_long and not self._asks.is_held(server, now):
+            self._record_unheld(work, announcement, grounds.need, now)
+
+    def _record_unheld(self, work, announcement, need, now):
+        if not self._asks.of(work.request_id):
+            self._asks.record_unheld(
+                work,
+                announcement.backend_server,
+                announcement.epoch,
+                need,
+                now,
+            )
+
+    def _use_grant(self, work, server, grounds, now):
         if not self.waits(work):
             return
         asks = self._asks.of(work.request_id)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -443,7 +443,8 @@
         if not peer:
             state.health.record_attempt(now)
         if not hedge:
-            self._prefill.record_placed(work, name, grounds, now)
+            announcement = usable.servers[name].announcement
+            self._prefill.record_placed(work, announcement, grounds, now)
         self._engines.note_placed(name)
         state.running += 1
         state.unread += need
--- a/tests/common/prompt_engine.py
+++ b/tests/common/prompt_engine.py
@@ -43,7 +43,8 @@
     ``own_tokens`` is the number of prompt tokens that no other request shares,
     ``shared_part`` the number of the part that it shares with others.
     ``first_sent_at`` is when it was first sent, ``retries`` how often it was
-    sent again after a refusal.
+    sent again after a refusal.  ``on_time`` is true once it has been answered
+    without a late event.
     """
 
     kind: object
@@ -53,6 +54,8 @@
     output_tokens: int
     retries: int = 0
     served: bool = False
+    organisation: str = "acme"
+    on_time: bool = False
 
     def size(self):
         """Return the cost of serving the request, in tokens read."""
--- a/tests/common/prompt_world.py
+++ b/tests/common/prompt_world.py
@@ -19,6 +19,7 @@
 from dandeliontrail.coordination import server_limits
 from dandeliontrail.coordination import server_loads
 from dandeliontrail.decisions import permits
+from dandeliontrail.decisions import prefill_asks
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared_policy
@@ -27,6 +28,7 @@
 from dandeliontrail.decisions import work as work_module
 from dandeliontrail.resources import revisions
 
+from tests.common import prefill_exchange
 from tests.common import prompt_engine
 from tests.common import shared_policy_harness
 
@@ -90,7 +92,10 @@
 
     def __init__(self, world, number, domain):
         self.world = world
+        self.name = f"i{number}"
+        self.domain = domain
         self.loads = server_loads.LoadTable()
+        self.prefill = prefill_asks.PrefillAsks()
         state = types.SimpleNamespace(
             routing=types.SimpleNamespace(table=world.table),
             loads=self.loads,
@@ -99,11 +104,16 @@
             software_versions=shared_policy_harness.admitted_versions(
                 prompt_engine.SERVICE, ""
             ),
+            prefill=self.prefill if world.queues_prefill else None,
         )
         limits = retry_budget.RetryLimits(0.2, 220.0, 10.0)
         view = view_module.FixedView(world.instance_count)
         self.policy = shared_policy.SharedServersPolicy(
-            random.Random(number), view, state, limits
+            random.Random(number),
+            view,
+            state,
+            limits,
+            contended=world.queues_prefill,
         )
         self.policy.retry_budget.share = 1.0 / world.instance_count
 
@@ -115,17 +125,36 @@
                 world.dispatch(self, item)
             else:
                 world.handle_refusal(self, item)
+        if world.exchange is not None:
+            world.exchange.send_due(self)
+
+    def pace(self, server):
+        """Return the known pace of an engine, or 0."""
+        return self.prefill.held_paces.get(server) or self.loads.pace(server)
 
 
 class World:
     """The instances, the engines and the clock of the simulation.
 
     ``lag`` is both the age of load reports on arrival and the interval at
-    which they are sent, in seconds.
+    which they are sent, in seconds.  The engines prefill at ``rates`` times
+    the rate of ``config``, in turn.  Requests are from ``organisations``.
+    With ``exchange`` (:class:`.prefill_exchange.ExchangeOptions`), prefill
+    queues are enabled.
     """
 
     def __init__(
-        self, instances, engines, kinds, lag=0.3, config=None, seed=1
+        self,
+        instances,
+        engines,
+        kinds,
+        lag=0.3,
+        config=None,
+        seed=1,
+        *,
+        rates=(1.0,),
+        organisations=("acme",),
+        exchange=None,
     ):
         self.rng = random.Random(seed)
         self.now = 0.0
@@ -133,6 +162,10 @@
         self.config = config or prompt_engine.EngineConfig()
         self.table = _routing_table(kinds, self.config)
         self.lag = lag
+        self.organisations = organisations
+        self.queues_prefill = exchange is not None
+        self.least_urgent_step = max(kind.priority for kind in kinds)
+        self.exchange = None
         self._events = []
         self._order = 0
         self._count = 0
@@ -141,7 +174,9 @@
         self.servers = []
         for number in range(engines):
             name = f"e{number}"
-            self.engines[name] = prompt_engine.Engine(name, self.config, self)
+            config = dataclasses.replace(self.config)
+            config.read_tokens_per_second *= rates[number % len(rates)]
+            self.engines[name] = prompt_engine.Engine(name, config, self)
             self.servers.append(
                 prompt_engine.server_of(number, slots=self.config.slots)
             )
@@ -149,6 +184,8 @@
             Instance(self, number, f"fd{number % 3}")
             for number in range(instances)
         ]
+        if exchange is not None:
+            self.exchange = prefill_exchange.PrefillExchange(self, exchange)
         # The streams by request id, and the hedges of silent streams.
         self.streams = {}
         self.hedges = {}
@@ -176,10 +213,16 @@
         self._order += 1
         heapq.heappush(self._events, (when, self._order, call, args))
 
-    def run(self, seconds, bursts=()):
-        """Simulate ``seconds``; ``bursts`` are (kind, begin, end, factor)."""
+    def run(self, seconds, bursts=(), floods=()):
+        """Simulate ``seconds``; ``bursts`` are (kind, begin, end, factor).
+
+        ``floods`` are (organisation, begin, end, factor): the organisation
+        sends all kinds at that many times its share of the rate.
+        """
         for kind in self.kinds.values():
             self._schedule_arrivals(kind, seconds, bursts)
+            for flood in floods:
+                self._schedule_flood(kind, *flood)
         steps = int(seconds / TICK_SECONDS) + 1
         for step in range(steps):
             self.schedule(step * TICK_SECONDS, self._tick)
@@ -202,7 +245,16 @@
             at += self.rng.expovariate(kind.rate * factor)
             self.schedule(at, self._create_request, kind, at)
 
+    def _schedule_flood(self, kind, organisation, begin, end, factor):
+        rate = kind.rate * (factor - 1.0) / len(self.organisations)
+        at = begin + self.rng.expovariate(rate)
+        while at < end:
+            self.schedule(at, self._create_request, kind, at, organisation)
+            at += self.rng.expovariate(rate)
+
     def _tick(self):
+        if self.exchange is not None:
+            self.exchange.tick()
         for instance in self.instances:
             instance.decide()
 
@@ -213,14 +265,14 @@
         self.schedule(self.now + self.lag, self._receive_loads, loads, reads)
 
     def _receive_loads(self, loads, reads):
-        total = collections.defaultdict(lambda: [0, 0])
+        total = collections.defaultdict(lambda: [0, 0, 0])
         for said in loads:
             for load in said:
                 total[load.server][0] += load.running
                 total[load.server][1] += load.unread
+                total[load.server][2] += load.pace
         everyone = [
-            server_loads.Load(name, running, unread)
-            for name, (running, unread) in total.items()
+            server_loads.Load(name, *sums) for name, sums in total.items()
         ]
         for instance, own, mine in zip(self.instances, loads, reads):
             others = server_loads.subtract_own(everyone, own)
@@ -232,15 +284,26 @@
 
     # -- the life cycle of a request --------------------------------------
 
-    def _create_request(self, kind, asked):
+    def _create_request(self, kind, asked, organisation=None):
         """Create a new request and send it to a random instance."""
         rng = self.rng
+        if organisation is None:
+            organisation = self.organisations[0]
+            if len(self.organisations) > 1:
+                organisation = rng.choice(self.organisations)
         instance = rng.choice(self.instances)
         own = kind.draw_own_tokens(rng)
         shared_part = int(kind.shared_parts * rng.random() ** 1.25)
         output = max(1, int(rng.expovariate(1 / kind.mean_output_tokens)))
         self.arrivals[kind.name] += 1
-        request = prompt_engine.Request(kind, asked, own, shared_part, output)
+        request = prompt_engine.Request(
+            kind,
+            asked,
+            own,
+            shared_part,
+            output,
+            organisation=organisation,
+        )
         self.requests.append(request)
         self._submit(request, instance)
 
@@ -255,7 +318,7 @@
         deadline = request.first_sent_at + kind.deadline
         work = work_module.Work(
             f"r{self._count}",
-            "acme",
+            request.organisation,
             kind.name,
             "m",
             SERVICE,
@@ -426,10 +489,24 @@
         request.served = True
         if stream.longest_pause_seen <= request.kind.max_pause:
             self.on_time[request.kind.name] += 1
+            request.on_time = True
         else:
             self.late[request.kind.name] += 1
         stream.instance.decide()
 
+    def on_time_fraction(self, *kinds, organisation=None):
+        """Return the fraction of requests that were answered on time.
+
+        Those of the ``kinds``, from one organisation or from all.
+        """
+        asked = [
+            item
+            for item in self.requests
+            if item.kind.name in kinds
+            and organisation in (None, item.organisation)
+        ]
+        return sum(item.on_time for item in asked) / len(asked)
+
     def served_fractions(self, kind):
         """Return the fractions served: of the largest tenth, and of all."""
         asked = [item for item in self.requests if item.kind.name == kind]
