Tests of the policy with prefill queues

Each guards against a prompt that reaches an engine without a grant, an ask that is left behind, or work that waits for a grant without need.

--- a/tests/common/shared_policy_harness.py
+++ b/tests/common/shared_policy_harness.py
@@ -13,6 +13,7 @@
 from dandeliontrail.coordination import server_loads
 from dandeliontrail.coordination import software_versions
 from dandeliontrail.decisions import permits
+from dandeliontrail.decisions import prefill_asks
 from dandeliontrail.decisions import retry_budget
 from dandeliontrail.decisions import routing
 from dandeliontrail.decisions import shared_policy
@@ -66,18 +67,18 @@
         revisions.Route("chat", "h", "/c/", split, 10.0, longest_pause=0.3),
         revisions.Route("review", "h", "/r/", split, 10.0, longest_pause=1.2),
     ]
-    return routing.RoutingTable(
-        revisions.Revision(1, "", routes, [revisions.Service("llm")])
-    )
+    service = revisions.Service("llm", engine=revisions.Engine())
+    return routing.RoutingTable(revisions.Revision(1, "", routes, [service]))
 
 
 class PolicyHarness:
     """The policy of one instance and its inputs; ``now`` is its clock.
 
-    ``slack`` is that of the retry limits of the whole cluster.
+    ``slack`` is that of the retry limits of the whole cluster.  With
+    ``queues``, long prompts wait in the prefill queues of the engines.
     """
 
-    def __init__(self, count=6, slack=58.0):
+    def __init__(self, count=6, slack=58.0, queues=False):
         self.loads = server_loads.LoadTable()
         self.limits = server_limits.LimitTable()
         self.permits = permits.Permits(self.limits)
@@ -89,10 +90,13 @@
             identity=types.SimpleNamespace(failure_domain="fd0"),
             software_versions=self.admitted,
         )
+        self.prefill = prefill_asks.PrefillAsks()
+        if queues:
+            state.prefill = self.prefill
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
         self.view = View()
         self.policy = shared_policy.SharedServersPolicy(
-            random.Random(1), self.view, state, limits
+            random.Random(1), self.view, state, limits, contended=queues
         )
         self.policy.retry_budget.share = 1.0 / self.view.instances(0.0)
         self.directory = Directory(count)
--- a/tests/cover/test_service_traits.py
+++ b/tests/cover/test_service_traits.py
@@ -1,5 +1,7 @@
 """What the policy derives from a configuration about a service."""
 
+import pytest
+
 from dandeliontrail.components import intake
 from dandeliontrail.decisions import service_traits
 from dandeliontrail import events
@@ -53,3 +55,36 @@
     return events.RoutedRequestReceived(
         "r1", "h", "/a/", "", 10.0, "m", (), 10, 10, 0.5
     )
+
+
+def streaming(priority, target):
+    split = [revisions.Split("llm")]
+    return revisions.Route(
+        "a", "h", "/a/", split, 10.0, target, priority, streamed=True
+    )
+
+
+@pytest.mark.parametrize(
+    "target, queues",
+    ((0.39, False), (0.4, True), (0.56, True), (0.8, True), (0.81, False)),
+)
+def test_prefill_queues_where_a_wrong_choice_misses_the_target(target, queues):
+    # With a shorter target nothing may wait, with a longer one old reports
+    # are good enough; queues would cost messages for nothing.
+    engine = revisions.Engine(slots=24)
+    found = revision([streaming(1, target)], engine)
+    assert service_traits.read_traits(found, "llm").queues_prefill is queues
+    most_urgent = revision([streaming(0, target)], engine)
+    assert not service_traits.read_traits(most_urgent, "llm").queues_prefill
+    plain = revision([streaming(1, target)])
+    assert not service_traits.read_traits(plain, "llm").queues_prefill
+
+
+def test_contended_services_queue_prefill_only_at_engines():
+    slow = [streaming(2, 2.56)]
+    with_engine = revision(slow, revisions.Engine(slots=24))
+    without = revision(slow)
+    traits = service_traits.read_traits(with_engine, "llm", contended=True)
+    assert traits.queues_prefill
+    traits = service_traits.read_traits(without, "llm", contended=True)
+    assert not traits.queues_prefill
