--- a/packages/dandeliontrail/src/dandeliontrail/components/held_queues.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/held_queues.py
@@ -1,12 +1,5 @@
 """The prefill queues of the engines that this instance is the holder of."""
 
-import statistics
-
-from ..decisions import prefill_queue
-
-# Tokens per second of an engine while no pace of its service is known.
-DEFAULT_PACE = 50_000.0
-
 
 class HeldQueues:
     """The prefill queues by engine.
@@ -23,13 +16,9 @@
         """Return the queue of an engine, or ``None``."""
         return self.contents.get(server)
 
-    def open(self, server, epoch, least_urgent_step, now):
-        """Add and return an empty queue for a start of an engine."""
-        queue = prefill_queue.PrefillQueue(
-            epoch, now, DEFAULT_PACE, least_urgent_step
-        )
+    def add(self, server, queue):
+        """Keep the :class:`.prefill_queue.PrefillQueue` of an engine."""
         self.contents[server] = queue
-        return queue
 
     def drop(self, server):
         """Drop the queue of an engine, if there is one."""
@@ -60,8 +49,3 @@
         ]
         seconds, server, tokens = max(lengths, default=(0.0, "", 0))
         return server, tokens, seconds
-
-
-def typical_pace(paces):
-    """Return the median of the known ``paces`` of a service's engines."""
-    return statistics.median(paces) if paces else DEFAULT_PACE
--- a/packages/dandeliontrail/src/dandeliontrail/components/prefill_holder.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/prefill_holder.py
@@ -4,7 +4,8 @@
 
 from ..coordination import prefill_messages
 from ..decisions import permit_issuer
-from . import held_queues
+from ..decisions import prefill_pace
+from ..decisions import prefill_queue
 
 
 class Delivery(msgspec.Struct):
@@ -64,8 +65,9 @@
     def _open(self, ask, now):
         service = self._service_of(ask.server)
         step = self._policy.traits_of(service).least_urgent_step
-        queue = self._queues.open(ask.server, ask.epoch, step, now)
-        queue.typical_pace = self._typical_pace(service, now)
+        pace = self._typical_pace(service, now)
+        queue = prefill_queue.PrefillQueue(ask.epoch, now, pace, step)
+        self._queues.add(ask.server, queue)
         return queue
 
     def _service_of(self, server):
@@ -81,7 +83,7 @@
         paces = [
             own.get(name) or self._state.loads.pace(name) for name in names
         ]
-        return held_queues.typical_pace([pace for pace in paces if pace])
+        return prefill_pace.median_pace([pace for pace in paces if pace])
 
     def _may_hold(self, server, epoch):
         """Return whether to keep the queue of a start of an engine here."""
--- a/packages/dandeliontrail/src/dandeliontrail/components/prefill_queues.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/prefill_queues.py
@@ -12,7 +12,6 @@
 from .. import interfaces
 from ..coordination import member_records
 from ..coordination import prefill_messages
-from ..decisions import engine_choice
 from ..decisions import holders as holders_module
 from ..decisions import permit_issuer
 from . import prefill_holder
@@ -24,14 +23,9 @@
 # interval.
 LONG_QUEUE_SECONDS = 1.0
 LONG_QUEUE_LOG_INTERVAL_SECONDS = 1.0
-# Changes after which the prompts of an instance are of no use.
-_ENDED = frozenset(
-    (
-        member_records.Change.RESTARTED,
-        member_records.Change.FAILED,
-        member_records.Change.LEFT,
-    )
-)
+# Changes after which the prompts of an instance are of no use.  Those of the
+# earlier start of one that restarted are dropped by its first ask.
+_ENDED = frozenset((member_records.Change.FAILED, member_records.Change.LEFT))
 
 
 class PrefillQueues(interfaces.Component):
@@ -112,21 +106,15 @@
         return out, self._has_own_answers
 
     def record_placed(self, placement, now):
-        """Add the holder that granted a placement to its log line.
-
-        Counts a long prompt that was placed since the holder is silent.
-        """
+        """Add the holder that granted a placement to its log line."""
+        server = placement.server
         grounds = placement.grounds
-        if grounds is None or placement.hedge:
+        if grounds is None or not grounds.asked:
             return
-        server = placement.server
         asks = self._asks.of(placement.work.request_id)
-        if any(ask.is_used and ask.server == server for ask in asks):
+        is_sent = any(ask.is_used and ask.server == server for ask in asks)
+        if is_sent and self._asks.is_held(server, now):
             grounds.holder = self.holder_of(server)
-            return
-        is_long = grounds.need > engine_choice.SHORT_PROMPT_TOKENS
-        if is_long and not self._asks.is_held(server, now):
-            self._asks.placed_unheld += 1
 
     def holder_of(self, server):
         """Return the holder of an engine's queue, '' for unknown engines."""
--- a/tests/cover/test_prefill_queue.py
+++ b/tests/cover/test_prefill_queue.py
@@ -4,8 +4,10 @@
 
 from dandeliontrail.coordination import prefill_messages
 from dandeliontrail.decisions import permit_issuer
+from dandeliontrail.decisions import prefill_outstanding
 from dandeliontrail.decisions import prefill_pace
 from dandeliontrail.decisions import prefill_queue
+from dandeliontrail.decisions import prefill_usage
 
 PACE = prefill_pace.TYPICAL_PACE
 # Takes the engine 0.1 s.
@@ -44,12 +46,16 @@
 
 
 def fill(queue, now=0.0):
-    """Grant a prompt of a full room, so that all others wait."""
-    tokens = int(10 * prefill_queue.ROOM_SECONDS * PACE)
+    """Grant a prompt that leaves no room, so that all others wait."""
+    tokens = int(10 * prefill_outstanding.ROOM_SECONDS * PACE)
     queue.ask(SECOND, make_ask(999, tokens, organisation="filler"), now)
     assert issue(queue, now) == [999]
 
 
+def withdraw_filler(queue, now):
+    queue.end(SECOND, 999, False, now)
+
+
 def test_the_engine_gets_no_more_than_it_has_room_for():
     queue = make_queue()
     for number in range(5):
@@ -105,7 +111,7 @@
         queue.ask(FIRST, make_ask(number, step=0), 0.0)
     for number in range(100, 103):
         queue.ask(FIRST, make_ask(number, step=1), 0.0)
-    queue.end(SECOND, 999, True, 0.1)
+    withdraw_filler(queue, 0.1)
     order = serve_all(queue, 0.1)
     places = [place for place, number in enumerate(order) if number >= 100]
     assert len(order) == 63
@@ -113,12 +119,29 @@
     assert places[1] == places[0] + 20
 
 
+def test_a_less_urgent_prompt_does_not_hold_up_the_more_urgent_ones():
+    queue = make_queue(least_urgent_step=2)
+    queue.ask(FIRST, make_ask(100, step=2), 0.0)
+    queue.ask(FIRST, make_ask(200, 20_000, step=1, granted=True), 0.0)
+    for number in range(30):
+        queue.ask(FIRST, make_ask(number, step=0), 0.0)
+    granted = issue(queue)
+    for number in range(20):
+        now = (number + 1) * TOKENS / PACE
+        queue.end(FIRST, number, True, now)
+        next_granted = issue(queue, now)
+        # Nothing waits until there is room for a less urgent prompt.
+        assert next_granted
+        granted += next_granted
+    assert 100 in granted
+
+
 def test_prompts_that_miss_their_target_wait_for_those_that_can_meet_it():
     queue = make_queue()
     fill(queue)
     queue.ask(FIRST, make_ask(1, target_left=0.05), 0.0)
     queue.ask(FIRST, make_ask(2, target_left=3.0), 0.01)
-    queue.end(SECOND, 999, True, 0.1)
+    withdraw_filler(queue, 0.1)
     assert issue(queue, 0.1)[0] == 2
 
 
@@ -127,10 +150,44 @@
     fill(queue)
     queue.ask(FIRST, make_ask(1, target_left=1.0), 0.0)
     queue.ask(FIRST, make_ask(2, target_left=5.0), 0.01)
-    queue.end(SECOND, 999, True, 1.0)
+    withdraw_filler(queue, 1.0)
     assert issue(queue, 1.0)[0] == 2
 
 
+def test_a_renewal_corrects_the_target_of_an_ask_that_was_delayed():
+    queue = make_queue()
+    fill(queue)
+    queue.ask(FIRST, make_ask(1, target_left=1.0), 0.3)
+    queue.ask(FIRST, make_ask(1, target_left=0.55, waited=0.5), 0.5)
+    queue.ask(FIRST, make_ask(2, target_left=5.0), 0.5)
+    # The first prompt would have to be granted by 0.93 s.
+    withdraw_filler(queue, 1.0)
+    assert issue(queue, 1.0)[0] == 2
+
+
+def test_a_prompt_is_late_if_it_is_behind_those_that_were_granted():
+    queue = make_queue()
+    for number in range(2):
+        queue.ask(FIRST, make_ask(number), 0.0)
+    assert issue(queue) == [0, 1]
+    # It takes 0.1 s itself, after 0.2 s of those before.
+    queue.ask(FIRST, make_ask(2, target_left=0.25), 0.0)
+    queue.ask(FIRST, make_ask(3, target_left=0.5), 0.0)
+    queue.end(FIRST, 0, True, 0.1)
+    assert issue(queue, 0.1) == [3]
+
+
+def test_late_prompts_are_in_time_again_when_the_engine_recovers():
+    queue = make_queue()
+    queue.ask(FIRST, make_ask(1), 0.0)
+    assert issue(queue) == [1]
+    queue.ask(FIRST, make_ask(2, target_left=6.0), 0.0)
+    queue.issue(4.0)
+    queue.ask(FIRST, make_ask(3, target_left=60.0), 4.1)
+    queue.end(FIRST, 1, False, 4.2)
+    assert issue(queue, 4.2)[0] == 2
+
+
 def test_a_flooding_organisation_does_not_delay_another():
     queue = make_queue()
     for number in range(50):
@@ -152,6 +209,32 @@
     assert issue(queue, 0.02) == [2, 3]
 
 
+def test_what_an_organisation_was_granted_is_forgotten_within_seconds():
+    queue = make_queue()
+    queue.ask(FIRST, make_ask(1, 40_000, organisation="o1"), 0.0)
+    assert issue(queue) == [1]
+    queue.end(FIRST, 1, True, 0.8)
+    queue.ask(FIRST, make_ask(2, 1_000, organisation="o2"), 20.0)
+    assert issue(queue, 20.0) == [2]
+    queue.ask(FIRST, make_ask(3, 20_000, organisation="o1"), 20.0)
+    queue.ask(FIRST, make_ask(4, 20_000, organisation="o2"), 20.0)
+    queue.end(FIRST, 2, True, 20.1)
+    assert issue(queue, 20.1) == [3]
+
+
+@pytest.mark.parametrize("spacing", [1.0, 7.0, 45.0, 10_000.0])
+def test_usage_is_halved_every_two_seconds_however_old_the_queue(spacing):
+    usage = prefill_usage.DecayedUsage(0.0)
+    times = [spacing * count for count in range(60)]
+    for at in times:
+        usage.charge("o1", 10_000, at)
+    now = times[-1] + 3.0
+    expected = sum(10_000 * 0.5 ** ((now - at) / 2.0) for at in times)
+    assert usage.tokens("o1", now) == pytest.approx(expected, abs=1.0)
+    # An idle queue is asked about long after the last grant.
+    assert usage.tokens("o1", now + 10_000.0) == pytest.approx(0.0)
+
+
 def test_the_answer_says_what_is_ahead():
     queue = make_queue(least_urgent_step=1)
     fill(queue)
@@ -179,12 +262,12 @@
             number += 1
             ask = make_ask(number, organisation=organisation)
             queue.ask(FIRST, ask, 0.001 * number)
-    filled = 10 * prefill_queue.ROOM_SECONDS * PACE
+    filled = 10 * prefill_outstanding.ROOM_SECONDS * PACE
     foreseen = {
         number: (queue.answer(FIRST, number, 0.02).ahead - filled) / TOKENS
         for number in range(1, 13)
     }
-    queue.end(SECOND, 999, True, 0.02)
+    withdraw_filler(queue, 0.02)
     order = serve_all(queue, 0.02)
     for place, number in enumerate(order):
         assert foreseen[number] == pytest.approx(place, abs=2)
@@ -234,6 +317,7 @@
     queue.ask(FIRST, make_ask(2), 0.0)
     queue.ask(SECOND, make_ask(2), 0.0)
     queue.issue(0.0)
+    # The news that an earlier start is gone arrives late.
     queue.forget_asker("i1", incarnation=0)
     assert len(queue) == 3
     queue.forget_asker("i1")
@@ -329,6 +413,8 @@
     queue.end(FIRST, 1, True, 0.1)
     assert queue.backlog() == TOKENS
     assert [item.asker for item in queue.issue(0.1)] == [restarted]
+    assert queue.answer(restarted, 1, 0.1).granted
+    assert not queue.answer(FIRST, 1, 0.1).granted
 
 
 def test_a_restarted_engine_starts_with_an_empty_queue():
@@ -356,6 +442,25 @@
     assert issue(queue, 1.0) == []
 
 
+def test_an_engine_that_prefills_urgent_prompts_first_is_not_slow():
+    queue = make_queue(least_urgent_step=1)
+    queue.ask(FIRST, make_ask(1, step=1), 0.0)
+    assert issue(queue) == [1]
+    queue.ask(FIRST, make_ask(2, 17_000, step=0), 0.0)
+    assert issue(queue) == [2]
+    assert queue.pace(0.34) == PACE
+
+
+def test_the_answer_follows_what_has_changed():
+    queue = make_queue()
+    fill(queue)
+    for number in range(3):
+        queue.ask(FIRST, make_ask(number), 0.0)
+    before = queue.answer(FIRST, 2, 0.0).ahead
+    queue.end(FIRST, 0, False, 0.1)
+    assert queue.answer(FIRST, 2, 0.1).ahead == before - TOKENS
+
+
 def test_a_queue_without_prompts_becomes_idle():
     queue = make_queue()
     queue.ask(FIRST, make_ask(1), 0.0)
--- a/tests/cover/test_prefill_queue_failures.py
+++ b/tests/cover/test_prefill_queue_failures.py
@@ -5,6 +5,7 @@
 from dandeliontrail.coordination import prefill_messages
 from dandeliontrail.decisions import holder_silence
 from dandeliontrail.decisions import prefill_asks
+from dandeliontrail.decisions import prefill_outstanding
 from dandeliontrail.decisions import prefill_queue
 from dandeliontrail import effects
 from dandeliontrail import events
@@ -39,10 +40,19 @@
 
     It is the room of the least urgent step, or one prompt, for each.
     """
-    each = max(prefill_queue.ROOM_SECONDS, prefill_world.PREFILL_SECONDS)
+    each = max(prefill_outstanding.ROOM_SECONDS, prefill_world.PREFILL_SECONDS)
     return holders * each + limit_world.TRANSIT_SECONDS
 
 
+def dispatched(world):
+    """Return the fields of the last line about a dispatch."""
+    return [
+        line.fields
+        for line in world.logged("decision")
+        if line.fields["reason"] == "dispatched"
+    ][-1]
+
+
 def waiting_asker(world):
     """Have two instances ask for an engine; return the one that waits."""
     first, second = world.askers()[:2]
@@ -67,8 +77,11 @@
     arrivals = world.servers["e0"].arrivals
     assert len(arrivals) == 1
     assert world.asks(asker).placed_unheld == 1
+    assert dispatched(world)["asked"] == 1
+    assert "holder" not in dispatched(world)
     world.dropped = lambda message, sender, receiver: False
-    world.run(holder_silence.SILENCE_SECONDS)
+    # The renewal of the prompt may have extended the silence.
+    world.run(prefill_asks.RENEWAL_SECONDS + holder_silence.SILENCE_SECONDS)
     world.call(asker)
     world.run(0.1)
     assert len(arrivals) == 2
@@ -103,10 +116,8 @@
 def test_a_prompt_whose_end_is_lost_does_not_block_the_engine():
     world = prefill_world.PrefillWorld()
     asker = world.askers()[0]
-    world.dropped = only_once(
-        lambda message, sender, receiver: (
-            isinstance(message, Asks) and bool(message.ends)
-        )
+    world.dropped = lambda message, sender, receiver: (
+        isinstance(message, Asks) and bool(message.ends)
     )
     world.call(asker)
     world.run(prefill_world.PREFILL_SECONDS + 0.3)
@@ -364,11 +375,7 @@
     world = prefill_world.PrefillWorld()
     waiting_asker(world)
     world.run(0.5)
-    fields = [
-        line.fields
-        for line in world.logged("decision")
-        if line.fields["reason"] == "dispatched"
-    ][-1]
+    fields = dispatched(world)
     assert fields["holder"] == world.holder_of("e0")
     assert fields["asked"] == 1
     assert 100.0 < fields["queued_ms"] < 300.0
