--- a/tests/cover/test_platform_settings.py
+++ b/tests/cover/test_platform_settings.py
@@ -3,10 +3,13 @@
 import json
 import os
 import pathlib
+import random
 import subprocess
 import sys
 
 import dandeliontrail
+from dandeliontrail.decisions import routing
+from dandeliontrail.resources import revisions
 from dandeliontrail_platform import programs
 from dandeliontrail_platform import settings_file
 import pytest
@@ -43,6 +46,25 @@
     assert not settings_file.parse(others).contended
 
 
+@pytest.mark.parametrize(
+    "contracts, expected", [("", False), ("pressure", True)]
+)
+def test_contended_capacity_enables_prefill_queues_of_all_engines(
+    contracts, expected
+):
+    found = settings_file.parse(VALID_SETTINGS + f"contracts={contracts}\n")
+    options = programs.EntryListeners(found, "").reducer_options()
+    reducer = dandeliontrail.new_reducer(
+        dandeliontrail.Identity("i1", "a", "r", 1),
+        random.Random(0),
+        new_policy=options["new_policy"],
+    )
+    service = revisions.Service("llm", engine=revisions.Engine(64))
+    revision = revisions.Revision(1, "", [], [service])
+    reducer.state.routing.table = routing.RoutingTable(revision)
+    assert reducer.policy.traits_of("llm").queues_prefill is expected
+
+
 def test_seeds_become_peers_at_the_inner_port():
     found = settings_file.parse(VALID_SETTINGS)
     assert programs.peer_addresses(found) == [
