--- a/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/server_loads.py
@@ -97,7 +97,12 @@
             # The shorter of the two intervals below.
             return []
         loads = self._policy.own_loads()
-        has_work = loads or self._sent_loads or self._unsent_reads
+        # A pace of a server without work must only be repeated.
+        has_work = (
+            self._unsent_reads
+            or _has_requests(loads)
+            or _has_requests(self._sent_loads)
+        )
         interval = (
             RELAY_INTERVAL_SECONDS if has_work else REPEAT_INTERVAL_SECONDS
         )
@@ -185,3 +190,8 @@
             sorted(self._state.members.silent_domains(now)),
         )
         return [effects.SendPeer(source.address, answer)]
+
+
+def _has_requests(loads):
+    """Return whether loads tell of any requests, and not only of paces."""
+    return any(load.running or load.unread for load in loads)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -16,10 +16,11 @@
 from .. import sentinels
 from . import engine_choice
 from . import hedge_searches
+from . import late_refusals
 from . import path_feedback
 from . import permit_waits
-from . import placement_rate
 from . import plain_server_choice
+from . import prefill_placement
 from . import prefix_announcements
 from . import retry_budget
 from . import server_attempt
@@ -41,9 +42,10 @@
 class SharedServersPolicy(path_feedback.PathFeedback):
     """Schedules for one instance, by its own and the others' work."""
 
-    def __init__(self, rng, view, state, limits):
+    def __init__(self, rng, view, state, limits, contended=False):
         domain = state.identity.failure_domain
-        table = server_table.ServerTable(state.loads, self._kv_tokens)
+        asks = getattr(state, "prefill", None)
+        table = server_table.ServerTable(state.loads, self._kv_tokens, asks)
         super().__init__(rng, view, table, domain)
         self._rng = rng
         self._routing = state.routing
@@ -54,12 +56,16 @@
         )
         self._queue = {}
         self._searches = hedge_searches.HedgeSearches()
-        self._engines = engine_choice.EngineChoice(table, domain)
+        self._engines = engine_choice.EngineChoice(table, domain, rng)
+        self._prefill = prefill_placement.PrefillPlacement(
+            asks, self._engines, state.permits, rng
+        )
+        self._traits = service_traits.TraitsCache(
+            contended, allows_queues=asks is not None
+        )
         self._prefixes = prefix_announcements.PrefixAnnouncements(table)
-        # The revision that the traits were read from, and those by service.
-        self._traits_cache = (None, {})
         self._permit_waits = permit_waits.PermitWaits(state.permits, rng)
-        self._placement_rate = placement_rate.PlacementRate()
+        self._late_refusals = late_refusals.LateRefusals()
         self._usable = usable_servers.UsableServerLists(
             table,
             self._checks,
@@ -71,6 +77,11 @@
             self._usable, self._queue
         )
 
+    def traits_of(self, service):
+        """Return the traits of a service, ``None`` without a revision."""
+        table = self._routing.table
+        return self._traits.of(table.revision, service) if table else None
+
     @property
     def held_for_rest(self):
         """The requests by service that were held back for rests."""
@@ -130,6 +141,7 @@
 
     def withdraw(self, request_id):
         """Remove queued work and return it, or ``None``."""
+        self._prefill.withdraw(request_id)
         return self._queue.pop(request_id, None)
 
     def seek(self, work, since):
@@ -161,6 +173,8 @@
         enough for a long prompt.
         """
         self._repeats.settle(now)
+        self._table.now = now
+        self._prefill.begin_round(now)
         if self._permits.active:
             self._permit_waits.begin_round(now)
         if not self._queue and not self._searches:
@@ -183,14 +197,23 @@
         self._engines.note_queue(queued)
         for work in queued:
             decision = self._decide(work, now, directory, blocked)
-            if decision is None:
+            if decision is None and self._prefill.waits(work):
+                decision = self._prefill.refuse_if_late(
+                    work, len(self._queue) - 1, now
+                )
+            elif decision is None:
                 tokens_ahead[work.service] += work.prompt_tokens
-                decision = self._refuse_if_too_late(
-                    work, tokens_ahead[work.service], now
+                decision = self._late_refusals.refuse_if_late(
+                    work,
+                    tokens_ahead[work.service],
+                    len(self._queue) - 1,
+                    now,
                 )
             if decision is not None:
                 del self._queue[work.request_id]
                 decisions.append(decision)
+            if isinstance(decision, work_module.Refusal):
+                self._prefill.withdraw(work.request_id)
         return decisions
 
     def _queue_order(self, work, now):
@@ -259,29 +282,6 @@
             attempt.server_state.health.backoff
         ) or self._domain_reach.is_partitioned(attempt.domain, now)
 
-    def _refuse_if_too_late(self, work, tokens_ahead, now):
-        """Return a refusal if the queue is too long for the work's deadline.
-
-        In a burst beyond what the engines can prefill, a caller that cannot
-        be served in time is refused at once, with a Retry-After of half the
-        expected wait, and not only at its deadline.  Returns ``None`` if the
-        work may still be served in time, or waits for servers that rest: the
-        pace of that time tells nothing.
-        """
-        if work.held_at == now:
-            return None
-        wait = self._placement_rate.estimate_seconds(
-            work.service, tokens_ahead, now
-        )
-        left = work.deadline - now - unplaceable_work.MIN_SERVICE_SECONDS
-        if wait <= left * unplaceable_work.MAX_QUEUE_TIME_FRACTION:
-            return None
-        nothing = sentinels.Nothing(sentinels.Reason.QUEUE_FULL, wait / 2)
-        grounds = work_module.DecisionInputs(
-            need=work.prompt_tokens, waiting=len(self._queue) - 1
-        )
-        return work_module.Refusal(work, nothing, grounds)
-
     def _decide(self, work, now, directory, blocked, hedge=False):
         """Return a placement, a refusal, or ``None`` to leave it queued."""
         left = work.deadline - now
@@ -310,18 +310,22 @@
         if not work.parts:
             name = self._choose_plain(candidates, usable)
             return self._place(work, name, 0.0, usable, now, hedge)
-        traits = self._traits(work)
-        chosen = self._engines.choose(
-            work, traits, servers, candidates, now, usable.through_peers
+        traits = self._traits.of(self._routing.table.revision, work.service)
+        search = prefill_placement.EngineSearch(
+            work, traits, servers, candidates, usable.through_peers, now
         )
-        if not self._engines.has_room(work, traits, chosen):
-            if not hedge:
-                blocked.add(chosen.name)
-            return None
-        if chosen.name in blocked and (
-            chosen.need > engine_choice.SHORT_PROMPT_TOKENS
-        ):
+        chosen = self._prefill.choose(search, hedge)
+        if chosen is None:
             return None
+        if not self._prefill.has_grant(work, chosen.name):
+            if not self._engines.has_room(work, traits, chosen):
+                if not hedge:
+                    blocked.add(chosen.name)
+                return None
+            if chosen.name in blocked and (
+                chosen.need > engine_choice.SHORT_PROMPT_TOKENS
+            ):
+                return None
         return self._place(work, chosen.name, chosen.need, usable, now, hedge)
 
     def _preferred(self, usable, candidates):
@@ -385,7 +389,7 @@
         if work.parts:
             chosen = self._engines.choose(
                 work,
-                self._traits(work),
+                self._traits.of(self._routing.table.revision, work.service),
                 servers,
                 usable.servers,
                 now,
@@ -402,19 +406,6 @@
         table = self._routing.table
         return service_traits.max_kv_tokens(table.revision if table else None)
 
-    def _traits(self, work):
-        """Return the traits of a service in the revision in force."""
-        revision = self._routing.table.revision
-        cached_revision, by_service = self._traits_cache
-        if cached_revision is not revision:
-            by_service = {}
-            self._traits_cache = (revision, by_service)
-        traits = by_service.get(work.service)
-        if traits is None:
-            traits = service_traits.read_traits(revision, work.service)
-            by_service[work.service] = traits
-        return traits
-
     def _place(self, work, name, need, usable, now, hedge=False):
         """Count the work as outstanding at a server; return a placement.
 
@@ -456,11 +447,14 @@
             self._usable.begin_round()
         if not peer:
             state.health.record_attempt(now)
+        if not hedge:
+            announcement = usable.servers[name].announcement
+            self._prefill.record_placed(work, announcement, grounds, now)
         self._engines.note_placed(name)
         state.running += 1
         state.unread += need
         if need > engine_choice.SHORT_PROMPT_TOKENS:
-            self._placement_rate.record(work.service, work.prompt_tokens, now)
+            self._late_refusals.record_placed(work, now)
         shared = work.parts[:-1]
         if shared:
             self._prefixes.record_sent(name, list(shared), now)
@@ -488,6 +482,7 @@
         if attempt is not None:
             attempt.server_state.unread -= attempt.unread
             attempt.unread = 0.0
+            self._prefill.prefilled(attempt, now)
             self._repeats.record_answer(attempt)
             self._end_probe(attempt, has_output=True)
             self._record_answering(attempt, now)
@@ -499,6 +494,7 @@
             return
         if self._permits.active:
             self._permits.release(attempt.server, ended.request_id, now)
+        self._prefill.ended(attempt, now)
         state = attempt.server_state
         state.running -= 1
         state.unread -= attempt.unread
