A waiting prompt looks for a further engine every 0.05 s

It did so in each round, which took 0.62 ms of processor time with 70 engines and five waiting prompts, against 0.34 ms without prefill queues. Reports and answers are rarer than rounds.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
@@ -36,7 +36,8 @@
     sent, ``unanswered_since`` is when the first message was sent that has had
     no answer yet.  ``ahead`` and ``pace`` are from the last answer while it
     waits, ``ahead`` is ``None`` until then.  ``is_used`` is true once the
-    prompt has been sent to the engine.
+    prompt has been sent to the engine.  ``next_search`` is when a further
+    engine is looked for, if this is the last ask of its request.
     """
 
     number: int
@@ -51,6 +52,7 @@
     pace: int = 1
     is_granted: bool = False
     is_used: bool = False
+    next_search: float = 0.0
 
     def wait_seconds(self):
         """Return the expected wait for a grant, or ``None`` if unknown."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
@@ -16,6 +16,9 @@
 # A prompt that is expected to wait longer than this asks for a further engine.
 MIN_WAIT_SECONDS = 0.1
 MAX_ASKED_ENGINES = 3
+# How often a prompt that waits looks for a further engine: rounds come much
+# more often than reports and answers.
+SEARCH_INTERVAL_SECONDS = 0.05
 # The random part of a Retry-After, so that callers do not all return at once.
 MAX_JITTER_FRACTION = 0.25
 
@@ -136,6 +139,9 @@
         wait = _shortest_wait(asks)
         if wait is None or wait <= MIN_WAIT_SECONDS:
             return
+        if search.now < asks[-1].next_search:
+            return
+        asks[-1].next_search = search.now + SEARCH_INTERVAL_SECONDS
         chosen = self._engines.find_sooner(search, asks, self._asks.is_held)
         if chosen is not None:
             self._ask(search, chosen)
