Forwarding: connections that were closed without need are kept

Cause: a refusal whose body came in a segment after its head had its connection reset, since the retry began at the head; a connection on which nothing had been sent was closed when its request ended; half of an announced second of Keep-Alive was given up; and the idle time counted from when the caller had taken the answer. The default of 2 s was longer than the 1.5 s after which some servers that announce nothing close.

A connection is kept for 0.75 s less than announced, 0.75 s for an announced second, and 1.25 s without an announcement, from the last byte of the answer. AnswerFinished tells for how long it is kept.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -15,6 +15,7 @@
 from . import backend_request
 from . import dialect as dialect_module
 from . import events_splitter
+from . import refusal_rest
 
 EVENT_STREAM = "text/event-stream"
 # How often an attempt that waits looks whether its path was found to be lost.
@@ -91,6 +92,8 @@
     ):
         self.dispatch = dispatch
         self.has_output = False
+        # For how many seconds the connection is kept after the answer.
+        self.idle_seconds = 0.0
         self._context = context
         self._deadline = deadline
         self._silence_timeout = silence_timeout
@@ -209,6 +212,7 @@
         if not is_other_server:
             self._report_server(answer, refused)
         if refused:
+            self._finish_refusal(answer)
             raise NotExecuted(answer, is_other_server)
         self._is_stream = _is_stream(answer)
         if self._resuming and not self._is_stream:
@@ -219,6 +223,22 @@
         self._answer = answer
         return answer
 
+    def _finish_refusal(self, answer):
+        """Have the rest of a refusal read, so that its connection is kept."""
+        if answer.complete or self.dispatch.peer:
+            return
+        request, self._request = self._request, None
+        refusal_rest.read_in_background(request)
+
+    def _release_if_complete(self, request):
+        """Release the connection once the answer is complete.
+
+        The server counts the idle time from then on, and a caller may take
+        the rest of the answer slowly.
+        """
+        if request.answer.complete:
+            self.idle_seconds = request.release() or self.idle_seconds
+
     def _report_server(self, answer, refused):
         """Report what an answer says of its server, not of the request."""
         report = self._server_report
@@ -235,6 +255,7 @@
         request = self._request
         while True:
             data = request.read_body_part()
+            self._release_if_complete(request)
             if not data:
                 if self._splitter.pending:
                     raise backend_request.Broken(
@@ -246,7 +267,9 @@
                 return whole
 
     def _read_whole(self, answer):
-        output = Output(answer, body=self._request.read_whole_body())
+        request = self._request
+        output = Output(answer, body=request.read_whole_body())
+        self._release_if_complete(request)
         if answer.status >= 500 and self.dispatch.repeatable:
             raise ServerFailed(output)
         return output
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -59,6 +59,7 @@
         self._conn = None
         self._parser = answer_parser.AnswerParser()
         self._unsent = memoryview(b"")
+        self._began = False
         self.answer = None
 
     def connect(self):
@@ -89,9 +90,11 @@
 
         The timeout applies to both directions, and the method that raised
         :class:`Silent` may be called again.  ``None`` sets no timeout, so
-        that only the caller's deadline bounds the wait.
+        that only the caller's deadline bounds the wait.  A request whose
+        connection was released has no further I/O.
         """
-        self._conn.sock.settimeout(seconds)
+        if self._conn is not None:
+            self._conn.sock.settimeout(seconds)
 
     def prepare(self, method, target, headers, body):
         """Build the bytes of the request for :meth:`send`."""
@@ -104,6 +107,7 @@
 
     def send(self):
         """Send the unsent bytes; from then on the server may have begun."""
+        self._began = True
         try:
             while self._unsent:
                 sent = self._conn.sock.send(self._unsent)
@@ -201,14 +205,19 @@
     def release(self):
         """Return the connection to the pool, or close or reset it.
 
-        It is kept if the answer is complete and the connection can be reused.
+        It is kept if the answer is complete and the connection can be reused,
+        or if nothing was sent on it.  Returns for how many seconds it is kept
+        after an answer, 0 if it is not.
         Resetting it before the answer is complete tells the server to stop,
         and drops what has not been sent.  Work that may not be repeated is
         better completed: its connection is closed.
         """
         conn, self._conn = self._conn, None
         if conn is None:
-            return
+            return 0.0
+        if not self._began:
+            self._connections.keep_unused(conn)
+            return 0.0
         answer = self.answer
         parser = self._parser
         if (
@@ -218,13 +227,14 @@
             and parser.should_keep_alive()
             and not parser.parser_failed()
         ):
-            self._connections.keep(conn, answer)
-        elif not self._dispatch.repeatable:
+            return self._connections.keep(conn, answer)
+        if not self._dispatch.repeatable:
             conn.close()
         elif answer is not None and answer.complete:
             conn.close()
         else:
             conn.reset()
+        return 0.0
 
 
 def _raise_if_silent(operation, exc):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -2,7 +2,7 @@
 
 A connection carries one request at a time.  It is reused only if the
 previous answer was complete, no bytes came after it, and it has not been
-idle for too long: the limit is a part of the idle timeout that the server
+idle for too long: the limit is below the idle timeout that the server
 announced, or a default if it announced none.  A request sent on a connection
 that the server closes at the same moment may or may not have run.
 """
@@ -18,11 +18,17 @@
 from . import answer_bounds
 from . import tunnels
 
-# The fraction of the server's idle timeout within which a connection is
-# reused.
-IDLE_TIMEOUT_FRACTION = 0.5
-# The idle limit for a server that announces no timeout.
-DEFAULT_IDLE_SECONDS = 2.0
+# A connection is reused until this long before the end of the idle timeout
+# that the server announced: it announces whole seconds, which may be rounded
+# up by half a second, and a busy instance reads the end of an answer up to a
+# quarter of a second after the server has sent it.
+IDLE_MARGIN_SECONDS = 0.75
+# A timeout of one second would leave too little of it.  A server that
+# announces one keeps an idle connection for at least that time.
+MIN_IDLE_SECONDS = 0.75
+# The idle limit for a server that announces no timeout: some close idle
+# connections after 1.5 s.
+DEFAULT_IDLE_SECONDS = 1.25
 RECEIVE_BYTES = 64 * 1024
 MAX_IDLE_PER_SERVER = 64
 
@@ -90,6 +96,8 @@
         self.connect = connection.connect
         self._connect_seconds = connect_seconds
         self._idle = collections.defaultdict(list)
+        # The idle limits of the last answers, by address.
+        self._idle_seconds = {}
         self._heard_at = float("-inf")
         self.tunnels = None
         self.held_bytes = answer_bounds.HeldBytes()
@@ -146,32 +154,50 @@
             conn = Connection(self.connect_new(address), address)
         except FAILURES:
             return False
-        self._keep_for(conn, DEFAULT_IDLE_SECONDS)
+        self._keep_until(conn, conn.heard_at + self._idle_limit(address))
         return True
 
     def keep(self, conn, answer):
         """Keep a connection for reuse, or close it if that is not allowed.
 
-        ``answer`` is the last answer on it, which must be complete.
+        ``answer`` is the last answer on it, which must be complete.  The
+        server has counted the idle time since it sent the last byte.  Returns
+        for how many seconds the connection is kept, 0 if it was closed.
         """
         if conn.peer or "close" in answer.get("connection").lower():
+            conn.close()
+            return 0.0
+        seconds = _announced_limit(answer)
+        self._idle_seconds[conn.address] = seconds
+        return self._keep_until(conn, conn.heard_at + seconds)
+
+    def keep_unused(self, conn):
+        """Keep a connection on which nothing was sent since it was opened.
+
+        A connection that was idle before is kept as long as before.
+        """
+        if conn.peer:
             conn.close()
             return
-        match = _KEEP_ALIVE_TIMEOUT.search(answer.get("keep-alive").lower())
-        seconds = (
-            int(match[1]) * IDLE_TIMEOUT_FRACTION
-            if match
-            else DEFAULT_IDLE_SECONDS
-        )
-        self._keep_for(conn, seconds)
-
-    def _keep_for(self, conn, seconds):
+        if not conn.used:
+            conn.idle_until = conn.heard_at + self._idle_limit(conn.address)
+        self._keep_until(conn, conn.idle_until)
+
+    def _idle_limit(self, address):
+        """Return the idle limit of a connection without an answer."""
+        announced = self._idle_seconds.get(address, DEFAULT_IDLE_SECONDS)
+        return min(announced, DEFAULT_IDLE_SECONDS)
+
+    def _keep_until(self, conn, until):
+        """Keep a connection; return for how many seconds, 0 if closed."""
         idle = self._idle[conn.address]
-        if len(idle) >= MAX_IDLE_PER_SERVER:
+        left = until - time.monotonic()
+        if left <= 0 or len(idle) >= MAX_IDLE_PER_SERVER:
             conn.close()
-            return
-        conn.idle_until = time.monotonic() + seconds
+            return 0.0
+        conn.idle_until = until
         idle.append(conn)
+        return left
 
     def check_through_peer(self, check):
         """Return why a peer does not reach a server, ``None`` if it does."""
@@ -192,10 +218,22 @@
             self._close_idle(address)
 
     def _close_idle(self, address):
+        self._idle_seconds.pop(address, None)
         for conn in self._idle.pop(address, ()):
             conn.close()
 
 
+def _announced_limit(answer):
+    """Return for how many seconds to keep an idle connection after it."""
+    match = _KEEP_ALIVE_TIMEOUT.search(answer.get("keep-alive").lower())
+    if not match:
+        return DEFAULT_IDLE_SECONDS
+    timeout = int(match[1])
+    if not timeout:
+        return 0.0
+    return max(MIN_IDLE_SECONDS, timeout - IDLE_MARGIN_SECONDS)
+
+
 def address_of(url):
     """Return the ``host:port`` of a backend server's ``url``."""
     return url.removeprefix("http://").rstrip("/")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -429,6 +429,7 @@
             self._attempt,
             prompt_tokens=self._incoming.prompt_tokens,
             output_tokens=output_tokens,
+            idle_seconds=self._attempt.idle_seconds,
         )
 
     def _close_attempt(self):
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -120,7 +120,8 @@
 
     ``gaps_ms`` has samples of the time between two outputs, in milliseconds.
     ``answer`` is the answer to store for retries, if the request has an
-    idempotency key.
+    idempotency key.  ``idle_seconds`` is for how long the connection to the
+    server is kept for reuse from now on, 0 if it is not kept.
     """
 
     request_id: str
@@ -129,6 +130,7 @@
     output_tokens: int = 0
     gaps_ms: list = msgspec.field(default_factory=list)
     answer: claims.StoredAnswer | None = None
+    idle_seconds: float = 0.0
 
 
 class AttemptFailed(msgspec.Struct):
--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -146,12 +146,15 @@
 class Server:
     """A backend server whose answers come from ``script(server, sock, head)``.
 
-    ``ran`` holds the heads of the requests that it received.  If the script
-    returns ``"close"``, the connection is closed.
+    ``ran`` holds the heads of the requests that it received, ``connections``
+    is how many were opened.  If the script returns ``"close"``, the connection
+    is closed; so is one that is idle for ``idle_seconds``, if that is set.
     """
 
     def __init__(self, ip, script):
         self.ran = []
+        self.connections = 0
+        self.idle_seconds = None
         self.closed = []
         self._open = set()
         self._script = script
@@ -163,14 +166,17 @@
     def _serve(self, sock, address):
         buffered = b""
         self._open.add(sock)
+        self.connections += 1
         with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
             stack.callback(self._open.discard, sock)
             while True:
+                sock.settimeout(self.idle_seconds)
                 while b"\r\n\r\n" not in buffered:
                     data = sock.recv(65536)
                     if not data:
                         return
                     buffered += data
+                sock.settimeout(None)
                 head, _, buffered = buffered.partition(b"\r\n\r\n")
                 text = head.decode()
                 length = _header(text, "content-length")
