Idle connections count in the choice of servers, where it is contended

Cause: with 88 instances the same pair of an instance and a server is seldom used twice within the second for which a connection is kept, so nearly each request opens a connection.

Change: IdleConnections estimates the idle connections of this instance, from the idle time that ends an answer. It is never given to a server that is full, failed lately or is reached through a peer, nor for prompts above SHORT_PROMPT_TOKENS. SharedServersPolicy does so only with contended=True; without it, decisions are unchanged.

--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -331,6 +331,7 @@
             request.server,
             event.output_tokens,
             gaps_ms=event.gaps_ms,
+            idle_seconds=event.idle_seconds,
         )
         self._policy.ended(ended, now)
         if not work.routed:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from . import affinity
+from . import idle_connections
 
 # An engine gets a further long prompt while it has fewer tokens than this to
 # prefill, the new prompt included: two prefill steps, so that its streams
@@ -30,6 +31,9 @@
 UNREAD_TOKENS_PER_STEP = 24_000.0
 # Prompts up to this length are no burden: less than half a prefill step.
 SHORT_PROMPT_TOKENS = 2000.0
+# What an idle connection to an engine is worth to a low-latency stream: a
+# handshake, two round trips and a connection slot.
+CONNECTION_TOKENS = 1000.0
 
 
 class ChosenEngine(msgspec.Struct, frozen=True):
@@ -84,7 +88,16 @@
         """Drop the cached cost of an engine that has got another request."""
         self._round.costs.pop(name, None)
 
-    def choose(self, work, traits, servers, usable, now, through_peers=()):
+    def choose(
+        self,
+        work,
+        traits,
+        servers,
+        usable,
+        now,
+        through_peers=(),
+        connected=(),
+    ):
         """Return the cheapest of the ``usable`` engines.
 
         ``servers`` are all servers of the service, ``usable`` maps the names
@@ -92,6 +105,8 @@
         those that are reached through peers.  Long prompts have a few
         candidates, the same for all prompts with the same shared prefix; an
         engine further back is taken only where it has the whole prefix cached.
+        Low-latency streams prefer engines to which this instance has idle
+        connections (``connected``).
         """
         cached_round = self._round_for(
             work.service, servers, usable, now, through_peers
@@ -106,10 +121,11 @@
             ranked = affinity.rendezvous_order(key, usable)
         shared = work.parts[:-1]
         own = work.parts[-1][1]
+        margin = CONNECTION_TOKENS if low_latency and connected else 0.0
         best = None
         for position, name in enumerate(ranked):
             min_cost = own + position * affinity.RANK_STEP_TOKENS
-            if best is not None and best[0] <= min_cost:
+            if best is not None and best[0] <= min_cost - margin:
                 # No engine from here on can be cheaper.
                 break
             cache = self._table.server(name).cache
@@ -129,6 +145,9 @@
             )
             if low_latency and not groups.is_reserved(name):
                 cost += affinity.UNRESERVED_TOKENS
+            if low_latency and name in connected:
+                need = own + missing
+                cost -= self._connection_value(cached_round, name, need)
             if best is None or cost < best[0]:
                 best = (cost, ChosenEngine(name, own + missing))
         return best[1]
@@ -147,6 +166,23 @@
             self._round = _RoundCache(usable, through_peers, groups)
         return self._round
 
+    def _connection_value(self, cached_round, name, need):
+        """Return what an idle connection to an engine is worth, in tokens.
+
+        It is worth nothing to a prompt of which the engine has to prefill
+        much, since a cached prefix counts more.
+        """
+        announcement = cached_round.usable[name].announcement
+        if (
+            need > SHORT_PROMPT_TOKENS
+            or name in cached_round.through_peers
+            or not idle_connections.may_be_preferred(
+                name, announcement, self._table
+            )
+        ):
+            return 0.0
+        return CONNECTION_TOKENS
+
     def _cached_cost(self, cached_round, name):
         cost = cached_round.costs.get(name)
         if cost is None:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -16,6 +16,7 @@
 from .. import sentinels
 from . import engine_choice
 from . import hedge_searches
+from . import idle_connections
 from . import path_feedback
 from . import permit_waits
 from . import placement_rate
@@ -39,13 +40,18 @@
 
 
 class SharedServersPolicy(path_feedback.PathFeedback):
-    """Schedules for one instance, by its own and the others' work."""
+    """Schedules for one instance, by its own and the others' work.
 
-    def __init__(self, rng, view, state, limits):
+    ``contended`` is true where many instances compete for little capacity.
+    """
+
+    def __init__(self, rng, view, state, limits, contended=False):
         domain = state.identity.failure_domain
         table = server_table.ServerTable(state.loads, self._kv_tokens)
         super().__init__(rng, view, table, domain)
         self._rng = rng
+        self._contended = contended
+        self._connections = idle_connections.IdleConnections()
         self._routing = state.routing
         self._permits = state.permits
         self.retry_budget = retry_budget.RetryBudget(limits)
@@ -308,11 +314,17 @@
         if usable.preferred:
             candidates = self._preferred(usable, candidates)
         if not work.parts:
-            name = self._choose_plain(candidates, usable)
+            name = self._choose_plain(candidates, usable, now)
             return self._place(work, name, 0.0, usable, now, hedge)
         traits = self._traits(work)
         chosen = self._engines.choose(
-            work, traits, servers, candidates, now, usable.through_peers
+            work,
+            traits,
+            servers,
+            candidates,
+            now,
+            usable.through_peers,
+            self._connected(now),
         )
         if not self._engines.has_room(work, traits, chosen):
             if not hedge:
@@ -347,13 +359,20 @@
             return None
         return work_module.Refusal(work, self._refuse_retry(work))
 
-    def _choose_plain(self, candidates, usable):
+    def _connected(self, now):
+        """Return the servers to prefer because of idle connections."""
+        if not self._contended:
+            return ()
+        return self._connections.connected(self._table, now)
+
+    def _choose_plain(self, candidates, usable, now):
         return plain_server_choice.choose(
             candidates,
             self._table,
             self._domain,
             self._rng,
             usable.through_peers,
+            self._connected(now),
         )
 
     def _wait_for_permit(self, work, choice, now, hedge):
@@ -390,9 +409,10 @@
                 usable.servers,
                 now,
                 usable.through_peers,
+                self._connected(now),
             ).name
         else:
-            chosen = self._choose_plain(usable.servers, usable)
+            chosen = self._choose_plain(usable.servers, usable, now)
         if chosen in choice.throttled:
             self._permit_waits.want(
                 self._permit_waits.priority(work, now), chosen
@@ -456,6 +476,7 @@
             self._usable.begin_round()
         if not peer:
             state.health.record_attempt(now)
+            self._connections.record_sent(name)
         self._engines.note_placed(name)
         state.running += 1
         state.unread += need
@@ -480,6 +501,7 @@
     def forget_server(self, name):
         """Drop the state of a server that is gone."""
         super().forget_server(name)
+        self._connections.forget(name)
         self._repeats.forget_server(name)
 
     def first_output(self, request_id, now):
@@ -499,6 +521,7 @@
             return
         if self._permits.active:
             self._permits.release(attempt.server, ended.request_id, now)
+        self._connections.record_end(attempt, ended, now)
         state = attempt.server_state
         state.running -= 1
         state.unread -= attempt.unread
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -189,7 +189,8 @@
     for rest meanwhile. ``gone``: another server has taken over its
     address. ``broken``: the connection failed before the answer was whole.
     ``path_failure`` tells why a tunnel through a peer was not opened
-    (:class:`.peer_paths.PathFailure`).
+    (:class:`.peer_paths.PathFailure`).  ``idle_seconds`` is for how long the
+    connection is kept for reuse.
     """
 
     request_id: str
@@ -205,3 +206,4 @@
     broken: bool = False
     path_failure: object = None
     gaps_ms: list = msgspec.field(default_factory=list)
+    idle_seconds: float = 0.0
--- a/tests/common/shared_policy_harness.py
+++ b/tests/common/shared_policy_harness.py
@@ -77,7 +77,7 @@
     ``slack`` is that of the retry limits of the whole cluster.
     """
 
-    def __init__(self, count=6, slack=58.0):
+    def __init__(self, count=6, slack=58.0, contended=False):
         self.loads = server_loads.LoadTable()
         self.limits = server_limits.LimitTable()
         self.permits = permits.Permits(self.limits)
@@ -92,7 +92,7 @@
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
         self.view = View()
         self.policy = shared_policy.SharedServersPolicy(
-            random.Random(1), self.view, state, limits
+            random.Random(1), self.view, state, limits, contended
         )
         self.policy.retry_budget.share = 1.0 / self.view.instances(0.0)
         self.directory = Directory(count)
@@ -125,6 +125,14 @@
         self.policy.offer(work, self.now)
         return work
 
+    def report(self, running):
+        """Have another instance report its requests by server."""
+        loads = [
+            server_loads.Load(server, count, 0)
+            for server, count in running.items()
+        ]
+        self.loads.replace_report("other", "fd0", loads, self.now)
+
     def name_limit(self, server, limit):
         """Have a server name a limit, for which there are no permits."""
         self.limits.learn(
