--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -14,6 +14,7 @@
 
 from . import affinity
 from . import engine_paces
+from . import idle_connections
 
 # An engine gets a further long prompt while it has fewer tokens than this to
 # prefill, the new prompt included: two prefill steps, so that its streams
@@ -39,6 +40,9 @@
 # that prompts with one new prefix which wait at the same time ask for the same
 # engines.
 FURTHER_RANK_TOKENS = 3000.0
+# What an idle connection to an engine is worth to a low-latency stream: a
+# handshake, two round trips and a connection slot.
+CONNECTION_TOKENS = 1000.0
 
 
 class ChosenEngine(msgspec.Struct, frozen=True):
@@ -105,7 +109,16 @@
         self._round.costs.pop(name, None)
         self._round.waits.pop(name, None)
 
-    def choose(self, work, traits, servers, usable, now, through_peers=()):
+    def choose(
+        self,
+        work,
+        traits,
+        servers,
+        usable,
+        now,
+        through_peers=(),
+        connected=(),
+    ):
         """Return the cheapest of the ``usable`` engines.
 
         ``servers`` are all servers of the service, ``usable`` maps the names
@@ -113,6 +126,8 @@
         those that are reached through peers.  Long prompts have a few
         candidates, the same for all prompts with the same shared prefix; an
         engine further back is taken only where it has the whole prefix cached.
+        Low-latency streams prefer engines to which this instance has idle
+        connections (``connected``).
         """
         cached_round = self._round_for(
             work.service, traits, servers, usable, now, through_peers
@@ -130,10 +145,12 @@
             ranked = self._without_most_reserved(ranked, groups)
         shared = work.parts[:-1]
         own = work.parts[-1][1]
+        margin = CONNECTION_TOKENS if low_latency and connected else 0.0
         best = None
         for position, name in enumerate(ranked):
             min_cost = own + position * affinity.RANK_STEP_TOKENS
-            if best is not None and best[0] <= min_cost - own * paces.bonus:
+            reach = min_cost - own * paces.bonus - margin
+            if best is not None and best[0] <= reach:
                 # No engine from here on can be cheaper.
                 break
             cache = self._table.server(name).cache
@@ -156,6 +173,9 @@
                 cost += paces.slow_cost(name)
                 if not groups.is_reserved(name):
                     cost += affinity.UNRESERVED_TOKENS
+            if low_latency and name in connected:
+                need = own + missing
+                cost -= self._connection_value(cached_round, name, need)
             if best is None or cost < best[0]:
                 best = (cost, ChosenEngine(name, own + missing))
         return best[1]
@@ -257,6 +277,23 @@
             self._round = _RoundCache(usable, through_peers, groups, paces)
         return self._round
 
+    def _connection_value(self, cached_round, name, need):
+        """Return what an idle connection to an engine is worth, in tokens.
+
+        It is worth nothing to a prompt of which the engine has to prefill
+        much, since a cached prefix counts more.
+        """
+        announcement = cached_round.usable[name].announcement
+        if (
+            need > SHORT_PROMPT_TOKENS
+            or name in cached_round.through_peers
+            or not idle_connections.may_be_preferred(
+                name, announcement, self._table
+            )
+        ):
+            return 0.0
+        return CONNECTION_TOKENS
+
     def _cached_cost(self, cached_round, name):
         cost = cached_round.costs.get(name)
         if cost is None:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
@@ -28,7 +28,8 @@
 
     ``servers`` are all engines of the service, ``usable`` maps the names of
     those that may take the work to them, and ``through_peers`` has the names
-    of those that are reached through peers.
+    of those that are reached through peers.  ``connected`` names those to
+    which this instance has idle connections.
     """
 
     work: object
@@ -37,6 +38,7 @@
     usable: dict
     through_peers: object
     now: float
+    connected: object = ()
 
 
 class PrefillPlacement:
@@ -83,7 +85,8 @@
         """
         work = search.work
         return (
-            search.traits.queues_prefill
+            self._asks is not None
+            and search.traits.queues_prefill
             and not hedge
             and not self._permits.active
             and work.software_version is None
@@ -99,6 +102,7 @@
             search.usable,
             search.now,
             search.through_peers,
+            search.connected,
         )
 
     def _withdraw_unusable(self, search):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -16,6 +16,7 @@
 from .. import sentinels
 from . import engine_choice
 from . import hedge_searches
+from . import idle_connections
 from . import late_refusals
 from . import path_feedback
 from . import permit_waits
@@ -40,14 +41,19 @@
 
 
 class SharedServersPolicy(path_feedback.PathFeedback):
-    """Schedules for one instance, by its own and the others' work."""
+    """Schedules for one instance, by its own and the others' work.
+
+    ``contended`` is true where many instances compete for little capacity.
+    """
 
     def __init__(self, rng, view, state, limits, contended=False):
         domain = state.identity.failure_domain
         asks = getattr(state, "prefill", None)
         table = server_table.ServerTable(state.loads, self._kv_tokens, asks)
-        super().__init__(rng, view, table, domain)
+        super().__init__(rng, view, table, domain, contended)
         self._rng = rng
+        self._contended = contended
+        self._connections = idle_connections.IdleConnections()
         self._routing = state.routing
         self._permits = state.permits
         self.retry_budget = retry_budget.RetryBudget(limits)
@@ -308,11 +314,17 @@
         if usable.preferred:
             candidates = self._preferred(usable, candidates)
         if not work.parts:
-            name = self._choose_plain(candidates, usable)
+            name = self._choose_plain(candidates, usable, now)
             return self._place(work, name, 0.0, usable, now, hedge)
         traits = self._traits.of(self._routing.table.revision, work.service)
         search = prefill_placement.EngineSearch(
-            work, traits, servers, candidates, usable.through_peers, now
+            work,
+            traits,
+            servers,
+            candidates,
+            usable.through_peers,
+            now,
+            self._connected(now),
         )
         chosen = self._prefill.choose(search, hedge)
         if chosen is None:
@@ -351,13 +363,20 @@
             return None
         return work_module.Refusal(work, self._refuse_retry(work))
 
-    def _choose_plain(self, candidates, usable):
+    def _connected(self, now):
+        """Return the servers to prefer because of idle connections."""
+        if not self._contended:
+            return ()
+        return self._connections.connected(self._table, now)
+
+    def _choose_plain(self, candidates, usable, now):
         return plain_server_choice.choose(
             candidates,
             self._table,
             self._domain,
             self._rng,
             usable.through_peers,
+            self._connected(now),
         )
 
     def _wait_for_permit(self, work, choice, now, hedge):
@@ -394,9 +413,10 @@
                 usable.servers,
                 now,
                 usable.through_peers,
+                self._connected(now),
             ).name
         else:
-            chosen = self._choose_plain(usable.servers, usable)
+            chosen = self._choose_plain(usable.servers, usable, now)
         if chosen in choice.throttled:
             self._permit_waits.want(
                 self._permit_waits.priority(work, now), chosen
@@ -447,6 +467,7 @@
             self._usable.begin_round()
         if not peer:
             state.health.record_attempt(now)
+            self._connections.record_sent(name)
         if not hedge:
             announcement = usable.servers[name].announcement
             self._prefill.record_placed(work, announcement, grounds, now)
@@ -474,6 +495,7 @@
     def forget_server(self, name):
         """Drop the state of a server that is gone."""
         super().forget_server(name)
+        self._connections.forget(name)
         self._repeats.forget_server(name)
 
     def first_output(self, request_id, now):
@@ -494,6 +516,7 @@
             return
         if self._permits.active:
             self._permits.release(attempt.server, ended.request_id, now)
+        self._connections.record_end(attempt, ended, now)
         self._prefill.ended(attempt, now)
         state = attempt.server_state
         state.running -= 1
