--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -142,7 +142,7 @@
         if not ranked:
             ranked = affinity.rendezvous_order(key, usable)
         if low_latency and traits.queues_prefill:
-            ranked = self._without_most_reserved(ranked, groups)
+            ranked = self._without_most_reserved(ranked, groups, connected)
         shared = work.parts[:-1]
         own = work.parts[-1][1]
         margin = CONNECTION_TOKENS if low_latency and connected else 0.0
@@ -180,9 +180,11 @@
                 best = (cost, ChosenEngine(name, own + missing))
         return best[1]
 
-    def _without_most_reserved(self, ranked, groups):
+    def _without_most_reserved(self, ranked, groups, connected):
         """Return ``ranked`` with two of the reserved engines.
 
+        Those in ``connected`` are left in besides.
+
         With a free choice, all instances place low-latency streams at the
         reserved engine that was idle in the last report.
         """
@@ -193,7 +195,9 @@
         return [
             name
             for name in ranked
-            if name in drawn or not groups.is_reserved(name)
+            if name in drawn
+            or name in connected
+            or not groups.is_reserved(name)
         ]
 
     def find_sooner(self, search, asks, is_held):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_paces.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_paces.py
@@ -1,9 +1,7 @@
 """How fast engines prefill, relative to the typical engine of a service."""
 
-import statistics
+from . import prefill_pace
 
-# Assumed until the pace of an engine is known, in tokens per second.
-TYPICAL_PACE = 50_000.0
 # Bounds of the cost of a token relative to the typical engine.  An engine that
 # does not answer has next to no pace, and its cost must stay comparable.
 MIN_TOKEN_COST = 0.25
@@ -30,7 +28,7 @@
     def __init__(self, pace, names):
         self._paces = {name: pace(name) for name in names}
         known = [found for found in self._paces.values() if found > 0]
-        self.typical = statistics.median(known) if known else TYPICAL_PACE
+        self.typical = prefill_pace.median_pace(known)
         self._token_costs = {
             name: min(
                 MAX_TOKEN_COST, max(MIN_TOKEN_COST, self.typical / found)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_pace.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_pace.py
@@ -5,8 +5,6 @@
 and not as one slow and one infinitely fast prompt.
 """
 
-import statistics
-
 # Assumed while no engine of the service has been measured.
 TYPICAL_PACE = 50_000.0
 # Each newer sample multiplies the weight of older ones by this.
@@ -29,7 +27,11 @@
     >>> median_pace([])
     50000.0
     """
-    return statistics.median(paces) if paces else TYPICAL_PACE
+    if not paces:
+        return TYPICAL_PACE
+    ordered = sorted(paces)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[~middle]) / 2
 
 
 class PaceEstimate:
--- a/tests/common/shared_policy_harness.py
+++ b/tests/common/shared_policy_harness.py
@@ -75,10 +75,10 @@
     """The policy of one instance and its inputs; ``now`` is its clock.
 
     ``slack`` is that of the retry limits of the whole cluster.  With
-    ``contended``, long prompts wait in the prefill queues of the engines.
+    ``queues``, long prompts wait in the prefill queues of the engines.
     """
 
-    def __init__(self, count=6, slack=58.0, contended=False):
+    def __init__(self, count=6, slack=58.0, contended=False, queues=False):
         self.loads = server_loads.LoadTable()
         self.limits = server_limits.LimitTable()
         self.permits = permits.Permits(self.limits)
@@ -91,12 +91,12 @@
             software_versions=self.admitted,
         )
         self.prefill = prefill_asks.PrefillAsks()
-        if contended:
+        if queues:
             state.prefill = self.prefill
         limits = retry_budget.RetryLimits(0.2, slack, 10.0)
         self.view = View()
         self.policy = shared_policy.SharedServersPolicy(
-            random.Random(1), self.view, state, limits, contended
+            random.Random(1), self.view, state, limits, contended or queues
         )
         self.policy.retry_budget.share = 1.0 / self.view.instances(0.0)
         self.directory = Directory(count)
--- a/tests/cover/test_prefill_placement.py
+++ b/tests/cover/test_prefill_placement.py
@@ -16,7 +16,7 @@
 
 
 def new_harness(count=6, queues=True):
-    return shared_policy_harness.PolicyHarness(count, contended=queues)
+    return shared_policy_harness.PolicyHarness(count, queues=queues)
 
 
 def asked(harness):
