Relays hold no prefill queues, waits count all asked engines, spaced path checks

Relays are left out as holders, the waits of a prompt's queues count together, checks are spaced wherever prefills queue, and a holder that stays silent is tried less often.

--- a/packages/dandeliontrail/src/dandeliontrail/components/prefill_queues.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/prefill_queues.py
@@ -74,12 +74,29 @@
                 item.instance: item.failure_domain
                 for item in members.members.values()
                 if not item.gone()
-            }
+            },
+            self._relays(),
         )
         for item in members.changes:
             if item.change in _ENDED:
                 self._holder.forget_asker(item.instance)
 
+    def _relays(self):
+        """Return the names of the instances that are relays.
+
+        They exchange the loads of all others, and the links of small
+        instances leave little room for asks beside that.
+        """
+        members = self._state.members
+        names = {
+            item.instance
+            for domain in members.relayed_domains()
+            for item in members.relays_of(domain)
+        }
+        if members.is_relay():
+            names.add(self._state.identity.instance)
+        return names
+
     # -- asking -------------------------------------------------------------
 
     def exchange(self, now):
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/holder_silence.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/holder_silence.py
@@ -13,6 +13,9 @@
 # How long an instance decides on its own before it asks again: about the time
 # in which the membership agrees on another holder.
 SILENCE_SECONDS = 1.0
+# Doubled while the holder stays silent, up to this: each try costs the prompts
+# of that moment ``MAX_ANSWER_SECONDS``.
+MAX_SILENCE_SECONDS = 8.0
 
 
 class SilenceChange(msgspec.Struct):
@@ -34,17 +37,25 @@
     [True, False]
     """
 
-    __slots__ = ("_until", "_changes")
+    __slots__ = ("_until", "_seconds", "_changes")
 
     def __init__(self):
         self._until = {}
+        # How long the present silence of a server's holder is taken to last.
+        self._seconds = {}
         self._changes = []
 
     def begin(self, server, now):
         """Record that the holder of a server's queue did not answer."""
+        seconds = SILENCE_SECONDS
         if server not in self._until:
             self._changes.append(SilenceChange(server, True))
-        self._until[server] = now + SILENCE_SECONDS
+        elif self.is_silent(server, now):
+            seconds = self._seconds[server]
+        else:
+            seconds = min(MAX_SILENCE_SECONDS, 2 * self._seconds[server])
+        self._seconds[server] = seconds
+        self._until[server] = now + seconds
 
     def is_silent(self, server, now):
         """Return whether this instance decides on its own about a server."""
@@ -54,11 +65,13 @@
         """Record an answer of the holder; one within the silence is late."""
         if server in self._until and not self.is_silent(server, now):
             del self._until[server]
+            del self._seconds[server]
             self._changes.append(SilenceChange(server, False))
 
     def forget(self, server):
         """Drop what is known of a server that is gone or has restarted."""
         self._until.pop(server, None)
+        self._seconds.pop(server, None)
 
     def take_changes(self):
         """Return the :class:`SilenceChange` objects since the last call."""
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/holders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/holders.py
@@ -106,31 +106,46 @@
     'i2'
     """
 
-    __slots__ = ("_own", "_domain", "_domain_of", "_by_domain", "_chosen")
+    __slots__ = (
+        "_own",
+        "_domain",
+        "_domain_of",
+        "_busy",
+        "_by_domain",
+        "_chosen",
+    )
 
     def __init__(self, own, domain):
         self._own = own
         self._domain = domain
         self._domain_of = {}
+        self._busy = frozenset()
         self._by_domain = {}
         self._chosen = {}
-        self._group({own: domain})
+        self._group({own: domain}, self._busy)
 
-    def set_domains(self, domain_of):
+    def set_domains(self, domain_of, busy=()):
         """Choose from this instance and the keys of ``domain_of``.
 
-        The values are the failure domains of the instances.
+        The values are the failure domains of the instances.  Those in
+        ``busy`` are chosen only where a domain has no others.
         """
         domain_of = {**domain_of, self._own: self._domain}
-        if domain_of != self._domain_of:
-            self._group(domain_of)
+        busy = frozenset(busy)
+        if (domain_of, busy) != (self._domain_of, self._busy):
+            self._group(domain_of, busy)
 
-    def _group(self, domain_of):
+    def _group(self, domain_of, busy):
         self._domain_of = domain_of
+        self._busy = busy
         self._chosen.clear()
-        self._by_domain = collections.defaultdict(list)
+        by_domain = collections.defaultdict(list)
         for instance, domain in sorted(domain_of.items()):
-            self._by_domain[domain].append(instance)
+            by_domain[domain].append(instance)
+        self._by_domain = {
+            domain: [item for item in names if item not in busy] or names
+            for domain, names in by_domain.items()
+        }
 
     def of(self, server, domain):
         """Return the holder of a server in a failure domain.
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
@@ -48,16 +48,16 @@
 class PathChecks:
     """The checks of one instance; ``table`` has the state of the servers.
 
-    With ``spaced``, the first check for a prompt that waits to be prefilled
-    comes later by the time that its prefill takes, and the intervals between
-    further ones double.  Where prompts wait long, most silent servers are only
-    busy, and each check opens a connection.
+    Where ``spaced(work)`` is true, the first check for a prompt that waits to
+    be prefilled comes later by the time that its prefill takes, and the
+    intervals between further ones double.  Where prompts wait long, most
+    silent servers are only busy, and each check opens a connection.
 
     ``unreachable`` are the servers whose path is lost, the first of them since
     ``lost_since``.
     """
 
-    def __init__(self, table, peer_paths, rng, spaced=False):
+    def __init__(self, table, peer_paths, rng, spaced=lambda work: False):
         self._table = table
         self._spaced = spaced
         self._peer_paths = peer_paths
@@ -104,7 +104,7 @@
 
     def _interval(self, attempt, health):
         """Return after how many silent seconds a server is checked."""
-        if not self._spaced or not attempt.unread:
+        if not attempt.unread or not self._spaced(attempt.work):
             return SILENT_SECONDS
         first = SILENT_SECONDS + attempt.unread / PREFILL_TOKENS_PER_SECOND
         checked_after = health.checked_at - attempt.placed_at
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_feedback.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_feedback.py
@@ -21,10 +21,10 @@
     """Records how attempts and checks of paths ended.
 
     ``table`` is the :class:`.server_table.ServerTable`, ``domain`` the own
-    failure domain.  ``contended`` is true where prompts wait long.
+    failure domain.
     """
 
-    def __init__(self, rng, view, table, domain, contended=False):
+    def __init__(self, rng, view, table, domain):
         self._table = table
         self._domain = domain
         self._attempts = attempts.Attempts()
@@ -34,9 +34,13 @@
         )
         self._peer_paths = peer_paths.PeerPaths(view, domain, rng)
         self._checks = path_checks.PathChecks(
-            table, self._peer_paths, rng, spaced=contended
+            table, self._peer_paths, rng, self._spaces_checks
         )
 
+    def _spaces_checks(self, work):
+        """Return whether checks for waiting prompts are spaced out."""
+        return False
+
     def take_beliefs(self):
         """Return the ``work.HealthFinding`` objects since the last call."""
         findings, self._findings = self._findings, []
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_placement.py
@@ -166,7 +166,7 @@
 
         The less urgent come back later.  The most urgent are not refused.
         """
-        wait = _shortest_wait(self._asks.of(work.request_id))
+        wait = _joint_wait(self._asks.of(work.request_id))
         if wait is None or work.route_priority == 0:
             return None
         if not late_refusals.is_too_late(work, wait, now):
@@ -227,6 +227,20 @@
             self._asks.ended(request_id, attempt.server, now)
 
 
+def _joint_wait(asks):
+    """Return the expected wait at all asked engines together, or ``None``.
+
+    Prompts that wait long are asked for at several engines, so each queue
+    contains prompts that another engine will take.
+    """
+    waits = [ask.wait_seconds() for ask in asks]
+    if not waits or None in waits:
+        return None
+    if min(waits) <= 0.0:
+        return 0.0
+    return 1.0 / sum(1.0 / wait for wait in waits)
+
+
 def _shortest_wait(asks):
     """Return the shortest expected wait, ``None`` before all are answered."""
     waits = [ask.wait_seconds() for ask in asks]
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/shared_policy.py
@@ -50,7 +50,7 @@
         domain = state.identity.failure_domain
         asks = getattr(state, "prefill", None)
         table = server_table.ServerTable(state.loads, self._kv_tokens, asks)
-        super().__init__(rng, view, table, domain, contended)
+        super().__init__(rng, view, table, domain)
         self._rng = rng
         self._contended = contended
         self._connections = idle_connections.IdleConnections()
@@ -88,6 +88,12 @@
         table = self._routing.table
         return self._traits.of(table.revision, service) if table else None
 
+    def _spaces_checks(self, work):
+        traits = self.traits_of(work.service)
+        return self._contended or (
+            traits is not None and traits.queues_prefill
+        )
+
     @property
     def held_for_rest(self):
         """The requests by service that were held back for rests."""
--- a/tests/cover/test_limit_records.py
+++ b/tests/cover/test_limit_records.py
@@ -313,3 +313,13 @@
         held.receive(grant, ("i2", 1), now)
         held.begin_round()
     assert held.counts.without_holder <= 2
+
+
+def test_relays_hold_no_prefill_queues_beside_others():
+    # Guards against holders whose links are full of the loads of all others.
+    chosen = holders.DomainHolders("i1", "a")
+    domains = {"i2": "a", "i3": "a", "i4": "b"}
+    chosen.set_domains(domains, busy={"i1", "i3", "i4"})
+    servers = [f"s{number}" for number in range(30)]
+    assert {chosen.of(server, "a") for server in servers} == {"i2"}
+    assert {chosen.of(server, "b") for server in servers} == {"i4"}
--- a/tests/cover/test_prefill_asks.py
+++ b/tests/cover/test_prefill_asks.py
@@ -306,3 +306,20 @@
     assert exchange.asks.backlog("e1", exchange.now) == 3 * TOKENS
     exchange.now += prefill_asks.BACKLOG_TTL_SECONDS + 0.1
     assert exchange.asks.backlog("e1", exchange.now) is None
+
+
+def test_a_holder_that_stays_silent_is_tried_less_and_less_often():
+    # Guards against prompts that wait in vain for it once a second.
+    silence = holder_silence.HolderSilence()
+    now = 0.0
+    lengths = []
+    for _ in range(5):
+        silence.begin("e1", now)
+        began = now
+        while silence.is_silent("e1", now):
+            now += 0.25
+        lengths.append(now - began)
+    assert lengths == [1.0, 2.0, 4.0, 8.0, 8.0]
+    silence.record_answer("e1", now)
+    silence.begin("e1", now)
+    assert not silence.is_silent("e1", now + 1.0)
