Answers that grant nothing cause no round of the policy

Each answer with a place in a queue made the instance decide about all waiting prompts, several times a second for each of them. They now wait for the next round; grants and missing holders still cause one at once.

The test of doubled messages counted arrivals while a prompt could still be on its way; it now counts them once all have arrived.

--- a/packages/dandeliontrail/src/dandeliontrail/components/prefill_queues.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/prefill_queues.py
@@ -171,7 +171,7 @@
         return out
 
     def _receive_own(self, grants, now):
-        self._has_own_answers = True
+        self._has_own_answers |= are_decisive(grants)
         for grant in grants:
             self._asks.receive(grant, now)
 
@@ -211,6 +211,15 @@
         return [effects.Log("info", "prefill queue is long", fields)]
 
 
+def are_decisive(grants):
+    """Return whether answers let the policy place a prompt now.
+
+    What only says how long a prompt waits is used by the next round: a round
+    for each answer would decide about all waiting prompts each time.
+    """
+    return any(item.granted or not item.holding for item in grants)
+
+
 def _asker(instance):
     return permit_issuer.Asker(
         instance.instance, instance.incarnation, instance.address
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -26,6 +26,7 @@
 from . import intake
 from . import lasting_answers
 from . import measures
+from . import prefill_queues
 from . import request_lifecycle
 from . import request_retries
 from . import routed_admission
@@ -448,7 +449,9 @@
         return self._run_policy(now) if self._prefills.has_own_answers else []
 
     def _prefill_grants_received(self, source, message, now):
-        """Run the policy: prompts were granted or know their place."""
+        """Run the policy if prompts were granted, or have no holder."""
+        if not prefill_queues.are_decisive(message.grants):
+            return []
         return self._run_policy(now)
 
     def _cut_short(self, event, now):
--- a/tests/cover/test_prefill_queue_failures.py
+++ b/tests/cover/test_prefill_queue_failures.py
@@ -132,12 +132,13 @@
     world.press(8.0, path=prefill_world.PATH)
     world.run(6.0)
     world.press(0.0, path=prefill_world.PATH)
-    arrivals = sum(len(item.arrivals) for item in world.servers.values())
-    assert arrivals == sum(world.sent.values()) > 20
     worst = max(item.worst_backlog() for item in world.servers.values())
     assert worst <= backlog_allowed() + 4 * delay
     world.run(1.0)
     assert not any(world.backlog(name) for name in ENGINES)
+    # No prompt is on its way any more.
+    arrivals = sum(len(item.arrivals) for item in world.servers.values())
+    assert arrivals == sum(world.sent.values()) > 20
 
 
 def test_a_grant_that_nobody_waits_for_is_ended():
