--- a/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/prefill_asks.py
@@ -324,9 +324,9 @@
             if ask.unanswered_since is not None:
                 ask.unanswered_since = now
 
-    def _begin_silence(self, server, now):
+    def _begin_silence(self, server, now, answered=False):
         """Decide without a holder; what was sent there is renewed still."""
-        self.silence.begin(server, now)
+        self.silence.begin(server, now, answered)
         self._queues.pop(server, None)
         for ask in list(self._by_number.values()):
             if ask.server != server:
@@ -346,7 +346,7 @@
         if not grant.holding:
             if ask is not None:
                 self.unheld += 1
-                self._begin_silence(ask.server, now)
+                self._begin_silence(ask.server, now, answered=True)
             return
         if ask is None:
             if grant.granted:
--- a/tests/cover/test_prefill_asks.py
+++ b/tests/cover/test_prefill_asks.py
@@ -323,3 +323,19 @@
     silence.record_answer("e1", now)
     silence.begin("e1", now)
     assert not silence.is_silent("e1", now + 1.0)
+
+
+def test_an_instance_that_nobody_answers_asks_few_holders():
+    # Guards against one wait in vain for each prompt of an instance that is
+    # cut off: it seldom asks for the same engine twice.
+    silence = holder_silence.HolderSilence()
+    silence.begin("e1", 0.0)
+    silence.begin("e2", 0.1)
+    assert not silence.is_silent("e9", 0.2)
+    silence.begin("e3", 0.2)
+    assert silence.is_silent("e9", 1.1)
+    assert not silence.is_silent("e9", 1.3)
+    silence.begin("e4", 1.3)
+    assert silence.is_silent("e9", 3.2)
+    silence.record_answer("e5", 3.25)
+    assert not silence.is_silent("e9", 3.25)
