Servers that end at one moment do not block a part that few of them had

Cause: a quarter of all engines crashed at one moment, 1.8 s after a cold start. Change: of a part's ends within 0.25 s of more ends without it one counts.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/crash_parts.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/crash_parts.py
@@ -8,6 +8,9 @@
 - A part that a server of the same software version answered on, around the
   time of a crash or later, did not cause it.
 - Crashes of a software version that no server runs any more do not count.
+- Servers that end at one moment, most of them without the part, have a cause
+  outside it, such as a failure of their machines.  Of its crashes at such a
+  moment only one counts.
 - A part needs :data:`..crash_suspects.CRASHES_TO_BLOCK` crashes.  One that
   another suspect with as many crashes explains does not count.
 - A part that is blocked though another one crashed nearly all of the servers
@@ -26,6 +29,7 @@
 Fault-Localization Technique", 2005).
 """
 
+import bisect
 import collections
 import math
 
@@ -40,6 +44,10 @@
 # A crash counts once the reports of all instances that had requests there
 # should have come, in seconds.
 REPORT_SECONDS = 0.25
+# Servers that end within this time of each other, in seconds, end
+# at one moment.  Instances see the end of one server up to a tick
+# apart.
+MOMENT_SECONDS = 0.25
 # The time in seconds after the last crash until a blocked part is tried, by
 # one request.  It doubles with each crash beyond those that happen until the
 # part is blocked everywhere.
@@ -162,21 +170,75 @@
     for part, suspects in by_part.items():
         if len(suspects) > 1:
             found[part] = _counted_of_all(suspects, running)
-    crashed = {
-        fingerprint: {
-            incarnation: at
-            for incarnation, at in ends.items()
-            if not crash_suspects.is_alive(registry, incarnation, at, now)
+    crashed = _with_enough(
+        {
+            fingerprint: _ended(ends, registry, now)
+            for fingerprint, ends in found.items()
         }
-        for fingerprint, ends in found.items()
-    }
+    )
+    if not crashed:
+        return {}
+    times = _times_of_all(table, registry, now)
+    return _with_enough(
+        {
+            fingerprint: _without_common_cause(ends, times)
+            for fingerprint, ends in crashed.items()
+        }
+    )
+
+
+def _with_enough(crashes):
     return {
         fingerprint: ends
-        for fingerprint, ends in crashed.items()
+        for fingerprint, ends in crashes.items()
         if len(ends) >= crash_suspects.CRASHES_TO_BLOCK
     }
 
 
+def _ended(ends, registry, now):
+    """Return those of the ends after which the server was not alive."""
+    return {
+        incarnation: at
+        for incarnation, at in ends.items()
+        if not crash_suspects.is_alive(registry, incarnation, at, now)
+    }
+
+
+def _times_of_all(table, registry, now):
+    """Return when each server ended, whatever it ran, in order."""
+    first = {}
+    for suspect in table.suspects.values():
+        for incarnation, at in suspect.ends.items():
+            first[incarnation] = min(at, first.get(incarnation, at))
+    return sorted(_ended(first, registry, now).values())
+
+
+def _without_common_cause(ends, times):
+    """Return the ends of a part, one for each moment of a common cause.
+
+    ``times`` are those of the ends of all servers, in order.
+    """
+    own_times = sorted(ends.values())
+    counted = {}
+    last_common = -math.inf
+    for incarnation, at in sorted(
+        ends.items(), key=lambda item: (item[1], item[0])
+    ):
+        own = _count_around(at, own_times)
+        if _count_around(at, times) - own > own:
+            if at - last_common <= MOMENT_SECONDS:
+                continue
+            last_common = at
+        counted[incarnation] = at
+    return counted
+
+
+def _count_around(at, times):
+    return bisect.bisect_right(
+        times, at + MOMENT_SECONDS
+    ) - bisect.bisect_left(times, at - MOMENT_SECONDS)
+
+
 def _running_versions(registry, now):
     """Return the software versions that servers run, or ``None``.
 
--- a/tests/cover/test_crash_parts.py
+++ b/tests/cover/test_crash_parts.py
@@ -115,6 +115,29 @@
     assert not crashes.blocks(("second", "x"))
 
 
+def test_many_servers_that_end_at_one_moment_block_no_part():
+    # Guards against a refusal of a whole class of requests that no server has
+    # answered yet, because a failure of many servers hit a few of its own.
+    crashes = Crashes()
+    for number in range(4):
+        crashes.crash(BAD, at=NOW + 0.03 * number)
+        crashes.crash(("second", f"topic{number}"), at=NOW)
+        crashes.crash(("third", f"topic{number}"), at=NOW + 0.1)
+    assert not crashes.blocks(BAD)
+
+
+def test_a_part_that_ends_servers_again_and_again_is_blocked_beside_others():
+    # Guards against a bad part that stays unknown since servers fail anyway.
+    crashes = Crashes()
+    for number in range(3):
+        at = NOW - 2.0 + number
+        crashes.crash(BAD, at=at)
+        for other in range(4):
+            crashes.crash((f"other{number}{other}",), at=at)
+    assert crashes.blocks(BAD)
+    assert not crashes.blocks(("other00",))
+
+
 def test_a_part_that_was_sound_long_ago_may_crash_servers_now():
     crashes = Crashes()
     crashes.crash(BAD, at=NOW - 3600.0)
