--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -8,6 +8,7 @@
 import itertools
 import logging
 import os
+import random
 import socket
 import tempfile
 
@@ -23,6 +24,9 @@
 # Loopback addresses of this process alone: the programs' metrics port is
 # fixed, so that two runs at a time would take it from each other.
 NETWORK = f"127.{16 + os.getpid() // 200 % 200}.{10 + os.getpid() % 200}"
+# Ports for listeners, below those that the system gives to connections.
+LISTENER_PORTS = range(10240, 32768)
+_RANDOM = random.SystemRandom()
 HOST = "shop.example"
 KEY = "key-of-acme"
 SEAL = "X-Dandeliontrail-Response-Seal"
@@ -52,13 +56,18 @@
 
 
 def free_ports(count):
-    """Return ports that are free on all loopback addresses."""
+    """Return ports that are free on all loopback addresses.
+
+    They are below the ephemeral range: until a program listened on a port from
+    that range, a connection of any other process could take it.
+    """
     with contextlib.ExitStack() as stack:
         ports = []
-        for _ in range(count):
+        while len(ports) < count:
             sock = stack.enter_context(socket.socket())
-            sock.bind(("0.0.0.0", 0))
-            ports.append(sock.getsockname()[1])
+            with contextlib.suppress(OSError):
+                sock.bind(("0.0.0.0", _RANDOM.choice(LISTENER_PORTS)))
+                ports.append(sock.getsockname()[1])
         return ports
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -30,6 +30,8 @@
 CALLER_TIMEOUT_SECONDS = 4.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 READY_TIMEOUT_SECONDS = 30.0
+# A run binds this port at the last address of its network until it ends.
+RESERVATION_PORT = 10239
 DISK_FAULT_MESSAGES = (
     '"message":"the disk refuses writes: nothing is acknowledged until it',
     '"message":"the disk refuses writes: the start waits for it"',
@@ -90,7 +92,7 @@
         self._stack = contextlib.ExitStack()
         self.ports = platform_world.new_ports()
         settings = {"revoke_ms": REVOKE_SECONDS * 1000.0, **self.ports}
-        base = self.rng.randrange(10, 250)
+        base = self._reserve_network(self.rng.randrange(10, 250))
         self.fleet = fleet_module.Fleet(
             folder, base, settings, entries, self.note
         )
@@ -99,6 +101,32 @@
         ]
 
     def __enter__(self):
+        # Programs that a failed start left running would keep their addresses.
+        try:
+            self._start()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def _reserve_network(self, first):
+        """Return ``first``, or the next number that no other run holds.
+
+        Two runs with one seed at the same time would have the same addresses.
+        """
+        for number in range(first, first + 240):
+            base = 10 + (number - 10) % 240
+            sock = socket.socket()
+            try:
+                sock.bind((f"127.0.{base}.254", RESERVATION_PORT))
+            except OSError:
+                sock.close()
+                continue
+            self._stack.callback(sock.close)
+            return base
+        raise RuntimeError("all networks are in use")
+
+    def _start(self):
         self._stack.callback(self.fleet.close)
         for program in (*self.keepers, *self.entries):
             program.start()
@@ -109,7 +137,6 @@
             node_world.wait_until(
                 lambda: self.ready(entry), READY_TIMEOUT_SECONDS
             )
-        return self
 
     @property
     def keepers(self):
