Soak: an isolated entry or keeper may not know that a server leaves

Cut off from all keepers 0.8 s before the acknowledgement, an entry sent its next ones 2.3 and 2.7 s after it; with a keeper that is cut off and acknowledges alone, all entries did. The 3 s after a disruption in which an entry is excused were counted from its begin, and the acknowledging keeper was not looked at. The rule holds for instances that have paths to the keepers, and where such a one acknowledges.

--- a/tests/soak/partitions.py
+++ b/tests/soak/partitions.py
@@ -25,6 +25,8 @@
         )
     )
     directions = rng.choice(((True, True), (True, False), (False, True)))
+    other_keepers = {item for item in world.keepers if item is not program}
+    program.is_isolated = other_keepers <= set(affected)
     program.mark_disrupted()
     names = ", ".join(item.ip for item in affected)
     world.note(f"{program.ip} {mode.value} {directions} for {names}")
@@ -37,5 +39,6 @@
     for other in affected:
         other.proxy.modes.pop(program.ip, None)
         program.proxy.modes.pop(other.ip, None)
+    program.is_isolated = False
     program.mark_disrupted()
     world.note(f"{program.ip} has its paths back")
