--- a/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
@@ -111,64 +111,74 @@
 
 def check(revision):
     """Raise ``ResourceInvalid`` unless the revision is consistent."""
+    for problem in find_errors(revision):
+        raise problem
+
+
+def find_errors(revision):
+    """Yield a ``ResourceInvalid`` for each inconsistency of the revision."""
     services = {item.name for item in revision.services}
     addresses = set()
     for route in revision.routes:
-        _check_route(route, services)
+        yield from _route_errors(route, services)
         address = (route.host, route.path_prefix)
-        _require(
-            address not in addresses,
-            f"routes.{route.name}",
-            f"another route has host {route.host} and path prefix"
-            f" {route.path_prefix}",
-            "give each route a different host or path prefix",
-        )
+        if address in addresses:
+            yield _error(
+                f"routes.{route.name}",
+                f"another route has host {route.host} and path prefix"
+                f" {route.path_prefix}",
+                "give each route a different host or path prefix",
+            )
         addresses.add(address)
-    _check_keys(revision.organisations)
+    yield from _key_errors(revision.organisations)
 
 
-def _check_route(route, services):
+def _route_errors(route, services):
     field = f"routes.{route.name}"
-    for share in route.split:
-        _require(
-            share.service in services,
+    yield from _split_errors(field, route.split, services)
+    if not route.timeout > 0:
+        yield _error(
             field,
-            f"service {share.service!r} is not declared",
-            "declare the service or name another one",
+            f"the timeout is {route.timeout:g} s",
+            "give a timeout above 0",
         )
-        _require(
-            share.weight >= 0,
+
+
+def _split_errors(field, split, services):
+    for share in split:
+        if share.service not in services:
+            yield _error(
+                field,
+                f"service {share.service!r} is not declared",
+                "declare the service or name another one",
+            )
+        if share.weight < 0:
+            yield _error(
+                field,
+                f"weight {share.weight} is below 0",
+                "give weights of 0 and above",
+            )
+    # With a weight below 0 the sum means nothing.
+    if all(share.weight == 0 for share in split):
+        yield _error(
             field,
-            f"weight {share.weight} is below 0",
-            "give weights of 0 and above",
+            "the weights add up to 0",
+            "give at least one service a weight above 0",
         )
-    _require(
-        sum(share.weight for share in route.split) > 0,
-        field,
-        "the weights add up to 0",
-        "give at least one service a weight above 0",
-    )
-    _require(
-        route.timeout > 0,
-        field,
-        f"the timeout is {route.timeout:g} s",
-        "give a timeout above 0",
-    )
-
-
-def _check_keys(organisations):
+
+
+def _key_errors(organisations):
     owners = {}
     for organisation in organisations:
         for key in organisation.keys:
             owner = owners.setdefault(key, organisation.name)
-            _require(
-                owner == organisation.name,
-                f"organisations.{organisation.name}",
-                f"it shares a key with {owner}",
-                "give each organisation keys of its own",
-            )
+            if owner != organisation.name:
+                yield _error(
+                    f"organisations.{organisation.name}",
+                    f"it shares a key with {owner}",
+                    "give each organisation keys of its own",
+                )
 
 
-def _require(condition, field, message, remedy):
-    if not condition:
-        raise errors.ResourceInvalid(field, f"{message}.", remedy)
+def _error(field, message, remedy):
+    return errors.ResourceInvalid(field, f"{message}.", remedy)
