--- a/packages/dandeliontrail/src/dandeliontrail/decisions/routing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/routing.py
@@ -30,7 +30,7 @@
         a slash are looked up, the longest first.  The cost of a lookup grows
         with the segments of the path, not with the routes of the host.
         """
-        routes = self._hosts.get(_without_port(host))
+        routes = self._hosts.get(without_port(host))
         if routes is None:
             return None
         path = path.partition("?")[0]
@@ -52,7 +52,7 @@
         return self._owners.get(key_hash)
 
 
-def _without_port(host):
+def without_port(host):
     """Return a host without its port, in lower case."""
     name, colon, port = host.rpartition(":")
     if colon and port.isdigit():
--- a/packages/dandeliontrail/src/dandeliontrail/resources/comparison.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/comparison.py
@@ -6,8 +6,6 @@
 
 import collections
 
-import msgspec
-
 from . import findings
 
 # As many digits identify a key; tables of dandelionctl show as many.
@@ -58,7 +56,7 @@
             others.remove(item)
         else:
             rest.append(item)
-    return sorted(rest, key=lambda item: msgspec.json.encode(item))
+    return sorted(rest, key=repr)
 
 
 def _changes(prefix, before, after):
