--- a/tests/cover/test_check_manifest.py
+++ b/tests/cover/test_check_manifest.py
@@ -127,7 +127,7 @@
         (b'{"version": 1,]', "(byte 14)"),
         (b'{"version": "x",]', "(byte 16)"),
         (b'{"version": "\xff"}', "(byte 13)"),
-        (b"", "truncated"),
+        (b" " * (2**23 + 1), "truncated"),
         (b'{"x":' + b"[" * 100000, "recursion"),
     ],
 )
