--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
@@ -2,6 +2,7 @@
 
 import urllib.parse
 
+import gevent
 import geventhttpclient
 from geventhttpclient import url as url_module
 import msgspec
@@ -14,6 +15,7 @@
 WATCH_TIMEOUT_SECONDS = 25.0
 API_ROOT = "/apis/v1/"
 HTTP_CONFLICT = 409
+READ_BYTES = 64 * 1024
 CONNECTION_ERRORS = (OSError, geventhttpclient.response.HTTPParseError)
 
 
@@ -47,10 +49,21 @@
 
     def __init__(self, server, token=""):
         self.url = server
+        # ``None`` is no bound; see ``bound_responses``.
+        self._max_response_bytes = None
+        self._max_response_seconds = None
         self._headers = {"Content-Type": "application/json"}
         if token:
             self._headers["Authorization"] = f"Bearer {token}"
 
+    def bound_responses(self, max_bytes, max_seconds):
+        """Fail each call with a response that is longer or takes longer.
+
+        The time is that of the whole call, from the connection on.
+        """
+        self._max_response_bytes = max_bytes
+        self._max_response_seconds = max_seconds
+
     def get(self, *path_segments):
         """Return all objects of a kind, or one object."""
         return self._call("GET", path_segments, b"", {})
@@ -104,18 +117,52 @@
         client = geventhttpclient.HTTPClient.from_url(
             url_module.URL(self.url), network_timeout=REQUEST_TIMEOUT_SECONDS
         )
+        too_late = ApiError(
+            0,
+            f"{self.url} sent no whole response within"
+            f" {self._max_response_seconds} s.",
+            "send it again later, or give another instance",
+        )
         try:
-            response = client.request(
-                method, path, body, {**self._headers, **headers}
-            )
-            text = response.read()
+            with gevent.Timeout(self._max_response_seconds, too_late):
+                response = client.request(
+                    method, path, body, {**self._headers, **headers}
+                )
+                text = self._read(response)
         except CONNECTION_ERRORS as exc:
             raise _unreachable_error(self.url, exc)
         finally:
             client.close()
         if response.status_code >= 400:
             raise _response_error(response.status_code, text)
+        return _decode(self.url, text)
+
+    def _read(self, response):
+        if self._max_response_bytes is None:
+            return response.read()
+        chunks, size = [], 0
+        while chunk := response.read(READ_BYTES):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > self._max_response_bytes:
+                raise ApiError(
+                    0,
+                    f"{self.url} sent more than"
+                    f" {self._max_response_bytes} bytes.",
+                    "check that --server names an operators listener",
+                )
+        return b"".join(chunks)
+
+
+def _decode(url, text):
+    try:
         return msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise ApiError(
+            0,
+            f"{url} sent a response that is not JSON: {exc}.",
+            "check that --server names an operators listener",
+        )
 
 
 def _unreachable_error(url, exc):
