--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/changing.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/changing.py
@@ -1,10 +1,7 @@
-"""Commands that apply, validate, export and roll back declared objects."""
+"""Commands that apply, export and roll back declared objects."""
 
-import pathlib
-import typing
 import uuid
 
-import cyclopts
 import gevent
 import msgspec
 import yaml
@@ -20,15 +17,10 @@
 RETRY_PAUSE_SECONDS = 1.0
 RETRYABLE_STATUSES = (0, 503, 504)
 
-# The ``-f``/``--file`` option: a YAML file, or a folder of YAML files.
-FileOption = typing.Annotated[
-    pathlib.Path, cyclopts.Parameter(name=["-f", "--file"])
-]
-
 
 def apply(
     *,
-    f: FileOption,
+    f: options.FileOption,
     operation_id: str = "",
     target: options.Target = options.Target(),
 ):
@@ -45,22 +37,11 @@
     """
     objects = documents.read_documents(f)
     result = _send_with_retries(
-        target, ("changes",), _encode_operations(objects), operation_id
+        target, ("changes",), documents.encode_change(objects), operation_id
     )
     print(f"{len(objects)} objects applied at version {result['version']}")
 
 
-def check(*, f: FileOption, target: options.Target = options.Target()):
-    """Validate the objects in a file or folder without applying them.
-
-    Example: dandelionctl check -f examples/derwent/resources
-    """
-    objects = documents.read_documents(f)
-    server = target.api()
-    server.post("changes?dry_run=true", body=_encode_operations(objects))
-    print(f"{len(objects)} objects are valid")
-
-
 def export(*, target: options.Target = options.Target()):
     """Print all declared objects as YAML that ``apply -f`` accepts.
 
@@ -97,19 +78,6 @@
     print(f"objects of version {to} restored, at version {result['version']}")
 
 
-def _encode_operations(objects):
-    operations = [
-        {
-            "verb": "put",
-            "kind": item.kind,
-            "name": item.name,
-            "spec": item.spec,
-        }
-        for item in objects
-    ]
-    return msgspec.json.encode({"operations": operations})
-
-
 def _send_with_retries(target, path_segments, body, operation_id):
     """Send one change, and retry while its outcome is unknown.
 
@@ -135,5 +103,5 @@
 
 def register(app):
     """Add this module's commands to ``app``."""
-    for command in (apply, check, export, rollback):
+    for command in (apply, export, rollback):
         app.command(command)
--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/documents.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/documents.py
@@ -4,6 +4,7 @@
 import typing
 
 import dandeliontrail
+from dandeliontrail.resources import changes
 import msgspec
 import yaml
 
@@ -16,6 +17,25 @@
     "modelplacements",
 )
 
+# ``ValueError`` includes text that is not UTF-8, and dates that do not exist.
+READ_ERRORS = (
+    OSError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    yaml.YAMLError,
+    msgspec.MsgspecError,
+)
+
+
+class UnreadablePath(dandeliontrail.SettingsError):
+    """A file or folder cannot be read; ``path`` names it."""
+
+    def __init__(self, path, message, remedy):
+        super().__init__(message, remedy)
+        self.path = path
+
 
 class Document(msgspec.Struct, forbid_unknown_fields=True):
     """One object in a file.
@@ -34,35 +54,77 @@
     """Return the objects in a file, or in all YAML files of a folder.
 
     They are sorted so that an object comes after those it refers to.
-    Raises :class:`dandeliontrail.SettingsError` for a folder without YAML
-    files, an unreadable file or an invalid document.
+    Raises :class:`UnreadablePath` for a folder without YAML files, an
+    unreadable file or an invalid document.
+    """
+    documents, errors = read_all(path)
+    if errors:
+        raise errors[0]
+    return documents
+
+
+def read_all(path):
+    """Return the objects of the readable files, and the errors of others.
+
+    The objects are those of :func:`read_documents`, the errors are its
+    exceptions, one for each unreadable file.
     """
     path = pathlib.Path(path)
     files = sorted(path.glob("*.yaml")) if path.is_dir() else [path]
     if not files:
-        raise dandeliontrail.SettingsError(
-            f"{path} holds no .yaml file.",
-            "name a file, or a folder with such files",
-        )
-    documents = []
+        return [], [_empty_folder(path)]
+    documents, errors = [], []
     for file in files:
-        documents.extend(_read_file(file))
-    return sorted(documents, key=_apply_order)
+        try:
+            documents.extend(_read_file(file))
+        except UnreadablePath as exc:
+            errors.append(exc)
+    return sorted(documents, key=_apply_order), errors
+
+
+def operations_of(documents):
+    """Return the operations that declare the objects."""
+    return [
+        changes.Operation(
+            changes.Verb.PUT,
+            item.kind,
+            item.name,
+            msgspec.Raw(msgspec.json.encode(item.spec)),
+        )
+        for item in documents
+    ]
+
+
+def encode_change(documents):
+    """Return the body of a change that declares the objects."""
+    return msgspec.json.encode({"operations": operations_of(documents)})
+
+
+def _empty_folder(path):
+    return UnreadablePath(
+        path,
+        f"{path} holds no .yaml file.",
+        "name a file, or a folder with such files",
+    )
 
 
 def _read_file(file):
     try:
-        loaded = list(yaml.safe_load_all(file.read_text()))
-        return [
+        loaded = list(yaml.safe_load_all(file.read_text(encoding="utf-8")))
+        found = [
             msgspec.convert(item, Document)
             for item in loaded
             if item is not None
         ]
-    except (OSError, yaml.YAMLError, msgspec.ValidationError) as exc:
-        raise dandeliontrail.SettingsError(
+        # YAML can hold what JSON cannot, such as a list that contains itself.
+        msgspec.json.encode(found)
+    except READ_ERRORS as exc:
+        raise UnreadablePath(
+            file,
             f"{file}: {' '.join(str(exc).split())}.",
             "write kind, name and spec in each document",
         )
+    return found
 
 
 def _apply_order(document):
--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/main.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/main.py
@@ -1,7 +1,7 @@
 """The entry point of ``dandelionctl``.
 
 Exit codes: 0 success, 1 failure, 2 bad usage or input, 3 version conflict,
-130 interrupted.
+130 interrupted.  ``check`` returns 1 for warnings and 2 for errors.
 """
 
 from gevent import monkey
@@ -17,6 +17,7 @@
 from . import api  # noqa: E402
 from . import jsonlog  # noqa: E402
 from .commands import changing  # noqa: E402
+from .commands import checking  # noqa: E402
 from .commands import drain  # noqa: E402
 from .commands import keepers  # noqa: E402
 from .commands import objects  # noqa: E402
@@ -35,7 +36,15 @@
     version=__version__,
     help="Declare and watch objects of dandeliontrail, and show its state.",
 )
-for module in (changing, watching, objects, overview, drain, keepers):
+for module in (
+    changing,
+    checking,
+    watching,
+    objects,
+    overview,
+    drain,
+    keepers,
+):
     module.register(app)
 
 
--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/options.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/options.py
@@ -26,6 +26,11 @@
 CONFIG_VARIABLE = "DANDELIONCTL_CONFIG"
 CONFIG_PATH = "~/.config/dandelionctl.yaml"
 
+# The ``-f``/``--file`` option: a YAML file, or a folder of YAML files.
+FileOption = typing.Annotated[
+    pathlib.Path, cyclopts.Parameter(name=["-f", "--file"])
+]
+
 
 class Output(enum.Enum):
     """Output format."""
