Findings of objects: classes as requests are accepted, one cut of keys

Change: the warning no-class in place of default-class, unused-class by the listed and default ones; hashes are shortened in one place.

--- a/packages/dandeliontrail/src/dandeliontrail/resources/object_differences.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/object_differences.py
@@ -5,12 +5,9 @@
 from .. import errors
 from . import changes
 from . import checks
+from . import comparison
 from . import findings
 
-KEY_PREFIX = "sha256:"
-# Enough to recognise a key, too few to search for it in other records.
-SHOWN_HASH_CHARACTERS = 12
-
 
 def differences(before, after):
     """Return how the objects that ``after`` declares differ from ``before``.
@@ -58,7 +55,9 @@
         return [_difference(findings.DifferenceKind.CHANGED, field)]
     attributes = [
         findings.AttributeChange(
-            name, _shown(name, before[name]), _shown(name, after[name])
+            name,
+            comparison.shortened(before[name]),
+            comparison.shortened(after[name]),
         )
         for name in before
         if before[name] != after[name]
@@ -85,10 +84,3 @@
             yield prefix + name, sorted(value)
         else:
             yield prefix + name, value
-
-
-def _shown(name, value):
-    if name != "keys":
-        return value
-    length = len(KEY_PREFIX) + SHOWN_HASH_CHARACTERS
-    return [key[:length] for key in value]
--- a/packages/dandeliontrail/src/dandeliontrail/resources/object_warnings.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/object_warnings.py
@@ -39,15 +39,13 @@
         )
 
 
-def _default_class(spec):
-    if not spec.classes or not spec.default_class:
-        return
-    if spec.default_class not in spec.classes:
+def _no_class(spec):
+    if not spec.classes and not spec.default_class:
         yield (
-            "default-class",
-            f"the default class {spec.default_class!r} is not among the"
-            " classes of the organisation.",
-            "add it to spec.classes, or choose one of these",
+            "no-class",
+            "the organisation has no request class, so none of its requests"
+            " is accepted.",
+            "add a class to spec.classes or set spec.default_class",
         )
 
 
@@ -100,10 +98,9 @@
 
 def _unused_classes(objects):
     organisations = objects[Kind.ORGANISATIONS].values()
-    # An invalid organisation may use any class, also unknown ones.
-    if any(spec is None or not spec.classes for spec in organisations):
+    if None in organisations:
         return []
-    # An organisation may also use a default class that it does not list.
+    # An organisation may use a default class that it does not list.
     usable = {spec.default_class for spec in organisations}
     usable.update(*(spec.classes for spec in organisations))
     return _unused(
@@ -143,7 +140,7 @@
 
 _LIMITS = (_zero_limits, _contradicting_limits)
 _RULES = {
-    Kind.ORGANISATIONS: (_no_keys, _default_class, *_LIMITS),
+    Kind.ORGANISATIONS: (_no_keys, _no_class, *_LIMITS),
     Kind.REQUEST_CLASSES: (_targets, *_LIMITS),
     Kind.BACKEND_POOLS: (_unmatched_select,),
 }
