--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/documents.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/documents.py
@@ -1,5 +1,6 @@
 """Reads declared objects from YAML files."""
 
+import os
 import pathlib
 import typing
 
@@ -18,7 +19,11 @@
 )
 
 # ``ValueError`` includes text that is not UTF-8, and dates that do not exist.
+# PyYAML raises ``AttributeError`` and ``LookupError`` for scalars that do not
+# fit an explicit tag, such as ``!!bool x``.
 READ_ERRORS = (
+    AttributeError,
+    LookupError,
     OSError,
     OverflowError,
     RecursionError,
@@ -70,7 +75,10 @@
     exceptions, one for each unreadable file.
     """
     path = pathlib.Path(path)
-    files = sorted(path.glob("*.yaml")) if path.is_dir() else [path]
+    # ``Path.is_dir`` raises an error for a name that is too long, and in a
+    # folder without permission; reading the file reports it with its path.
+    is_folder = os.path.isdir(path)
+    files = sorted(path.glob("*.yaml")) if is_folder else [path]
     if not files:
         return [], [_empty_folder(path)]
     documents, errors = [], []
--- a/tests/cover/test_dandelionctl_check.py
+++ b/tests/cover/test_dandelionctl_check.py
@@ -101,6 +101,9 @@
         ("kind: \xff", "position 6"),
         ("&a {kind: k, name: n, spec: {x: *a}}", "recursion"),
         ("kind: k\nname: n\nspec: {x: 2024-13-45}", "month"),
+        ("!!timestamp x", "groupdict"),
+        ("!!bool x", "'x'"),
+        ("!!int ''", "index"),
         (None, "No such file"),
     ],
 )
@@ -119,6 +122,13 @@
     assert summary(report) == [("unreadable", str(path)), UNUSED]
 
 
+def test_a_path_that_is_too_long_is_a_finding(check):
+    # Guards against a traceback before the file is opened.
+    path = "x" * 300
+    code, report = check(path, "--offline")
+    assert (code, summary(report)) == (2, [("unreadable", path)])
+
+
 def test_objects_are_compared_with_those_of_an_instance(check, write):
     # Guards against a check without the objects in force, and one that
     # applies something.
