--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/documents.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/documents.py
@@ -129,12 +129,28 @@
     except READ_ERRORS as exc:
         raise UnreadablePath(
             file,
-            f"{file}: {' '.join(str(exc).split())}.",
+            f"{file}: {_reason(exc)}.",
             "write kind, name and spec in each document",
         )
     return found
 
 
+def _reason(exc):
+    """Return the reason of a read error in one line.
+
+    Errors of PyYAML quote the lines around their position, which may contain
+    keys, so only their description and position are used.
+    """
+    if not isinstance(exc, yaml.MarkedYAMLError):
+        return " ".join(str(exc).split())
+    parts = [text for text in (exc.context, exc.problem) if text]
+    reason = " ".join(", ".join(parts).split())
+    mark = exc.problem_mark or exc.context_mark
+    if mark is None:
+        return reason
+    return f"{reason} (line {mark.line + 1}, column {mark.column + 1})"
+
+
 def _apply_order(document):
     if document.kind not in KINDS_IN_APPLY_ORDER:
         return len(KINDS_IN_APPLY_ORDER)
--- a/tests/cover/test_dandelionctl_check.py
+++ b/tests/cover/test_dandelionctl_check.py
@@ -129,6 +129,14 @@
     assert (code, summary(report)) == (2, [("unreadable", path)])
 
 
+def test_a_syntax_error_does_not_show_the_keys_beside_it(check, write):
+    # Guards against keys in the logs of pipelines.
+    path = write("spec: {keys: [secret}", "bad.yaml")
+    code, report = check(path, "--offline")
+    message = report["findings"][0]["message"]
+    assert "(line 1, column 21)" in message and "secret" not in message
+
+
 def test_objects_are_compared_with_those_of_an_instance(check, write):
     # Guards against a check without the objects in force, and one that
     # applies something.
