--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/checking.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/commands/checking.py
@@ -80,7 +80,17 @@
 
 
 def _unreadable(source, exc):
-    return findings.error(findings.UNREADABLE, source, exc.message, exc.remedy)
+    return findings.error(
+        findings.UNREADABLE,
+        _encodable(source),
+        _encodable(exc.message),
+        exc.remedy,
+    )
+
+
+def _encodable(text):
+    """Return a text with the bytes of a path that are not UTF-8 escaped."""
+    return text.encode(errors="backslashreplace").decode()
 
 
 def register(app):
--- a/tests/cover/test_dandelionctl_check.py
+++ b/tests/cover/test_dandelionctl_check.py
@@ -137,6 +137,13 @@
     assert "(line 1, column 21)" in message and "secret" not in message
 
 
+def test_a_path_that_is_not_utf_8_is_a_finding(check):
+    # Guards against a report that cannot be printed.
+    code, report = check("no\udcffne.yaml", "--offline")
+    name = "no\\udcffne.yaml"
+    assert (code, summary(report)) == (2, [("unreadable", name)])
+
+
 def test_objects_are_compared_with_those_of_an_instance(check, write):
     # Guards against a check without the objects in force, and one that
     # applies something.
