--- a/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
+++ b/packages/dandeliontrail-ctl/src/dandeliontrail_ctl/api.py
@@ -16,7 +16,12 @@
 API_ROOT = "/apis/v1/"
 HTTP_CONFLICT = 409
 READ_BYTES = 64 * 1024
-CONNECTION_ERRORS = (OSError, geventhttpclient.response.HTTPParseError)
+# ``UnicodeError`` is raised for a host that is no valid name: ``a..b``.
+CONNECTION_ERRORS = (
+    OSError,
+    UnicodeError,
+    geventhttpclient.response.HTTPParseError,
+)
 
 
 class ApiError(dandeliontrail.DandeliontrailError):
@@ -88,9 +93,7 @@
         path = API_ROOT + "/".join(
             urllib.parse.quote(segment) for segment in path_segments
         )
-        client = geventhttpclient.HTTPClient.from_url(
-            url_module.URL(self.url), network_timeout=WATCH_TIMEOUT_SECONDS
-        )
+        client = self._new_client(WATCH_TIMEOUT_SECONDS)
         try:
             response = client.get(
                 f"{path}?watch=true&from={version}", self._headers
@@ -110,13 +113,20 @@
             "DELETE", (kind, name), b"", _option_headers(options)
         )
 
+    def _new_client(self, timeout):
+        try:
+            return geventhttpclient.HTTPClient.from_url(
+                url_module.URL(self.url), network_timeout=timeout
+            )
+        except ValueError as exc:
+            # The URL is malformed, for example its port is no number.
+            raise _unreachable_error(self.url, exc)
+
     def _call(self, method, path_segments, body, headers):
         path = API_ROOT + "/".join(
             urllib.parse.quote(segment, safe="?=") for segment in path_segments
         )
-        client = geventhttpclient.HTTPClient.from_url(
-            url_module.URL(self.url), network_timeout=REQUEST_TIMEOUT_SECONDS
-        )
+        client = self._new_client(REQUEST_TIMEOUT_SECONDS)
         too_late = ApiError(
             0,
             f"{self.url} sent no whole response within"
@@ -185,6 +195,6 @@
 def _response_error(status, text):
     try:
         details = msgspec.json.decode(text, type=ErrorAnswer).error
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return ApiError(status, f"HTTP {status}.", "see the instance's log")
     return ApiError(status, details.message, details.remedy)
--- a/tests/cover/test_dandelionctl_check.py
+++ b/tests/cover/test_dandelionctl_check.py
@@ -187,6 +187,19 @@
     unreachable = check(write(GOOD), "--server", url)
     for code, report in (failing, unreachable):
         assert (code, summary(report)) == (2, [("unreadable", url)])
+    nested = b'{"x": ' + b"[" * 100000
+    with stand_in(answer("400 Bad Request", nested)) as url:
+        code, report = check(write(GOOD), "--server", url)
+    assert (code, summary(report)) == (2, [("rejected", url)])
+
+
+@pytest.mark.parametrize(
+    "url", ["http://a..b", "http://h:x", "http://h:99999", "http://[::1"]
+)
+def test_a_malformed_url_is_a_finding(check, write, url):
+    # Guards against a traceback that hides the findings of the file.
+    code, report = check(write(POOL), "--server", url)
+    assert (code, summary(report)) == (2, [("unreadable", url), UNUSED])
 
 
 def endless(environ, start_response):
