--- a/tests/cover/test_check_manifest.py
+++ b/tests/cover/test_check_manifest.py
@@ -225,6 +225,13 @@
     assert check(path, "--from", url)[:2] == (2, [("unreadable", url)])
 
 
+@pytest.mark.parametrize("option", ["--against", "--from"])
+def test_an_empty_source_is_unreadable(write, check, option):
+    # As from an unset variable of a shell: it must not pass as compared.
+    path = write("new", platform_world.manifest(1))
+    assert check(path, option, "")[:2] == (2, [("unreadable", "")])
+
+
 def test_two_sources_are_a_usage_error(check):
     with pytest.raises(SystemExit) as caught:
         check("new", "--against", "old", "--from", "http://h")
