Peers are asked less and less about servers that none of them reaches

Cause: while 17 of 140 engines were down for 5 s, each of 78 instances asked a peer ten times a second whether it reaches one of them: 4,396 refused tunnels in 7 s, each a connection between instances with a log line on both sides. Servers were asked about in the order of their names, so those that nobody reaches kept others from being asked about. Change: the interval doubles up to 0.8 s after each peer that reaches others but not this one, and begins anew with a newly lost path or a success; the server is drawn at random.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_checks.py
@@ -30,8 +30,11 @@
 # are used again soon after a partition heals.
 MAX_INTERVAL_SECONDS = 2.0
 # How often a peer is asked whether it reaches one of the servers whose path is
-# lost, while none is known to.
+# lost, while none is known to.  The interval doubles up to the second figure
+# while peers that reach others do not reach these: they are down then, and
+# each question costs both sides the opening of a tunnel.
 PEER_CHECK_SECONDS = 0.1
+MAX_PEER_CHECK_SECONDS = 0.8
 # Intervals are drawn from this range around their value, so that the checks of
 # many instances do not come at once.
 JITTER_RANGE = (0.75, 1.25)
@@ -70,6 +73,7 @@
         self._pending = set()
         self._pending_through_peers = set()
         self._next_peer_check = 0.0
+        self._peer_check_seconds = PEER_CHECK_SECONDS
         self._next_spread = 0.0
         self.unreachable = set()
         self.lost_since = 0.0
@@ -129,12 +133,15 @@
         """
         if now < self._next_peer_check:
             return []
-        for name in sorted(self.unreachable - self._pending_through_peers):
+        names = sorted(self.unreachable - self._pending_through_peers)
+        # In random order, so that servers that are down do not keep the others
+        # from being asked about.
+        for name in self._rng.sample(names, len(names)):
             if self._peer_paths.is_confirmed(name, now):
                 continue
             if not self._peer_paths.exists(name, now):
                 continue
-            self._next_peer_check = now + PEER_CHECK_SECONDS
+            self._next_peer_check = now + self._peer_check_seconds
             self._pending_through_peers.add(name)
             peer = self._peer_paths.choose(name, "", now)
             return [Check(name, peer=peer)]
@@ -147,12 +154,21 @@
         else:
             self._pending.discard(server)
 
+    def record_peer_check(self, reached):
+        """Record whether a peer that reaches servers reaches a lost one."""
+        if reached:
+            self._peer_check_seconds = PEER_CHECK_SECONDS
+        else:
+            self._peer_check_seconds = min(
+                MAX_PEER_CHECK_SECONDS, 2 * self._peer_check_seconds
+            )
+
     def record_unreachable(self, server, since, now):
         """Record that a server cannot be reached.
 
         Wants checks of some others of which nothing has been heard since
-        ``since``, if the server was reachable before or no others were checked
-        for a while.
+        ``since``, if the server was reachable before or the last such checks
+        are ``SPREAD_SECONDS`` ago.
         """
         health = self._table.server(server).health
         health.record_unreachable(now)
@@ -160,7 +176,9 @@
         health.blocked_until = now + delay * self._rng.uniform(*JITTER_RANGE)
         if not self.unreachable:
             self.lost_since = since
-        if server in self.unreachable and now < self._next_spread:
+        if server not in self.unreachable:
+            self._peer_check_seconds = PEER_CHECK_SECONDS
+        elif now < self._next_spread:
             return
         self.unreachable.add(server)
         self._next_spread = now + SPREAD_SECONDS
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/path_feedback.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/path_feedback.py
@@ -179,8 +179,11 @@
         peer, server = result.peer, result.backend_server
         if result.reached:
             self._peer_paths.record_reached(peer, server, now)
-        else:
-            self._record_path_failure(peer, server, result.path_failure, now)
+            self._checks.record_peer_check(reached=True)
+            return
+        if result.path_failure is peer_paths.PathFailure.SERVER:
+            self._checks.record_peer_check(reached=False)
+        self._record_path_failure(peer, server, result.path_failure, now)
 
     def _add_server_finding(self, text, server, health, now):
         seconds = max(0.0, health.blocked_until - now)
--- a/tests/cover/test_paths_through_peers.py
+++ b/tests/cover/test_paths_through_peers.py
@@ -124,6 +124,8 @@
         self.crashed = set()
         self.hears_others = False
         self.checked = []
+        self.peer_checks = 0
+        self.reached_through_peers = set()
         self._running = []
 
     @property
@@ -146,6 +148,7 @@
         for check in self.policy.due_checks(now):
             is_lost = self._is_lost(check) and not check.peer
             self.checked.append(check.server)
+            self.peer_checks += bool(check.peer)
             if is_lost:
                 self._running.append((check, now + CONNECT_SECONDS))
             else:
@@ -159,6 +162,8 @@
             peer=check.peer,
             path_failure=PathFailure.SERVER,
         )
+        if check.peer and result.reached:
+            self.reached_through_peers.add(check.server)
         self.policy.path_checked(result, now)
 
     def _is_lost(self, check):
@@ -231,6 +236,34 @@
     assert len(sound) <= spreads * path_checks.SPREAD_CHECKS
 
 
+def test_peers_are_asked_ever_less_often_about_servers_that_are_down():
+    # Guards against questions that take a quarter of the processor time of all
+    # instances while some servers are down.
+    instance = Instance(servers=40, instances=40)
+    observed(instance)
+    instance.crashed = set(sorted(instance.names)[:7])
+    for name in sorted(instance.crashed):
+        instance.finish(path_checks.Check(name), instance.harness.now)
+    for _ in range(round(6.0 / TICK_SECONDS)):
+        instance.tick()
+    seconds = path_checks.MAX_PEER_CHECK_SECONDS
+    assert 6.0 / seconds <= instance.peer_checks <= 6.0 / seconds + 5
+
+
+def test_a_server_that_peers_reach_is_found_beside_some_that_are_down():
+    # Guards against servers that are never asked about after those that no
+    # peer reaches, which have the first names.
+    instance = Instance(servers=40, instances=40)
+    observed(instance)
+    instance.crashed = set(sorted(instance.names)[:5])
+    instance.lost = set(sorted(instance.names)[5:10])
+    for name in sorted(instance.crashed | instance.lost):
+        instance.finish(path_checks.Check(name), instance.harness.now)
+    for _ in range(round(3.0 / TICK_SECONDS)):
+        instance.tick()
+    assert instance.lost <= instance.reached_through_peers
+
+
 def test_calm_servers_are_not_checked():
     instance = Instance()
     observed(instance)
