No engine is reserved for low-latency streams where there are none

Cause: at least one engine of a service was reserved, also where no route names a longest pause, so that no stream counts as a low-latency one. Change: engines are reserved only where a route names a longest pause. Result: all engines take long prompts there; services with such a route are served as before.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/affinity.py
@@ -127,6 +127,7 @@
 
     __slots__ = (
         "_names",
+        "_has_low_latency",
         "_order",
         "_kept",
         "_count",
@@ -137,6 +138,7 @@
 
     def __init__(self):
         self._names = None
+        self._has_low_latency = True
         self._order = []
         # The names of the reserved engines, and how many there should be.
         self._kept = frozenset()
@@ -146,11 +148,15 @@
         self._next_resize = 0.0
         self._ranks = {}
 
-    def set_engines(self, service, names):
-        """Set the engines of the service; ``names`` must be sorted."""
-        if names == self._names:
+    def set_engines(self, service, names, has_low_latency=True):
+        """Set the engines of the service; ``names`` must be sorted.
+
+        Without low-latency streams no engine is reserved for them.
+        """
+        if names == self._names and has_low_latency == self._has_low_latency:
             return
         self._names = names
+        self._has_low_latency = has_low_latency
         self._order = rendezvous_order(service, names)
         if self._count is None and len(names) > 1:
             self._count = self._usual_count()
@@ -158,7 +164,7 @@
 
     def _assign(self):
         reserved = 0
-        if len(self._order) > 1:
+        if len(self._order) > 1 and self._has_low_latency:
             reserved = min(self._count, self._max_count())
         self._kept = frozenset(self._order[:reserved])
         self._ranks = {}
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/engine_choice.py
@@ -271,7 +271,8 @@
             names = sorted(
                 server.announcement.backend_server for server in servers
             )
-            groups.set_engines(service, names)
+            has_low_latency = traits.shortest_gap_seconds > 0
+            groups.set_engines(service, names, has_low_latency)
             slots = servers[0].announcement.slots
             table = self._table
             groups.resize(table.running, table.unread, slots, now)
--- a/tests/cover/test_shared_policy.py
+++ b/tests/cover/test_shared_policy.py
@@ -532,6 +532,16 @@
     assert reserved >= 4
 
 
+def test_no_engine_is_reserved_where_no_stream_is_a_low_latency_one():
+    # Guards against an engine that idles while long prompts are refused.
+    groups = affinity.EngineGroups()
+    names = ["e0", "e1", "e2"]
+    groups.set_engines("s", names, has_low_latency=False)
+    assert sorted(groups.members(low_latency=False)) == names
+    groups.set_engines("s", names, has_low_latency=True)
+    assert len(groups.members(low_latency=False)) == 2
+
+
 def test_no_more_engines_are_reserved_while_long_prompts_wait_too():
     # Chats and reviews triple at once.  What the chats would gain by further
     # engines, the reviews would lose, which are worth more and take longer
