--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -71,6 +71,7 @@
         self.losses = losses_module.Losses(world, mix.strikes_early)
         self._parts = (
             self,
+            ServerFaults(world.servers),
             keeper_faults.KeeperFaults(world, self.losses),
             replacements.Replacements(world, self.losses),
         )
@@ -174,12 +175,21 @@
             if rng.random() < 0.5:
                 processes.reload_settings(program, rng)
 
-    # -- backend servers --------------------------------------------------
+    # -- the operator -----------------------------------------------------
+
+    def key_revoked(self, rng):
+        """The operator revokes the oldest key."""
+        self._world.revoke_oldest_key()
+
+
+class ServerFaults:
+    """Faults of some backend servers and of the paths to them."""
+
+    def __init__(self, servers):
+        self._servers = servers
 
     def _pick_server(self, rng):
-        candidates = [
-            item for item in self._world.servers if item.state == "ready"
-        ]
+        candidates = [item for item in self._servers if item.state == "ready"]
         return rng.choice(candidates) if len(candidates) > 2 else None
 
     def server_restarts(self, rng):
@@ -222,12 +232,6 @@
             server.mark_disrupted()
             server.proxy.reset()
 
-    # -- the operator -----------------------------------------------------
-
-    def key_revoked(self, rng):
-        """The operator revokes the oldest key."""
-        self._world.revoke_oldest_key()
-
 
 FIRST_KINDS = (
     "entry_killed",
