Soak: long prompts exercise prefill queues

The soak had no model engines, so no holder of a prefill queue was ever killed, frozen or cut off with prompts in its queue. The mix all now has three engines of different pace, two routes that enable queues, and callers that send bursts of long prompts until the end of the run.

Queues are not used while any server names a limit, which servers do most of the time in this mix. Therefore the run begins with a span in which the entries and keepers are disrupted and no limit is named; then calm is awaited and what is sent is judged.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,7 +36,7 @@
     one is not skipped.  With ``has_end`` the run ends with a final fault, and
     with ``has_parts`` some requests crash their servers; with
     ``has_troubled`` servers ask for rest, leave by their answers and send
-    without end.
+    without end.  With ``has_prompts`` long prompts are sent to model engines.
     """
 
     kinds: tuple
@@ -44,6 +44,7 @@
     has_end: bool
     has_parts: bool = False
     has_troubled: bool = False
+    has_prompts: bool = False
 
 
 def plan(seed, seconds, kinds):
@@ -86,7 +87,16 @@
             now = planned.at
             self.injected.append(planned.kind)
             rng = processes.seeded_random(self._seed, planned.number)
-            self._jobs.append(gevent.spawn(self._find(planned.kind), rng))
+            self._jobs.append(gevent.spawn(self._inject, planned.kind, rng))
+
+    def _inject(self, kind, rng):
+        """Inject a fault; count it while it lasts unless it is a server's."""
+        is_counted = not kind.startswith("server_")
+        self._world.active_faults += is_counted
+        try:
+            self._find(kind)(rng)
+        finally:
+            self._world.active_faults -= is_counted
 
     def _find(self, kind):
         (part,) = [item for item in self._parts if hasattr(item, kind)]
@@ -281,5 +291,6 @@
     has_end=True,
     has_parts=True,
     has_troubled=True,
+    has_prompts=True,
 )
 MIXES = {"first": FIRST_MIX, "keepers": KEEPER_MIX, "all": ALL_MIX}
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 from tests.soak import faults as faults_module
 from tests.soak import limits as limits_module
 from tests.soak import paths as paths_module
+from tests.soak import prompts as prompts_module
 from tests.soak import versions as versions_module
 from tests.soak import world as world_module
 
@@ -31,6 +32,8 @@
     of each that came too late; ``troubled`` counts the rests, the servers that
     left by their answers and those that sent without end, and
     ``most_growth_mb`` is how much the memory of an entry grew at the most.
+    ``prompts`` counts the long prompts, and has the faults in the span in
+    which only they are judged.
     ``end`` is the final fault, and ``recovered`` the seconds until the
     operator read and changed the configuration after it; ``longest_wait`` is
     the longest time between two accepted changes.  ``timeline`` has the events
@@ -51,6 +54,7 @@
     late_parts: list
     troubled: tuple
     most_growth_mb: float
+    prompts: dict
     end: str
     recovered: tuple
     longest_wait: float
@@ -81,6 +85,9 @@
             world.spawn(
                 _repeat, READ_INTERVAL_SECONDS, lambda: world.check_read(False)
             )
+            prompts = prompts_module.Prompts(world, seed)
+            if mix.has_prompts:
+                prompts.run_first()
             limits = limits_module.Limits(world, seed)
             world.spawn(limits.run_forever)
             paths = paths_module.Paths(world, seed)
@@ -111,6 +118,8 @@
             versions.check()
             world.parts.check()
             world.troubled.check()
+            if mix.has_prompts:
+                prompts.check()
             if logs and (world.findings or keep_all):
                 world.keep_logs(pathlib.Path(logs) / f"seed-{seed}")
             troubled = world.troubled
@@ -133,6 +142,7 @@
                 world.parts.late_sends(),
                 (troubled.rests, troubled.leavings, troubled.endless),
                 troubled.most_growth_mb,
+                prompts.summary(),
                 end,
                 recovered,
                 round(world.longest_wait, 2),
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -34,6 +34,8 @@
     def __init__(self, number, world):
         self._world = world
         self._number = number
+        # Fields of the heartbeats that differ from those of most servers.
+        self.heartbeat_fields = {}
         self._inner = platform_world.Server("127.0.0.1", self._script)
         self.proxy = proxy_module.Proxy(self._inner.address, by_address=True)
         self.incarnation = 0
@@ -130,6 +132,9 @@
             return "close"
         if self._world.parts.arrived(self, request_id, head):
             return "close"
+        return self._respond(sock, head, request_id)
+
+    def _respond(self, sock, head, request_id):
         gevent.sleep(self._world.rng.uniform(0.005, 0.06))
         if " /chat/" in head.split("\r\n")[0]:
             return self._stream(sock, head, request_id, self.version)
@@ -158,6 +163,10 @@
                 self._send_heartbeat(sequence)
             gevent.sleep(0.6)
 
+    def _keepers(self):
+        """Return the keepers in the order in which they are tried."""
+        return self._world.shuffled_keepers()
+
     def _send_heartbeat(self, sequence):
         state = self.state
         incarnation = self.incarnation
@@ -169,9 +178,10 @@
             "slots": 6,
             "state": state,
             "sequence": sequence,
+            **self.heartbeat_fields,
         }
         path = f"/api/instances/{self.id}"
-        for keeper in self._world.shuffled_keepers():
+        for keeper in self._keepers():
             reply = self._world.control(keeper, "PUT", path, body, 1.0)
             if reply is not None and reply.status == 200:
                 is_same = incarnation == self.incarnation
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -86,6 +86,10 @@
         self.timeline = []
         self._accepted_at = None
         self.keys = ["k0"]
+        # What replaces the defaults of the manifest.
+        self.manifest_parts = {}
+        # How many faults of the plan disrupt entries or keepers now.
+        self.active_faults = 0
         self.revoked = {}
         self.sent_with = {}
         self._count = 0
@@ -215,7 +219,9 @@
         """Send the next manifest to the keepers until one accepts it."""
         self.version += self.rng.randint(1, 3)
         version = self.version
-        document = platform_world.manifest(version, keys=self.keys)
+        document = platform_world.manifest(
+            version, keys=self.keys, **self.manifest_parts
+        )
         for keeper in self.shuffled_keepers():
             reply = self.control(keeper, "PUT", "/api/config", document)
             if reply is not None and reply.status == 200:
