Set-up: install pbr before packages are built without isolation

Where no wheel of hdrhistogram fits the machine (arm64), make setup built its source without pbr, which gives it its version: it called itself 0.0.0 and pip refused it for the pin 0.10.8. The build line of the deploy file has isolation and wasn't affected. No pin changed.

Before: make setup failed on a fresh arm64 machine.

--- a/Makefile
+++ b/Makefile
@@ -9,11 +9,12 @@
 
 setup: $(STAMP)
 
+# pbr gives hdrhistogram its version where no wheel fits the machine.
 $(STAMP): constraints.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		--constraint constraints.txt setuptools pytest hypothesis \
-		hacking ruff
+		hacking ruff pbr
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		--constraint constraints.txt --no-build-isolation \
 		$(foreach p,$(PACKAGES),--editable $(p))
