A request whose framing is malformed is refused before any of it runs

Cause: the standard library's parser ends the headers at the first line that is none, at a bare CR and at the end of the connection; what it dropped was not looked at, and the check of the framing saw only the headers left over. Relatives: folded lines, chunk sizes and trailers, a coding after a wide space, two Host lines, HTTP/0.9; and a listener that reads no body went on after malformed chunks, with the rest as the next request.

Fix: one strict rule for all listeners (request_framing). Each line of a head, each chunk size and trailer must have the form of RFC 9112 exactly, else 400 and the connection is closed; the library's parser sees only checked lines.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -9,6 +9,8 @@
 * an unread request body is read on for a short time only, so that the client
   sees the response (a lingering close: RFC 9112, section 9.6), and then the
   connection is closed;
+* a request whose end two HTTP parsers could disagree on is answered with 400
+  and its connection is closed (:mod:`.request_framing`);
 * a client that accepts no part of its response for ``write_seconds`` is
   disconnected, since it would block its engine stream forever.
 
@@ -22,6 +24,7 @@
 from gevent import pywsgi
 
 from . import connection
+from . import request_framing
 from . import wsgi
 
 LINGER_BYTES = 1024 * 1024
@@ -42,7 +45,7 @@
 
 
 class _LimitedHeadReader:
-    """Returns the lines of a request's head, up to a limit in bytes."""
+    """Returns the checked lines of a head, up to a limit in bytes."""
 
     __slots__ = ("_rfile", "_left", "_limit")
 
@@ -52,22 +55,40 @@
         self._limit = limit
 
     def readline(self, size=-1):
-        """Return the next line; raises :class:`Rejected` above the limit."""
+        """Return the next line; raises :class:`Rejected` above the limit.
+
+        Raises ``request_framing.Malformed`` if it is no header line, also at
+        the end of the connection.
+        """
         line = self._rfile.readline(self._left + 1)
         self._left -= len(line)
         if self._left < 0:
             raise Rejected(_head_too_large(self._limit))
-        return line
+        return request_framing.check_header_line(line)
 
 
 class _BoundedInput(pywsgi.Input):
     """The body of a request; an unread rest is discarded within limits."""
 
-    __slots__ = ("handler",)
+    __slots__ = ("handler", "chunks")
 
     def _discard(self):
-        if self._chunked_input_error:
-            return
+        try:
+            self._discard_bounded()
+        except OSError:
+            # Where the next request starts is not known.
+            self.handler.close_connection = True
+
+    def _chunked_read(self, length=None, use_readline=False):
+        """Return bytes of a chunked body; the apps read no lines of one."""
+        self._send_100_continue()
+        try:
+            return self.chunks.read(length)
+        except request_framing.Malformed as exc:
+            self.handler.close_connection = True
+            raise OSError(str(exc))
+
+    def _discard_bounded(self):
         self.send_100_continue_enabled = False
         with gevent.Timeout(LINGER_SECONDS, False):
             for _ in range(LINGER_BYTES // LINGER_READ_BYTES):
@@ -102,6 +123,7 @@
 
     def read_request(self, raw_requestline):
         """Read the head of a request within ``header_seconds``."""
+        request_framing.check_request_line(raw_requestline.encode("latin-1"))
         seconds = self.server.limits.header_seconds
         timeout = gevent.Timeout(seconds)
         try:
@@ -117,7 +139,7 @@
         limit = self.server.limits.header_bytes
         reader = _LimitedHeadReader(rfile, limit)
         headers = pywsgi.headers_factory(reader, seekable)
-        _check_framing(headers)
+        request_framing.check_headers(headers, self.request_version)
         return headers
 
     def get_environ(self):
@@ -128,9 +150,10 @@
             original.rfile,
             original.content_length,
             original.socket,
-            original.chunked_input,
+            self.headers.get("transfer-encoding") is not None,
         )
         bounded.handler = self
+        bounded.chunks = request_framing.ChunkedBody(original.rfile)
         self.wsgi_input = bounded
         environ["wsgi.input"] = bounded
         environ[wsgi.SOCKET] = self.socket
@@ -228,37 +251,11 @@
         super().handle(client_socket, address)
 
 
-def _check_framing(headers):
-    """Reject a request whose end two HTTP parsers could disagree on.
-
-    This prevents request smuggling (RFC 9112, section 11.2), in which one
-    server takes as a new request what another takes as part of the body.
-    """
-    lengths = headers.get_all("content-length") or []
-    codings = headers.get_all("transfer-encoding") or []
-    if lengths and codings:
-        raise Rejected(_bad_framing("both a length and a transfer coding"))
-    if len(lengths) > 1 or len(codings) > 1:
-        raise Rejected(_bad_framing("a repeated framing header"))
-    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
-        raise Rejected(_bad_framing("a Content-Length that is no number"))
-    if codings and codings[0].strip().lower() != "chunked":
-        raise Rejected(_bad_framing("a transfer coding other than chunked"))
-
-
-def _bad_framing(defect):
-    return wsgi.Problem(
-        400,
-        "bad_framing",
-        f"The request has {defect}.",
-        "send one Content-Length, or Transfer-Encoding: chunked alone",
-        outcome="not-run",
-    )
-
-
 def _client_error_problem(exc):
     if isinstance(exc, Rejected):
         return exc.problem
+    if isinstance(exc, request_framing.Malformed):
+        return _bad_framing(exc)
     return wsgi.Problem(
         400,
         "malformed_http",
@@ -268,6 +265,17 @@
     )
 
 
+def _bad_framing(exc):
+    return wsgi.Problem(
+        400,
+        "bad_framing",
+        f"The request has {exc}.",
+        "write each line as in RFC 9112, and send one Content-Length, or"
+        " Transfer-Encoding: chunked alone",
+        outcome="not-run",
+    )
+
+
 def _single_line(exc):
     return " ".join(str(exc).split())[:200]
 
