A tunnel says by itself that the server has ended its connection

Cause: the tunnel carried the server's bytes as they were, so that the end of the peer's process (a kill, a stop beyond the grace period, a freeze and a kill) looked like the end of the server's connection. Only a reset that the peer saw itself was passed on.

Fix: the peer sends the server's bytes in frames, and an empty frame when the server has ended its connection. A tunnel that ends without it is a broken connection. Instances and peers of earlier releases, which know no frames, are refused, by the Upgrade header; test_tunnels sends that header now where it stands for an instance.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -8,6 +8,7 @@
 
 from .. import connection
 from .. import peer_link
+from .. import tunnel_frames
 from .. import tunnel_messages
 from . import answer_bounds
 from . import answer_parser
@@ -41,6 +42,41 @@
         self.failure = failure
 
 
+class BrokenTunnel(ConnectionResetError):
+    """The tunnel ended, but not with the server's connection."""
+
+
+class TunnelSocket:
+    """A socket to a server through a peer, as far as requests use one.
+
+    ``received`` holds bytes of the tunnel that have arrived before.
+    """
+
+    def __init__(self, sock, received=b""):
+        self._sock = sock
+        self._decoder = tunnel_frames.FrameDecoder()
+        self._unread = self._decoder.feed(received)
+        self.send = sock.send
+        self.settimeout = sock.settimeout
+        self.setsockopt = sock.setsockopt
+        self.close = sock.close
+
+    def recv(self, size):
+        """Return bytes of the server, ``b""`` once it has ended.
+
+        Raises :class:`BrokenTunnel` if the tunnel ended by itself.
+        """
+        data, self._unread = self._unread, b""
+        while not data:
+            if self._decoder.ended:
+                return b""
+            frames = self._sock.recv(size)
+            if not frames:
+                raise BrokenTunnel("the tunnel ended before its server did")
+            data = self._decoder.feed(frames)
+        return data
+
+
 class TunnelOpener:
     """Opens tunnels for one instance.
 
@@ -81,7 +117,7 @@
                 f"tunnel through {path.peer}: {type(exc).__name__}: {exc}",
             )
         if refusal is None:
-            return sock
+            return TunnelSocket(sock, answer.body)
         _close(sock)
         raise NotOpened(
             _PATH_FAILURES.get(refusal, peer_paths.PathFailure.PEER),
@@ -110,29 +146,39 @@
 
 
 class _Answer(msgspec.Struct):
-    """The answer of a peer: its status and body."""
+    """The answer of a peer: its status, and its body or what follows it.
+
+    ``protocol`` is the one to which the peer has switched.
+    """
 
     status: int
     body: bytes
+    protocol: str = ""
 
 
 def _read_answer(sock):
-    """Return the answer to a request for a tunnel.
-
-    Nothing follows a 101 before this instance has sent something.
-    """
+    """Return the answer to a request for a tunnel."""
     data = b""
     while b"\r\n\r\n" not in data:
         data += _receive(sock)
     head, _, body = data.partition(b"\r\n\r\n")
     status = int(head.split(None, 2)[1])
-    if status != tunnel_messages.SWITCHED_STATUS:
-        parser = answer_parser.AnswerParser()
-        parser.feed(data)
-        while not (parser.answers and parser.answers[0].complete):
-            parser.feed(_receive(sock))
-        body = parser.answers[0].take()
-    return _Answer(status, body)
+    if status == tunnel_messages.SWITCHED_STATUS:
+        return _Answer(status, body, _upgrade_in(head))
+    parser = answer_parser.AnswerParser()
+    parser.feed(data)
+    while not (parser.answers and parser.answers[0].complete):
+        parser.feed(_receive(sock))
+    return _Answer(status, parser.answers[0].take())
+
+
+def _upgrade_in(head):
+    """Return the protocol to which a peer has switched, by its head."""
+    for line in head.decode("latin-1").split("\r\n"):
+        name, _, value = line.partition(":")
+        if name.lower() == "upgrade":
+            return value.strip()
+    return ""
 
 
 def _receive(sock):
@@ -145,6 +191,8 @@
 def _refusal_in(answer):
     """Return the refusal in an answer, ``None`` if the tunnel stands."""
     if answer.status == tunnel_messages.SWITCHED_STATUS:
+        if answer.protocol != tunnel_messages.PROTOCOL:
+            raise ConnectionError(f"the peer switched to {answer.protocol}")
         return None
     if answer.status != tunnel_messages.REFUSED_STATUS:
         raise ConnectionError(f"the peer answered {answer.status}")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -1,7 +1,7 @@
 """Opens tunnels to backend servers for other instances.
 
 The instance that asks has lost its own path to a server.  It decides and
-counts everything; here bytes are only copied.
+counts everything; here bytes are only copied, those of the server in frames.
 """
 
 import contextlib
@@ -13,6 +13,7 @@
 from dandeliontrail import events
 
 from .. import connection
+from .. import tunnel_frames
 from .. import tunnel_messages
 from .. import wsgi
 from ..forwarding import connections
@@ -22,6 +23,7 @@
 CHUNK_BYTES = 16 * 1024
 MAX_REQUEST_BYTES = 16 * 1024
 REQUEST_SECONDS = 1.0
+UPGRADE_ENVIRON_KEY = "HTTP_UPGRADE"
 SWITCHING = (
     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
     f"Upgrade: {tunnel_messages.PROTOCOL}\r\n\r\n"
@@ -53,6 +55,8 @@
             "run the same release on every instance",
         )
         refusal = self._refusal_of(request)
+        if refusal is None and not _speaks_frames(environ):
+            refusal = tunnel_admission.Refusal.NOT_SERVING
         if refusal is not None:
             return self._refuse(start_response, request, refusal)
         server_sock = self._connect(request)
@@ -146,8 +150,9 @@
     def run(self):
         """Copy until one side has ended.
 
-        The end and a reset of the server are passed on as such: an answer
-        without a length ends with its connection, but not with a reset.
+        An answer without a length ends with its connection, so the server's
+        end is passed on as a frame.  After a reset of the server, or if this
+        process ends, the tunnel ends without one.
         """
         try:
             self._origin_sock.sendall(SWITCHING)
@@ -169,15 +174,18 @@
                 if not self.ended_by:
                     self._reset_origin()
                 return
-            if not data:
-                self.ended_by = self.ended_by or "server"
+            if not data and self.ended_by:
                 return
+            frame = tunnel_frames.encode(data)
             self.bytes += len(data)
             try:
-                self._origin_sock.sendall(data)
+                self._origin_sock.sendall(frame)
             except OSError:
                 self.ended_by = "origin"
                 return
+            if not data:
+                self.ended_by = "server"
+                return
 
     def _copy_to_server(self):
         while True:
@@ -203,6 +211,11 @@
             connection.reset_on_close(self._origin_sock)
 
 
+def _speaks_frames(environ):
+    """Return whether the instance that asks knows the frames."""
+    return environ.get(UPGRADE_ENVIRON_KEY) == tunnel_messages.PROTOCOL
+
+
 def _fields(request):
     return {
         "request_id": request.request_id,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/tunnel_messages.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/tunnel_messages.py
@@ -2,7 +2,8 @@
 
 The request is signed like a batch of messages.  It is answered by ``101
 Switching Protocols`` (RFC 9110, section 7.8), after which the connection
-carries the bytes of the connection to the server, or by a refusal.
+carries the bytes of the connection to the server, those of the server in
+frames (:mod:`.tunnel_frames`), or by a refusal.
 """
 
 import msgspec
@@ -10,7 +11,8 @@
 from dandeliontrail.decisions import tunnel_admission
 
 PATH = "/peer/v1/tunnel"
-PROTOCOL = "dandeliontrail-tunnel"
+# Releases before the frames speak "dandeliontrail-tunnel".
+PROTOCOL = "dandeliontrail-framed-tunnel"
 REFUSED_STATUS = 503
 SWITCHED_STATUS = 101
 
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -356,7 +356,10 @@
             site.helpers[0], site.platform.ports["inner"]
         )
         body = tunnel_request(site)
-        platform_world.send(sock, "POST", tunnel_messages.PATH, body=body)
+        upgrade = [("Upgrade", tunnel_messages.PROTOCOL)]
+        platform_world.send(
+            sock, "POST", tunnel_messages.PATH, upgrade, body=body
+        )
         linger = server_paths.proxy.LINGER_RESET
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         gevent.sleep(0.05)
