A further attempt doesn't use the connection of an earlier one

Cause: answers on a kept connection are matched to requests by the id, which all attempts of a request share. After a rest the order went to the same server again on the connection of its first attempt, where a late copy of the first 503 was taken for the new answer.

Fix: the attempts of a request share the list of connections on which one was sent, and the pool gives none of them to the next one.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -165,6 +165,7 @@
             dispatch,
             context.dialect,
             incoming.request_id,
+            context.used_connections,
         )
         request.connect()
         self._request = request
@@ -276,13 +277,17 @@
 
 
 class RequestContext(msgspec.Struct):
-    """What all attempts of one request share."""
+    """What all attempts of one request share.
+
+    ``used_connections`` are those on which one of them was sent.
+    """
 
     host: object
     connections: object
     dialect: object
     incoming: object
     body: bytes
+    used_connections: list = msgspec.field(default_factory=list)
 
 
 def _is_stream(answer):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -49,13 +49,21 @@
 
 
 class BackendRequest:
-    """One request to one server, and the answer to it."""
+    """One request to one server, and the answer to it.
 
-    def __init__(self, connections, dispatch, dialect, request_id):
+    Answers are matched to requests by the id, which all attempts of a request
+    share.  So ``used_connections``, a list that its attempts share as well,
+    has the connections on which it was sent.
+    """
+
+    def __init__(
+        self, connections, dispatch, dialect, request_id, used_connections
+    ):
         self._connections = connections
         self._dispatch = dispatch
         self._dialect = dialect
         self._request_id = request_id
+        self._used_connections = used_connections
         self._conn = None
         self._parser = answer_parser.AnswerParser()
         self._unsent = memoryview(b"")
@@ -70,7 +78,9 @@
                 self._conn = self._connections.open_tunnel(dispatch)
             else:
                 address = connections_module.address_of(dispatch.url)
-                self._conn = self._connections.open(address)
+                self._conn = self._connections.open(
+                    address, self._used_connections
+                )
         except tunnels.NotOpened as exc:
             raise NotSent(str(exc), exc.failure)
         except connections_module.FAILURES as exc:
@@ -107,7 +117,9 @@
 
     def send(self):
         """Send the unsent bytes; from then on the server may have begun."""
-        self._began = True
+        if not self._began:
+            self._began = True
+            self._used_connections.append(self._conn)
         try:
             while self._unsent:
                 sent = self._conn.sock.send(self._unsent)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -102,19 +102,31 @@
         self.tunnels = None
         self.held_bytes = answer_bounds.HeldBytes()
 
-    def open(self, address):
+    def open(self, address, avoided=()):
         """Return an idle or new connection to ``address`` (``host:port``).
 
+        It is none of ``avoided``, on which an earlier attempt of the same
+        request was answered: a late copy of that answer has the request's id
+        as well, and would be taken for the answer to the new attempt.
         Raises ``OSError`` or ``gevent.Timeout`` if none can be opened.
         """
-        idle = self._idle.get(address)
-        while idle:
-            conn = idle.pop()
+        conn = self._take_idle(address, avoided)
+        if conn is not None:
+            conn.used = True
+            return conn
+        return Connection(self.connect_new(address), address)
+
+    def _take_idle(self, address, avoided):
+        """Remove and return a usable idle connection, ``None`` without one."""
+        idle = self._idle.get(address, [])
+        for conn in reversed(idle):
+            if conn in avoided:
+                continue
+            idle.remove(conn)
             if time.monotonic() < conn.idle_until and conn.is_reusable():
-                conn.used = True
                 return conn
             conn.close()
-        return Connection(self.connect_new(address), address)
+        return None
 
     def connect_new(self, address):
         """Return the socket of a new connection; raises like :meth:`open`."""
--- a/tests/cover/test_truncated_heads.py
+++ b/tests/cover/test_truncated_heads.py
@@ -90,7 +90,7 @@
     """Return the body of an answer that is forwarded."""
     dispatch = effects.Dispatch("r1", 1, "s1", url, 5)
     request = backend_request.BackendRequest(
-        pool, dispatch, dialect.PlatformDialect(), "r1"
+        pool, dispatch, dialect.PlatformDialect(), "r1", []
     )
     request.connect()
     request.prepare("POST", "/", [], b"{}")
