A caller that shuts down its sending side isn't told "not run" falsely

What callers saw: an order whose caller shut down the sending side and read on was answered 503 (caller_gone), and ran to its end.

Cause: the answer to a caller that has left didn't depend on whether an attempt had begun. Now it is 502, outcome unknown, where one may have begun.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -173,8 +173,10 @@
         if isinstance(exc, _Overdue):
             return self._report_overdue()
         if isinstance(exc, caller_watch.CallerLeft):
+            life = self._host.request_lifecycle(request_id)
+            begun = life is None or life.attempts_begun > 0
             self._report_caller_left()
-            return problems.caller_gone(request_id)
+            return problems.caller_gone(request_id, begun)
         if isinstance(exc, gevent.GreenletExit):
             return None
         self._host.logger.error(
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/problems.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/problems.py
@@ -23,14 +23,18 @@
     )
 
 
-def caller_gone(request_id):
-    """Return the error of a caller that left; it is normally not received."""
+def caller_gone(request_id, begun):
+    """Return the error of a caller that left.
+
+    One that has only shut down its sending side receives it, so it must not
+    promise "not run" where an attempt may have ``begun``.
+    """
     return wsgi.Problem(
-        503,
+        502 if begun else 503,
         "caller_gone",
         "The caller closed its connection.",
         "send it again with the same Idempotency-Key",
-        outcome="unknown",
+        outcome="unknown" if begun else "not-run",
         request_id=request_id,
     )
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -58,7 +58,7 @@
             head = self._next_item()
         except CallerLeft:
             self._report_caller_gone()
-            raise problems.caller_gone(self._event.request_id)
+            raise problems.caller_gone(self._event.request_id, begun=True)
         except BaseException:
             self._report_caller_gone()
             raise
