A keeper whose successor has come votes no more, whichever it is

Cause: the successor takes the vote of the longest-serving voter of its failure domain. Where two of it vote, the other one may be the one that goes, with its vote. A relative: a keeper that gave way and lost its disk came back as a new one and took its successor's vote.

Fix: a voter beside a newer keeper gives its vote to a spare of a domain with fewer voters where no keeper is as new. Who gave way is known by name. A voter that gets a new folder doesn't give way to itself.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -231,8 +231,7 @@
 
     def former_voter_names(self):
         """Return the names of keepers that gave way to other voters."""
-        former = self._core.log.voter_set.former
-        return {item.name for item in former}
+        return self._core.log.voter_set.former_names
 
     def stale(self, now):
         """Return whether contact with a majority was lost for too long.
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
@@ -128,7 +128,7 @@
             self._leadership.is_leaving(voter),
             self._new_folder(voter, alive, now),
             voter == self._core.own_voter,
-            voter in self._core.log.voter_set.former,
+            voter.name in self._core.log.voter_set.former_names,
         )
 
     def _is_lost(self, voter, alive, now):
@@ -154,7 +154,7 @@
         """Return the available keepers that do not vote, sorted by name."""
         names = self._core.voter_names()
         alive = self._neighbours.alive(now)
-        former = self._core.log.voter_set.former
+        former_names = self._core.log.voter_set.former_names
         found = []
         for name, folder in sorted(self._founding.folders.items()):
             voter = entries.Voter(name, folder)
@@ -162,7 +162,7 @@
             if name in alive and name not in names and not avoided:
                 domain = self._neighbours.domain_of(name)
                 found.append(
-                    voter_choice.Spare(voter, domain, voter in former)
+                    voter_choice.Spare(voter, domain, name in former_names)
                 )
         return found
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_choice.py
@@ -11,7 +11,10 @@
 * a spare that never gave way to another voter, if it is the only such one in
   its failure domain, takes the place of the longest-serving voter there.  It
   is probably the successor of a keeper that is about to go, which then may go
-  at any moment.
+  at any moment;
+* a voter beside a newer keeper in its failure domain, which may be its
+  successor although it took another one's vote, gives its own to a spare of
+  another failure domain where no keeper is as new.
 
 A voter that is lost stays one if there is no spare, since removing it would
 not make the log any safer.
@@ -24,6 +27,8 @@
 from . import quorum_log_voter_sets as voter_sets
 
 SILENT = "silent"
+# Below the rank of every keeper.
+NO_SUCCESSOR = -1
 
 
 class VoterState(msgspec.Struct, frozen=True):
@@ -78,6 +83,7 @@
         or _correct_number(voters, spares, target)
         or _spread(voters, spares)
         or _let_successor_vote(voters, spares)
+        or _relieve_predecessor(voters, spares)
     )
 
 
@@ -85,7 +91,8 @@
     for item in voters:
         if item.new_folder:
             renewed = voter_sets.Voter(item.voter.name, item.new_folder)
-            return Change(item.voter, renewed, "lost its data folder", True)
+            reason = "lost its data folder"
+            return Change(item.voter, renewed, reason, True, gives_way=False)
     return None
 
 
@@ -176,5 +183,61 @@
     return None
 
 
+def _relieve_predecessor(voters, spares):
+    """Move a vote from a keeper that a newer one may succeed.
+
+    Which keeper a successor replaces is not known.  Where two vote in its
+    failure domain it takes the vote of one, and the other one may be the one
+    that goes.  Each such change goes to a keeper beside an older newcomer, and
+    no change alters who is the newest, so that the voters come to rest.
+    """
+    ages = _Ages(voters, spares)
+    counts = _voters_by_domain(voters)
+    for old in sorted(voters, key=ages.successor_rank, reverse=True):
+        fitting = [
+            item
+            for item in spares
+            if counts[item.domain] < counts[old.domain]
+            and ages.successor_rank(item) < ages.successor_rank(old)
+        ]
+        if fitting:
+            new = _best_spare(voters, fitting)
+            return Change(old.voter, new.voter, "may have a successor")
+    return None
+
+
+class _Ages:
+    """Which keepers came after others, as far as the log tells.
+
+    One that never gave way came after one that did; of voters that never did,
+    the later voter came later, and a spare after them.
+    """
+
+    def __init__(self, voters, spares):
+        self._ranks = {
+            item.voter: rank
+            for rank, item in enumerate(voters)
+            if not item.gave_way
+        }
+        fresh = [item for item in spares if not item.gave_way]
+        self._ranks.update((item.voter, len(voters)) for item in fresh)
+        self._newest = collections.defaultdict(lambda: NO_SUCCESSOR)
+        self._fresh_counts = collections.Counter(item.domain for item in fresh)
+        for item in (*voters, *fresh):
+            rank = self._ranks.get(item.voter, NO_SUCCESSOR)
+            self._newest[item.domain] = max(self._newest[item.domain], rank)
+
+    def successor_rank(self, keeper):
+        """Return the rank of the newest keeper that may succeed ``keeper``.
+
+        ``NO_SUCCESSOR`` if it is the newest one in its failure domain itself.
+        """
+        newest = self._newest[keeper.domain]
+        is_newest = self._ranks.get(keeper.voter) == newest
+        if is_newest and self._fresh_counts[keeper.domain] <= 1:
+            return NO_SUCCESSOR
+        return newest
+
+
 def _voters_by_domain(voters):
     return collections.Counter(item.domain for item in voters)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_sets.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_sets.py
@@ -52,6 +52,14 @@
         leaving = (item for item in self.outgoing if item not in self.incoming)
         return (*self.incoming, *leaving)
 
+    @property
+    def former_names(self):
+        """The names of former voters.
+
+        One that has lost its disk since has another folder, but is no newer.
+        """
+        return frozenset(item.name for item in self.former)
+
     @property
     def is_joint(self):
         """Whether a change is in progress."""
