--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -8,6 +8,7 @@
 import errno
 import time
 
+from dandeliontrail import invariants
 import gevent
 
 from . import answer_bounds
@@ -118,6 +119,11 @@
     def send(self):
         """Send the unsent bytes; from then on the server may have begun."""
         if not self._began:
+            invariants.check(
+                self._conn not in self._used_connections,
+                "a-connection-carries-a-request-once",
+                self._request_id,
+            )
             self._began = True
             self._used_connections.append(self._conn)
         try:
