A keeper knows the versions of streams when all other instances restart

Report from another system: all instances that serve callers were killed at once while two versions served, or the servers of the old one had just left; streams that callers took up again were joined from two versions.

Evidence: test_streams_after_restarts, streams go on as keepers know them: failed before with 3 and 9 instances, passes now; its tests that nothing is joined passed on both.

--- a/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/stream_versions.py
@@ -70,12 +70,24 @@
 
     def holders_of(self, key, now):
         """Return the addresses of the other instances that hold a record."""
-        names = stream_holders.choose(key, self._candidates(now))
+        candidates = self._candidates(now)
+        keepers = self._keepers_among(candidates)
+        names = stream_holders.choose(key, candidates, keepers)
         members = self._state.members
         own = self._state.identity.instance
         addresses = [members.address_of(name) for name in names if name != own]
         return [address for address in addresses if address]
 
+    def _keepers_among(self, candidates):
+        """Return the voters on the log among the candidates, sorted.
+
+        With relays there are too many streams for so few keepers.
+        """
+        if not self._state.members.full_mesh():
+            return []
+        names = {name for item in candidates.values() for name in item}
+        return sorted(names & set(self._state.log.voter_names()))
+
     def candidate_addresses(self, now):
         """Return the addresses of all instances that may hold a record."""
         return sorted(
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/stream_holders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/stream_holders.py
@@ -2,7 +2,8 @@
 
 The key of the stream chooses them by rendezvous hashing, so every instance
 that knows the same members finds the same ones without asking.  They are in
-different failure domains, where there are several.
+different failure domains, where there are several.  One of them is a keeper:
+where all instances that serve callers restart at once, keepers still run.
 """
 
 from . import affinity
@@ -10,19 +11,40 @@
 HOLDERS = 2
 
 
-def choose(key, names_by_domain):
+def choose(key, names_by_domain, keepers=()):
     """Return the names of the holders of a stream.
 
-    ``names_by_domain`` maps failure domains to the candidates there.
+    ``names_by_domain`` maps failure domains to the candidates there, and
+    ``keepers`` are those of them of which one is to be a holder.
 
     >>> choose("0a", {"fd1": ["i1"], "fd2": ["i2"], "fd3": ["i3"]})
     ['i1', 'i2']
+    >>> choose("0a", {"fd1": ["i1"], "fd2": ["i2"], "fd3": ["k3"]}, ["k3"])
+    ['k3', 'i1']
     """
+    if not keepers:
+        return _spread(key, names_by_domain)[:HOLDERS]
+    keeper = affinity.rendezvous_order(key, keepers)[0]
+    others = {
+        domain: [name for name in names if name not in keepers]
+        for domain, names in names_by_domain.items()
+    }
+    elsewhere = {
+        domain: names
+        for domain, names in others.items()
+        if names and keeper not in names_by_domain[domain]
+    }
+    further = _spread(key, elsewhere) or _spread(key, others)
+    return [keeper, *further][:HOLDERS]
+
+
+def _spread(key, names_by_domain):
+    """Return candidates, those of different failure domains first."""
     domains = affinity.rendezvous_order(key, names_by_domain)
     ranked = {
         domain: affinity.rendezvous_order(key, names_by_domain[domain])
         for domain in domains[:HOLDERS]
     }
-    found = [names[0] for names in ranked.values()]
+    found = [names[0] for names in ranked.values() if names]
     further = [name for names in ranked.values() for name in names[1:]]
-    return (found + further)[:HOLDERS]
+    return found + further
