Test: the pool's open has a further argument

test_an_instance_that_ends_while_connecting replaces ConnectionPool.open, which has got the connections to avoid; the replacement passes them on.

--- a/tests/cover/test_forwarding_ends.py
+++ b/tests/cover/test_forwarding_ends.py
@@ -58,8 +58,8 @@
     log = LogRecords(entry)
     connect = connections.ConnectionPool.open
 
-    def open_while_ending(pool, address):
-        conn = connect(pool, address)
+    def open_while_ending(pool, address, avoided):
+        conn = connect(pool, address, avoided)
         entry.host.submit(events.CutShort("r1"))
         return conn
 
