An order whose caller has left is read to its end

Cause: an order that may have begun isn't stopped when its caller leaves, but the greenlet that read its answer was interrupted, so the attempt's end was never reported and it counted as running for good. After a server's rest such orders took the one place that it has.

Fix: only a request that ends with its caller is interrupted; the reducer and the forwarder ask the same property. One that is dispatched and not sent is stopped. After a refusal an order whose caller left isn't sent again.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/caller_watch.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/caller_watch.py
@@ -20,12 +20,16 @@
 class CallerWatch:
     """Context manager that raises :class:`CallerLeft` in its greenlet.
 
-    >>> with CallerWatch(sock):  # doctest: +SKIP
+    It does not if ``may_interrupt()`` is false when the caller leaves; then
+    ``left`` tells it.
+
+    >>> with CallerWatch(sock, lambda: True):  # doctest: +SKIP
     ...     serve()
     """
 
-    def __init__(self, sock):
+    def __init__(self, sock, may_interrupt):
         self._sock = sock
+        self._may_interrupt = may_interrupt
         self._watcher = None
         self._greenlet = None
         self.left = False
@@ -54,7 +58,7 @@
             return
         self.left = True
         greenlet = self._greenlet
-        if greenlet is not None:
+        if greenlet is not None and self._may_interrupt():
             greenlet.kill(CallerLeft(), block=False)
 
     def _is_closed(self):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -70,7 +70,7 @@
         self._context = attempt_module.RequestContext(
             host, connections, dialect, incoming, body
         )
-        self._sock = sock
+        self._watch = caller_watch.CallerWatch(sock, self._ends_with_caller)
         self._exchange = exchange_module.Exchange(incoming.request_id)
         self._attempt = None
         self._fallback_output = None
@@ -116,7 +116,7 @@
         host = self._host
         host.attach(self._exchange)
         self._stack.callback(host.detach, self._exchange, "forwarder")
-        self._stack.enter_context(caller_watch.CallerWatch(self._sock))
+        self._stack.enter_context(self._watch)
         host.submit(
             events.RoutedRequestReceived(
                 incoming.request_id,
@@ -138,6 +138,10 @@
         )
         self._start_deadline_timer()
 
+    def _ends_with_caller(self):
+        life = self._host.request_lifecycle(self._incoming.request_id)
+        return life is None or life.ends_with_caller
+
     def _start_deadline_timer(self):
         """Start the timer of the request's deadline, once that is known.
 
@@ -224,6 +228,9 @@
         other refusal is raised as its problem; in the middle of a stream a
         stored answer cannot be used.
         """
+        if self._watch.left:
+            # It left during an attempt that had to be completed.
+            raise caller_watch.CallerLeft()
         effect = self._next_item(attempt_readers.ReadResult, effects.Withdraw)
         if isinstance(effect, effects.Dispatch):
             self._start_deadline_timer()
--- a/packages/dandeliontrail/src/dandeliontrail/components/blocked_requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/blocked_requests.py
@@ -44,7 +44,7 @@
                 out.extend(self._endings.refuse(request, ENDS_SERVERS, now))
             elif (
                 request.phase in request_lifecycle.AWAITING_OUTPUT
-                and is_stoppable(request.work)
+                and request_lifecycle.is_stoppable(request.work)
             ):
                 out.extend(self._cut_off(request, now))
         return out
@@ -63,12 +63,3 @@
         """Record that no answer is awaited any more, if none has begun."""
         if request.phase in request_lifecycle.AWAITING_OUTPUT:
             self._ends.record_withdrawn(request, now)
-
-
-def is_stoppable(work):
-    """Return whether work without a waiting caller may be stopped midway.
-
-    Output generated only for the caller may be stopped; a non-repeatable
-    operation that is half done may not.
-    """
-    return work.repeatable or work.streamed
--- a/packages/dandeliontrail/src/dandeliontrail/components/request_lifecycle.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/request_lifecycle.py
@@ -65,6 +65,15 @@
 WAITING = frozenset({Phase.RECEIVED, Phase.CLAIMING, Phase.QUEUED})
 
 
+def is_stoppable(work):
+    """Return whether work without a waiting caller may be stopped midway.
+
+    Output generated only for the caller may be stopped; a non-repeatable
+    operation that is half done may not.
+    """
+    return work.repeatable or work.streamed
+
+
 class Hedge(msgspec.Struct):
     """A second attempt at a request while its first server is silent.
 
@@ -159,6 +168,18 @@
         )
         self.phase = phase
 
+    @property
+    def ends_with_caller(self):
+        """Whether the request is to be stopped when its caller leaves.
+
+        It is not if it may have begun, and half a report or half an order is
+        worse than a complete one that the caller requests again.
+        """
+        if self.phase in WAITING or is_stoppable(self.work):
+            return True
+        # A worker of the own interface may be about to send it.
+        return self.work.routed and self.phase is Phase.DISPATCHED
+
     def has_attempt(self, number):
         """Return whether ``number`` is the current attempt or the hedge."""
         if self.hedge is not None and self.hedge.number == number:
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -419,12 +419,7 @@
         if request is None:
             self._admission.drop(event.request_id)
             return []
-        if (
-            request.phase not in request_lifecycle.WAITING
-            and not blocked_requests.is_stoppable(request.work)
-        ):
-            # It may have begun, and half a report or half an order is worse
-            # than a complete one that the caller requests again.
+        if not request.ends_with_caller:
             return []
         return self._stop(request, "caller_gone", now)
 
