--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -105,9 +105,9 @@
     def open(self, address, avoided=()):
         """Return an idle or new connection to ``address`` (``host:port``).
 
-        It is none of ``avoided``, on which an earlier attempt of the same
-        request was answered: a late copy of that answer has the request's id
-        as well, and would be taken for the answer to the new attempt.
+        It is none of ``avoided``, on which earlier attempts of the same
+        request were sent: a late copy of an answer to one of them has the
+        request's id as well, and would be taken for that to the new attempt.
         Raises ``OSError`` or ``gevent.Timeout`` if none can be opened.
         """
         conn = self._take_idle(address, avoided)
--- a/tests/cover/test_early_hangup.py
+++ b/tests/cover/test_early_hangup.py
@@ -8,6 +8,7 @@
 from tests.soak import processes
 
 START_SECONDS = 20.0
+IP = f"{platform_world.NETWORK}.203"
 
 
 def test_a_reload_during_the_start_does_not_end_the_program(tmp_path):
@@ -16,12 +17,12 @@
     # process without a log line, and no instance serves on that host.
     ports = platform_world.new_ports()
     settings = {
-        "seed": f"127.0.9.1:{ports['control']}",
+        "seed": f"{IP}:{ports['control']}",
         "revoke_ms": 5000,
         "tolerated": 0,
         **ports,
     }
-    program = processes.Program(tmp_path, "keeper", "127.0.9.1", settings)
+    program = processes.Program(tmp_path, "keeper", IP, settings)
     program.start()
     try:
         deadline = time.monotonic() + START_SECONDS
--- a/tests/cover/test_early_listener.py
+++ b/tests/cover/test_early_listener.py
@@ -16,8 +16,9 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 START_SECONDS = 20.0
-IP = "127.0.9.2"
-SEED = "127.0.9.3"
+# Addresses of this process alone: the metrics port of programs is fixed.
+IP = f"{platform_world.NETWORK}.201"
+SEED = f"{platform_world.NETWORK}.202"
 
 
 @pytest.fixture
