The log says how each answer ended, through whom, and with how much

Callers' streams ended as complete before their last event, and the lines of the instance looked as always: they tell neither by which framing an answer ended, nor through which peer it came, nor how many bytes and events were in it.

`request ended` and `attempt failed` of declared routes have `answer_end` (length, last_chunk, head, connection), `through`, `body_bytes`, `whole_events` and `last_id` (64 characters at the most); the metric `answers_ended_total` counts them. No line is added, and nothing decides by it.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import enum
 
 from .. import http_library
 from . import answer_bounds
@@ -14,17 +15,46 @@
 ParseError = http_library.HTTPParseError
 
 
+class AnswerEnd(enum.Enum):
+    """What told that an answer is complete (RFC 9112, section 6.3).
+
+    ``HEAD`` is that of an answer without a body.
+    """
+
+    HEAD = "head"
+    LENGTH = "length"
+    LAST_CHUNK = "last_chunk"
+    CONNECTION = "connection"
+
+
 class Answer:
-    """One answer; ``body`` holds the bytes that were not taken yet."""
+    """One answer; ``body`` holds the bytes that were not taken yet.
 
-    __slots__ = ("status", "headers", "body", "head_done", "complete")
+    ``body_bytes`` counts all bytes of the body.  ``end`` is ``None`` until
+    the answer is complete.
+    """
+
+    __slots__ = (
+        "status",
+        "headers",
+        "body",
+        "body_bytes",
+        "head_done",
+        "end",
+    )
 
     def __init__(self):
         self.status = 0
         self.headers = []
         self.body = bytearray()
+        self.body_bytes = 0
         self.head_done = False
-        self.complete = False
+        self.end = None
+
+    @property
+    def complete(self):
+        """Whether the answer has ended as its sender meant it."""
+        return self.end is not None
 
     def get(self, name):
         """Return the value of the first header ``name``, or ''.
@@ -70,10 +100,12 @@
         self._body_bytes = 0
         self._interim_answers = 0
         self._in_head = True
+        self._connection_ended = False
 
     def feed(self, data):
         """Parse the next bytes, ``b""`` at the end of the connection."""
         bodies = self._body_bytes
+        self._connection_ended = not data
         super().feed(data)
         self._other_bytes += len(data) - (self._body_bytes - bodies)
         self._check_bounds()
@@ -134,7 +166,9 @@
         return False
 
     def _on_body(self, data):
-        self.answers[-1].body += data
+        answer = self.answers[-1]
+        answer.body += data
+        answer.body_bytes += len(data)
         self._body_bytes += len(data)
 
     def _on_message_complete(self):
@@ -144,4 +178,13 @@
             self.answers.pop()
             self._interim_answers += 1
             return
-        answer.complete = True
+        answer.end = self._end_of(answer)
+
+    def _end_of(self, answer):
+        if self._connection_ended:
+            return AnswerEnd.CONNECTION
+        if answer.get("transfer-encoding"):
+            return AnswerEnd.LAST_CHUNK
+        if answer.get("content-length"):
+            return AnswerEnd.LENGTH
+        return AnswerEnd.HEAD
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -23,6 +23,8 @@
 # An attempt whose path was found to be lost counts as silent after this long:
 # its own connection may live on.
 LOST_PATH_SECONDS = 0.5
+# Ids of events are short; a server may send anything.
+MAX_LOGGED_ID_LENGTH = 64
 # A timer may fire slightly before the clock has reached its time.
 TIMER_SLACK_SECONDS = 0.005
 
@@ -114,6 +116,17 @@
         """The id of the last whole event."""
         return self._splitter.last_id
 
+    def received(self):
+        """Return the ``events.AnswerReceived`` of this attempt."""
+        answer = self._answer
+        return events.AnswerReceived(
+            answer.end.value if answer is not None and answer.end else "",
+            self.dispatch.peer,
+            answer.body_bytes if answer is not None else 0,
+            self._splitter.count,
+            self._splitter.last_id[:MAX_LOGGED_ID_LENGTH],
+        )
+
     def next_output(self):
         """Return the next :class:`Output`.
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/events_splitter.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/events_splitter.py
@@ -23,14 +23,16 @@
     """Buffers the bytes of one server and returns them as whole events.
 
     ``last_id`` is the id of the last whole event; at the start, of the event
-    after which the server resumes the stream.
+    after which the server resumes the stream.  ``count`` is the number of
+    whole events, with empty ones.
     """
 
-    __slots__ = ("_incomplete", "last_id")
+    __slots__ = ("_incomplete", "last_id", "count")
 
     def __init__(self, last_id=""):
         self._incomplete = b""
         self.last_id = last_id
+        self.count = 0
 
     def feed(self, data):
         """Return the events that ``data`` completes, concatenated.
@@ -43,6 +45,7 @@
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise EventTooLong("an event is longer than the limit")
         events = data[:end]
+        self.count += sum(map(events.count, _EVENT_ENDS))
         ids = _ID_LINE.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -426,6 +426,7 @@
             detail=str(exc),
             answered=answered,
             closed=getattr(exc, "closed", False),
+            received=attempt.received(),
         )
 
     def _submit(self, event_type, attempt, **fields):
@@ -439,6 +440,7 @@
             prompt_tokens=self._incoming.prompt_tokens,
             output_tokens=output_tokens,
             idle_seconds=self._attempt.idle_seconds,
+            received=self._attempt.received(),
         )
 
     def _close_attempt(self):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_log.py
@@ -30,6 +30,7 @@
     class_name: str = ""
     backend_server: str = ""
     answered: int = 0
+    answer: events.AnswerReceived | None = None
 
 
 class RequestLog:
@@ -136,6 +137,7 @@
             closed=event.closed,
             detail=event.detail,
             important=True,
+            **_fields_of(event.received),
         )
 
     def _on_first_output(self, event, now):
@@ -144,9 +146,14 @@
             request.first_output = now
 
     def _on_answer_finished(self, event, now):
+        received = event.received
+        if received is not None:
+            counter = f'answers_ended_total{{end="{received.end}"}}'
+            self._counters[counter] += 1
         request = self._open_requests.get(event.request_id)
         if request:
             request.output_tokens = event.output_tokens
+            request.answer = received
 
     def _on_caller_gone(self, event, now):
         if event.request_id in self._open_requests:
@@ -177,6 +184,7 @@
             "output_tokens": request.output_tokens,
             "total_ms": _milliseconds(now - request.received),
         }
+        fields.update(_fields_of(request.answer))
         if request.first_output is not None:
             elapsed = request.first_output - request.received
             fields["first_output_ms"] = _milliseconds(elapsed)
@@ -188,6 +196,19 @@
         self._line("request ended", request_id, **fields)
 
 
+def _fields_of(received):
+    """Return the fields of an ``events.AnswerReceived``, if there is one."""
+    if received is None:
+        return {}
+    return {
+        "answer_end": received.end,
+        "through": received.through,
+        "body_bytes": received.body_bytes,
+        "whole_events": received.whole_events,
+        "last_id": received.last_id,
+    }
+
+
 def _ends_request(effect):
     """Whether an effect is the decision that ends a request."""
     return (
--- a/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/__init__.py
@@ -22,6 +22,7 @@
 from .peers import ShutdownBegan
 from .peers import Started
 from .requests import AnswerFinished
+from .requests import AnswerReceived
 from .requests import AttemptBegan
 from .requests import AttemptFailed
 from .requests import AttemptSilent
@@ -45,6 +46,7 @@
 __all__ = [
     "Announced",
     "AnswerFinished",
+    "AnswerReceived",
     "AttemptBegan",
     "AttemptFailed",
     "AttemptSilent",
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -115,13 +115,31 @@
     attempt: int
 
 
+class AnswerReceived(msgspec.Struct):
+    """How much of an answer an attempt received, and how the answer ended.
+
+    ``end`` names what told that it is complete (RFC 9112, section 6.3), and
+    is '' if it is not.  ``through`` is the peer whose tunnel carried it, ''
+    for a direct path.  ``body_bytes`` counts the bytes of the body,
+    ``whole_events`` the events in it, and ``last_id`` is the id of the last
+    one, or of the one after which the attempt resumed the stream.
+    """
+
+    end: str = ""
+    through: str = ""
+    body_bytes: int = 0
+    whole_events: int = 0
+    last_id: str = ""
+
+
 class AnswerFinished(msgspec.Struct):
     """The answer was received completely.
 
     ``gaps_ms`` has samples of the time between two outputs, in milliseconds.
     ``answer`` is the answer to store for retries, if the request has an
     idempotency key.  ``idle_seconds`` is for how long the connection to the
-    server is kept for reuse from now on, 0 if it is not kept.
+    server is kept for reuse from now on, 0 if it is not kept.  ``received``
+    is for the log; it is ``None`` on the own interface.
     """
 
     request_id: str
@@ -131,6 +149,7 @@
     gaps_ms: list = msgspec.field(default_factory=list)
     answer: claims.StoredAnswer | None = None
     idle_seconds: float = 0.0
+    received: AnswerReceived | None = None
 
 
 class AttemptFailed(msgspec.Struct):
@@ -141,6 +160,7 @@
     caller gets if no other server can be tried, and 0 without one.
     ``closed`` is true if the connection was closed during the exchange,
     which is the only visible sign of a server process that ended.
+    ``received`` is for the log, as in :class:`AnswerFinished`.
     """
 
     request_id: str
@@ -149,6 +169,7 @@
     detail: str
     answered: int = 0
     closed: bool = False
+    received: AnswerReceived | None = None
 
 
 class CallerGone(msgspec.Struct):
