Failing tests: a reset that a send has met is taken for an orderly end

A server answers before it has read a large body, without a length, and resets. The sender meets the reset; the next recv returns nothing, as after an orderly end, and the answer counts as whole: 200 with a part of it, and a stream that ends as complete. Directly in BackendRequest.send, in a tunnel in _copy_to_server.

--- a/tests/cover/test_answer_ends.py
+++ b/tests/cover/test_answer_ends.py
@@ -200,3 +200,18 @@
         is_stream = path in ("/chat/x", "/report/x")
         assert line.whole_events == (EVENTS if is_stream else 0)
         assert line.last_id == (str(EVENTS) if is_stream else "")
+
+
+def test_an_answer_that_is_reset_while_its_request_is_sent_is_not_whole(site):
+    # The kernel reports a reset once, and the send takes the report.
+    server = site.early_server()
+    reply = site.call("/order/x", "early-order", LARGE_BODY)
+    assert reply.status == 502
+    assert server.ran == ["early-order"]
+
+
+def test_a_stream_that_is_reset_while_its_request_is_sent_is_cut(site):
+    server = site.early_server()
+    reply = site.call("/report/x", "early-report", LARGE_BODY)
+    assert not (reply.status == 200 and reply.whole)
+    assert server.ran == ["early-report"]
