A reset that a send has met is no longer taken for an orderly end

What callers saw: 200 with a part of the answer, and streams that ended as complete, where a server without lengths answered before it had read the body and then reset. Directly and through tunnels.

Cause: the kernel reports a reset once. The send met it; the recv after it returned nothing, as after an orderly end, which is the end of such an answer. BackendRequest.send read on (_answered_early), and in a tunnel the peer sent the frame that says that the server has ended.

Fix: a ServerSocket, which all connections to servers are, remembers that the connection has failed, in whichever call, or that this side has ended it; its recv returns nothing after the server's own end only and raises else. The parser is told of the end of a connection by end_connection alone and completes by it only an answer that names no length. Answers of peers are never completed by the end of their connection.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -103,13 +103,21 @@
         self._connection_ended = False
 
     def feed(self, data):
-        """Parse the next bytes, ``b""`` at the end of the connection."""
+        """Parse the next bytes."""
         bodies = self._body_bytes
-        self._connection_ended = not data
         super().feed(data)
         self._other_bytes += len(data) - (self._body_bytes - bodies)
         self._check_bounds()
 
+    def end_connection(self):
+        """Handle the orderly end of the connection by the server.
+
+        This completes an answer that has neither a length nor chunks.
+        Raises ``ParseError`` if another answer is incomplete.
+        """
+        self._connection_ended = True
+        super().feed(b"")
+
     def _check_bounds(self):
         if self._interim_answers > answer_bounds.MAX_INTERIM_ANSWERS:
             raise answer_bounds.TooLarge("too many interim answers")
@@ -181,10 +189,10 @@
         answer.end = self._end_of(answer)
 
     def _end_of(self, answer):
+        """Return the end of an answer, ``None`` if it is cut short."""
+        has_length = bool(answer.get("content-length"))
         if self._connection_ended:
-            return AnswerEnd.CONNECTION
+            return None if has_length else AnswerEnd.CONNECTION
         if answer.get("transfer-encoding"):
             return AnswerEnd.LAST_CHUNK
-        if answer.get("content-length"):
-            return AnswerEnd.LENGTH
-        return AnswerEnd.HEAD
+        return AnswerEnd.LENGTH if has_length else AnswerEnd.HEAD
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -5,12 +5,12 @@
 not run it.  After any other failure it may have run.
 """
 
-import errno
 import time
 
 from dandeliontrail import invariants
 import gevent
 
+from .. import server_socket
 from . import answer_bounds
 from . import answer_parser
 from . import connections as connections_module
@@ -200,7 +200,10 @@
         data = None
         try:
             data = self._conn.sock.recv(connections_module.RECEIVE_BYTES)
-            self._parser.feed(data)
+            if data:
+                self._parser.feed(data)
+            else:
+                self._parser.end_connection()
         except (*FAILURES, answer_bounds.TooLarge) as exc:
             _raise_if_silent("reading", exc)
             if self.answer is not None and self.answer.complete:
@@ -261,7 +264,7 @@
     ``ETIMEDOUT`` is not one: with it the kernel reports that the connection
     is dead.
     """
-    if isinstance(exc, TimeoutError) and exc.errno != errno.ETIMEDOUT:
+    if isinstance(exc, TimeoutError) and not server_socket.is_failure(exc):
         raise Silent(operation) from exc
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -15,6 +15,7 @@
 import gevent
 
 from .. import connection
+from .. import server_socket
 from . import answer_bounds
 from . import tunnels
 
@@ -129,13 +130,13 @@
         return None
 
     def connect_new(self, address):
-        """Return the socket of a new connection; raises like :meth:`open`."""
+        """Return a ``ServerSocket`` to a server; raises like :meth:`open`."""
         sock = self.connect(address, self._connect_seconds)
         sock.settimeout(None)
         connection.enable_tcp_keepalive(sock)
         connection.reset_on_close(sock)
         self._heard_at = time.monotonic()
-        return sock
+        return server_socket.ServerSocket(sock)
 
     def open_tunnel(self, dispatch):
         """Return a connection to the server of a dispatch through its peer.
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -174,8 +174,6 @@
                 if not self.ended_by:
                     self._reset_origin()
                 return
-            if not data and self.ended_by:
-                return
             frame = tunnel_frames.encode(data)
             self.bytes += len(data)
             try:
@@ -202,7 +200,8 @@
             try:
                 self._server_sock.sendall(data)
             except OSError:
-                # The server may have answered before it had read everything.
+                # The server may have answered before it had read everything;
+                # the other direction learns how its connection ended.
                 return
 
     def _reset_origin(self):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/peer_connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/peer_connection.py
@@ -62,12 +62,11 @@
 
     def _read_into(self, parser):
         data = self._sock.recv(RECEIVE_BYTES)
+        if not data:
+            raise Closed("the connection closed before the end of the answer")
         parser.feed(data)
         if parser.answers and len(parser.answers[0].body) > MAX_ANSWER_BYTES:
             raise Closed("the answer exceeds the size limit")
-        complete = parser.answers and parser.answers[0].complete
-        if not data and not complete:
-            raise Closed("the connection closed before the end of the answer")
 
     def close(self):
         """Close the connection."""
--- a/tests/cover/test_answer_ends.py
+++ b/tests/cover/test_answer_ends.py
@@ -150,19 +150,20 @@
         self.platform = stack.enter_context(platform_world.declared(ROUTES))
         self.entries = [self.platform.entry() for _ in range(2)]
         self.lines = Lines(self.entries[0])
-        self._paths = stack.enter_context(
-            server_paths.paths_of(self.entries[:1])
-        )
         self._tunnelled = tunnelled
-        (peer_pool,) = self.entries[1].host.connection_pools
-        peer_pool.connect = connect_with_small_buffer
+        for entry in self.entries:
+            (pool,) = entry.host.connection_pools
+            pool.connect = connect_with_small_buffer
+        if tunnelled:
+            (self._path,) = stack.enter_context(
+                server_paths.paths_of(self.entries[:1])
+            )
 
     def add(self, server):
         for entry in self.entries:
             self.platform.knows(entry, server)
         if self._tunnelled:
-            (path,) = self._paths
-            path.cut(server_paths.Cut.RESET)
+            self._path.cut(server_paths.Cut.RESET)
             self.platform.call(self.entries[0], "GET", "/read/x", "finds-out")
         return server
 
