Tests: the stand-in network passes a reset on as a reset

What was seen: a server's reset behind tests.soak.proxy reached the instance as an orderly end, as did every cut path and every server that the soak ends (it called shutdown, which sends FIN before the reset).

The proxy now closes with a linger time of zero, and resets both sides where one fails. test_soak_proxy failed before (reset: orderly end seen), passes now. This makes the checks of the soak stricter; none was changed.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -23,6 +23,7 @@
 
     ``SILENT`` delays all data until the mode changes; ``NO_ANSWERS`` does so
     with responses only.  ``REFUSE`` resets a connection that sends data.
+    Where one side resets its connection, the other side's is reset.
     """
 
     PASS = "pass"
@@ -84,21 +85,29 @@
                 sock.close()
 
     def _forward(self, connection, source, target, is_response):
-        with contextlib.suppress(OSError):
-            while True:
-                data = source.recv(CHUNK_BYTES)
-                if not data:
-                    return
-                if not is_response and not connection.sender:
-                    connection.sender = _find_sender(data)
-                if self._mode_of(connection) is Mode.DELAY:
-                    gevent.sleep(DELAY_SECONDS)
-                while self._is_held(connection, is_response):
-                    gevent.sleep(POLL_SECONDS)
-                if self._mode_of(connection) is Mode.REFUSE:
-                    self._reset(connection.client_sock)
-                    return
-                target.sendall(data)
+        try:
+            self._copy(connection, source, target, is_response)
+        except OSError:
+            # A path passes a reset on; an orderly end would say that an
+            # answer without a length is complete.
+            self._reset(connection.client_sock)
+            self._reset(connection.server_sock)
+
+    def _copy(self, connection, source, target, is_response):
+        while True:
+            data = source.recv(CHUNK_BYTES)
+            if not data:
+                return
+            if not is_response and not connection.sender:
+                connection.sender = _find_sender(data)
+            if self._mode_of(connection) is Mode.DELAY:
+                gevent.sleep(DELAY_SECONDS)
+            while self._is_held(connection, is_response):
+                gevent.sleep(POLL_SECONDS)
+            if self._mode_of(connection) is Mode.REFUSE:
+                self._reset(connection.client_sock)
+                return
+            target.sendall(data)
 
     def _mode_of(self, connection):
         return self.modes.get(connection.sender, self.mode)
@@ -119,7 +128,8 @@
     def _reset(sock):
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            sock.shutdown(socket.SHUT_RDWR)
+            # A shutdown before would end the connection in the normal way.
+            sock.close()
 
     def close(self):
         """Stop the proxy and reset every connection."""
