A checkpoint of the usage ledger is adopted whole or not at all

What was seen: event failed with KeyError: UsageKey(...) in minus at keepers and an instance within seconds of each other. From then on requests counted twice there, for good, so that callers are refused for limits that they have not reached.

Cause: an attempt that fails with nothing relayed counts a row without counts. An instance that merges it has a row but no sum, so subtracting it fails as soon as a checkpoint covers it. adopt had removed the old checkpoint, publishers and a part of the sums by then: the next checkpoint came on top.

Fix: adopt builds the new checkpoint and computes all new sums first (UsageTotals.replace, which checks that none falls below zero), and only then changes the ledger; fold does likewise. A key without an entry is no usage. Nothing counted makes no row; instances of earlier releases still send such rows.

The Hypothesis machine never drew a row without counts; with two rules that do it fails on the code before and passes now.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -64,7 +64,9 @@
         self._changed_checkpoints = set()
 
     def count(self, organisation, class_name, amount):
-        """Add ``amount`` to this instance's rows."""
+        """Add ``amount`` to this instance's rows; nothing makes no row."""
+        if not any(amount.counts()):
+            return
         replica = self._publishers[self.own]
         key = usage.UsageKey(self.day, organisation, class_name)
         row = replica.rows.get(key) or usage_rows.Row(0, Totals())
@@ -304,16 +306,29 @@
 
     def _fold(self, publisher):
         instance = publisher.instance
-        checkpoint = self._checkpoints.setdefault(
-            instance, usage_rows.Checkpoint()
+        old = self._checkpoints.get(instance) or usage_rows.Checkpoint()
+        replica = self._publishers[publisher]
+        checkpoint = usage_rows.Checkpoint(
+            publisher.incarnation,
+            old.root ^ _publisher_hash(publisher, replica.version),
+            old.versions + replica.version,
         )
-        replica = self._publishers.pop(publisher)
-        self.finished.discard(publisher)
+        checkpoint.rows.update(old.rows)
         for key, row in replica.rows.items():
-            checkpoint.rows.setdefault(key, Totals()).add(row.totals)
-        checkpoint.through = publisher.incarnation
-        checkpoint.root ^= _publisher_hash(publisher, replica.version)
-        checkpoint.versions += replica.version
+            before = checkpoint.rows.get(key, usage_totals.NO_USAGE)
+            checkpoint.rows[key] = before.plus(row.totals)
+        self._replace_checkpoint(instance, checkpoint, [publisher])
+
+    def _replace_checkpoint(self, instance, checkpoint, covered):
+        """Use a complete checkpoint in place of all that it covers.
+
+        All that may fail has been done before, so that an exception leaves
+        the ledger as it was.
+        """
+        for publisher in covered:
+            del self._publishers[publisher]
+            self.finished.discard(publisher)
+        self._checkpoints[instance] = checkpoint
         self._changed_checkpoints.add(instance)
 
     def checkpoint_message(self, instance):
@@ -340,32 +355,34 @@
         if message.through <= self.folded_through(instance):
             return
         before = self.version()
-        self._remove_folded(instance, message.through)
         checkpoint = usage_rows.Checkpoint(
             message.through, message.root, message.versions
         )
         for row in message.rows:
             checkpoint.rows[row.key] = row.totals.copy()
-            self.totals.add(row.key, row.totals)
-        self._checkpoints[instance] = checkpoint
-        self._changed_checkpoints.add(instance)
+        covered = [
+            publisher
+            for publisher in self.publishers_of(instance)
+            if publisher.incarnation <= message.through
+            and publisher != self.own
+        ]
+        self.totals.replace(
+            self._rows_covered(instance, covered), checkpoint.rows.items()
+        )
+        self._replace_checkpoint(instance, checkpoint, covered)
         if self.version() < before:
             # This instance held rows that were not folded into the
             # checkpoint; docs/design/ledger.md says when that can happen.
             self.late += 1
 
-    def _remove_folded(self, instance, through):
-        old = self._checkpoints.pop(instance, None)
-        if old:
-            for key, totals in old.rows.items():
-                self.totals.subtract(key, totals)
-        for publisher in self.publishers_of(instance):
-            if publisher.incarnation > through or publisher == self.own:
-                continue
-            replica = self._publishers.pop(publisher)
-            self.finished.discard(publisher)
-            for key, row in replica.rows.items():
-                self.totals.subtract(key, row.totals)
+    def _rows_covered(self, instance, publishers):
+        """Return the pairs of key and counts that a checkpoint replaces."""
+        old = self._checkpoints.get(instance)
+        pairs = list(old.rows.items()) if old else []
+        for publisher in publishers:
+            rows = self._publishers[publisher].rows
+            pairs.extend((key, row.totals) for key, row in rows.items())
+        return pairs
 
     def unsaved(self):
         """Return the changes since the last call, for the disk's journal."""
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/usage.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/usage.py
@@ -23,6 +23,15 @@
         self.output_tokens += other.output_tokens
         self.wasted_tokens += other.wasted_tokens
 
+    def plus(self, other):
+        """Return these counts plus those of ``other``."""
+        return Totals(
+            self.requests + other.requests,
+            self.prompt_tokens + other.prompt_tokens,
+            self.output_tokens + other.output_tokens,
+            self.wasted_tokens + other.wasted_tokens,
+        )
+
     def minus(self, other):
         """Return these counts minus those of ``other``."""
         return Totals(
--- a/tests/cover/test_usage_checkpoints.py
+++ b/tests/cover/test_usage_checkpoints.py
@@ -2,6 +2,8 @@
 
 from dandeliontrail.coordination import ledger
 from dandeliontrail.coordination import usage
+from dandeliontrail.coordination import usage_totals
+from dandeliontrail import errors
 import pytest
 
 from tests.common import usage_nodes
@@ -67,8 +69,6 @@
 ):
     site = Restarted([("chat", REQUEST), ("lookup", REQUEST)])
     calls = []
-    add = usage.Totals.add
-    minus = usage.Totals.minus
 
     def fail_once(original):
         def counted(self, other):
@@ -80,8 +80,9 @@
         return counted
 
     with monkeypatch.context() as patched:
-        patched.setattr(usage.Totals, "add", fail_once(add))
-        patched.setattr(usage.Totals, "minus", fail_once(minus))
+        for name in ("add", "plus", "minus"):
+            original = getattr(usage.Totals, name)
+            patched.setattr(usage.Totals, name, fail_once(original))
         with pytest.raises(KeyError):
             site.other.adopt(site.checkpoint())
     assert site.requests() == 2
@@ -91,3 +92,13 @@
     site.other.adopt(site.checkpoint())
     assert site.requests() == 3
     assert site.other.version() == site.folding.version()
+
+
+def test_sums_that_would_fall_below_zero_are_refused_whole():
+    totals = usage_totals.UsageTotals()
+    keys = [usage.UsageKey(usage_nodes.DAY, "lab", name) for name in "ab"]
+    totals.add(keys[0], REQUEST)
+    with pytest.raises(errors.InvariantBroken):
+        totals.replace([(keys[0], REQUEST), (keys[1], REQUEST)], [])
+    assert totals.of_organisation("lab") == REQUEST
+    assert totals.of_class("lab", "a") == REQUEST
--- a/tests/cover/test_usage_ledger.py
+++ b/tests/cover/test_usage_ledger.py
@@ -55,6 +55,23 @@
             usage_nodes.request_totals(count)
         )
 
+    @stateful.rule(place=PLACES, organisation=ORGANISATION)
+    def counts_an_attempt_that_relayed_nothing(self, place, organisation):
+        self.ledgers[place].count(organisation, "lookup", usage.Totals())
+
+    @stateful.rule(place=PLACES, organisation=ORGANISATION, data=st.data())
+    def an_earlier_release_sends_a_row_without_counts(
+        self, place, organisation, data
+    ):
+        own_ledger = self.ledgers[place]
+        version = own_ledger.own_version()
+        if not version:
+            return
+        key = usage.UsageKey(usage_nodes.DAY, organisation, "empty")
+        row = usage.UsageRow(key, version, usage.Totals())
+        message = usage.UsageRows(own_ledger.own, version, version, [row])
+        self.sent_messages.append(self.encode_and_decode(message))
+
     @stateful.rule(place=PLACES, since=st.integers(0, 5))
     def sends_rows(self, place, since):
         own_ledger = self.ledgers[place]
