A stream has two holders wherever its candidates are

Where all instances that serve callers are in one failure domain and the keepers in others, 31 of 300 streams had one holder; if that keeper was lost, callers who took such a stream up were refused. Cause: domains without candidates took places in the choice. Now domains without candidates are left out, and where there are only keepers a second keeper holds the record.

Evidence: the new test failed before (one holder of two), passes now.

--- a/packages/dandeliontrail/src/dandeliontrail/decisions/stream_holders.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/stream_holders.py
@@ -21,6 +21,10 @@
     ['i1', 'i2']
     >>> choose("0a", {"fd1": ["i1"], "fd2": ["i2"], "fd3": ["k3"]}, ["k3"])
     ['k3', 'i1']
+    >>> choose(
+    ...     "0a", {"fd1": ["i1"], "fd2": ["k2"], "fd3": ["k3"]}, ["k3", "k2"]
+    ... )
+    ['k3', 'i1']
     """
     if not keepers:
         return _spread(key, names_by_domain)[:HOLDERS]
@@ -35,16 +39,19 @@
         if names and keeper not in names_by_domain[domain]
     }
     further = _spread(key, elsewhere) or _spread(key, others)
+    if not further:
+        further = affinity.rendezvous_order(key, keepers)[1:]
     return [keeper, *further][:HOLDERS]
 
 
 def _spread(key, names_by_domain):
     """Return candidates, those of different failure domains first."""
-    domains = affinity.rendezvous_order(key, names_by_domain)
+    occupied = [domain for domain, names in names_by_domain.items() if names]
+    domains = affinity.rendezvous_order(key, occupied)
     ranked = {
         domain: affinity.rendezvous_order(key, names_by_domain[domain])
         for domain in domains[:HOLDERS]
     }
-    found = [names[0] for names in ranked.values() if names]
+    found = [names[0] for names in ranked.values()]
     further = [name for names in ranked.values() for name in names[1:]]
     return found + further
--- a/tests/cover/test_stream_records.py
+++ b/tests/cover/test_stream_records.py
@@ -57,6 +57,21 @@
     assert table.record_of("k", 0.0) is None
 
 
+def test_a_stream_has_two_holders_wherever_its_candidates_are():
+    keepers = ["k1", "k2", "k3"]
+    layouts = (
+        {"fd1": ["i1", "i2"], "fd2": ["k1"], "fd3": ["k2"], "fd4": ["k3"]},
+        {"fd1": ["i1", "k1"], "fd2": ["k2"], "fd3": ["k3"]},
+        {"fd1": ["i1", "k1", "k2", "k3"]},
+        {"fd1": ["k1"], "fd2": ["k2"], "fd3": ["k3"], "fd4": []},
+    )
+    for layout in layouts:
+        for number in range(300):
+            held = stream_holders.choose(f"{number:x}", layout, keepers)
+            assert len(set(held)) == stream_holders.HOLDERS, layout
+            assert held[0] in keepers
+
+
 def test_records_live_as_long_as_the_longest_that_was_told():
     table = stream_records.StreamTable()
     table.put(record("k", remaining=5.0), 0.0)
