Organisations may have names of any letters

What callers saw: a manifest whose tenant's name has letters beyond Latin-1 is acknowledged, and all requests of that tenant are answered 500; a name with letters of Latin-1 beyond ASCII reached servers as other bytes than those declared.

Cause: the name went into the head as it is, and heads are written in Latin-1, which keeps the bytes of callers' values.

--- a/tests/cover/test_platform_dialect.py
+++ b/tests/cover/test_platform_dialect.py
@@ -65,3 +65,18 @@
         for number in range(3):
             reply = platform.call(entry, "POST", "/read/x", f"r{number}")
             assert (reply.status, reply.body) == (200, b"whole")
+
+
+@pytest.mark.parametrize("name", ["acme", "Caf\u00e9", "\u0416\u0443\u043a"])
+def test_organisations_of_any_letters_are_served(name):
+    with platform_world.PlatformWorld() as platform:
+        document = platform_world.manifest(1)
+        document["tenants"][0]["name"] = name
+        assert platform.apply(document).status == 200
+        entry = platform.entry()
+        server = platform.server(answering)
+        platform.knows(entry, server)
+        reply = platform.call(entry, "GET", "/read/x", "r1")
+        assert (reply.status, reply.body) == (200, b"whole")
+        (head,) = server.ran
+        assert platform_world.header(head, dialect.ORGANISATION) == name
