A departure is acknowledged once another instance has it

Cause: the departure was in the memory of one instance, and its acknowledgement did not wait for the messages to the others. Fix: the record of a departure goes out with a receipt; the first instance that has it answers, forwards it, and only then the departure is acknowledged.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -253,6 +253,20 @@
         """Unregister the async result of a write."""
         self._pending_writes.pop(write_id, None)
 
+    def submit_and_wait(self, write_id, event, seconds):
+        """Submit an event and return the ``changes.Result`` of its write.
+
+        Returns ``None`` if there is none within ``seconds``.
+        """
+        result = gevent_event.AsyncResult()
+        self.register_write(write_id, result)
+        try:
+            self.submit(event)
+            result.wait(seconds)
+        finally:
+            self.unregister_write(write_id)
+        return result.get() if result.ready() else None
+
     def _dispatch(self, effect):
         if effect.peer:
             self.metrics.counters["attempts_through_peers_total"] += 1
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/backend_servers.py
@@ -1,5 +1,7 @@
 """The listener for backend servers: announcements and cache events."""
 
+import itertools
+
 import dandeliontrail
 import msgspec
 
@@ -7,12 +9,14 @@
 from dandeliontrail import events
 from dandeliontrail.resources import announcement_checks
 from dandeliontrail.resources import announcements
+from dandeliontrail.resources import changes
 
 from .. import tokens
 from .. import wsgi
 
 MAX_BODY_BYTES = 256 * 1024
 MAX_BODY_SECONDS = 5.0
+MAX_DEPARTURE_SECONDS = 1.0
 
 
 class Accepted(msgspec.Struct):
@@ -28,6 +32,7 @@
     def __init__(self, host, authenticator):
         self._host = host
         self._authenticator = authenticator
+        self._departure_numbers = itertools.count(1)
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -59,10 +64,29 @@
             raise wsgi.Problem(
                 400, "invalid_announcement", exc.message, exc.remedy
             )
-        self._host.submit(events.Announced(announcement))
+        if announcement.leaving:
+            self._confirm_departure(announcement)
+        else:
+            self._host.submit(events.Announced(announcement))
         lease = min(announcement.lease, servers.MAX_LEASE_SECONDS)
         return wsgi.reply_json(start_response, Accepted(lease))
 
+    def _confirm_departure(self, announcement):
+        """Acknowledge a departure only if it outlives this instance."""
+        write_id = f"departure-{next(self._departure_numbers)}"
+        result = self._host.submit_and_wait(
+            write_id,
+            events.Announced(announcement, write_id),
+            MAX_DEPARTURE_SECONDS,
+        )
+        if result is None or result.kind is not changes.ResultKind.ACCEPTED:
+            raise wsgi.Problem(
+                503,
+                "departure_not_confirmed",
+                "No other instance has confirmed the departure.",
+                "send it again, here or to another instance",
+            )
+
 
 def _read_json(environ, body_type):
     body = wsgi.read_body(environ, MAX_BODY_BYTES, MAX_BODY_SECONDS)
--- a/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/backend_servers.py
@@ -7,6 +7,7 @@
 from .. import interfaces
 from ..coordination import servers
 from ..decisions import directory
+from . import departures
 from . import logged_once
 
 
@@ -23,10 +24,11 @@
     :class:`.renewals.Renewals`.
     """
 
-    def __init__(self, state, policy, renewals):
+    def __init__(self, state, policy, renewals, departures):
         self._state = state
         self._policy = policy
         self._renewals = renewals
+        self._departures = departures
         self._batched_names = {}
         self._pending_effects = []
         self._logged_bad = logged_once.LoggedOnce()
@@ -58,13 +60,26 @@
         name = announcement.backend_server
         before = self._content_hash(name)
         age = self._state.members.waited(now)
-        if not self._learn(announcement, age, now):
+        is_new = self._learn(announcement, age, now)
+        if event.write_id:
+            return self._confirm(event, now)
+        if not is_new:
             return []
         if self._content_hash(name) == before:
             self._renewals.note(name)
             return []
         return self._forward([name], now)
 
+    def _confirm(self, event, now):
+        """Have the departure that an event announced confirmed by another."""
+        name = event.announcement.backend_server
+        server = self._state.registry.servers.get(name)
+        if server is None or not server.announcement.leaving:
+            # Another start of the server is known, which has not left.
+            return [effects.WriteAnswered(event.write_id, departures.ACCEPTED)]
+        record = self._state.registry.record_of(name, now)
+        return self._departures.begin(event.write_id, record, now)
+
     def _handle_leaving(self, event, now):
         """Take a server for leaving that says so in an answer.
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/codec.py
@@ -29,6 +29,7 @@
     messages.Heartbeat,
     member_records.MemberRecords,
     servers.ServerRecords,
+    servers.RecordsReceived,
     *server_ends.MESSAGES,
     server_limits.LimitRecords,
     *permits.MESSAGES,
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/servers.py
@@ -34,10 +34,20 @@
     age: float = 0.0
 
 
-class ServerRecords(msgspec.Struct, tag="servers"):
-    """Message with complete records of backend servers."""
+class ServerRecords(msgspec.Struct, tag="servers", omit_defaults=True):
+    """Message with complete records of backend servers.
+
+    If ``receipt`` is not 0, the receiver answers with it once it has them.
+    """
 
     records: list[ServerRecord]
+    receipt: int = 0
+
+
+class RecordsReceived(msgspec.Struct, tag="servers_received"):
+    """Answer to the :class:`ServerRecords` with this ``receipt``."""
+
+    receipt: int
 
 
 class Renewal(msgspec.Struct, array_like=True):
--- a/packages/dandeliontrail/src/dandeliontrail/events/servers.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/servers.py
@@ -7,9 +7,13 @@
 
 
 class Announced(msgspec.Struct):
-    """A backend server sent its announcement to this instance directly."""
+    """A backend server sent its announcement to this instance directly.
+
+    ``write_id`` is for the answer to a departure, '' if nobody waits for it.
+    """
 
     announcement: announcements.Announcement
+    write_id: str = ""
 
 
 class LimitRead(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -17,6 +17,7 @@
 from .components import claims
 from .components import cluster_view
 from .components import configuration
+from .components import departures
 from .components import duties
 from .components import duties_state
 from .components import members
@@ -168,6 +169,7 @@
     voting_component = claim_voting.ClaimVoting(state, bootstrap)
     claims_component = claims.Claims(state, voting_component)
     renewals_component = renewals.Renewals(state, chosen_policy)
+    departures_component = departures.Departures(state)
     ends = server_ends.ServerEnds(state)
     limits_component = server_limits.ServerLimits(state)
     prefills_component = prefill_queues.PrefillQueues(state, chosen_policy)
@@ -188,8 +190,9 @@
         repair.Repair(state),
         renewals_component,
         backend_servers.BackendServers(
-            state, chosen_policy, renewals_component
+            state, chosen_policy, renewals_component, departures_component
         ),
+        departures_component,
         usage.Usage(state, keeps_usage),
         configuration.Configuration(state),
         revisions.Revisions(state, configuration.answer_callback),
