A cut response that ends with its connection is reset

What callers saw: over HTTP/1.0 a stream has neither length nor chunks, so it ends with its connection. One that was cut (server lost, deadline, stop of the instance, its process killed) ended like a whole one. With Connection: keep-alive the head promised that the connection stays, so the caller waited for an end that did not come.

Cause: wsgi.Aborted, a killed greenlet and a killed process close the connection in the normal way, which is the end of such a body.

Fix: before the head of a response without length and chunks is written, the connection is set to be reset when it is closed; once the app has ended the response that is undone. So one place, the orderly end of the app's iterable, makes such a response complete, and the kernel resets it after a SIGKILL too. These responses say Connection: close.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -101,6 +101,9 @@
 class Handler(pywsgi.WSGIHandler):
     """Serves one client connection."""
 
+    # Whether the end of the connection is that of the present response.
+    _ends_with_connection = False
+
     def handle(self):
         """Serve the connection with ``TCP_NODELAY`` set.
 
@@ -172,6 +175,42 @@
             # arrive on this connection although the instance is draining.
             self.close_connection = True
 
+    def finalize_headers(self):
+        """Prepare the head; a body without length or chunks is guarded.
+
+        Such a body ends with the connection (RFC 9112, section 6.3).  Until
+        it is whole, whatever ends the connection resets it, also the end of
+        the process, so that the client does not take a part for the whole.
+        """
+        super().finalize_headers()
+        self._ends_with_connection = not self._has_framing()
+        if self._ends_with_connection:
+            self.close_connection = True
+            self.response_headers = [
+                item
+                for item in self.response_headers
+                if item[0].lower() != b"connection"
+            ] + [(b"Connection", b"close")]
+            connection.reset_on_close(self.socket)
+
+    def _has_framing(self):
+        """Return whether the head tells where the response ends."""
+        return (
+            self.response_use_chunked
+            or self.code < 200
+            or self.code in (204, 304)
+            or any(
+                name.lower() == b"content-length"
+                for name, _ in self.response_headers
+            )
+        )
+
+    def process_result(self):
+        """Write the whole response."""
+        super().process_result()
+        if self._ends_with_connection:
+            connection.end_on_close(self.socket)
+
     def _sendall(self, data):
         """Write to the client, in most cases with a single system call.
 
