A stream whose caller ends its sending side is cut

What callers saw: a caller of the own interface that shuts its sending side during a stream and reads on got a stream with its last chunk, before [DONE].

Cause: the relay takes the half-close for the caller's leaving and returned from the iterable in the normal way, so the HTTP server wrote the last chunk.

Fix: it raises wsgi.Aborted, as on declared routes.

Evidence: test_a_stream_is_not_whole_whose_caller_ends_its_sending_side failed before (last chunk received), passes now.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -83,8 +83,9 @@
         except wsgi.Problem as problem:
             ended = True
             yield b"data: " + wsgi.error_body(problem) + b"\n\n"
-        except CallerLeft:
-            return
+        except CallerLeft as exc:
+            # A caller that has only ended its sending side reads on.
+            raise wsgi.Aborted() from exc
         finally:
             if not ended:
                 self._report_caller_gone()
--- a/tests/cover/test_cut_responses.py
+++ b/tests/cover/test_cut_responses.py
@@ -8,9 +8,12 @@
 import sys
 
 import gevent
+import msgspec
 import pytest
 
 from tests.common import platform_world
+from tests.common import world
+
 
 EVENTS = 3
 ROUTES = (
@@ -145,3 +148,33 @@
         process.send_signal(end)
         _, orderly = read_to_end(sock)
         assert not orderly
+
+
+def test_a_stream_is_not_whole_whose_caller_ends_its_sending_side():
+    with world.World() as deployment:
+        one = deployment.instance("i1")
+        deployment.engine("e1", step=0.1)
+        deployment.apply({"lookup": {"priority": 0}})
+        host, port = one.addresses["callers"].rsplit(":", 1)
+        body = msgspec.json.encode(
+            {
+                "model": "small",
+                "prompt": "hello",
+                "stream": True,
+                "max_tokens": 100,
+            }
+        )
+        sock = socket.create_connection((host, int(port)))
+        with sock:
+            headers = (
+                ("Authorization", f"Bearer {world.KEY}"),
+                ("Content-Type", "application/json"),
+            )
+            platform_world.send(sock, "POST", "/v1/completions", headers, body)
+            data = sock.recv(65536)
+            assert data.startswith(b"HTTP/1.1 200")
+            sock.shutdown(socket.SHUT_WR)
+            rest, _ = read_to_end(sock)
+    reply = platform_world.Reply(data + rest)
+    assert b"[DONE]" not in reply.body
+    assert not reply.whole
