A response that ends with its TLS connection says its end

What callers saw: over TLS, a whole stream to an HTTP/1.0 caller ended without a close alert, which a strict caller takes for a cut stream, and a lenient one can't tell from an end that somebody on the way has made up.

Cause: gevent closes TLS sockets without ending the session.

Fix: where the end of the connection is that of the response, the alert is sent once the app has ended it, and the caller's own awaited for a second at most. Cut ones are reset as over TCP.

Evidence: test_a_response_that_ends_with_a_tls_connection_says_its_end failed before for a whole response (SSLEOFError), passes now; the cut one passed.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -17,7 +17,9 @@
 Each rejection is a JSON error as the HTTP API defines it, with a remedy.
 """
 
+import contextlib
 import socket
+import ssl
 
 import gevent
 from gevent import pool
@@ -30,6 +32,8 @@
 LINGER_BYTES = 1024 * 1024
 LINGER_SECONDS = 2.0
 LINGER_READ_BYTES = 16 * 1024
+# How long to wait for a client's own close alert.
+CLOSE_ALERT_SECONDS = 1.0
 ERROR_RESPONSE_HEAD = (
     b"HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
     b"Connection: close\r\nContent-Length: %d\r\n\r\n"
@@ -210,6 +214,19 @@
         super().process_result()
         if self._ends_with_connection:
             connection.end_on_close(self.socket)
+            self._send_close_alert()
+
+    def _send_close_alert(self):
+        """End the TLS session of a connection, if it has one.
+
+        Without the alert the end cannot be told from one that somebody on
+        the way has made up (RFC 9112, section 9.8).
+        """
+        if not isinstance(self.socket, ssl.SSLSocket):
+            return
+        self.socket.settimeout(CLOSE_ALERT_SECONDS)
+        with contextlib.suppress(OSError):
+            self.socket.unwrap()
 
     def _sendall(self, data):
         """Write to the client, in most cases with a single system call.
--- a/tests/cover/test_cut_responses.py
+++ b/tests/cover/test_cut_responses.py
@@ -2,11 +2,17 @@
 connection."""
 
 import contextlib
+import logging
+import pathlib
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 
+from dandeliontrail_node import http_server
+from dandeliontrail_node import settings
+from dandeliontrail_node import wsgi
 import gevent
 import msgspec
 import pytest
@@ -14,6 +20,7 @@
 from tests.common import platform_world
 from tests.common import world
 
+CERTIFICATES = pathlib.Path(__file__).parent.parent / "common/certificates"
 
 EVENTS = 3
 ROUTES = (
@@ -60,7 +67,7 @@
         while True:
             try:
                 more = sock.recv(65536)
-            except ConnectionResetError:
+            except (ConnectionResetError, ssl.SSLEOFError):
                 return data, False
             if not more:
                 return data, True
@@ -150,6 +157,52 @@
         assert not orderly
 
 
+@contextlib.contextmanager
+def tls_server(app):
+    """Yield the address of a server of ``app`` over TLS."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(
+        CERTIFICATES / "instance.pem", CERTIFICATES / "instance.key"
+    )
+    server = http_server.Server(
+        ("127.0.0.1", 0),
+        app,
+        settings.LimitSettings(),
+        logging.getLogger(__name__),
+        ssl_context=context,
+    )
+    server.start()
+    try:
+        yield ("127.0.0.1", server.server_port)
+    finally:
+        server.stop(0.1)
+
+
+def connect_tls(address):
+    """Return a connection that tells an end without a close alert."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context.wrap_socket(
+        socket.create_connection(address), suppress_ragged_eofs=False
+    )
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_a_response_that_ends_with_a_tls_connection_says_its_end(is_cut):
+    def app(environ, start_response):
+        start_response("200 OK", [])
+        yield b"part"
+        if is_cut:
+            raise wsgi.Aborted()
+
+    with tls_server(app) as address, connect_tls(address) as sock:
+        sock.sendall(request("/"))
+        data, orderly = read_to_end(sock)
+    assert data.endswith(b"\r\n\r\npart")
+    assert orderly == (not is_cut)
+
+
 def test_a_stream_is_not_whole_whose_caller_ends_its_sending_side():
     with world.World() as deployment:
         one = deployment.instance("i1")
