A component that fails takes nothing of the others with it

What was seen: an exception in one component, at an event, a peer's message or in a tick, lost the effects of all components before it, whose state had changed by then (a Dispatch, a Refuse, an AppendLog: requests hang), and the components behind it did not run; one that raises in each tick stopped them for good and wrote ten lines a second. An effect that could not be carried out lost those after it, and its exception was thrown into whoever had submitted the event.

Fix: the reducer catches the exception of each component, goes on with the next and tells its failure handler (failures.FailureHandler). Without a host the handler raises, so that tests of reducers miss none. The host counts it, tells the request of the event as before, and logs one line a minute for each component, event and type of error, with the number left out. The component, the kind of the peer's message and its sender are in the line. In the line of a tick, event is Tick, not Reducer.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -13,7 +13,9 @@
 
 from dandeliontrail import effects
 from dandeliontrail import events
+from dandeliontrail import failures
 
+from . import fault_log
 from . import order_client
 from . import problems
 from . import request_log
@@ -26,9 +28,13 @@
 # ``START_PHASE_SECONDS``.
 START_TICK_SECONDS = 0.025
 START_PHASE_SECONDS = 2.0
+# The component in reports of failures outside of the reducer's components.
+REDUCER = "Reducer"
+EFFECTS = "Effects"
+REQUEST_LOG = "RequestLog"
 
 
-class Host:
+class Host(failures.FailureHandler):
     """The runtime of one instance: its reducer and everything it acts on.
 
     ``peer_link`` sends messages to other instances, ``engines`` sends
@@ -42,6 +48,8 @@
         self.metrics = metrics
         self.logger = logger
         self._request_log = request_log.RequestLog(logger, metrics.counters)
+        self._fault_log = fault_log.FaultLog(logger, metrics.counters, clock)
+        reducer.failure_handler = self
         self._peer_link = peer_link
         self._engines = engines
         self._exchanges = {}
@@ -144,39 +152,52 @@
 
     def _apply(self, event):
         now = self.clock.now()
-        self._request_log.event(event, now)
+        try:
+            self._request_log.event(event, now)
+        except Exception as exc:
+            self._fault_log.component_failed(
+                failures.of_event(REQUEST_LOG, event, exc)
+            )
         try:
             emitted = self.reducer.apply(event, now)
         except Exception as exc:
-            self._handle_failure(event, exc)
+            self.component_failed(failures.of_event(REDUCER, event, exc))
             return
         self._execute(emitted)
 
-    def _handle_failure(self, event, exc):
-        """Log an exception of the reducer and count it.
+    def component_failed(self, failure):
+        """Log and count a failure, which must not end the instance.
 
-        One event that fails must not end the instance.  If it belongs to a
-        request, the exchange is notified that no answer will come.
+        If it belongs to a request, the exchange is notified that no answer
+        will come.
         """
-        self.metrics.counters["faults_total"] += 1
-        name = type(event).__name__
-        fields = {"event": name, "error": str(exc)}
-        self.logger.error("event failed", extra=fields, exc_info=exc)
-        exchange = self._exchanges.get(getattr(event, "request_id", None))
+        self._fault_log.component_failed(failure)
+        exchange = self._exchanges.get(failure.request_id)
         if exchange:
             exchange.report_reducer_failure()
 
     def _execute(self, emitted):
         for effect in emitted:
-            self._effect_handlers[type(effect)](effect)
+            try:
+                self._effect_handlers[type(effect)](effect)
+            except Exception as exc:
+                self.component_failed(failures.of_event(EFFECTS, effect, exc))
         if emitted:
-            self._request_log.effects(emitted, self.clock.now())
+            self._log_effects(emitted)
         if self.state.store.version != self._version:
             self._version = self.state.store.version
             changed = self._version_changed
             self._version_changed = gevent_event.Event()
             changed.set()
 
+    def _log_effects(self, emitted):
+        try:
+            self._request_log.effects(emitted, self.clock.now())
+        except Exception as exc:
+            self._fault_log.component_failed(
+                failures.Failure(REQUEST_LOG, EFFECTS, exc)
+            )
+
     def wait_version(self, seen, seconds):
         """Wait until a version above ``seen`` is applied.
 
@@ -191,10 +212,7 @@
         fast_until = self.clock.now() + START_PHASE_SECONDS
         while True:
             self._read_clock()
-            try:
-                self._execute(self.reducer.tick(self.clock.now()))
-            except Exception as exc:
-                self._handle_failure(self.reducer, exc)
+            self.tick()
             at_normal_rate = (
                 self.state.log.ready or self.clock.now() > fast_until
             )
@@ -202,6 +220,10 @@
                 TICK_SECONDS if at_normal_rate else START_TICK_SECONDS
             )
 
+    def tick(self):
+        """Execute the effects that are due now."""
+        self._execute(self.reducer.tick(self.clock.now()))
+
     def request_lifecycle(self, request_id):
         """Return the state of a request that has not ended, or ``None``."""
         return self.reducer.lives.get(request_id)
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -10,6 +10,7 @@
 """
 
 from . import events
+from . import failures
 from . import interfaces
 from .components import backend_servers
 from .components import caches
@@ -43,13 +44,19 @@
 
 
 class Reducer:
-    """Passes each event to the components that handle its type."""
+    """Passes each event to the components that handle its type.
+
+    A component that raises keeps neither the others from running nor their
+    effects from being returned; ``failure_handler`` is told, and by default
+    raises.
+    """
 
     __slots__ = (
         "state",
         "policy",
         "components",
         "lives",
+        "failure_handler",
         "_ticking",
         "_handlers",
         "_messages",
@@ -60,6 +67,7 @@
         self.state = state
         self.policy = policy
         self.components = components
+        self.failure_handler = failures.RaiseFailures()
         self._ticking = [item for item in components if _ticks(item)]
         self._handlers = {}
         self._messages = {}
@@ -67,27 +75,34 @@
             self._register(component)
 
     def _register(self, component):
+        name = _name_of(component)
         for kind, handler in component.handlers().items():
             # Handlers of peer messages also receive the sender, so they are
             # kept apart from the handlers of events.
             is_event = kind.__module__.startswith(events.__name__)
             table = self._handlers if is_event else self._messages
-            table.setdefault(kind, []).append(handler)
+            table.setdefault(kind, []).append((name, handler))
 
     def apply(self, event, now):
         """Return the effects of ``event``, which happened at ``now``."""
         if isinstance(event, events.PeerMessageReceived):
             return self._apply_message(event, now)
         out = []
-        for handler in self._handlers[type(event)]:
-            out.extend(handler(event, now))
+        for name, handler in self._handlers[type(event)]:
+            try:
+                out.extend(handler(event, now))
+            except Exception as exc:
+                self._report(failures.of_event(name, event, exc))
         return out
 
     def _apply_message(self, event, now):
         out = []
         self.state.members.hear(event.source, now)
-        for handler in self._messages[type(event.message)]:
-            out.extend(handler(event.source, event.message, now))
+        for name, handler in self._messages[type(event.message)]:
+            try:
+                out.extend(handler(event.source, event.message, now))
+            except Exception as exc:
+                self._report(failures.of_message(name, event, exc))
         return out
 
     def waiting(self):
@@ -98,11 +113,23 @@
         """Return the effects that are due at ``now``."""
         out = []
         for component in self._ticking:
-            found = component.tick(now)
+            try:
+                found = component.tick(now)
+            except Exception as exc:
+                name = _name_of(component)
+                self._report(failures.Failure(name, failures.TICK, exc))
+                continue
             if found:
                 out.extend(found)
         return out
 
+    def _report(self, failure):
+        self.failure_handler.component_failed(failure)
+
+
+def _name_of(component):
+    return type(component).__name__
+
 
 def _ticks(component):
     """Return whether a component has work that is due by time."""
