--- a/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/membership.py
@@ -13,8 +13,9 @@
 from .. import invariants
 from . import digests
 from . import domain_silence
-from . import links
+from . import member_links
 from . import member_records
+from . import pauses
 
 Change = member_records.Change
 MemberRecord = member_records.MemberRecord
@@ -26,8 +27,6 @@
 # second earlier, other instances are asked to probe it.
 SILENT_AFTER_SECONDS = 3.5
 PROBE_AFTER_SECONDS = 2.5
-# Where relays are used, a relay that missed a heartbeat is replaced.
-RELAY_SILENT_AFTER_SECONDS = 1.6
 # How long a suspected instance has to refute the suspicion.  An update
 # reaches everyone in well under a second, so this allows for the loss of a
 # few messages.
@@ -35,12 +34,6 @@
 # Upper bound of the local health score (0 is healthy), as in Lifeguard.  The
 # timeouts of an instance are multiplied by one plus its score.
 MAX_HEALTH_SCORE = 4
-# A gap between two ticks above this means that this process was paused, and
-# that the silence of its peers is no evidence against them.
-MAX_TICK_GAP_SECONDS = 0.5
-# For this long after a pause, data read from sockets may have been queued
-# during the pause.
-PAUSE_BACKLOG_SECONDS = 1.0
 # How long a relay's report of silent failure domains stays valid: two query
 # intervals of an idle instance, see ``components.server_loads``.
 SILENCE_REPORT_SECONDS = 1.0
@@ -72,13 +65,9 @@
         "heartbeat_now",
         "_identity",
         "_links",
-        "_linked_members",
-        "_silent_names",
         "_reported_silent",
         "_domain_activity",
-        "_last_tick",
-        "_pause",
-        "_pause_ended",
+        "_pauses",
     )
 
     def __init__(self, identity, seeds):
@@ -90,14 +79,10 @@
         self.health = 0
         self.heartbeat_now = False
         self._identity = identity
-        self._links = None
-        self._linked_members = []
-        self._silent_names = set()
+        self._links = member_links.MemberLinks(identity, self.members)
         self._reported_silent = {}
         self._domain_activity = domain_silence.DomainActivity()
-        self._last_tick = None
-        self._pause = 0.0
-        self._pause_ended = float("-inf")
+        self._pauses = pauses.PauseDetector()
 
     def own_record(self, standing=Standing.ALIVE):
         """Return this instance's record of itself."""
@@ -189,7 +174,7 @@
         member = member_records.Member(record, now, now)
         self.members[record.instance] = member
         self.digest.put(record.instance, record.order())
-        self._links = None
+        self._links.invalidate()
         if not member.gone():
             self._record_change(record.instance, Change.JOINED)
 
@@ -209,7 +194,7 @@
             held.applied = 0
             held.heard = now
         self.digest.put(record.instance, record.order())
-        self._links = None
+        self._links.invalidate()
         self._record_change(record.instance, _change_between(before, record))
 
     def _record_change(self, instance, change):
@@ -264,108 +249,43 @@
 
     def links(self):
         """Return the members that this instance exchanges heartbeats with."""
-        if self._links is None:
-            self._update_links()
-        return self._linked_members
-
-    def _update_links(self):
-        own = self._identity
-        domain_of = {
-            name: item.failure_domain
-            for name, item in self.members.items()
-            if not item.gone()
-        }
-        self._links = links.choose(
-            own.instance, own.failure_domain, domain_of, self._silent_names
-        )
-        self._linked_members = [
-            self.members[name] for name in sorted(self._links.names)
-        ]
+        return self._links.linked()
 
     def note_silent(self, now):
-        """Exclude silent members from relay duty before they are failed.
-
-        A lease lasts 3 s, of which the propagation of a renewal may take up
-        2.4 s, so a lost relay must be replaced quickly.  A surplus relay for
-        a moment costs little.
-        """
-        if self.full_mesh():
-            return
-        silent = {
-            name
-            for name, item in self.members.items()
-            if item.linked and now - item.heard > RELAY_SILENT_AFTER_SECONDS
-        }
-        if silent != self._silent_names:
-            self._silent_names = silent
-            self._links = None
+        """Exclude silent members from relay duty before they are failed."""
+        self._links.note_silent(now)
 
     def full_mesh(self):
         """Return whether every instance is linked to every other."""
-        self.links()
-        return not self._links.relays
+        return self._links.full_mesh()
 
     def is_relay(self):
         """Return whether this instance is a relay of its failure domain."""
-        self.links()
-        return self._links.is_relay
+        return self._links.is_relay()
 
     def is_first_relay(self):
         """Return whether this instance is the first relay of its domain."""
-        self.links()
-        own = self._identity
-        return self._links.relays[own.failure_domain][0] == own.instance
+        return self._links.is_first_relay()
 
     def relays_of(self, domain):
         """Return the other members that are relays of a failure domain."""
-        self.links()
-        names = self._links.relays.get(domain, ())
-        return [self.members[name] for name in names if name in self.members]
+        return self._links.relays_of(domain)
 
     def relayed_domains(self):
         """Return the failure domains that have relays."""
-        self.links()
-        return list(self._links.relays)
+        return self._links.relayed_domains()
 
     def silent_relays_of(self, domain):
-        """Return the names of a domain's members that are silent.
-
-        These are not eligible as relays.
-        """
-        return sorted(
-            name
-            for name in self._silent_names & self.members.keys()
-            if self.members[name].failure_domain == domain
-        )
+        """Return the names of a domain's members that are silent."""
+        return self._links.silent_relays_of(domain)
 
     def is_relay_of(self, member):
         """Return whether a member is a relay of its failure domain."""
-        return member in self.relays_of(member.failure_domain)
+        return self._links.is_relay_of(member)
 
     def spread_to(self, source=""):
-        """Return the links to forward an update to.
-
-        ``source`` is the instance that the update came from, empty if it
-        originated here.
-
-        In a full mesh the update goes to all others, since any two instances
-        may have no path to each other.  With relays, an instance does not
-        forward what a relay of its own domain sent, as that was the last
-        hop.  A relay forwards everything to its own domain, but to the other
-        relays only what comes from its own domain.
-        """
-        out = [item for item in self.links() if item.instance != source]
-        if not source or self.full_mesh():
-            return out
-        domain = self._identity.failure_domain
-        sender = self.members[source]
-        if self.is_relay():
-            if sender.failure_domain == domain:
-                return out
-            return [item for item in out if item.failure_domain == domain]
-        if sender in self.relays_of(domain):
-            return []
-        return out
+        """Return the links to forward an update to; see ``MemberLinks``."""
+        return self._links.spread_to(source)
 
     def patience(self):
         """Return the factor that extends this instance's timeouts."""
@@ -483,32 +403,12 @@
         self._domain_activity.shift(seconds)
 
     def note_tick(self, now):
-        """Record a tick and return for how long this process was paused.
-
-        Returns 0.0 if the tick came on time.
-        """
-        late = now - self._last_tick if self._last_tick is not None else 0.0
-        self._last_tick = now
-        if late <= MAX_TICK_GAP_SECONDS:
-            return 0.0
-        self._pause = late
-        self._pause_ended = now
-        return late
+        """Record a tick and return for how long this process was paused."""
+        return self._pauses.note_tick(now)
 
     def waited(self, now):
-        """Return how old data may be that was just read from a socket.
-
-        After a pause of this process, such data may be as old as the pause
-        was long.  Taken for fresh, it would make a backend server that has
-        stopped since appear alive.
-        """
-        if self._last_tick is None:
-            return 0.0
-        if now - self._last_tick > MAX_TICK_GAP_SECONDS:
-            return now - self._last_tick
-        if now - self._pause_ended < PAUSE_BACKLOG_SECONDS:
-            return self._pause
-        return 0.0
+        """Return how old data may be that was just read from a socket."""
+        return self._pauses.waited(now)
 
     def turn_offsets(self):
         """Start a new period for the minimum clock offsets.
@@ -532,7 +432,7 @@
         ]:
             del self.members[name]
             self.digest.drop(name)
-            self._links = None
+            self._links.invalidate()
 
 
 def _retention_seconds(member):
