A bad stored record of usage takes no others with it

Now it is left out, the others are merged and the error is raised then, so that it is logged and counted.

Evidence: the new test failed before (no requests of one), passes now.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -23,6 +23,7 @@
 needs no more rows than one that never did.
 """
 
+from .. import errors
 from .. import invariants
 from . import digests
 from . import usage
@@ -411,12 +412,26 @@
         )
 
     def restore(self, snapshot, journal=()):
-        """Merge a snapshot from disk and the journal written after it."""
+        """Merge a snapshot from disk and the journal written after it.
+
+        A record that breaks an invariant is left out.  The first error is
+        raised once all others are merged: what is not merged now is gone, as
+        the next snapshot replaces the one on disk.
+        """
+        failed = []
         for message in (*snapshot.checkpoints, *snapshot.publishers, *journal):
-            if isinstance(message, usage.UsageCheckpoint):
-                self.adopt(message)
-            else:
-                self.merge(message)
+            try:
+                self._restore(message)
+            except errors.InvariantBroken as exc:
+                failed.append(exc)
+        if failed:
+            raise failed[0]
+
+    def _restore(self, message):
+        if isinstance(message, usage.UsageCheckpoint):
+            self.adopt(message)
+        else:
+            self.merge(message)
 
 
 def _select_rows(replica, keys):
--- a/tests/cover/test_usage_checkpoints.py
+++ b/tests/cover/test_usage_checkpoints.py
@@ -102,3 +102,21 @@
         totals.replace([(keys[0], REQUEST), (keys[1], REQUEST)], [])
     assert totals.of_organisation("lab") == REQUEST
     assert totals.of_class("lab", "a") == REQUEST
+
+
+def test_a_bad_stored_record_takes_no_others_with_it():
+    bad = usage.UsageRow(
+        usage.UsageKey(usage_nodes.DAY, "lab", "chat"),
+        1,
+        usage.Totals(requests=-1),
+    )
+    kept = new_ledger("i1")
+    kept.count("lab", "chat", REQUEST)
+    snapshot = usage.LedgerSnapshot(
+        [kept.rows_since(kept.own, 0)],
+        [usage.UsageCheckpoint("i9", 1, 1, 1, [bad])],
+    )
+    restored = new_ledger("i2")
+    with pytest.raises(errors.InvariantBroken):
+        restored.restore(snapshot)
+    assert restored.used_by("lab") == REQUEST
