A checkpoint of the log is installed whole or not at all

What was seen: where a part of a checkpoint could not be read (a newer release), the parts before it and the index applied were those of the checkpoint, but the log's commit index was not. No entry followed on that state any more (applied-version-never-falls), and a keeper stopped as one.

Fix: Applier.prepare reads a part and returns what installs it; the state machine prepares all parts before it installs any. Tables are tried on a shallow copy.

--- a/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/configuration.py
@@ -15,6 +15,7 @@
 from ..coordination import quorum_log_machine as machine
 from ..coordination import quorum_log_messages as messages
 from ..resources import changes
+from ..resources import store
 
 # The other instances are asked for their versions at most this often, however
 # many operators wait for a change to take effect.
@@ -54,10 +55,15 @@
         """Return all objects as JSON."""
         return msgspec.json.encode(self._store.dump())
 
-    def load(self, state):
-        """Replace all objects by those of a snapshot."""
-        self._store.load(state)
-        self._directory.invalidate()
+    def prepare(self, state):
+        """Read a snapshot, which is to replace all objects."""
+        loaded = store.read(state)
+
+        def install():
+            self._store.replace(loaded)
+            self._directory.invalidate()
+
+        return install
 
 
 class ReadMarkApplier(machine.Applier):
@@ -76,8 +82,9 @@
         """Return an empty snapshot."""
         return b"null"
 
-    def load(self, state):
+    def prepare(self, state):
         """Ignore the snapshot: there is no state."""
+        return lambda: None
 
 
 class Configuration(interfaces.Component):
--- a/packages/dandeliontrail/src/dandeliontrail/components/orders_state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/orders_state.py
@@ -1,5 +1,7 @@
 """State of the orders to engines, and how log entries are applied to it."""
 
+import copy
+
 import msgspec
 
 from ..coordination import downloads
@@ -23,9 +25,14 @@
         """Return the table as JSON."""
         return msgspec.json.encode(self._table.snapshot())
 
-    def load(self, state):
-        """Take over the table."""
-        self._table.restore(msgspec.json.decode(state))
+    def prepare(self, state):
+        """Read a snapshot of the table.
+
+        It is tried on a shallow copy: tables replace what they hold.
+        """
+        snapshot = msgspec.json.decode(state)
+        copy.copy(self._table).restore(snapshot)
+        return lambda: self._table.restore(snapshot)
 
 
 class OrdersState(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
@@ -109,11 +109,15 @@
         table = self._state.table
         return msgspec.json.encode(table.revision if table else None)
 
-    def load(self, state):
-        """Load a revision from a snapshot, unless a newer one is in force."""
+    def prepare(self, state):
+        """Read a revision, to be used unless a newer one is in force."""
         revision = msgspec.json.decode(state, type=revisions.Revision | None)
-        if revision is not None and revision.number > self._state.number:
-            self._state.replace(revision)
+
+        def install():
+            if revision is not None and revision.number > self._state.number:
+                self._state.replace(revision)
+
+        return install
 
 
 class Revisions(interfaces.Component):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_machine.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_machine.py
@@ -40,8 +40,12 @@
         """Return the whole state as JSON bytes."""
 
     @abc.abstractmethod
-    def load(self, state):
-        """Replace the state by one that :meth:`dump` returned."""
+    def prepare(self, state):
+        """Return a function that replaces the state by one of :meth:`dump`.
+
+        Raises, with nothing changed, if ``state`` cannot be read.  The
+        function that is returned does not raise.
+        """
 
 
 class KeptResult(msgspec.Struct, array_like=True):
@@ -158,27 +162,37 @@
         }
 
     def load(self, checkpoint):
-        """Install the state in ``checkpoint``, which must not be older."""
+        """Install the state in ``checkpoint``, which must not be older.
+
+        All parts are read before any is installed: with some of them, or
+        with the index alone, no later entry would follow on the state.
+        """
         invariants.check(
             checkpoint.index >= self.applied,
             "applied-version-never-falls",
             f"checkpoint {checkpoint.index} after {self.applied}",
         )
+        prepared = [
+            (kind, applier.prepare(bytes(part.state)), _kept(applier, part))
+            for kind, applier in self._appliers.items()
+            if (part := checkpoint.parts.get(kind.__struct_config__.tag))
+            is not None
+        ]
         self.applied = checkpoint.index
-        for kind, applier in self._appliers.items():
-            part = checkpoint.parts.get(kind.__struct_config__.tag)
-            if part is None:
-                continue
-            applier.load(bytes(part.state))
-            self._results[kind] = collections.OrderedDict(
-                (
-                    item.proposal_id,
-                    Outcome(
-                        item.version,
-                        msgspec.json.decode(
-                            item.result, type=applier.result_type
-                        ),
-                    ),
-                )
-                for item in part.results
-            )
+        for kind, install, results in prepared:
+            install()
+            self._results[kind] = results
+
+
+def _kept(applier, part):
+    """Return the outcomes in a part by the id of their proposal."""
+    return collections.OrderedDict(
+        (
+            item.proposal_id,
+            Outcome(
+                item.version,
+                msgspec.json.decode(item.result, type=applier.result_type),
+            ),
+        )
+        for item in part.results
+    )
--- a/packages/dandeliontrail/src/dandeliontrail/resources/store.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/store.py
@@ -171,22 +171,26 @@
             self.version, objects, self.history.floor, list(self.history.items)
         )
 
-    def load(self, state):
-        """Replace the contents by those of a :class:`StoredState` in JSON."""
-        stored = msgspec.json.decode(state, type=StoredState)
-        objects = {kind: {} for kind in specs.Kind}
-        index = references.References()
-        for item in stored.objects:
-            spec = msgspec.json.decode(
-                item.spec, type=specs.SPEC_TYPES[item.kind]
-            )
-            resource = Resource(item.kind, item.name, item.version, spec)
-            objects[item.kind][item.name] = resource
-            index.add(resource)
-        self.objects = objects
-        self._references = index
-        self.version = stored.version
-        self.history = history_module.History(stored.floor, stored.items)
+    def replace(self, other):
+        """Replace the contents by those of another store."""
+        self.objects = other.objects
+        self._references = other._references
+        self.version = other.version
+        self.history = other.history
+
+
+def read(state):
+    """Return a store with the contents of a :class:`StoredState` in JSON."""
+    stored = msgspec.json.decode(state, type=StoredState)
+    found = ResourceStore()
+    for item in stored.objects:
+        spec = msgspec.json.decode(item.spec, type=specs.SPEC_TYPES[item.kind])
+        resource = Resource(item.kind, item.name, item.version, spec)
+        found.objects[item.kind][item.name] = resource
+        found._references.add(resource)
+    found.version = stored.version
+    found.history = history_module.History(stored.floor, stored.items)
+    return found
 
 
 class _StagedChange:
