A failed dispatch takes none of its round with it

What was seen: a round of the policy decides on several requests; an exception at one of them lost the decisions on all others, whose state had changed, so that their callers waited until their time was over and their places at servers stayed taken.

Fix: each decision is carried out by itself. The request at which it fails is ended, its place released, and the failure is reported with its id, so that its caller is answered. Where it was a hedge only the hedge ends.

--- a/packages/dandeliontrail/src/dandeliontrail/components/endings.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/endings.py
@@ -86,6 +86,27 @@
         )
         return out + self.end_claim(request, now)
 
+    def fail(self, request, now):
+        """End a request at which this instance failed.
+
+        The embedder, which was told of the failure, answers it.
+        """
+        self._lives.pop(request.work.request_id, None)
+        if request.phase not in request_lifecycle.TERMINAL:
+            request.transition_to(
+                request_lifecycle.Phase.UNKNOWN
+                if request.attempts_begun > 0
+                else request_lifecycle.Phase.NOT_RUN
+            )
+        return self.end_claim(request, now)
+
+    def release(self, request, server, now):
+        """Release what the policy holds of a server for a failed dispatch."""
+        ended = work_module.AttemptEnd(
+            request.work.request_id, server, wasted=True
+        )
+        self._policy.ended(ended, now)
+
     def report_attempt_end(self, request, now, **details):
         """Report to the policy how the current attempt ended."""
         ended = work_module.AttemptEnd(
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -6,6 +6,7 @@
 
 from .. import effects
 from .. import events
+from .. import failures
 from .. import interfaces
 from .. import sentinels
 from . import answers
@@ -211,19 +212,43 @@
             request = self.lives.get(item.work.request_id)
             if request is None:
                 continue
-            if isinstance(item, work_module.Placement):
-                self._prefills.record_placed(item, now)
-                out.extend(
-                    dispatching.dispatch(self._state, request, item, now)
-                )
-            else:
-                out.extend(
-                    self._endings.refuse(
-                        request, item.nothing, now, item.grounds
-                    )
-                )
+            try:
+                out.extend(self._carry_out(item, request, now))
+            except Exception as exc:
+                # The policy has decided on the others as well.
+                out.extend(self._end_failed(item, request, exc, now))
         return out
 
+    def _carry_out(self, decision, request, now):
+        if isinstance(decision, work_module.Placement):
+            self._prefills.record_placed(decision, now)
+            return dispatching.dispatch(self._state, request, decision, now)
+        return self._endings.refuse(
+            request, decision.nothing, now, decision.grounds
+        )
+
+    def _end_failed(self, decision, request, exc, now):
+        """End what a decision was about that could not be carried out.
+
+        That is the request, but of a hedge only the hedge.
+        """
+        is_placement = isinstance(decision, work_module.Placement)
+        is_hedge = is_placement and decision.hedge
+        failure = failures.Failure(
+            type(self).__name__,
+            type(decision).__name__,
+            exc,
+            request_id="" if is_hedge else request.work.request_id,
+        )
+        self._state.failure_handler.component_failed(failure)
+        if is_placement:
+            self._endings.release(request, decision.server, now)
+        if is_hedge:
+            request.hedge = None
+            request.seeking_hedge = False
+            return []
+        return self._endings.fail(request, now)
+
     def _find_current(self, event):
         """Return the request whose current attempt the event is about.
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/state.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/state.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .. import failures
 from ..coordination import instance_counts
 from ..coordination import ledger
 from ..coordination import membership
@@ -67,6 +68,8 @@
     - ``instance_counts``: retry loans
     - ``streams`` and ``stream_counts``: stream versions; the request
       component adds its counts
+
+    ``failure_handler`` is the embedder's; it is told of all failures.
     """
 
     identity: Identity
@@ -91,6 +94,9 @@
     prefill: prefill_asks.PrefillAsks
     held_queues: held_queues.HeldQueues
     draining: bool = False
+    failure_handler: failures.FailureHandler = msgspec.field(
+        default_factory=failures.RaiseFailures
+    )
 
 
 def new_state(
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -56,7 +56,6 @@
         "policy",
         "components",
         "lives",
-        "failure_handler",
         "_ticking",
         "_handlers",
         "_messages",
@@ -67,7 +66,6 @@
         self.state = state
         self.policy = policy
         self.components = components
-        self.failure_handler = failures.RaiseFailures()
         self._ticking = [item for item in components if _ticks(item)]
         self._handlers = {}
         self._messages = {}
@@ -83,6 +81,15 @@
             table = self._handlers if is_event else self._messages
             table.setdefault(kind, []).append((name, handler))
 
+    @property
+    def failure_handler(self):
+        """The :class:`.failures.FailureHandler` told of each failure."""
+        return self.state.failure_handler
+
+    @failure_handler.setter
+    def failure_handler(self, handler):
+        self.state.failure_handler = handler
+
     def apply(self, event, now):
         """Return the effects of ``event``, which happened at ``now``."""
         if isinstance(event, events.PeerMessageReceived):
@@ -124,7 +131,7 @@
         return out
 
     def _report(self, failure):
-        self.failure_handler.component_failed(failure)
+        self.state.failure_handler.component_failed(failure)
 
 
 def _name_of(component):
--- a/tests/cover/test_component_failures.py
+++ b/tests/cover/test_component_failures.py
@@ -176,9 +176,9 @@
 
 
 def test_a_reducer_without_a_host_raises():
-    world = World()
+    assembled = reducers.new_reducer()
     alone = reducer_module.Reducer(
-        world.reducer.state, world.reducer.policy, [Failing("a")], {}
+        assembled.state, assembled.policy, [Failing("a")], {}
     )
     with pytest.raises(KeyError):
         alone.apply(LEFT_EARLY, 0.0)
--- a/tests/cover/test_request_life.py
+++ b/tests/cover/test_request_life.py
@@ -7,6 +7,7 @@
 import pytest
 
 import dandeliontrail
+from dandeliontrail.components import dispatching
 from dandeliontrail.components import request_lifecycle
 from dandeliontrail.decisions import baselines
 from dandeliontrail.decisions import work
@@ -148,3 +149,72 @@
     reducer.apply(events.Announced(gone), 0.05)
     with pytest.raises(dandeliontrail.InvariantBroken):
         receive(reducer)
+
+
+class FailedRequests:
+    """Collects the requests at which the reducer failed."""
+
+    def __init__(self):
+        self.ids = []
+
+    def component_failed(self, failure):
+        self.ids.append(failure.request_id)
+
+
+def fail_to_dispatch(monkeypatch, request_id):
+    dispatch = dispatching.dispatch
+
+    def failing(state, request, placement, now):
+        if placement.work.request_id == request_id:
+            raise KeyError(request_id)
+        return dispatch(state, request, placement, now)
+
+    monkeypatch.setattr(dispatching, "dispatch", failing)
+
+
+def announce(reducer, name):
+    announcement = announcements.Announcement(
+        name, 1, 1, "model_engine", "http://x", slots=1
+    )
+    announcement.models = [announcements.Model("small")]
+    reducer.apply(events.Announced(announcement), 0.2)
+
+
+@pytest.mark.parametrize("failing", ["r1", "r2"])
+def test_a_failed_dispatch_takes_none_of_its_round_with_it(
+    failing, monkeypatch
+):
+    reducer = make_reducer(servers=("e1",))
+    reducer.failure_handler = failed = FailedRequests()
+    receive(reducer, "r0")
+    receive(reducer, "r1")
+    receive(reducer, "r2")
+    fail_to_dispatch(monkeypatch, failing)
+    announce(reducer, "e2")
+    announce(reducer, "e3")
+    dispatched = only(reducer.tick(0.3), effects.Dispatch)
+    assert {"r1", "r2"} - {failing} == {item.request_id for item in dispatched}
+    assert failed.ids == [failing]
+    assert failing not in reducer.lives
+
+
+def test_a_failed_dispatch_leaves_its_slot_to_others(monkeypatch):
+    reducer = make_reducer(servers=("e1",))
+    reducer.failure_handler = FailedRequests()
+    fail_to_dispatch(monkeypatch, "r1")
+    assert not only(receive(reducer, "r1"), effects.Dispatch)
+    assert only(receive(reducer, "r2"), effects.Dispatch)
+
+
+def test_a_failed_hedge_leaves_the_first_attempt(monkeypatch):
+    reducer = make_reducer()
+    reducer.failure_handler = failed = FailedRequests()
+    receive(reducer, "r1")
+    reducer.apply(events.AttemptBegan("r1", 1), 0.2)
+    fail_to_dispatch(monkeypatch, "r1")
+    reducer.apply(events.AttemptSilent("r1", 1), 0.3)
+    assert failed.ids == [""]
+    assert reducer.lives["r1"].has_attempt(1)
+    reducer.apply(events.FirstOutput("r1", 1), 0.4)
+    reducer.apply(events.AnswerFinished("r1", 1, 10, 5), 0.5)
+    assert not reducer.lives
