No write of the log is lost by an exception

What was seen, in a test: a keeper makes effects of what its log has to write and send, and an exception on the way (of a callback, of the dissemination) lost the AppendLog made before it. The sync of the next write counts for all earlier ones, so the entry was committed and its proposer answered although no disk of this keeper held it: with one voter it is gone after a restart.

Fix: what was made when an exception left QuorumLog._finish is returned by the next call, first. A callback that proposes again calls it within itself; both lists are kept.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log.py
@@ -160,6 +160,7 @@
             core, neighbours
         )
         self._settled_index = 0
+        self._unreturned = []
         self._state_report = state_report_module.StateReport(core)
 
     # -- interface for components -----------------------------------------
@@ -508,9 +509,22 @@
     # -- effects ----------------------------------------------------------
 
     def _finish(self, now):
-        """Turn the pending output of the core into effects."""
+        """Turn the pending output of the core into effects.
+
+        What an exception interrupts is returned by the next call: the sync
+        of a later write would count for a write that is lost.
+        """
+        out, self._unreturned = self._unreturned, []
+        try:
+            self._collect(out, now)
+        except Exception:
+            # A callback may have made a call of its own.
+            self._unreturned = out + self._unreturned
+            raise
+        return out
+
+    def _collect(self, out, now):
         core = self._core
-        out = []
         core.maybe_checkpoint()
         core.flush()
         while core.out:
@@ -524,7 +538,6 @@
             for settled in self._proposals.take_all_applied():
                 out.extend(_run_callbacks(settled, now))
         out.extend(self._disseminate(now))
-        return out
 
     def _to_effects(self, item, now):
         if isinstance(item, core_module.Send):
