A peer does not close a tunnel while the answer is on its way

What callers saw: 502 where a server answered whole, with a length, before it had read a large request, and then reset: through a tunnel the instance got 163,989 bytes less what the buffers held, and a reset.

Cause: the peer stopped reading the request when its send failed, and closed the tunnel with a reset as soon as the server's connection had ended. A reset, and a close with unread bytes, drop what the other side has not taken yet; the instance reads the answer only once it has sent its request.

Fix: after a failed send the rest of the request is read and dropped. The tunnel has frames, so its end without the last one says what the reset said: the peer ends its sending side and leaves the close to the instance, for two seconds at most.

The tunnel tests pass unchanged.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -12,7 +12,6 @@
 from dandeliontrail.decisions import tunnel_admission
 from dandeliontrail import events
 
-from .. import connection
 from .. import tunnel_frames
 from .. import tunnel_messages
 from .. import wsgi
@@ -23,6 +22,8 @@
 CHUNK_BYTES = 16 * 1024
 MAX_REQUEST_BYTES = 16 * 1024
 REQUEST_SECONDS = 1.0
+# How long the instance may take to read the rest of an answer.
+LINGER_SECONDS = 2.0
 UPGRADE_ENVIRON_KEY = "HTTP_UPGRADE"
 SWITCHING = (
     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
@@ -153,6 +154,10 @@
         An answer without a length ends with its connection, so the server's
         end is passed on as a frame.  After a reset of the server, or if this
         process ends, the tunnel ends without one.
+
+        The instance ends the tunnel once it has the answer.  A close before
+        that, with bytes of its request unread, would drop what of the answer
+        is still on its way to it.
         """
         try:
             self._origin_sock.sendall(SWITCHING)
@@ -162,30 +167,35 @@
             return
         to_server = gevent.spawn(self._copy_to_server)
         try:
-            self._copy_to_origin()
+            if self._copy_to_origin():
+                to_server.join(LINGER_SECONDS)
         finally:
             to_server.kill()
 
     def _copy_to_origin(self):
+        """Copy until one side has ended; return whether the server has."""
         while True:
             try:
                 data = self._server_sock.recv(CHUNK_BYTES)
             except OSError:
-                if not self.ended_by:
-                    self._reset_origin()
-                return
+                if self.ended_by:
+                    return False
+                self.ended_by = "server reset"
+                self._end_without_frame()
+                return True
             frame = tunnel_frames.encode(data)
             self.bytes += len(data)
             try:
                 self._origin_sock.sendall(frame)
             except OSError:
                 self.ended_by = "origin"
-                return
+                return False
             if not data:
                 self.ended_by = "server"
-                return
+                return True
 
     def _copy_to_server(self):
+        has_failed = False
         while True:
             try:
                 data = self._origin_sock.recv(CHUNK_BYTES)
@@ -197,17 +207,25 @@
                 with contextlib.suppress(OSError):
                     self._server_sock.shutdown(socket.SHUT_RDWR)
                 return
+            if has_failed:
+                continue
             try:
                 self._server_sock.sendall(data)
             except OSError:
                 # The server may have answered before it had read everything;
-                # the other direction learns how its connection ended.
-                return
+                # the other direction learns how its connection ended.  The
+                # rest is read and dropped: the instance may read the answer
+                # only once it has sent its request.
+                has_failed = True
 
-    def _reset_origin(self):
-        self.ended_by = "server reset"
+    def _end_without_frame(self):
+        """End the sending side; TLS goes on for what the instance sends."""
         with contextlib.suppress(OSError):
-            connection.reset_on_close(self._origin_sock)
+            raw_sock = socket.socket(fileno=self._origin_sock.fileno())
+            try:
+                raw_sock.shutdown(socket.SHUT_WR)
+            finally:
+                raw_sock.detach()
 
 
 def _speaks_frames(environ):
--- a/tests/cover/test_answer_ends.py
+++ b/tests/cover/test_answer_ends.py
@@ -4,8 +4,11 @@
 import enum
 import logging
 import socket
+import time
 
 from dandeliontrail_node import connection
+from dandeliontrail_node.forwarding import tunnels
+from dandeliontrail_node.listeners import tunnel_app
 from dandeliontrail_platform import dialect
 import gevent
 from gevent import server as gevent_server
@@ -19,6 +22,8 @@
 # More than what the buffers of a connection hold.
 LARGE_BODY = b"x" * (3 * 1024 * 1024)
 BUFFER_BYTES = 16 * 1024
+# More than those buffers, and less than what a receiver's kernel takes.
+LARGE_ANSWER = b"y" * (160 * 1024)
 ROUTES = (
     platform_world.route("read", "safe", timeout_ms=6000),
     platform_world.route(
@@ -57,10 +62,13 @@
 class EarlyServer:
     """Answers before it has read the request's body, then resets.
 
-    Its answers have neither length nor chunks.
+    Its answers have neither length nor chunks, unless it has a ``body``; with
+    ``lingers`` that ends with the connection, and the request is read on.
     """
 
-    def __init__(self):
+    def __init__(self, body=b"", lingers=False):
+        self._body = body
+        self._lingers = lingers
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
         listener.bind(("127.0.0.1", 0))
@@ -87,8 +95,17 @@
         self.ran.append(platform_world.id_of(head))
         # By now the sender waits until more of the body is read.
         gevent.sleep(0.2)
-        sock.sendall(answer_head(head))
-        sock.sendall(WHOLE)
+        if self._lingers:
+            sock.sendall(answer_head(head) + self._body)
+            sock.shutdown(socket.SHUT_WR)
+            while sock.recv(BUFFER_BYTES):
+                gevent.sleep(0.001)
+            return
+        if self._body:
+            length = f"Content-Length: {len(self._body)}"
+            sock.sendall(answer_head(head, length) + self._body)
+        else:
+            sock.sendall(answer_head(head) + WHOLE)
         gevent.sleep(0.2)
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, proxy.LINGER_RESET
@@ -167,8 +184,8 @@
             self.platform.call(self.entries[0], "GET", "/read/x", "finds-out")
         return server
 
-    def early_server(self):
-        server = EarlyServer()
+    def early_server(self, body=b"", lingers=False):
+        server = EarlyServer(body, lingers)
         self.platform.at_end(server.close)
         self.platform.heartbeat(server)
         return self.add(server)
@@ -216,3 +233,39 @@
     reply = site.call("/report/x", "early-report", LARGE_BODY)
     assert not (reply.status == 200 and reply.whole)
     assert server.ran == ["early-report"]
+
+
+class SmallTunnel(tunnel_app._Tunnel):
+    """A tunnel that soon waits until the instance that asked reads."""
+
+    def run(self):
+        self._origin_sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES
+        )
+        super().run()
+
+
+@pytest.mark.parametrize("lingers", [False, True])
+def test_an_early_answer_larger_than_the_buffers_comes_through_a_tunnel(
+    monkeypatch, lingers
+):
+    # The peer must not close while the instance still sends its request.
+    monkeypatch.setattr(tunnel_app, "_Tunnel", SmallTunnel)
+    connect = tunnels.connection.connect
+
+    def connect_to_peer(address, seconds, source=None):
+        sock = connect(address, seconds, source)
+        if address.startswith(site.through()):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        return sock
+
+    with contextlib.ExitStack() as stack:
+        site = Site(stack, tunnelled=True)
+        server = site.early_server(LARGE_ANSWER, lingers)
+        monkeypatch.setattr(tunnels.connection, "connect", connect_to_peer)
+        began = time.monotonic()
+        reply = site.call("/order/x", "early-large", LARGE_BODY)
+    assert (reply.status, reply.whole) == (200, True)
+    assert reply.body == LARGE_ANSWER
+    assert server.ran == ["early-large"]
+    assert time.monotonic() - began < 2.5
