Receipts for departures are for what the receiver has

An instance sent its receipt although its registry had failed to take the record: components fail apart from one another, so the component of receipts ran all the same. Receipts were counted from 1 in each start, so that one for an earlier start confirmed another departure. A keeper that had just started and heard nobody took itself for the only instance. In each case a departure is acknowledged that nobody else has.

Fix: a receipt goes out once the registry has all records, or newer ones; the numbers begin with the incarnation; whoever has seeds and has heard nobody is not alone (as for permits).

--- a/packages/dandeliontrail/src/dandeliontrail/components/departures.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/departures.py
@@ -42,7 +42,8 @@
     def __init__(self, state):
         self._state = state
         self._pending = {}
-        self._last_receipt = 0
+        # Answers to an earlier start of this instance may still arrive.
+        self._last_receipt = state.identity.incarnation
         # The starts of servers whose departure another instance has.
         self._confirmed = {}
 
@@ -90,9 +91,12 @@
 
     def _has_others(self):
         """Return whether there is another instance, in reach or not."""
+        members = self._state.members
+        if not members.members:
+            return bool(members.seeds - {self._state.identity.address})
         return any(
             member.standing is not member_records.Standing.LEFT
-            for member in self._state.members.members.values()
+            for member in members.members.values()
         )
 
     def _handle_records(self, source, message, now):
@@ -101,11 +105,19 @@
             if record.announcement.leaving:
                 name = record.announcement.backend_server
                 self._confirmed[name] = record.announcement.start()
-        if not message.receipt:
+        if not message.receipt or not all(map(self._has, message.records)):
             return []
         answer = servers.RecordsReceived(message.receipt)
         return [effects.SendPeer(source.address, answer)]
 
+    def _has(self, record):
+        """Return whether the registry has a record, or a newer one."""
+        name = record.announcement.backend_server
+        known = self._state.registry.servers.get(name)
+        return known is not None and not servers.supersedes(
+            record.announcement, known.announcement
+        )
+
     def _handle_received(self, source, message, now):
         pending = self._pending.pop(message.receipt, None)
         if pending is None:
