A request refused after a fault of the reducer ends there as well

What was seen: a component fails at the event of a request, the caller gets 500, and the request stays in the reducer for good; its dispatch, which follows the fault, goes to nobody and holds its place at the server.

Fix: the forwarder reports that the caller leaves and that the time is over, one of which ends a request in each phase.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -188,6 +188,10 @@
             extra={"request_id": request_id},
             exc_info=exc,
         )
+        return self._report_fault()
+
+    def _report_fault(self):
+        request_id = self._incoming.request_id
         self._host.submit(events.Overdue(request_id))
         return problems.internal_problem(request_id)
 
@@ -261,7 +265,10 @@
     def _problem_of(self, effect):
         if isinstance(effect, effects.Refuse):
             return problems.problem_of(effect)
-        return problems.internal_problem(self._incoming.request_id)
+        # The reducer failed: the request may be in its state in any phase,
+        # of which each of these events ends some.
+        self._report_caller_left()
+        return self._report_fault()
 
     def _new_attempt(self, dispatch, silence_timeout=None):
         return attempt_module.Attempt(
