Half a body without a length is not taken for a whole one

What callers of the own interface saw: a server's answer without a length whose connection ends in the middle was passed on as complete, though a check of the body stands there for this case.

Cause: the check asks the parser whether the message is complete, after it has been told of the end of the connection, which completes such a message. And a timeout of the kernel was taken for one of the socket: the next recv returned nothing, as after an orderly end.

Fix: the head alone tells whether an answer is delimited; a failure of the connection is raised from the recv that meets it.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -5,6 +5,8 @@
 
 from gevent import socket as gevent_socket
 
+from . import server_socket
+
 # How long to wait for the next byte on a connection without a monitor of its
 # own.
 DEFAULT_SECONDS = 2.0
@@ -117,7 +119,9 @@
             self.sock.settimeout(self.monitor.timeout_seconds())
             try:
                 data = self.sock.recv(size)
-            except TimeoutError:
+            except TimeoutError as exc:
+                if server_socket.is_failure(exc):
+                    raise
                 self._handle_timeout()
                 continue
             self._bytes_left -= len(data)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -16,6 +16,7 @@
 from . import http_library
 
 CONNECTIONS_PER_SERVER = 512
+BODILESS_STATUSES = (204, 304)
 NOT_RUN_STATUSES = (429, 503)
 CANCEL_TIMEOUT_SECONDS = 2.0
 PROBE_SECONDS = 2.0
@@ -103,12 +104,15 @@
         """Whether a complete body can be distinguished from a truncated one.
 
         A body that is delimited by the close of the connection (RFC 9112,
-        section 6.3) looks complete wherever it is cut.
+        section 6.3) looks complete wherever it is cut, to the parser as well.
         """
-        if self._response.message_complete:
+        if self.status in BODILESS_STATUSES:
             return True
-        names = ("Content-Length", "Transfer-Encoding")
-        return any(self.get(name) is not None for name in names)
+        codings = ",".join(self.values("Transfer-Encoding")).lower()
+        return (
+            self.get("Content-Length") is not None
+            or codings.rpartition(",")[2].strip() == "chunked"
+        )
 
     def read_event(self):
         """Return the next event of a stream, or ``b""`` at its end.
--- a/tests/cover/test_bad_servers.py
+++ b/tests/cover/test_bad_servers.py
@@ -95,3 +95,22 @@
     body = client.msgspec.json.encode(announcement)
     assert sender.post("/v1/announcements", body).status_code == 200
     sender.close()
+
+
+def test_half_a_body_without_a_length_becomes_a_clear_error():
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+    bad = BadServer(head + b'{"choices": [{"text": "ha')
+    runner = gevent.spawn(bad.run)
+    with world.World() as cluster:
+        instance = cluster.instance("i1", backend_silent_seconds=2.0)
+        good = cluster.engine("e1", announce=False)
+        cluster.apply({"summary": {"repeatable": False}})
+        announce(instance, good, bad.port)
+        address = instance.addresses["callers"]
+        ask = client.Ask(
+            address, world.KEY, "", "hello", stream=False, timeout=10.0
+        )
+        received = client.send(ask)
+        assert not received.complete
+        assert received.outcome == "unknown"
+    runner.kill()
--- a/tests/cover/test_engine_client.py
+++ b/tests/cover/test_engine_client.py
@@ -1,5 +1,7 @@
 """Tests when the client of backend servers may repeat a request."""
 
+import errno
+
 import pytest
 
 from dandeliontrail_node import connection
@@ -81,3 +83,56 @@
     with pytest.raises(engine_client.NotBegun):
         make_client().open(attempt, outgoing)
     assert attempt.begun == 0
+
+
+def test_an_answer_without_a_length_is_not_delimited_by_its_end():
+    def handle(sock, address):
+        sockets.read_request(sock)
+        sock.sendall(b'HTTP/1.1 200 OK\r\n\r\n{"half')
+        sock.close()
+
+    with sockets.raw_server(handle) as url:
+        outgoing = engine_client.OutgoingRequest("GET", "/", {})
+        answer = make_client().open(Attempt(url), outgoing)
+        assert answer.read_all() == b'{"half'
+        assert not answer.self_delimited
+
+
+@pytest.mark.parametrize("head", ["204 No Content", "304 Not Modified"])
+def test_an_answer_without_a_body_is_delimited(head):
+    def handle(sock, address):
+        sockets.read_request(sock)
+        sock.sendall(f"HTTP/1.1 {head}\r\n\r\n".encode())
+        sock.close()
+
+    with sockets.raw_server(handle) as url:
+        outgoing = engine_client.OutgoingRequest("GET", "/", {})
+        answer = make_client().open(Attempt(url), outgoing)
+        assert answer.read_all() == b""
+        assert answer.self_delimited
+
+
+class TimedOutSocket:
+    """A connection whose peer acknowledged nothing any more."""
+
+    def __init__(self):
+        self._errors = [OSError(errno.ETIMEDOUT, "timed out")]
+
+    def settimeout(self, seconds):
+        """Ignore it."""
+
+    def recv(self, size):
+        if self._errors:
+            raise self._errors.pop()
+        return b""
+
+
+class PatientMonitor(connection.SilenceMonitor):
+    def handle_timeout(self):
+        """Wait on."""
+
+
+def test_a_timeout_of_the_kernel_is_not_followed_by_an_orderly_end():
+    sock = connection.WatchedSocket(TimedOutSocket(), PatientMonitor())
+    with pytest.raises(OSError):
+        sock.recv(1)
