Engines are told at each attempt which software is expected

Callers of the own interface got streams with events of two versions: an engine that is back under its name with other software was taken for the one before until its announcement arrived, for as long as an instance is cut off. What it wrote was bound to the old version and went on at an engine of that one.

Cause: the expected version was sent only where a stream went on, and not if it was the empty one, so that nothing compared what the first attempt reached with what its instance took it for.

Now each generation names the version that the engine announced, also an empty one, and an engine with other software refuses, which is true: nothing has run. The binding of a stream then is to what wrote it. The users' platform is not concerned: a start there has a new id, which each request names.

An engine that compares versions must announce its own; one that announces none is sent an empty one.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/calls.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/calls.py
@@ -6,8 +6,8 @@
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 CHAT_PATH = "/v1/chat/completions"
-# Names the version of the software that began the stream to be continued; an
-# engine of another version answers that it did not run the request.
+# Names the version that the engine announced, '' for none.  An engine of
+# another version answers that it did not run the request.
 SOFTWARE_VERSION_HEADER = "X-Software-Version"
 
 
@@ -69,9 +69,11 @@
 
     def _new_request(self, dispatch, fields):
         fields["priority"] = msgspec.Raw(b"%d" % dispatch.priority)
-        headers = {**JSON_HEADERS, "X-Request-Id": dispatch.request_id}
-        if dispatch.software_version:
-            headers[SOFTWARE_VERSION_HEADER] = dispatch.software_version
+        headers = {
+            **JSON_HEADERS,
+            "X-Request-Id": dispatch.request_id,
+            SOFTWARE_VERSION_HEADER: dispatch.software_version,
+        }
         body = msgspec.json.encode(fields)
         return engine_client.OutgoingRequest("POST", self._path, headers, body)
 
--- a/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/dispatching.py
@@ -64,7 +64,7 @@
             announcement.epoch,
             placement.peer,
             peer_address,
-            work.software_version,
+            version,
         ),
         answers.decision(work, "dispatched", server, **inputs),
         *queue_waits,
--- a/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/effects/requests.py
@@ -16,8 +16,8 @@
 
     With ``peer`` and ``peer_address`` the server is reached by a tunnel
     through that instance; ``epoch`` is the server's start.
-    ``software_version`` is the version that began the stream of which the
-    caller holds events, else ``None``.
+    ``software_version`` is the version that the server announced: what the
+    caller gets is bound to it, so a server with other software must refuse.
     """
 
     request_id: str
@@ -32,7 +32,7 @@
     epoch: int = 0
     peer: str = ""
     peer_address: str = ""
-    software_version: str | None = None
+    software_version: str = ""
 
 
 class Replay(msgspec.Struct):
