A hedge that the reducer withdraws is closed

Cause: Host had no handler for effects.Withdraw, which the reducer emits when a request is blocked while a second attempt runs beside the first. The KeyError ended the handling of that event: the effects after it were dropped, among them the refusals and ends of the other requests that were blocked then.

Fix: the effect goes to the exchange of its request, as forwarder, worker and hedge expect. test_withdrawn_hedges failed before, 3 of 3 now.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -71,6 +71,7 @@
             effects.Dispatch: self._dispatch,
             effects.Refuse: self._deliver_to_exchange,
             effects.Replay: self._deliver_to_exchange,
+            effects.Withdraw: self._deliver_to_exchange,
             effects.Abandon: self._abandon,
             effects.CutOff: self._cut_off,
             effects.Cancel: self._cancel,
