Soak: answers without a length, resets, early answers

Servers of the mix `all` also send answers that end with their connection, slowly, some longer than the grace of an instance; they reset a part of them, and answer some requests before they have read a body of 4 MB. Callers judge that no part of an answer looks whole, and that it is theirs. Paths to servers hold little, so that a send meets the reset.

--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -164,6 +164,8 @@
         self.ran = []
         self.connections = 0
         self.idle_seconds = None
+        # Whether a request, by its head, is answered before its body is read.
+        self.reads_late = lambda head: False
         self.closed = []
         self._open = set()
         self._script = script
@@ -188,10 +190,13 @@
                 sock.settimeout(None)
                 head, _, buffered = buffered.partition(b"\r\n\r\n")
                 text = head.decode()
-                length = _header(text, "content-length")
-                while len(buffered) < int(length or 0):
-                    buffered += sock.recv(65536)
-                buffered = buffered[int(length or 0) :]
+                length = int(_header(text, "content-length") or 0)
+                while len(buffered) < length and not self.reads_late(text):
+                    data = sock.recv(65536)
+                    if not data:
+                        return
+                    buffered += data
+                buffered = buffered[length:]
                 self.ran.append(text)
                 if self._script(self, sock, text) == "close":
                     sock.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,7 +36,8 @@
     one is not skipped.  With ``has_end`` the run ends with a final fault, and
     with ``has_parts`` some requests crash their servers; with
     ``has_troubled`` servers ask for rest, leave by their answers and send
-    without end.  With ``has_prompts`` long prompts are sent to model engines.
+    without end.  With ``has_prompts`` long prompts are sent to model engines,
+    with ``has_open`` answers that have no length are sent and reset.
     """
 
     kinds: tuple
@@ -45,6 +46,7 @@
     has_parts: bool = False
     has_troubled: bool = False
     has_prompts: bool = False
+    has_open: bool = False
 
 
 def plan(seed, seconds, kinds):
@@ -292,5 +294,6 @@
     has_parts=True,
     has_troubled=True,
     has_prompts=True,
+    has_open=True,
 )
 MIXES = {"first": FIRST_MIX, "keepers": KEEPER_MIX, "all": ALL_MIX}
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -38,18 +38,34 @@
 
     ``modes`` has the modes of single sending instances by their names;
     ``mode`` applies to all others.  With ``by_address`` the name of a sender
-    is the address that it connects from.
+    is the address that it connects from.  ``buffer_bytes`` is how much the
+    sockets towards the target hold, if it is not what the system sets.
     """
 
-    def __init__(self, target, listen=("127.0.0.1", 0), by_address=False):
+    def __init__(
+        self,
+        target,
+        listen=("127.0.0.1", 0),
+        by_address=False,
+        buffer_bytes=None,
+    ):
         self._target = target
+        self._buffer_bytes = buffer_bytes
         self._by_address = by_address
         self.mode = Mode.PASS
         self.modes = {}
         # The sending instance by the port from which the target is reached.
         self.senders = {}
         self._open = set()
-        self._server = gevent_server.StreamServer(listen, self._serve)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if buffer_bytes is not None:
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes
+            )
+        listener.bind(listen)
+        listener.listen(256)
+        self._server = gevent_server.StreamServer(listener, self._serve)
         self._server.start()
         host, port = self._server.server_host, self._server.server_port
         self.address = f"{host}:{port}"
@@ -59,6 +75,10 @@
         try:
             server_sock = socket.create_connection((host, int(port)), 1.0)
             server_sock.settimeout(None)
+            if self._buffer_bytes is not None:
+                server_sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, self._buffer_bytes
+                )
         except OSError:
             self._reset(client_sock)
             return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,6 +32,8 @@
     of each that came too late; ``troubled`` counts the rests, the servers that
     left by their answers and those that sent without end, and
     ``most_growth_mb`` is how much the memory of an entry grew at the most.
+    ``open_answers`` counts the answers without a length by how they ended at
+    callers, and at servers those that were reset and sent early.
     ``prompts`` counts the long prompts, and has the faults in the span in
     which only they are judged.
     ``end`` is the final fault, and ``recovered`` the seconds until the
@@ -54,6 +56,7 @@
     late_parts: list
     troubled: tuple
     most_growth_mb: float
+    open_answers: dict
     prompts: dict
     end: str
     recovered: tuple
@@ -88,6 +91,8 @@
             prompts = prompts_module.Prompts(world, seed)
             if mix.has_prompts:
                 prompts.run_first()
+            if mix.has_open:
+                world.open_answers.start()
             limits = limits_module.Limits(world, seed)
             world.spawn(limits.run_forever)
             paths = paths_module.Paths(world, seed)
@@ -118,6 +123,8 @@
             versions.check()
             world.parts.check()
             world.troubled.check()
+            if mix.has_open:
+                world.open_answers.check()
             if mix.has_prompts:
                 prompts.check()
             if logs and (world.findings or keep_all):
@@ -142,6 +149,7 @@
                 world.parts.late_sends(),
                 (troubled.rests, troubled.leavings, troubled.endless),
                 troubled.most_growth_mb,
+                world.open_answers.summary(),
                 prompts.summary(),
                 end,
                 recovered,
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -8,6 +8,7 @@
 from tests.common import limit_judge
 from tests.common import limited_server
 from tests.common import platform_world
+from tests.soak import open_answers
 from tests.soak import proxy as proxy_module
 from tests.soak import troubled
 from tests.soak import versions
@@ -37,7 +38,12 @@
         # Fields of the heartbeats that differ from those of most servers.
         self.heartbeat_fields = {}
         self._inner = platform_world.Server("127.0.0.1", self._script)
-        self.proxy = proxy_module.Proxy(self._inner.address, by_address=True)
+        self._inner.reads_late = self._reads_late
+        self.proxy = proxy_module.Proxy(
+            self._inner.address,
+            by_address=True,
+            buffer_bytes=open_answers.BUFFER_BYTES,
+        )
         self.incarnation = 0
         self.version = versions.VERSIONS[0]
         self.started_at = time.monotonic()
@@ -96,6 +102,19 @@
         self.restart(version)
         self.down = False
 
+    def _reads_late(self, head):
+        """Return whether a request is answered before its body is read."""
+        expected = platform_world.header(
+            head, "X-Dandeliontrail-Expect-Instance"
+        )
+        trouble = self.trouble
+        return (
+            open_answers.is_answered_early(head)
+            and expected == self.id
+            and trouble.retry_after is None
+            and trouble.endless is None
+        )
+
     def _script(self, server, sock, head):
         request_id = platform_world.id_of(head)
         expected = platform_world.header(
@@ -135,6 +154,10 @@
         return self._respond(sock, head, request_id)
 
     def _respond(self, sock, head, request_id):
+        if open_answers.is_open(head):
+            return self._world.open_answers.respond(
+                sock, head, request_id, self.extra
+            )
         gevent.sleep(self._world.rng.uniform(0.005, 0.06))
         if " /chat/" in head.split("\r\n")[0]:
             return self._stream(sock, head, request_id, self.version)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,6 +14,7 @@
 from tests.common import retry_judge
 from tests.common import world as node_world
 from tests.soak import fleet as fleet_module
+from tests.soak import open_answers
 from tests.soak import parts as parts_module
 from tests.soak import paths
 from tests.soak import processes
@@ -76,6 +77,7 @@
         self.judges = []
         self.parts = parts_module.Parts(self, seed)
         self.troubled = troubled_module.Troubled(self, seed)
+        self.open_answers = open_answers.OpenAnswers(self, seed)
         self.retries = retry_judge.RetryJudge(RETRY_LIMITS)
         self.orders = []
         self.first_tries = []
