Odd messages of peers fail nothing or change nothing

What was seen: KeyError in Membership.hear at each message of an instance's own name, every two seconds where its seeds name an address of it that it does not know; IndexError for buckets that do not exist; KeyError for rows of a publisher that is not held; IndexError for an empty page of claims that is not the last, after the status of its voter was taken.

Fix: own messages are dropped, which is what the exception did; the others are checked first.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/claim_votes.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/claim_votes.py
@@ -231,6 +231,8 @@
         """
         if self.ready(now) or message.after != self.page_after(name):
             return
+        if not message.last and not message.records:
+            return
         if not message.after:
             self._first_page_statuses[name] = _status_of(message, now)
         for record in message.records:
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/digests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/digests.py
@@ -83,8 +83,12 @@
         ]
 
     def entries(self, indices):
-        """Return the hashes of the entries in some buckets, by key."""
+        """Return the hashes of the entries in some buckets, by key.
+
+        Buckets that do not exist are passed over.
+        """
         out = {}
         for index in indices:
-            out.update(self._entries[index])
+            if 0 <= index < BUCKETS:
+                out.update(self._entries[index])
         return out
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/ledger.py
@@ -247,7 +247,8 @@
         return [
             self.rows_since(item.publisher, item.version)
             for item in have.versions
-            if self.held_version(item.publisher) > item.version
+            if item.publisher in self._publishers
+            and self.held_version(item.publisher) > item.version
         ]
 
     def is_behind(self, have):
--- a/packages/dandeliontrail/src/dandeliontrail/reducer.py
+++ b/packages/dandeliontrail/src/dandeliontrail/reducer.py
@@ -103,6 +103,10 @@
         return out
 
     def _apply_message(self, event, now):
+        if event.source.instance == self.state.identity.instance:
+            # A seed is an address of this instance, or another start runs
+            # under its name, which the members decide by their records.
+            return []
         out = []
         self.state.members.hear(event.source, now)
         for name, handler in self._messages[type(event.message)]:
