Answers to HEAD have no body

What callers saw: HEAD on a declared route was 502, since the instance waited for the body whose length the server's head gives. The instance's own answers to HEAD had a body, which a caller on a kept connection reads as the answer to its next request.

Fix: the parser of an answer to HEAD expects no body, the caller gets the length that the server declares, and the HTTP server writes no body to HEAD.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -13,6 +13,7 @@
 from . import answer_bounds
 
 ParseError = http_library.HTTPParseError
+BODILESS_STATUSES = (204, 304)
 
 
 class AnswerEnd(enum.Enum):
@@ -85,13 +86,17 @@
     :meth:`feed` raises ``answer_bounds.TooLarge`` if a head, or the framing of
     a body, goes beyond its bound.
 
+    With ``answers_head`` they answer a HEAD request, and have no body whatever
+    their head says.
+
     The parser is that of geventhttpclient.  Its own response class keeps one
     message at a time and discards it when the next begins.
     """
 
-    def __init__(self):
+    def __init__(self, answers_head=False):
         super().__init__()
         self.answers = collections.deque()
+        self._answers_head = answers_head
         self._field = ""
         self._value = ""
         self._in_value = False
@@ -171,7 +176,8 @@
         answer.status = self.get_code()
         answer.head_done = True
         self._in_head = answer.status < 200
-        return False
+        # Whether the answer has no body.
+        return self._answers_head
 
     def _on_body(self, data):
         answer = self.answers[-1]
@@ -190,6 +196,8 @@
 
     def _end_of(self, answer):
         """Return the end of an answer, ``None`` if it is cut short."""
+        if self._answers_head or answer.status in BODILESS_STATUSES:
+            return AnswerEnd.HEAD
         has_length = bool(answer.get("content-length"))
         if self._connection_ended:
             return None if has_length else AnswerEnd.CONNECTION
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -109,6 +109,7 @@
 
     def prepare(self, method, target, headers, body):
         """Build the bytes of the request for :meth:`send`."""
+        self._parser = answer_parser.AnswerParser(method == "HEAD")
         lines = [f"{method} {target} HTTP/1.1"]
         lines.extend(f"{name}: {value}" for name, value in headers)
         if body or method not in ("GET", "HEAD", "DELETE"):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -101,12 +101,19 @@
         ]
         status = wsgi.status_line(answer.status)
         if output.events is None:
-            headers.append(("Content-Length", str(len(output.body))))
+            headers.append(("Content-Length", self._length_of(output)))
             start_response(status, headers)
             return _WholeBody(output.body, self._close)
         start_response(status, headers)
         return self._stream(output.events)
 
+    def _length_of(self, output):
+        """Return the length of a body, to HEAD as the server declares it."""
+        declared = output.answer.get("content-length")
+        if self._incoming.method == "HEAD" and declared:
+            return declared
+        return str(len(output.body))
+
     def _begin(self):
         """Submit the request to the reducer and start the deadline timer.
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -187,6 +187,9 @@
         the process, so that the client does not take a part for the whole.
         """
         super().finalize_headers()
+        if self.command == "HEAD":
+            # No last chunk either.
+            self.response_use_chunked = False
         self._ends_with_connection = not self._has_framing()
         if self._ends_with_connection:
             self.close_connection = True
@@ -201,6 +204,7 @@
         """Return whether the head tells where the response ends."""
         return (
             self.response_use_chunked
+            or self.command == "HEAD"
             or self.code < 200
             or self.code in (204, 304)
             or any(
@@ -209,6 +213,14 @@
             )
         )
 
+    def _write(self, data):
+        """Write a part of the body; a response to HEAD has none.
+
+        Its bytes would be read as the response to the next request.
+        """
+        if self.command != "HEAD":
+            super()._write(data)
+
     def process_result(self):
         """Write the whole response."""
         super().process_result()
