An answer with an unknown transfer coding is broken

What callers saw: 200 with the coded bytes as the body, for instance those of gzip, without the header that names the coding; for chunked, gzip the framing of the chunks as part of the body.

Cause: the parser reads such a body to the end of its connection, and Transfer-Encoding is for one connection only, so it was dropped.

Fix: the parser raises for a coding that it does not decode, and never marks such an answer as complete.

Evidence: the cases gzip and chunked, gzip of test_only_what_its_framing_completes_is_whole failed before, pass now.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -14,6 +14,12 @@
 
 ParseError = http_library.HTTPParseError
 BODILESS_STATUSES = (204, 304)
+# Those that the parser decodes (RFC 9112, section 7); ``identity`` is none.
+TRANSFER_CODINGS = ("chunked", "identity")
+
+
+class UnknownCoding(ParseError):
+    """The body has a transfer coding that cannot be decoded here."""
 
 
 class AnswerEnd(enum.Enum):
@@ -84,7 +90,8 @@
     """Turns the bytes of a connection into :class:`Answer` objects.
 
     :meth:`feed` raises ``answer_bounds.TooLarge`` if a head, or the framing of
-    a body, goes beyond its bound.
+    a body, goes beyond its bound, and ``UnknownCoding`` for a body that cannot
+    be decoded.
 
     With ``answers_head`` they answer a HEAD request, and have no body whatever
     their head says.
@@ -106,6 +113,7 @@
         self._interim_answers = 0
         self._in_head = True
         self._connection_ended = False
+        self._has_unknown_coding = False
 
     def feed(self, data):
         """Parse the next bytes."""
@@ -113,6 +121,7 @@
         super().feed(data)
         self._other_bytes += len(data) - (self._body_bytes - bodies)
         self._check_bounds()
+        self._check_codings()
 
     def end_connection(self):
         """Handle the orderly end of the connection by the server.
@@ -143,6 +152,25 @@
         ):
             raise answer_bounds.TooLarge("the answer has too many headers")
 
+    def _check_codings(self):
+        if not self._has_unknown_coding:
+            return
+        codings = self.answers[-1].values("transfer-encoding")
+        raise UnknownCoding(f"the transfer coding {', '.join(codings)}")
+
+    def _is_decoded(self, answer):
+        """Return whether the body arrives here as it was before its coding."""
+        codings = answer.values("transfer-encoding")
+        return self._is_bodiless(answer) or (
+            len(codings) <= 1
+            and all(
+                value.strip().lower() in TRANSFER_CODINGS for value in codings
+            )
+        )
+
+    def _is_bodiless(self, answer):
+        return self._answers_head or answer.status in BODILESS_STATUSES
+
     def pop(self):
         """Remove the oldest answer and return it."""
         return self.answers.popleft()
@@ -176,6 +204,7 @@
         answer.status = self.get_code()
         answer.head_done = True
         self._in_head = answer.status < 200
+        self._has_unknown_coding = not self._is_decoded(answer)
         # Whether the answer has no body.
         return self._answers_head
 
@@ -196,8 +225,10 @@
 
     def _end_of(self, answer):
         """Return the end of an answer, ``None`` if it is cut short."""
-        if self._answers_head or answer.status in BODILESS_STATUSES:
+        if self._is_bodiless(answer):
             return AnswerEnd.HEAD
+        if self._has_unknown_coding:
+            return None
         has_length = bool(answer.get("content-length"))
         if self._connection_ended:
             return None if has_length else AnswerEnd.CONNECTION
