A whole answer is relayed whatever comes after it

What callers saw: 502 where a server sent a whole answer and stray bytes in the same packet, also after 204 and 304 (which have no body). Stray bytes that came later did no harm.

Cause: the parser's error was ignored only once the answer had been taken from the parser, which is after the packet has been read.

Fix: the error of what follows a whole answer is remembered; whoever needs more than that answer, such as the next one where this was a late one, gets Broken, and the connection is not kept.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -69,6 +69,8 @@
         self._parser = answer_parser.AnswerParser()
         self._unsent = memoryview(b"")
         self._began = False
+        # Whether bytes came that are no answer, so that nothing more is read.
+        self._has_stray_bytes = False
         self.answer = None
 
     def connect(self):
@@ -198,6 +200,8 @@
 
     def _receive(self):
         """Receive and parse once; raises if the answer is truncated."""
+        if self._has_stray_bytes:
+            raise Broken("what came after another answer was none")
         data = None
         try:
             data = self._conn.sock.recv(connections_module.RECEIVE_BYTES)
@@ -207,10 +211,11 @@
                 self._parser.end_connection()
         except (*FAILURES, answer_bounds.TooLarge) as exc:
             _raise_if_silent("reading", exc)
-            if self.answer is not None and self.answer.complete:
+            answers = self._parser.answers
+            if answers and answers[0].complete:
                 # Bytes after the complete answer: ignore them, and do not
                 # reuse the connection.
-                self._conn.idle_until = 0.0
+                self._has_stray_bytes = True
                 return
             raise _broken("reading", exc, at_end=data == b"")
         if data:
@@ -247,6 +252,7 @@
             and answer.complete
             and len(parser.answers) == 1
             and parser.should_keep_alive()
+            and not self._has_stray_bytes
             and not parser.parser_failed()
         ):
             return self._connections.keep(conn, answer)
