A server that begins a stream again does not resume it

What callers saw: a resumable stream whose server was lost, and whose next server does not know Last-Event-Id, gave event 1, then 1, 2 and 3 of another run, and ended as complete.

Cause: whatever a resumed attempt sent was relayed.

Fix: the first id of a resumed attempt must come after the last one that the caller has (numbers by value, others must differ), and there must be one; else the attempt fails, and the stream goes on elsewhere or is cut.

Evidence: test_a_stream_that_is_begun_again_is_not_joined, both cases failed before (events twice, one of them whole), pass now. Resumptions that are reset, or end inside an event, and errors of our own in a stream were cut before, too; they are tested now.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -100,7 +100,7 @@
         self._deadline = deadline
         self._silence_timeout = silence_timeout
         self._resuming = resuming
-        self._splitter = events_splitter.EventsSplitter(last_id)
+        self._splitter = events_splitter.EventsSplitter(last_id, resuming)
         self._request = None
         self._answer = None
         self._server_report = None
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -57,6 +57,7 @@
     attempt_module.ServerRests,
     attempt_module.ServerFailed,
     events_splitter.EventTooLong,
+    events_splitter.NotResumed,
 )
 
 
--- a/tests/cover/test_answer_end_relatives.py
+++ b/tests/cover/test_answer_end_relatives.py
@@ -1,11 +1,16 @@
 """Answers that are cut, or framed in unusual ways, are never wrongly whole."""
 
 import contextlib
+import socket
 
+from dandeliontrail_node.forwarding import events_splitter
+from dandeliontrail_node.forwarding import forwarder
+import gevent
 import pytest
 
 from tests.common import platform_world
 from tests.cover import test_answer_ends as ends
+from tests.soak import proxy
 
 BODY = b"0123456789"
 ORDER = "/order/x"
@@ -176,3 +181,84 @@
     for head in (first, second):
         assert head.startswith(b"HTTP/1.1 404")
     assert rest == b""
+
+
+class Resumed:
+    """Cuts a stream after its first event, and sends ``rest`` afterwards."""
+
+    def __init__(self, rest, resets=False):
+        self._rest = rest
+        self._resets = resets
+
+    def __call__(self, server, sock, head):
+        sock.sendall(ends.answer_head(head))
+        if not platform_world.header(head, "last-event-id"):
+            sock.sendall(platform_world.event(1))
+            self._reset(sock)
+        sock.sendall(self._rest)
+        if self._resets:
+            self._reset(sock)
+        return "close"
+
+    @staticmethod
+    def _reset(sock):
+        gevent.sleep(0.05)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, proxy.LINGER_RESET
+        )
+        sock.close()
+        raise ConnectionResetError
+
+
+LATER = platform_world.event(2) + platform_world.event(3)
+
+
+@pytest.mark.parametrize(
+    "rest, resets, body",
+    [
+        (LATER, False, ends.WHOLE),
+        (LATER, True, None),
+        (b"", True, None),
+        (platform_world.event(2) + b"id: 3\nda", False, None),
+        (platform_world.event(2) + b"id: 3\nda", True, None),
+    ],
+)
+def test_a_resumption_completes_a_stream_only_by_its_own_end(
+    rest, resets, body
+):
+    with contextlib.ExitStack() as stack:
+        made = ends.Site(stack, tunnelled=False)
+        for _ in range(2):
+            made.add(made.platform.server(Resumed(rest, resets)))
+        reply = made.call("/chat/x", "resumed")
+    assert reply.status == 200
+    assert reply.whole == (body is not None)
+    assert ends.WHOLE.startswith(reply.body)
+
+
+@pytest.mark.parametrize("rest", [ends.WHOLE, platform_world.event(1)])
+def test_a_stream_that_is_begun_again_is_not_joined(rest):
+    with contextlib.ExitStack() as stack:
+        made = ends.Site(stack, tunnelled=False)
+        for _ in range(2):
+            made.add(made.platform.server(Resumed(rest)))
+        reply = made.call("/chat/x", "begun-again")
+    assert not reply.whole
+    assert reply.body == platform_world.event(1)
+
+
+def test_an_error_in_the_middle_of_a_stream_cuts_it(site, monkeypatch):
+    def fail(self, event):
+        raise KeyError("an error of our own")
+
+    for n, (owner, name) in enumerate(
+        (
+            (forwarder.Forwarder, "_report_finished"),
+            (events_splitter.EventsSplitter, "feed"),
+        )
+    ):
+        site.script.lines, site.script.body = (), ends.WHOLE
+        with monkeypatch.context() as patch:
+            patch.setattr(owner, name, fail)
+            reply = site.call("/report/x", f"failing-{n}")
+        assert not (reply.status == 200 and reply.whole)
