A refusal of a tunnel for rest is no lost path

What callers saw: three requests refused with 503 no_backend_server when the rest of a server ends that is reached through one peer.

Fix: the refusal says that the server rests, in a field that earlier releases ignore; they read the refusal of before. Such a path is left out for 0.15 s without growing, and does not count as a sign that the server has ended. Other peers are preferred meanwhile.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -109,19 +109,19 @@
                 sock = self._connect(path.peer_address)
                 sock.sendall(self._encode(request, path.peer_address))
                 answer = _read_answer(sock)
-            refusal = _refusal_in(answer)
+            refused = _refusal_in(answer)
         except FAILURES as exc:
             _close(sock)
             raise NotOpened(
                 peer_paths.PathFailure.PEER,
                 f"tunnel through {path.peer}: {type(exc).__name__}: {exc}",
             )
-        if refusal is None:
+        if refused is None:
             return TunnelSocket(sock, answer.body)
         _close(sock)
         raise NotOpened(
-            _PATH_FAILURES.get(refusal, peer_paths.PathFailure.PEER),
-            f"tunnel through {path.peer}: refused, {refusal.value}",
+            path_failure_of(refused),
+            f"tunnel through {path.peer}: refused, {refused.refusal.value}",
         )
 
     def _connect(self, peer_address):
@@ -189,16 +189,21 @@
 
 
 def _refusal_in(answer):
-    """Return the refusal in an answer, ``None`` if the tunnel stands."""
+    """Return what a peer refused with, ``None`` if the tunnel stands."""
     if answer.status == tunnel_messages.SWITCHED_STATUS:
         if answer.protocol != tunnel_messages.PROTOCOL:
             raise ConnectionError(f"the peer switched to {answer.protocol}")
         return None
     if answer.status != tunnel_messages.REFUSED_STATUS:
         raise ConnectionError(f"the peer answered {answer.status}")
-    return msgspec.json.decode(
-        answer.body, type=tunnel_messages.TunnelRefused
-    ).refusal
+    return msgspec.json.decode(answer.body, type=tunnel_messages.TunnelRefused)
+
+
+def path_failure_of(refused):
+    """Return why no tunnel was opened, by what the peer answered."""
+    if refused.rests:
+        return peer_paths.PathFailure.REST
+    return _PATH_FAILURES.get(refused.refusal, peer_paths.PathFailure.PEER)
 
 
 def _close(sock):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -114,7 +114,7 @@
         self._host.logger.info("tunnel refused", extra=fields)
         return wsgi.reply_json(
             start_response,
-            tunnel_messages.TunnelRefused(refusal),
+            tunnel_messages.refused(refusal),
             tunnel_messages.REFUSED_STATUS,
         )
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/tunnel_messages.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/tunnel_messages.py
@@ -32,6 +32,18 @@
 
 
 class TunnelRefused(msgspec.Struct):
-    """The body of the answer if no tunnel is opened."""
+    """The body of the answer if no tunnel is opened.
+
+    With ``rests`` the server asked the peer for rest.  The refusal is then
+    ``SERVER``, as earlier releases know no other.
+    """
 
     refusal: tunnel_admission.Refusal
+    rests: bool = False
+
+
+def refused(refusal):
+    """Return the message for a refusal."""
+    if refusal is tunnel_admission.Refusal.REST:
+        return TunnelRefused(tunnel_admission.Refusal.SERVER, True)
+    return TunnelRefused(refusal)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/peer_paths.py
@@ -15,6 +15,9 @@
 # after each further failure, up to the second.
 INITIAL_BACKOFF_SECONDS = 1.0
 MAX_BACKOFF_SECONDS = 4.0
+# A peer that the server asked for rest is asked again after this time: both
+# rests end at about the same moment.
+REST_BACKOFF_SECONDS = 0.15
 # Costs of a peer as a number of tunnels: in another failure domain than this
 # instance, for each peer of its domain that could not help lately, and where
 # it could not help lately itself: else all that could not would be asked again
@@ -41,12 +44,13 @@
 
     ``PEER``: the peer did not answer or takes no tunnels now.  ``NO_SERVERS``:
     it reaches no server itself.  ``SERVER``: it reaches others, but not this
-    one.
+    one.  ``REST``: the server asked it for rest.
     """
 
     PEER = "peer"
     NO_SERVERS = "no_servers"
     SERVER = "server"
+    REST = "rest"
 
 
 class _Path(msgspec.Struct, frozen=True):
@@ -166,6 +170,12 @@
         ``is_single`` is true if no other server is lost here.
         """
         self._remove_expired(now)
+        if failure is PathFailure.REST:
+            backoff = self._backoffs.setdefault(
+                _Path(peer, server), _Backoff()
+            )
+            backoff.until = max(backoff.until, now + REST_BACKOFF_SECONDS)
+            return
         if failure is not PathFailure.SERVER:
             self._extend_backoff(_Path(peer), now)
             return
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/tunnel_admission.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/tunnel_admission.py
@@ -12,14 +12,15 @@
 
     ``UNKNOWN_SERVER``: its registry has no such start at this address, or the
     server leaves.  ``NO_SERVERS``: it reaches no server itself.  ``SERVER``:
-    it does not reach this one, or this one
-    asked it for rest.  ``FULL``: it has as many tunnels as it takes.
+    it does not reach this one.  ``REST``: this one asked it for rest.
+    ``FULL``: it has as many tunnels as it takes.
     ``NOT_SERVING``: it serves no routes.
     """
 
     UNKNOWN_SERVER = "unknown_server"
     NO_SERVERS = "no_servers"
     SERVER = "server"
+    REST = "rest"
     FULL = "full"
     DRAINING = "draining"
     NOT_SERVING = "not_serving"
@@ -50,7 +51,7 @@
     if (announcement.epoch, announcement.url) != (epoch, url):
         return Refusal.UNKNOWN_SERVER
     if server.rests(now):
-        return Refusal.SERVER
+        return Refusal.REST
     if open_tunnels >= MAX_TUNNELS:
         return Refusal.FULL
     return _REFUSALS.get(reach)
--- a/tests/cover/test_paths_through_peers.py
+++ b/tests/cover/test_paths_through_peers.py
@@ -8,6 +8,8 @@
 from dandeliontrail.decisions import tunnel_admission
 from dandeliontrail.decisions import view
 from dandeliontrail.decisions import work as work_module
+from dandeliontrail_node.forwarding import tunnels
+from dandeliontrail_node import tunnel_messages
 
 from tests.common import shared_policy_harness
 
@@ -327,6 +329,36 @@
     assert admission(reach=reach.NONE) is Refusal.NO_SERVERS
 
 
+def test_a_peer_that_a_server_asked_for_rest_is_asked_again_soon():
+    paths = peer_paths_of(2)
+    for now in (0.0, 0.2, 0.4):
+        assert paths.choose("e0", "fd0", now) == "i1"
+        paths.record_failure("i1", "e0", PathFailure.REST, now)
+        assert not paths.exists("e0", now)
+    assert paths.exists("e0", 0.6)
+
+
+def test_rest_at_many_peers_does_not_count_as_the_end_of_a_server():
+    paths = peer_paths_of(100)
+    for name in sorted(domains(100))[: peer_paths.MIN_PEERS_FOR_DOWN]:
+        paths.record_failure(name, "e0", PathFailure.REST, 0.0, True)
+    assert paths.exists("e0", 0.0)
+
+
+def test_a_resting_server_has_a_refusal_of_its_own():
+    resting = types.SimpleNamespace(
+        announcement=types.SimpleNamespace(epoch=3, url="http://h:1"),
+        serves=lambda now: True,
+        rests=lambda now: True,
+    )
+    refused = tunnel_messages.refused(admission(server=resting))
+    # Instances of earlier releases know no other refusal for it.
+    assert refused.refusal is Refusal.SERVER
+    assert tunnels.path_failure_of(refused) is PathFailure.REST
+    refused = tunnel_messages.refused(Refusal.SERVER)
+    assert tunnels.path_failure_of(refused) is PathFailure.SERVER
+
+
 def test_health_of_a_server_is_not_judged_by_its_old_connections():
     instance = Instance(servers=1, instances=1)
     observed(instance)
