Heads are refused by their size alone, not by the libraries' own limits

Cause: two limits of the libraries, of the parser of the standard library and of the HTTP server, are met inside the limit in bytes.

The lines of a head are checked as before, one by one, but gathered in one buffer and parsed at the end; a request line beyond the limit is answered 431 with a remedy like any other head.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -18,6 +18,7 @@
 """
 
 import contextlib
+import email.parser
 import socket
 import ssl
 
@@ -32,6 +33,10 @@
 LINGER_BYTES = 1024 * 1024
 LINGER_SECONDS = 2.0
 LINGER_READ_BYTES = 16 * 1024
+# The limits of the libraries, on the request line and the number of headers,
+# would be met inside the one in bytes.
+pywsgi.MAX_REQUEST_LINE = 1024 * 1024
+_head_parser = email.parser.Parser(_class=pywsgi.OldMessage)
 # How long to wait for a client's own close alert.
 CLOSE_ALERT_SECONDS = 1.0
 ERROR_RESPONSE_HEAD = (
@@ -48,29 +53,6 @@
         self.problem = problem
 
 
-class _LimitedHeadReader:
-    """Returns the checked lines of a head, up to a limit in bytes."""
-
-    __slots__ = ("_rfile", "_left", "_limit")
-
-    def __init__(self, rfile, limit):
-        self._rfile = rfile
-        self._left = limit
-        self._limit = limit
-
-    def readline(self, size=-1):
-        """Return the next line; raises :class:`Rejected` above the limit.
-
-        Raises ``request_framing.Malformed`` if it is no header line, also at
-        the end of the connection.
-        """
-        line = self._rfile.readline(self._left + 1)
-        self._left -= len(line)
-        if self._left < 0:
-            raise Rejected(_head_too_large(self._limit))
-        return request_framing.check_header_line(line)
-
-
 class _BoundedInput(pywsgi.Input):
     """The body of a request; an unread rest is discarded within limits."""
 
@@ -124,12 +106,16 @@
         self.socket.settimeout(self.server.limits.idle_seconds)
         if not self.rfile.peek(1):
             return ""
+        limit = self.server.limits.header_bytes
         with gevent.Timeout(self.server.limits.header_seconds, False):
-            return super().read_requestline()
+            return self.rfile.readline(limit + 1).decode("latin-1")
         return ""
 
     def read_request(self, raw_requestline):
         """Read the head of a request within ``header_seconds``."""
+        limit = self.server.limits.header_bytes
+        if len(raw_requestline) > limit:
+            raise Rejected(_head_too_large(limit))
         request_framing.check_request_line(raw_requestline.encode("latin-1"))
         seconds = self.server.limits.header_seconds
         timeout = gevent.Timeout(seconds)
@@ -143,9 +129,8 @@
 
     def MessageClass(self, rfile, seekable):
         """Parse a request's head; the base class requires this name."""
-        limit = self.server.limits.header_bytes
-        reader = _LimitedHeadReader(rfile, limit)
-        headers = pywsgi.headers_factory(reader, seekable)
+        head = _read_head(rfile, self.server.limits.header_bytes)
+        headers = _head_parser.parsestr(head.decode("latin-1"))
         request_framing.check_headers(headers, self.request_version)
         return headers
 
@@ -319,6 +304,22 @@
         super().handle(client_socket, address)
 
 
+def _read_head(rfile, limit):
+    """Return the checked lines of a head; raises :class:`Rejected`.
+
+    Raises ``request_framing.Malformed`` if a line is no header line, also at
+    the end of the connection.
+    """
+    head = bytearray()
+    line = b""
+    while line != b"\r\n":
+        line = rfile.readline(limit + 1 - len(head))
+        if len(head) + len(line) > limit:
+            raise Rejected(_head_too_large(limit))
+        head += request_framing.check_header_line(line)
+    return head
+
+
 def _client_error_problem(exc):
     if isinstance(exc, Rejected):
         return exc.problem
