Reading a body costs no more than its bytes, and hands the processor back

What callers saw: one client that sent a body of 4 MiB, inside all limits, one byte a chunk, had the process answer nobody for ten seconds, and got 503 state_not_proven itself; four with chunks of two bytes took 485 MB, after which nobody was served. A client that was still sending lost its 413 to a reset.

Cause: each chunk became objects that lived until the whole body was joined, and bytes that have arrived are read without a pause, so that no timeout could fire and no heartbeat was sent. What remained after a refusal was decoded in the same way until the connection was reset.

Now one buffer grows with the bytes that arrive. Framing is bounded by what it carries. A body may take longer than its limit only while it keeps a pace. What a refused client goes on to send is dropped undecoded, with pauses in which the client can read.

--- /dev/null
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
@@ -0,0 +1,119 @@
+"""Reads the body of a request, at a cost that its bytes bound.
+
+What a body costs is bounded by the bytes of it that have arrived: one buffer
+grows with them, and nothing outlives the chunk that it was made for.  Bytes
+that have arrived already are read without a pause, so the processor is handed
+back every so many bytes; a timeout could not fire otherwise, and no heartbeat
+would be sent.
+
+Framing costs more processor time than what it frames.  All bodies with more
+framing than data share one turn and wait as long as they have worked, so that
+they never use more than half of the processor.
+"""
+
+import time
+
+import gevent
+from gevent import lock
+
+READ_BYTES = 64 * 1024
+# After so many bytes of one body others have their turn.
+TURN_BYTES = 64 * 1024
+# A body may take longer than its limit if it comes faster than this.
+MIN_BYTES_PER_SECOND = 256 * 1024
+# Work on framing up to a wait; a longer one gains nothing.
+WORK_SECONDS = 0.002
+MAX_WAIT_SECONDS = 0.05
+
+
+class TooLarge(Exception):
+    """The body is larger than its limit."""
+
+
+class TooSlow(Exception):
+    """The body did not arrive in time."""
+
+
+class _FramingTurn:
+    """The processor time of all bodies with more framing than data."""
+
+    def __init__(self):
+        self._lock = lock.Semaphore(1)
+
+    def wait(self, worked_seconds):
+        """Wait in turn for as long as the work has taken."""
+        with self._lock:
+            gevent.sleep(min(worked_seconds, MAX_WAIT_SECONDS))
+
+
+_framing_turn = _FramingTurn()
+
+
+class _PaceTimer:
+    """Raises ``timeout`` in its greenlet if a body falls behind its pace."""
+
+    def __init__(self, seconds):
+        self._began = time.monotonic()
+        self._seconds = seconds
+        self.timeout = gevent.Timeout.start_new(seconds)
+
+    def extend(self, wire_bytes):
+        """Allow for what has arrived."""
+        allowed = self._seconds + wire_bytes / MIN_BYTES_PER_SECOND
+        left = self._began + allowed - time.monotonic()
+        self.timeout.close()
+        self.timeout = gevent.Timeout.start_new(max(0.001, left))
+
+    def close(self):
+        """Stop the timer."""
+        self.timeout.close()
+
+
+def read(source, limit, seconds):
+    """Return the body as ``bytes``.
+
+    ``source`` has ``read_part(size)``, ``wire_bytes`` and ``body_bytes``.
+    Raises ``OSError`` if the body is broken, and the
+    exceptions above.
+    """
+    timer = _PaceTimer(seconds)
+    try:
+        return _read_parts(source, limit, timer)
+    except gevent.Timeout as exc:
+        if exc is not timer.timeout:
+            raise
+        raise TooSlow()
+    finally:
+        timer.close()
+
+
+def _read_parts(source, limit, timer):
+    first = source.read_part(READ_BYTES)
+    _check_size(len(first), limit)
+    if source.is_complete():
+        return first
+    body = bytearray(first)
+    del first
+    turn_ends = TURN_BYTES
+    worked = 0.0
+    while True:
+        began = time.perf_counter()
+        part = source.read_part(READ_BYTES)
+        if not part:
+            return bytes(body)
+        _check_size(len(body) + len(part), limit)
+        body += part
+        if source.wire_bytes > 2 * source.body_bytes + TURN_BYTES:
+            worked += time.perf_counter() - began
+            if worked >= WORK_SECONDS:
+                _framing_turn.wait(worked)
+                worked = 0.0
+        if source.wire_bytes >= turn_ends:
+            turn_ends = source.wire_bytes + TURN_BYTES
+            timer.extend(source.wire_bytes)
+            gevent.sleep(0)
+
+
+def _check_size(size, limit):
+    if size > limit:
+        raise TooLarge()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -33,6 +33,9 @@
 LINGER_BYTES = 1024 * 1024
 LINGER_SECONDS = 2.0
 LINGER_READ_BYTES = 16 * 1024
+# Leaves a client that is still sending the time to look for the response.
+LINGER_PAUSE_SECONDS = 0.01
+READ_BYTES = 64 * 1024
 # The limits of the libraries, on the request line and the number of headers,
 # would be met inside the one in bytes.
 pywsgi.MAX_REQUEST_LINE = 1024 * 1024
@@ -53,36 +56,104 @@
         self.problem = problem
 
 
-class _BoundedInput(pywsgi.Input):
+class _BodySource(pywsgi.Input):
     """The body of a request; an unread rest is discarded within limits."""
 
     __slots__ = ("handler", "chunks")
 
-    def _discard(self):
+    @property
+    def wire_bytes(self):
+        """How many bytes of the connection were read for the body."""
+        if self.chunked_input:
+            return self.chunks.wire_bytes
+        return self.position
+
+    @property
+    def body_bytes(self):
+        """How many bytes of the body were read."""
+        if self.chunked_input:
+            return self.chunks.body_bytes
+        return self.position
+
+    def is_complete(self):
+        """Return whether the whole body was read."""
+        if self.chunked_input:
+            return self.chunks.ended
+        return self.position >= (self.content_length or 0)
+
+    def read_part(self, size):
+        """Return some of the next ``size`` bytes, ``b""`` at the end.
+
+        Raises ``OSError`` if the body is broken.
+        """
+        if self.is_complete():
+            return b""
+        self._send_100_continue()
+        if self.chunked_input:
+            data = self._read_chunked(size)
+        else:
+            data = self._read_counted(size)
+        return data
+
+    def _read_chunked(self, size):
         try:
-            self._discard_bounded()
-        except OSError:
-            # Where the next request starts is not known.
+            return self.chunks.read_part(size)
+        except request_framing.Malformed as exc:
+            self.handler.close_connection = True
+            raise OSError(str(exc))
+
+    def _read_counted(self, size):
+        data = self.rfile.read1(min(size, self.content_length - self.position))
+        if not data:
             self.handler.close_connection = True
+            raise OSError("the connection ended before the body")
+        self.position += len(data)
+        return data
 
     def _chunked_read(self, length=None, use_readline=False):
         """Return bytes of a chunked body; the apps read no lines of one."""
-        self._send_100_continue()
+        parts = []
+        while length is None or length > 0:
+            part = self.read_part(READ_BYTES if length is None else length)
+            if not part:
+                break
+            parts.append(part)
+            if length is not None:
+                length -= len(part)
+        return b"".join(parts)
+
+    def _discard(self):
         try:
-            return self.chunks.read(length)
-        except request_framing.Malformed as exc:
+            self._discard_bounded()
+        except OSError:
+            # Where the next request starts is not known.
             self.handler.close_connection = True
-            raise OSError(str(exc))
 
     def _discard_bounded(self):
+        """Read on while the client may still read the response.
+
+        Where the connection is closed anyway, framing is of no interest.
+        """
         self.send_100_continue_enabled = False
+        if self.is_complete():
+            return
         with gevent.Timeout(LINGER_SECONDS, False):
+            if self.handler.close_connection:
+                self._discard_raw()
+                return
             for _ in range(LINGER_BYTES // LINGER_READ_BYTES):
-                if not self.read(LINGER_READ_BYTES):
+                if not self.read_part(LINGER_READ_BYTES):
                     return
+                gevent.sleep(0)
         # The rest of the body exceeds the limits: close the connection.
         self.handler.close_connection = True
 
+    def _discard_raw(self):
+        for _ in range(LINGER_BYTES // LINGER_READ_BYTES):
+            if not self.rfile.read1(LINGER_READ_BYTES):
+                return
+            gevent.sleep(LINGER_PAUSE_SECONDS)
+
 
 class Handler(pywsgi.WSGIHandler):
     """Serves one client connection."""
@@ -138,7 +209,7 @@
         """Return the WSGI environment with a body that is bounded."""
         environ = super().get_environ()
         original = self.wsgi_input
-        bounded = _BoundedInput(
+        bounded = _BodySource(
             original.rfile,
             original.content_length,
             original.socket,
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/request_framing.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/request_framing.py
@@ -29,6 +29,11 @@
 # A size with its extensions, and all trailers of a body together.
 MAX_CHUNK_LINE_BYTES = 8 * 1024
 MAX_TRAILER_BYTES = 16 * 1024
+# Framing that is allowed in any case, and in addition for each byte of the
+# body: a chunk of one byte has five bytes of framing, twenty with the longest
+# size.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_PER_BODY_BYTE = 20
 
 
 class Malformed(ValueError):
@@ -76,63 +81,118 @@
         raise Malformed("more than one Host")
 
 
+def _small_chunks():
+    """Return patterns of a run of small chunks and of one, with its data.
+
+    Chunks of up to 15 bytes without extensions: a run is matched as a whole,
+    so that each of them costs a fraction of a microsecond.
+    """
+    sizes = [
+        (b"[%x%X]" % (size, size) if size > 9 else b"%d" % size, size)
+        for size in range(1, 16)
+    ]
+    forms = b"|".join(rb"%s\r\n.{%d}" % (digit, size) for digit, size in sizes)
+    data = b"|".join(
+        rb"(?<=%s\r\n).{%d}" % (digit, size) for digit, size in sizes
+    )
+    run = re.compile(rb"(?s:(?:(?:%s)\r\n)++)" % forms)
+    one = re.compile(rb"(?s:[1-9A-Fa-f]\r\n(%s)\r\n)" % data)
+    return run, one
+
+
+_SMALL_RUN, _SMALL_CHUNK = _small_chunks()
+
+
 class ChunkedBody:
     """The body of a request that arrives in chunks (RFC 9112, section 7.1).
 
     ``rfile`` is the buffered input of the connection.  Extensions and trailers
-    are checked and dropped.
+    are checked and dropped.  ``wire_bytes`` counts what was read of the
+    connection, ``body_bytes`` what of it belongs to the body; ``ended`` is
+    true after its last chunk.
     """
 
-    __slots__ = ("_rfile", "_left", "_ended")
+    __slots__ = ("_rfile", "_left", "ended", "wire_bytes", "body_bytes")
 
     def __init__(self, rfile):
         self._rfile = rfile
         # Bytes of the present chunk that were not read yet.
         self._left = 0
-        self._ended = False
+        self.ended = False
+        self.wire_bytes = 0
+        self.body_bytes = 0
 
-    def read(self, length=None):
-        """Return up to ``length`` bytes, fewer only at the body's end.
+    def read_part(self, size):
+        """Return some of the next ``size`` bytes, ``b""`` at the body's end.
 
-        Raises :class:`Malformed`, also if the connection ends first.
+        The work is bounded by what has arrived and by the buffer of the
+        connection.  Raises :class:`Malformed`, also if the connection ends
+        first or if the chunks are more framing than a body needs.
         """
-        parts = []
-        while length is None or length > 0:
-            if not self._left and not self._begin_chunk():
-                break
-            size = self._left if length is None else min(self._left, length)
-            parts.append(self._read_data(size))
-            if length is not None:
-                length -= size
-        return b"".join(parts)
+        data = b""
+        if not self._left:
+            data = self._read_small_chunks(size)
+        if not data and (self._left or self._begin_chunk()):
+            data = self._read_data(min(self._left, size))
+        self.body_bytes += len(data)
+        self._check_framing()
+        return data
+
+    def _read_small_chunks(self, size):
+        """Return the data of the small chunks that are in the buffer."""
+        if self.ended:
+            return b""
+        buffered = self._rfile.peek()[:size]
+        run = _SMALL_RUN.match(buffered)
+        if run is None:
+            return b""
+        self._take(run.end())
+        return b"".join(_SMALL_CHUNK.findall(run[0]))
+
+    def _take(self, size):
+        self.wire_bytes += size
+        return self._rfile.read(size)
+
+    def _take_line(self, limit):
+        line = self._rfile.readline(limit)
+        self.wire_bytes += len(line)
+        return line
 
     def _begin_chunk(self):
         """Read the size of the next chunk; return whether there is one."""
-        if self._ended:
+        if self.ended:
             return False
-        line = self._rfile.readline(MAX_CHUNK_LINE_BYTES)
+        line = self._take_line(MAX_CHUNK_LINE_BYTES)
         match = _CHUNK_LINE.fullmatch(line)
         if match is None:
             raise Malformed("a malformed chunk size")
         self._left = int(match[1], 16)
         if not self._left:
             self._read_trailers()
-            self._ended = True
-        return not self._ended
+            self.ended = True
+        return not self.ended
 
     def _read_data(self, size):
-        data = self._rfile.read(size)
-        if len(data) < size:
+        data = self._rfile.read1(size)
+        if not data:
             raise Malformed("an end inside a chunk")
-        self._left -= size
-        if not self._left and self._rfile.read(2) != _END_OF_LINES:
+        self.wire_bytes += len(data)
+        self._left -= len(data)
+        if not self._left and self._take(2) != _END_OF_LINES:
             raise Malformed("a chunk that is not as long as its size")
         return data
 
+    def _check_framing(self):
+        framing = self.wire_bytes - self.body_bytes
+        if framing > (
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body_bytes
+        ):
+            raise Malformed("more framing than its body needs")
+
     def _read_trailers(self):
         left = MAX_TRAILER_BYTES
         while left > 0:
-            line = self._rfile.readline(left)
+            line = self._take_line(left)
             if check_header_line(line) == _END_OF_LINES:
                 return
             left -= len(line)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -2,9 +2,10 @@
 
 import http
 
-import gevent
 import msgspec
 
+from . import body_reader
+
 JSON = ("Content-Type", "application/json")
 # The key in the WSGI environment of the caller's socket.
 SOCKET = "dandeliontrail.socket"
@@ -157,13 +158,12 @@
     length = environ.get("CONTENT_LENGTH")
     if length and int(length) > limit:
         raise _body_too_large(limit)
-    timeout = gevent.Timeout(seconds)
+    source = environ["wsgi.input"]
     try:
-        with timeout:
-            body = environ["wsgi.input"].read(limit + 1)
-    except gevent.Timeout as exc:
-        if exc is not timeout:
-            raise
+        return body_reader.read(source, limit, seconds)
+    except body_reader.TooLarge:
+        raise _body_too_large(limit)
+    except body_reader.TooSlow:
         raise _body_problem(
             408,
             "slow_body",
@@ -177,9 +177,6 @@
             f"The body broke off or is malformed: {exc}.",
             "send it again whole, with its right Content-Length or chunks",
         )
-    if len(body) > limit:
-        raise _body_too_large(limit)
-    return body
 
 
 def _body_problem(status, code, message, remedy):
