All that is held for clients is taken from one account

What callers saw: a process ran out of memory under clients of which each kept its limits, or stopped just short of them.

Cause: every limit was for one request; nothing bounded the sum of bodies that are read, wait, run, and of answers until their callers have taken them, and nothing read the memory and descriptors of the settings.

decisions.held_bytes is the account, pure and without a clock. Bytes are taken as they arrive, on every listener, and given back by the HTTP server when the response has ended, whatever way it took. Large holds may use a part of it, so that small requests find room, and the part grows with the stage: bodies and whole requests half, answers three quarters, other instances' batches seven eighths. Without room, bodies that come too slowly are cut, most held first, then answers that are not taken, and never a whole request; if nobody is slow, whoever asks is refused with 503 and Retry-After before it runs, so that the others end and give back. An answer waits for room, since its server has worked.

Beside it: a large body is sent without a copy, as is what a caller does not take at once; a forwarder gives the body up at its end and not at the next search for garbage; what the kernel may hold of an unread connection is bounded; refusals are logged once a second and counted by reason; /metrics shows what is held by stage. Bodies of unknown length from servers keep their bound of 16 MB. The clients of the crowd that asks for answers have ids of their own now.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/attempt_response.py
@@ -200,7 +200,10 @@
             if self._resumed_as_stream:
                 return self._body_from_events()
             try:
+                hold = self._host.hold_answer(self.dispatch.request_id)
+                hold.wait_for_room(self._answer.announced_bytes())
                 body = self._answer.read_all()
+                hold.wait_for_room(len(body))
                 self._check_complete(body)
                 return body
             except connection.PathLost as exc:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
@@ -1,4 +1,4 @@
-"""Reads the body of a request, at a cost that its bytes bound.
+"""Reads the body of a request, within the account of what clients hold.
 
 What a body costs is bounded by the bytes of it that have arrived: one buffer
 grows with them, and nothing outlives the chunk that it was made for.  Bytes
@@ -16,6 +16,8 @@
 import gevent
 from gevent import lock
 
+from dandeliontrail.decisions import held_bytes
+
 READ_BYTES = 64 * 1024
 # After so many bytes of one body others have their turn.
 TURN_BYTES = 64 * 1024
@@ -34,6 +36,14 @@
     """The body did not arrive in time."""
 
 
+class NoRoom(Exception):
+    """The instance holds as much for its clients as it may."""
+
+
+class _Cut(BaseException):
+    """Others need the room of a body that comes too slowly."""
+
+
 class _FramingTurn:
     """The processor time of all bodies with more framing than data."""
 
@@ -69,27 +79,60 @@
         self.timeout.close()
 
 
-def read(source, limit, seconds):
+class _CutDelivery:
+    """Raises :class:`_Cut` in the greenlet that reads, and only there.
+
+    The exception is thrown by the event loop: while that runs, the reader
+    waits inside the reading or has left it.
+    """
+
+    def __init__(self):
+        self._greenlet = gevent.getcurrent()
+
+    def request(self):
+        """Have the reader cut soon."""
+        gevent.get_hub().loop.run_callback(self._deliver)
+
+    def _deliver(self):
+        greenlet = self._greenlet
+        if greenlet is not None:
+            self._greenlet = None
+            greenlet.throw(_Cut())
+
+    def close(self):
+        """Deliver nothing any more."""
+        self._greenlet = None
+
+
+def read(source, holds, limit, seconds):
     """Return the body as ``bytes``.
 
-    ``source`` has ``read_part(size)``, ``wire_bytes`` and ``body_bytes``.
-    Raises ``OSError`` if the body is broken, and the
+    ``source`` has ``read_part(size)``, ``wire_bytes`` and ``body_bytes``;
+    ``holds`` (:class:`.client_holds.RequestHolds`) is charged until the
+    request has ended.  Raises ``OSError`` if the body is broken, and the
     exceptions above.
     """
+    delivery = _CutDelivery()
+    hold = holds.open_body(delivery.request)
     timer = _PaceTimer(seconds)
     try:
-        return _read_parts(source, limit, timer)
+        body = _read_parts(source, hold, limit, timer)
+        holds.body_is_read()
+        return body
     except gevent.Timeout as exc:
         if exc is not timer.timeout:
             raise
         raise TooSlow()
+    except _Cut:
+        raise NoRoom()
     finally:
         timer.close()
+        delivery.close()
 
 
-def _read_parts(source, limit, timer):
+def _read_parts(source, hold, limit, timer):
     first = source.read_part(READ_BYTES)
-    _check_size(len(first), limit)
+    _take_room(hold, len(first), limit)
     if source.is_complete():
         return first
     body = bytearray(first)
@@ -101,7 +144,7 @@
         part = source.read_part(READ_BYTES)
         if not part:
             return bytes(body)
-        _check_size(len(body) + len(part), limit)
+        _take_room(hold, len(body) + len(part), limit)
         body += part
         if source.wire_bytes > 2 * source.body_bytes + TURN_BYTES:
             worked += time.perf_counter() - began
@@ -114,6 +157,16 @@
             gevent.sleep(0)
 
 
-def _check_size(size, limit):
+def _take_room(hold, size, limit):
     if size > limit:
+        hold.close()
         raise TooLarge()
+    if hold.is_cut or not hold.resize(size, time.monotonic()):
+        # Others need not wait until its client has read the refusal.
+        hold.close()
+        raise NoRoom()
+
+
+def retry_after_seconds():
+    """Return when a client that found no room may come back."""
+    return 2 * held_bytes.HALF_LIFE_SECONDS
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -17,6 +17,9 @@
 KEEPALIVE_INTERVAL_SECONDS = 2
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_TIMEOUT_MS = 10_000
+# What the kernel may hold of an answer that is not read; by itself it would
+# take megabytes.
+RECEIVE_BUFFER_BYTES = 256 * 1024
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
 # Limits what is buffered here for a server that never ends its headers or an
@@ -202,6 +205,11 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
 
+def bound_receive_buffer(sock):
+    """Bound what the kernel holds of a connection that is not read."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def enable_tcp_keepalive(sock):
     """Enable the kernel's detection of a connection whose path is lost."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -114,6 +114,16 @@
             or codings.rpartition(",")[2].strip() == "chunked"
         )
 
+    def announced_bytes(self):
+        """Return the length of the body that the head names, else 0.
+
+        A longer one than is read counts as the longest.
+        """
+        length = self.get("Content-Length") or ""
+        if not (length.isascii() and length.isdigit()):
+            return 0
+        return min(int(length), MAX_ANSWER_BYTES)
+
     def read_event(self):
         """Return the next event of a stream, or ``b""`` at its end.
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/exchange.py
@@ -16,16 +16,25 @@
     """A mailbox of effects for the greenlet that works on one request.
 
     ``worker`` is that greenlet; ``channel`` passes its output to the caller.
-    The exchange is open until both of its ``sides`` have detached.
+    The exchange is open until both of its ``sides`` have detached.  ``holds``
+    are those of its answers (:class:`.client_holds.AnswerHold`).
     """
 
-    __slots__ = ("request_id", "channel", "worker", "sides", "_mailbox")
+    __slots__ = (
+        "request_id",
+        "channel",
+        "worker",
+        "sides",
+        "holds",
+        "_mailbox",
+    )
 
     def __init__(self, request_id):
         self.request_id = request_id
         self.channel = channel_module.Channel()
         self.worker = None
         self.sides = {"worker", "caller"}
+        self.holds = []
         self._mailbox = queue.SimpleQueue()
 
     def put(self, effect):
@@ -44,6 +53,11 @@
         """Return the next effect if there is one, else ``None``."""
         return None if self._mailbox.empty() else self._mailbox.get()
 
+    def close(self):
+        """Give back what its answers hold."""
+        for hold in self.holds:
+            hold.close()
+
     def abandon(self):
         """Kill the worker: nobody waits for its answer any more."""
         if self.worker is not None:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_bounds.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_bounds.py
@@ -4,7 +4,8 @@
 answer has a bound, so that the connection is closed soon: the head with the
 interim answers before it, the framing of the body (sizes and extensions of
 chunks, trailers), the body, and what belongs to another request.  Events are
-bounded by :mod:`.events_splitter`.
+bounded by :mod:`.events_splitter`, and what all bodies hold together by the
+account of the instance (``dandeliontrail.decisions.held_bytes``).
 """
 
 # Heads are below 4 KB; servers and proxies commonly take up to 64 KB.
@@ -20,8 +21,8 @@
 # Whole answers are buffered, since they may be retried.  Real ones are below
 # 1 MB.
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# What all bodies together may hold beyond a free part of each, so that many
-# without end do not add up to the memory of an instance.
+# What all bodies of unknown length together may hold beyond a free part of
+# each, while they are read: many without end would push out all others.
 FREE_BODY_BYTES = 256 * 1024
 MAX_HELD_BYTES = 16 * 1024 * 1024
 
@@ -31,7 +32,7 @@
 
 
 class HeldBytes:
-    """The bytes that the bodies of all answers hold beyond a free part."""
+    """The bytes that bodies of unknown length hold beyond a free part."""
 
     __slots__ = ("total",)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -79,6 +79,11 @@
             value for header, value in self.headers if header.lower() == name
         ]
 
+    def announced_bytes(self):
+        """Return the length of the body that the head names, else 0."""
+        length = self.get("content-length")
+        return int(length) if length.isascii() and length.isdigit() else 0
+
     def take(self):
         """Return the body received so far and clear it."""
         data = bytes(self.body)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/app.py
@@ -37,6 +37,7 @@
             incoming,
             body,
             environ.get(wsgi.SOCKET),
+            environ[wsgi.HOLDS],
         )
         return request_forwarder.serve(start_response)
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -60,14 +60,15 @@
 class Output(msgspec.Struct):
     """Data read from a server: a whole answer, or events of a stream.
 
-    For a whole answer ``events`` is ``None`` and ``body`` holds the body.
-    For a stream ``events`` holds whole events, and ``b""`` once the stream
-    is complete.
+    For a whole answer ``events`` is ``None``, ``body`` holds the body and
+    ``hold`` is what it holds of the instance's account.  For a stream
+    ``events`` holds whole events, and ``b""`` once the stream is complete.
     """
 
     answer: object
     events: bytes | None = None
     body: bytes = b""
+    hold: object = None
 
 
 class Attempt:
@@ -230,7 +231,7 @@
             raise NotExecuted(answer, is_other_server)
         self._is_stream = _is_stream(answer)
         if self._resuming and not self._is_stream:
-            self._request.read_whole_body()
+            self._read_body()
             raise backend_request.Broken(
                 f"stream not resumed: the server answered {answer.status}"
             )
@@ -280,9 +281,20 @@
             if whole:
                 return whole
 
+    def _read_body(self):
+        """Return the whole body and what it holds; free that on failure."""
+        hold = self._context.holds.open_answer()
+        try:
+            return self._request.read_whole_body(hold), hold
+        except BaseException:
+            # It is read on after a silence, with a hold of its own.
+            hold.close()
+            raise
+
     def _read_whole(self, answer):
         request = self._request
-        output = Output(answer, body=request.read_whole_body())
+        body, hold = self._read_body()
+        output = Output(answer, body=body, hold=hold)
         self._release_if_complete(request)
         if answer.status >= 500 and self.dispatch.repeatable:
             raise ServerFailed(output)
@@ -292,7 +304,8 @@
 class RequestContext(msgspec.Struct):
     """What all attempts of one request share.
 
-    ``used_connections`` are those on which one of them was sent.
+    ``used_connections`` are those on which one of them was sent; ``holds`` is
+    what the request holds of the instance's account.
     """
 
     host: object
@@ -300,6 +313,7 @@
     dialect: object
     incoming: object
     body: bytes
+    holds: object
     used_connections: list = msgspec.field(default_factory=list)
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -19,6 +19,9 @@
 FAILURES = (OSError, gevent.Timeout, answer_parser.ParseError)
 # Late answers to earlier requests that are skipped on one connection.
 MAX_STALE_ANSWERS = 4
+# A body up to this size is sent together with the head; a larger one is not
+# copied.
+MAX_JOINED_BYTES = 64 * 1024
 
 
 class NotSent(Exception):
@@ -67,7 +70,8 @@
         self._used_connections = used_connections
         self._conn = None
         self._parser = answer_parser.AnswerParser()
-        self._unsent = memoryview(b"")
+        # What is sent one after the other: the head, and a large body.
+        self._unsent = []
         self._began = False
         # Whether bytes came that are no answer, so that nothing more is read.
         self._has_stray_bytes = False
@@ -117,7 +121,10 @@
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
-        self._unsent = memoryview(head + body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._unsent = [memoryview(head + body)]
+        else:
+            self._unsent = [memoryview(head), memoryview(body)]
 
     def send(self):
         """Send the unsent bytes; from then on the server may have begun."""
@@ -131,13 +138,15 @@
             self._used_connections.append(self._conn)
         try:
             while self._unsent:
-                sent = self._conn.sock.send(self._unsent)
-                self._unsent = self._unsent[sent:]
+                sent = self._conn.sock.send(self._unsent[0])
+                self._unsent[0] = self._unsent[0][sent:]
+                if not self._unsent[0]:
+                    del self._unsent[0]
         except FAILURES as exc:
             _raise_if_silent("sending", exc)
             # The server may have answered early, before it had read the
             # whole request, and closed the connection.
-            self._unsent = memoryview(b"")
+            self._unsent = []
             if not self._answered_early():
                 raise _broken("sending", exc)
 
@@ -165,14 +174,28 @@
                 raise Broken("all answers received were for other requests")
             self._skip_answer()
 
-    def read_whole_body(self):
-        """Return the whole body; raises :class:`Broken` if it is truncated."""
+    def read_whole_body(self, hold):
+        """Return the whole body; raises :class:`Broken` if it is truncated.
+
+        ``hold`` (:class:`..client_holds.AnswerHold`) takes room for what is
+        read, first of all for what the answer announces.
+        """
         answer = self.answer
-        with answer_bounds.BodyHold(self._connections.held_bytes) as hold:
+        announced = answer.announced_bytes()
+        with answer_bounds.BodyHold(
+            self._connections.endless_bytes
+        ) as endless:
             while not answer.complete:
-                _resize(hold, len(answer.body))
+                size = max(len(answer.body), announced)
+                _check_size(endless, size, announced)
+                hold.wait_for_room(size)
                 self._receive()
-            return answer.take()
+        hold.wait_for_room(len(answer.body))
+        return answer.take()
+
+    def discard_body(self):
+        """Read the body to its end and drop it; raises :class:`Broken`."""
+        self._discard(self.answer)
 
     def read_body_part(self):
         """Return the next bytes of the body, ``b""`` once it is complete."""
@@ -185,14 +208,16 @@
 
     def _skip_answer(self):
         """Read an answer to an earlier request to its end, and drop it."""
-        answer = self._parser.answers[0]
+        self._discard(self._parser.answers[0])
+        self._parser.pop()
+
+    def _discard(self, answer):
         skipped = 0
         while not answer.complete:
             skipped += len(answer.take())
             if skipped > answer_bounds.MAX_STALE_BYTES:
-                raise Broken("an answer to another request is too long")
+                raise Broken("an answer of no use is too long")
             self._receive()
-        self._parser.pop()
 
     def _read_until(self, condition):
         while not condition(self._parser.answers):
@@ -240,6 +265,7 @@
         better completed: its connection is closed.
         """
         conn, self._conn = self._conn, None
+        self._unsent = []
         if conn is None:
             return 0.0
         if not self._began:
@@ -281,9 +307,12 @@
     return Broken(f"{operation}: {type(exc).__name__}: {exc}", closed)
 
 
-def _resize(hold, size):
-    """Hold ``size`` bytes of a body; raises ``Broken`` beyond a bound."""
+def _check_size(endless, size, announced):
+    """Raise ``Broken`` if a body is, or is to be, beyond its bound."""
     try:
-        hold.resize(size)
+        if size > answer_bounds.MAX_BODY_BYTES:
+            raise answer_bounds.TooLarge("the body of the answer is too long")
+        if not announced:
+            endless.resize(size)
     except answer_bounds.TooLarge as exc:
         raise Broken(str(exc)) from exc
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/connections.py
@@ -90,7 +90,7 @@
 
     ``connect(address, seconds)`` opens a new one, ``tunnels``
     (:class:`.tunnels.TunnelOpener`) one through another instance.
-    ``held_bytes`` counts what the bodies of all answers hold.
+    ``endless_bytes`` counts what bodies of unknown length hold.
     """
 
     def __init__(self, connect_seconds):
@@ -101,7 +101,7 @@
         self._idle_seconds = {}
         self._heard_at = float("-inf")
         self.tunnels = None
-        self.held_bytes = answer_bounds.HeldBytes()
+        self.endless_bytes = answer_bounds.HeldBytes()
 
     def open(self, address, avoided=()):
         """Return an idle or new connection to ``address`` (``host:port``).
@@ -133,6 +133,7 @@
         """Return a ``ServerSocket`` to a server; raises like :meth:`open`."""
         sock = self.connect(address, self._connect_seconds)
         sock.settimeout(None)
+        connection.bound_receive_buffer(sock)
         connection.enable_tcp_keepalive(sock)
         connection.reset_on_close(sock)
         self._heard_at = time.monotonic()
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/exchange.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/exchange.py
@@ -29,6 +29,9 @@
         self._mailbox = queue.SimpleQueue()
         self._greenlet = gevent.getcurrent()
 
+    def close(self):
+        """Do nothing: what answers hold ends with the response."""
+
     def put(self, effect):
         """Put an effect into the mailbox."""
         self._mailbox.put(effect)
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -64,12 +64,15 @@
 class Forwarder:
     """Forwards one request and relays its answer."""
 
-    def __init__(self, host, connections, dialect, incoming, body, sock):
+    def __init__(
+        self, host, connections, dialect, incoming, body, sock, holds
+    ):
         self._host = host
+        self._holds = holds
         self._dialect = dialect
         self._incoming = incoming
         self._context = attempt_module.RequestContext(
-            host, connections, dialect, incoming, body
+            host, connections, dialect, incoming, body, holds
         )
         self._watch = caller_watch.CallerWatch(sock, self._ends_with_caller)
         self._exchange = exchange_module.Exchange(incoming.request_id)
@@ -103,6 +106,7 @@
         status = wsgi.status_line(answer.status)
         if output.events is None:
             headers.append(("Content-Length", self._length_of(output)))
+            self._holds.deliver(output.hold)
             start_response(status, headers)
             return _WholeBody(output.body, self._close)
         start_response(status, headers)
@@ -217,6 +221,9 @@
             self._open = False
             self._stack.close()
             self._close_attempt()
+            # Forwarder and watch refer to each other, so that the body would
+            # stay until the next search for garbage.
+            self._context.body = b""
 
     # -- attempts ---------------------------------------------------------
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/refusal_rest.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/refusal_rest.py
@@ -25,7 +25,7 @@
 def _read(request):
     try:
         with gevent.Timeout(REST_SECONDS):
-            request.read_whole_body()
+            request.discard_body()
     except (backend_request.Broken, gevent.Timeout):
         # The release below then resets the connection.
         pass
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/host.py
@@ -11,10 +11,12 @@
 import gevent
 from gevent import event as gevent_event
 
+from dandeliontrail.decisions import tunnel_admission
 from dandeliontrail import effects
 from dandeliontrail import events
 from dandeliontrail import failures
 
+from . import client_holds
 from . import fault_log
 from . import order_client
 from . import problems
@@ -62,6 +64,9 @@
         self._duty_client = None
         self.connection_pools = []
         self.open_tunnels = 0
+        self.most_tunnels = tunnel_admission.MAX_TUNNELS
+        # The account of what is held for clients (``held_bytes.HeldBytes``).
+        self.client_account = None
         self._queue = collections.deque()
         self._applying = False
         self._current_day = ""
@@ -255,6 +260,16 @@
         exchange.sides.discard(side)
         if not exchange.sides:
             self._exchanges.pop(exchange.request_id, None)
+            exchange.close()
+
+    def hold_answer(self, request_id):
+        """Return a new hold for an answer to a request in progress.
+
+        It lasts until both sides of its exchange have detached.
+        """
+        hold = client_holds.AnswerHold(self.client_account)
+        self._exchanges[request_id].holds.append(hold)
+        return hold
 
     def exchanges(self):
         """Return the exchanges of all requests in progress."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -26,7 +26,11 @@
 from gevent import pool
 from gevent import pywsgi
 
+from dandeliontrail.decisions import client_limits
+
+from . import client_holds
 from . import connection
+from . import listener_room
 from . import request_framing
 from . import wsgi
 
@@ -36,6 +40,12 @@
 # Leaves a client that is still sending the time to look for the response.
 LINGER_PAUSE_SECONDS = 0.01
 READ_BYTES = 64 * 1024
+# Writes of this size tell soon whether a client takes its response.
+WRITE_BYTES = 64 * 1024
+# What a header takes once it is parsed, in bytes beside its text; a head that
+# takes more than a connection allows for is charged to the account.
+HEADER_BYTES = 512
+FREE_HEAD_BYTES = 16 * 1024
 # The limits of the libraries, on the request line and the number of headers,
 # would be met inside the one in bytes.
 pywsgi.MAX_REQUEST_LINE = 1024 * 1024
@@ -44,7 +54,7 @@
 CLOSE_ALERT_SECONDS = 1.0
 ERROR_RESPONSE_HEAD = (
     b"HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
-    b"Connection: close\r\nContent-Length: %d\r\n\r\n"
+    b"%sConnection: close\r\nContent-Length: %d\r\n\r\n"
 )
 
 
@@ -160,6 +170,10 @@
 
     # Whether the end of the connection is that of the present response.
     _ends_with_connection = False
+    _holds = None
+    # The greenlet that writes, and whether it is to end the connection.
+    _writer = None
+    _is_aborted = False
 
     def handle(self):
         """Serve the connection with ``TCP_NODELAY`` set.
@@ -201,6 +215,12 @@
     def MessageClass(self, rfile, seekable):
         """Parse a request's head; the base class requires this name."""
         head = _read_head(rfile, self.server.limits.header_bytes)
+        self._holds = client_holds.RequestHolds(
+            self.server.account, self.server.body_stage, self.abort_writing
+        )
+        cost = len(head) + HEADER_BYTES * head.count(b"\n")
+        if cost > FREE_HEAD_BYTES and not self._holds.take_head(cost):
+            raise Rejected(wsgi.no_room())
         headers = _head_parser.parsestr(head.decode("latin-1"))
         request_framing.check_headers(headers, self.request_version)
         return headers
@@ -220,6 +240,7 @@
         self.wsgi_input = bounded
         environ["wsgi.input"] = bounded
         environ[wsgi.SOCKET] = self.socket
+        environ[wsgi.HOLDS] = self._holds
         environ[wsgi.HEAD] = wsgi.Head(
             self.command, self.path, self.headers.items()
         )
@@ -228,7 +249,11 @@
     def handle_one_response(self):
         """Send the response; disconnect a client that accepts no data."""
         self.socket.settimeout(self.server.limits.write_seconds)
-        super().handle_one_response()
+        try:
+            super().handle_one_response()
+        finally:
+            holds, self._holds = self._holds, None
+            holds.close()
         if self.server.closing():
             # The head of the response may have been sent before the drain
             # began, without ``Connection: close``. The next request would
@@ -300,17 +325,51 @@
         """Write to the client, in most cases with a single system call.
 
         The base class queries the size of the socket's send buffer on each
-        write, which doubles the system calls per stream event. It is called
-        only for what does not fit into the buffer.
+        write, which doubles the system calls per stream event.  What a client
+        has to make room for is not copied.
         """
+        size = len(data)
+        self._writer = gevent.getcurrent()
+        try:
+            sent = self._send(data)
+            if sent < size:
+                self._send_rest(memoryview(data)[sent:])
+        finally:
+            self._writer = None
+        self.response_length += size
+
+    def _send(self, data):
+        if self._is_aborted:
+            raise wsgi.Aborted()
         try:
             sent = self.socket.send(data)
-        except OSError:
-            # The base class meets the same error and records it.
-            sent = 0
-        if sent < len(data):
-            super()._sendall(data[sent:])
-        self.response_length += sent
+        except OSError as exc:
+            # Recorded as the base class does.
+            self.status = f"socket error: {exc}"
+            if self.code > 0:
+                self.code = -self.code
+            raise
+        if self._holds is not None:
+            self._holds.note_taken(sent)
+        return sent
+
+    def _send_rest(self, view):
+        while view:
+            sent = self._send(view[:WRITE_BYTES])
+            view = view[sent:]
+
+    def abort_writing(self):
+        """End the connection of a client that does not take its answer.
+
+        The event loop throws the exception: while it runs, the writer waits
+        for the client or has written everything.
+        """
+        self._is_aborted = True
+        gevent.get_hub().loop.run_callback(self._abort_now)
+
+    def _abort_now(self):
+        if self._writer is not None:
+            self._writer.throw(wsgi.Aborted())
 
     def handle_error(self, exc_type, exc, trace):
         """Log an exception, unless the client was too slow or disconnected."""
@@ -322,14 +381,15 @@
 
     def _handle_client_error(self, exc):
         problem = _client_error_problem(exc)
-        self.server.logger.info(
-            "request rejected",
-            extra={"code": problem.code, "reason": problem.message},
-        )
+        self.server.report.note(problem.code, problem.message)
         body = wsgi.error_body(problem)
         status = wsgi.status_line(problem.status).encode()
+        headers = b""
+        if problem.retry_after is not None:
+            headers = b"Retry-After: %d\r\n" % max(1, problem.retry_after)
         return str(problem.status), ERROR_RESPONSE_HEAD % (
             status,
+            headers,
             len(body),
         ) + body
 
@@ -341,17 +401,28 @@
     """The server of one listener.
 
     While ``closing()`` is true each connection is closed after its next
-    response.
+    response.  ``room`` is the listener's part of what the instance has.
     """
 
     handler_class = Handler
 
     def __init__(
-        self, address, app, limits, logger, closing=lambda: False, **options
+        self,
+        address,
+        app,
+        limits,
+        logger,
+        closing=lambda: False,
+        room=None,
+        **options,
     ):
+        room = room or listener_room.standalone()
         self.limits = limits
         self.closing = closing
         self.logger = logger
+        self.account = room.account
+        self.body_stage = room.body_stage
+        self.report = room.report
         super().__init__(
             address,
             app,
@@ -365,6 +436,15 @@
             **options,
         )
 
+    def start(self):
+        """Listen; what the kernel holds of an unread connection is bounded."""
+        super().start()
+        self.socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            client_limits.RECEIVE_BUFFER_BYTES,
+        )
+
     def handle(self, client_socket, address):
         """Serve one connection, with TCP keep-alive probes enabled."""
         try:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -3,17 +3,22 @@
 import contextlib
 import pathlib
 import random
+import resource
 import signal
 import time
 
 import gevent
 from gevent import event as gevent_event
 from gevent import socket as gevent_socket
+import msgspec
 
 import dandeliontrail
 from dandeliontrail.coordination import quorum_log_records
+from dandeliontrail.decisions import client_limits
+from dandeliontrail.decisions import held_bytes
 from dandeliontrail import events
 
+from . import client_report
 from . import clock
 from . import disk
 from . import disk_writer
@@ -24,6 +29,7 @@
 from . import host as host_module
 from . import http_server
 from . import listener_factory as listener_factory_module
+from . import listener_room
 from . import listener_tls
 from . import metrics
 from . import peer_link
@@ -59,6 +65,9 @@
         self._stopping = gevent_event.Event()
         self.drain_state = drain.DrainState(cfg.limits)
         self._tls = listener_tls.ListenerTls(cfg.tls)
+        self._client_limits = _client_limits(cfg.limits)
+        self._account = held_bytes.HeldBytes(self._client_limits.held_bytes)
+        self._report = None
         self.host = None
         self.addresses = {}
 
@@ -87,6 +96,9 @@
         )
         monotonic = clock.MonotonicClock()
         registry = metrics.Metrics()
+        self._report = client_report.ClientReport(
+            self._logger, registry.counters
+        )
         link = peer_link.HttpPeerLink(
             identity,
             self._key,
@@ -167,11 +179,17 @@
             self._logger,
             self.on_term,
             self._stack,
+            self._account,
         )
+        self.host.client_account = self._account
+        self.host.most_tunnels = self._client_limits.tunnels
         listeners = [
             *self._listener_factory.listeners(parts),
             listener_factory_module.Listener(
-                "peers", self._cfg.listen.peers, self._new_peers_app()
+                "peers",
+                self._cfg.listen.peers,
+                self._new_peers_app(),
+                use=listener_factory_module.ListenerUse.PEERS,
             ),
         ]
         for item in listeners:
@@ -183,12 +201,25 @@
                 item.limits or self._cfg.limits,
                 self._logger,
                 lambda: self.drain_state.draining,
+                self._room_of(item.use),
                 **self._tls.options(item.name),
             )
             server.start()
             self._stack.callback(server.stop, 0.1)
             self._servers[item.name] = server
 
+    def _room_of(self, use):
+        """Return what a listener may use of memory and descriptors."""
+        stage = held_bytes.Stage.BODY
+        if use is listener_factory_module.ListenerUse.PEERS:
+            stage = held_bytes.Stage.PEER
+        return listener_room.ListenerRoom(
+            self._account,
+            getattr(self._client_limits, use.value),
+            stage,
+            self._report,
+        )
+
     def _new_peers_app(self):
         """Return the app for other instances: batches, and tunnels."""
         cfg = self._cfg
@@ -220,6 +251,9 @@
         ticker = self.host.start(advertised or addresses["peers"])
         self._stack.callback(ticker.kill)
         self._logger.info("listening", extra=addresses)
+        self._logger.info(
+            "client limits", extra=msgspec.structs.asdict(self._client_limits)
+        )
 
     def run(self):
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -287,6 +321,14 @@
         self._logger.setLevel(cfg.log.level.upper())
 
 
+def _client_limits(limits):
+    """Return what clients may use of the memory and the descriptors."""
+    descriptors = limits.descriptors
+    if not descriptors:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return client_limits.derive(limits.memory_bytes, descriptors)
+
+
 def _standard_listeners():
     # A program with listeners of its own does not load the standard ones.
     from . import standard_listeners
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listener_factory.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listener_factory.py
@@ -2,16 +2,31 @@
 
 import abc
 import contextlib
+import enum
 import typing
 
 import msgspec
 
+from dandeliontrail.decisions import held_bytes
+
 from . import drain as drain_module
 from . import engine_client
 from . import host as host_module
 from . import settings
 
 
+class ListenerUse(enum.Enum):
+    """What a listener is for; its part of the connections depends on it.
+
+    The names are those of ``client_limits.ClientLimits``.
+    """
+
+    CLIENTS = "clients"
+    FURTHER = "further"
+    PEERS = "peers"
+    STATUS = "status"
+
+
 class Listener(msgspec.Struct):
     """An address and the WSGI application that serves it.
 
@@ -22,12 +37,14 @@
     address: str
     app: typing.Any
     limits: settings.LimitSettings | None = None
+    use: ListenerUse = ListenerUse.CLIENTS
 
 
 class InstanceParts(msgspec.Struct):
     """The parts of an instance that its listeners use.
 
     ``stack`` is closed with the instance; ``on_term`` starts its drain.
+    ``account`` has the bytes that it holds for clients.
     """
 
     cfg: settings.Settings
@@ -37,6 +54,7 @@
     logger: typing.Any
     on_term: typing.Callable
     stack: contextlib.ExitStack
+    account: held_bytes.HeldBytes
 
 
 class ListenerFactory(abc.ABC):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/callers.py
@@ -126,6 +126,9 @@
                 405, "method", "Only POST is served here.", "use POST"
             )
         body = self._read_body(environ)
+        if not environ[wsgi.HOLDS].take_copy():
+            # It is written anew for the engine.
+            raise wsgi.no_room()
         fields, raw = _decode_generation(body)
         event = self._new_event(environ, body)
         event.model = fields.model
@@ -183,14 +186,13 @@
                 request_id=event.request_id,
                 retry_after=1.0,
             )
-        caller = environ.get(wsgi.SOCKET)
         return relay.serve(
             self._host,
             self._engines,
             self._limits,
             event,
             call,
-            caller,
+            environ,
             start_response,
         )
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/resource_views.py
@@ -262,11 +262,24 @@
     lost = host.reducer.policy.lost_servers()
     named["backend_servers_unreachable"] = len(lost)
     named["tunnels_open"] = host.open_tunnels
+    named.update(_held_gauges(host.client_account))
     return "".join(
         f"dandeliontrail_{name} {value}\n" for name, value in named.items()
     )
 
 
+def _held_gauges(account):
+    """Return what is held for clients, in bytes, and who was cut for it."""
+    if account is None:
+        return {}
+    named = {"clients_held_limit_bytes": account.capacity}
+    for stage, size in account.by_stage.items():
+        named[f'clients_held_bytes{{stage="{stage.value}"}}'] = size
+    for stage, count in account.cuts.items():
+        named[f'clients_cut_total{{stage="{stage.value}"}}'] = count
+    return named
+
+
 def _servers(host):
     now = host.clock.now()
     items = [
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/listeners/tunnel_app.py
@@ -84,6 +84,7 @@
             host.reducer.policy.reach_of(request.backend_server),
             host.open_tunnels,
             host.clock.now(),
+            host.most_tunnels,
         )
 
     def _connect(self, request):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -40,8 +40,9 @@
 class Relay:
     """Relays one answer to its caller."""
 
-    def __init__(self, host, worker, exchange, event, caller):
+    def __init__(self, host, worker, exchange, event, caller, holds):
         self._host = host
+        self._holds = holds
         self._worker = worker
         self._exchange = exchange
         self._channel = exchange.channel
@@ -65,6 +66,8 @@
         self._begun = True
         if head.body is not None:
             self._channel.close_reader()
+            for hold in self._exchange.holds:
+                self._holds.deliver(hold)
             body = wsgi.reply(
                 start_response, head.status, head.body, head.headers
             )
@@ -161,11 +164,12 @@
         return iter(self._body)
 
 
-def serve(host, engines, limits, event, call, caller, start_response):
+def serve(host, engines, limits, event, call, environ, start_response):
     """Serve one request of a caller and return the response iterable."""
+    caller = environ.get(wsgi.SOCKET)
     exchange = exchange_module.Exchange(event.request_id)
     worker = worker_module.Worker(host, engines, limits, event, call, exchange)
-    relay = Relay(host, worker, exchange, event, caller)
+    relay = Relay(host, worker, exchange, event, caller, environ[wsgi.HOLDS])
     return relay.run(start_response)
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/settings.py
@@ -13,6 +13,7 @@
 import msgspec
 
 import dandeliontrail
+from dandeliontrail.decisions import client_limits
 
 from . import settings_errors
 
@@ -79,7 +80,11 @@
     ``header_seconds`` and ``body_seconds`` limit the time for receiving them,
     ``idle_seconds`` the time that a connection stays open between two
     requests, and ``write_seconds`` the time in which a caller reads nothing
-    of its answer.  ``connections`` limits the open connections.
+    of its answer.  ``connections`` limits the open connections of each
+    listener.  ``memory_bytes`` and ``descriptors`` are what the process may
+    use in all; what clients may use of them is derived
+    (:mod:`dandeliontrail.decisions.client_limits`).  With 0 descriptors the
+    limit of the process counts.
     ``drain_notice_seconds`` is how long a draining instance still accepts new
     requests, until the platform's load balancer has noticed;
     ``drain_seconds`` is the maximum duration of a drain, after which callers
@@ -99,6 +104,8 @@
     write_seconds: float = 60.0
     body_seconds: float = 30.0
     connections: int = 4096
+    memory_bytes: int = 1024 * 1024 * 1024
+    descriptors: int = 0
     drain_notice_seconds: float = 5.0
     drain_seconds: float = 300.0
     last_words_seconds: float = 1.0
@@ -244,7 +251,7 @@
 def _validate_limits(limits):
     for key in limits.__struct_fields__:
         value = getattr(limits, key)
-        may_be_zero = key.startswith("drain")
+        may_be_zero = key.startswith("drain") or key == "descriptors"
         in_range = value >= 0 if may_be_zero else value > 0
         _require(
             in_range and math.isfinite(value),
@@ -253,6 +260,40 @@
             "a number from 0 up" if may_be_zero else "a number above 0",
             "give a larger number, or leave the key out for its default",
         )
+    _validate_resources(limits)
+
+
+def _validate_resources(limits):
+    """Check that one request of the largest size can be held in calm."""
+    _require(
+        limits.memory_bytes >= client_limits.MIN_MEMORY_BYTES,
+        "limits.memory_bytes",
+        limits.memory_bytes,
+        f"a number from {client_limits.MIN_MEMORY_BYTES} up",
+        "give the instance more memory",
+    )
+    _require(
+        limits.descriptors == 0
+        or limits.descriptors >= client_limits.MIN_DESCRIPTORS,
+        "limits.descriptors",
+        limits.descriptors,
+        f"0, or a number from {client_limits.MIN_DESCRIPTORS} up",
+        "give the instance more descriptors, or leave the key out",
+    )
+    # A body may be written anew for an engine.
+    largest = (
+        client_limits.derive(
+            limits.memory_bytes, client_limits.MIN_DESCRIPTORS
+        ).largest_body()
+        // 2
+    )
+    _require(
+        limits.body_bytes <= largest,
+        "limits.body_bytes",
+        limits.body_bytes,
+        f"at most {largest}, with limits.memory_bytes {limits.memory_bytes}",
+        "raise limits.memory_bytes, or lower limits.body_bytes",
+    )
 
 
 def _validate_credentials(credentials):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/standard_listeners.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/standard_listeners.py
@@ -42,7 +42,10 @@
         }
         return [
             listener_factory.Listener(
-                name, getattr(parts.cfg.listen, name), app
+                name,
+                getattr(parts.cfg.listen, name),
+                app,
+                use=_use_of(name),
             )
             for name, app in apps.items()
         ]
@@ -50,3 +53,9 @@
     def reloadable(self):
         """Return the token files."""
         return list(self._authenticators.values())
+
+
+def _use_of(name):
+    if name == "callers":
+        return listener_factory.ListenerUse.CLIENTS
+    return listener_factory.ListenerUse.FURTHER
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -13,6 +13,8 @@
 
 # The key in the WSGI environment of the request's :class:`Head`.
 HEAD = "dandeliontrail.head"
+# The key of the request's :class:`.client_holds.RequestHolds`.
+HOLDS = "dandeliontrail.holds"
 
 
 class Head:
@@ -152,15 +154,16 @@
 def read_body(environ, limit, seconds):
     """Return the body of a request, limited in size and in time.
 
-    Raises :class:`Problem` if it is too large, too slow or broken. The HTTP
-    server has already checked that ``Content-Length`` is a number.
+    It is held until the request has ended.  Raises :class:`Problem` if it is
+    too large, too slow or broken, or if the instance has no room for it. The
+    HTTP server has already checked that ``Content-Length`` is a number.
     """
     length = environ.get("CONTENT_LENGTH")
     if length and int(length) > limit:
         raise _body_too_large(limit)
     source = environ["wsgi.input"]
     try:
-        return body_reader.read(source, limit, seconds)
+        return body_reader.read(source, environ[HOLDS], limit, seconds)
     except body_reader.TooLarge:
         raise _body_too_large(limit)
     except body_reader.TooSlow:
@@ -170,6 +173,8 @@
             f"The body did not arrive within {seconds:g} s.",
             "send it again over a faster connection",
         )
+    except body_reader.NoRoom:
+        raise no_room()
     except OSError as exc:
         raise _body_problem(
             400,
@@ -179,6 +184,19 @@
         )
 
 
+def no_room():
+    """Return the problem of a request that the instance cannot hold."""
+    return Problem(
+        503,
+        "no_room",
+        "The instance holds as much for its clients as it may.",
+        "send it again after the time in Retry-After, or smaller",
+        outcome="not-run",
+        close=True,
+        retry_after=body_reader.retry_after_seconds(),
+    )
+
+
 def _body_problem(status, code, message, remedy):
     return Problem(
         status, code, message, remedy, outcome="not-run", close=True
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/tunnel_admission.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/tunnel_admission.py
@@ -37,13 +37,13 @@
 _REFUSALS = {Reach.OTHERS: Refusal.SERVER, Reach.NONE: Refusal.NO_SERVERS}
 
 
-def refusal_of(server, epoch, url, reach, open_tunnels, now):
+def refusal_of(server, epoch, url, reach, open_tunnels, now, most=MAX_TUNNELS):
     """Return the :class:`Refusal` of a tunnel, ``None`` if it is opened.
 
     ``server`` is the record in the own registry (:class:`.servers.Server`),
     or ``None``; ``epoch`` and ``url`` are those that were asked for.  So an
     instance connects only to servers that it knows itself, and to none that
-    it knows to leave.
+    it knows to leave.  It has at most ``most`` tunnels at a time.
     """
     if server is None or not server.serves(now):
         return Refusal.UNKNOWN_SERVER
@@ -52,6 +52,6 @@
         return Refusal.UNKNOWN_SERVER
     if server.rests(now):
         return Refusal.REST
-    if open_tunnels >= MAX_TUNNELS:
+    if open_tunnels >= most:
         return Refusal.FULL
     return _REFUSALS.get(reach)
--- a/tests/common/crowd_world.py
+++ b/tests/common/crowd_world.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import pathlib
 import resource
@@ -222,8 +223,12 @@
     return False
 
 
-def head(path="/read/", framing="", request_id="crowd"):
+_numbers = itertools.count(1)
+
+
+def head(path="/read/", framing="", request_id=""):
     """Return the head of a caller's request with the given framing."""
+    request_id = request_id or f"crowd-{next(_numbers)}"
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {platform_world.HOST}",
