A full listener closes a connection that serves no request

What callers saw: 3,200 clients that connected and said nothing took all descriptors of an entry or a keeper: nobody was served, ready and control did not answer.

Cause: a listener took 4,096 connections whatever the process may have open, and when all were taken it waited until one ended by itself. A TLS handshake that never ends had no bound at all.

A listener that is full closes one that serves no request: one that has said nothing first, then a head or a body that takes over 3 s, then an idle one, at last one whose client takes nothing of its answer, which is reset. A request that was read is never cut for room otherwise. A TLS handshake has the time of a head.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -21,6 +21,7 @@
 import email.parser
 import socket
 import ssl
+import time
 
 import gevent
 from gevent import pool
@@ -28,6 +29,7 @@
 
 from dandeliontrail.decisions import client_limits
 
+from . import client_connections
 from . import client_holds
 from . import connection
 from . import listener_room
@@ -42,6 +44,8 @@
 READ_BYTES = 64 * 1024
 # Writes of this size tell soon whether a client takes its response.
 WRITE_BYTES = 64 * 1024
+# How often a full listener looks for a connection to close.
+ROOM_POLL_SECONDS = 0.1
 # What a header takes once it is parsed, in bytes beside its text; a head that
 # takes more than a connection allows for is charged to the account.
 HEADER_BYTES = 512
@@ -103,6 +107,8 @@
             data = self._read_chunked(size)
         else:
             data = self._read_counted(size)
+        if self.is_complete():
+            self.handler.enter(client_connections.State.SERVED)
         return data
 
     def _read_chunked(self, size):
@@ -170,6 +176,7 @@
 
     # Whether the end of the connection is that of the present response.
     _ends_with_connection = False
+    _connection = None
     _holds = None
     # The greenlet that writes, and whether it is to end the connection.
     _writer = None
@@ -184,13 +191,29 @@
         RFC 1122, section 4.2.3.2): more than the 29 ms between two tokens.
         """
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle()
+        self._connection = self.server.connection_of(self.socket)
+        self._connection.abort_writing = self.abort_writing
+        try:
+            super().handle()
+        finally:
+            # They refer to each other.
+            self._connection.abort_writing = None
+
+    def enter(self, state):
+        """Record what the connection is used for from now on."""
+        self._connection.enter(state, time.monotonic())
 
     def read_requestline(self):
         """Wait for a request and return its first line."""
+        if self._connection.state is not client_connections.State.SILENT:
+            if self.server.connections.is_full:
+                # Others wait for a connection, and this one is idle.
+                return ""
+            self.enter(client_connections.State.IDLE)
         self.socket.settimeout(self.server.limits.idle_seconds)
         if not self.rfile.peek(1):
             return ""
+        self.enter(client_connections.State.HEAD)
         limit = self.server.limits.header_bytes
         with gevent.Timeout(self.server.limits.header_seconds, False):
             return self.rfile.readline(limit + 1).decode("latin-1")
@@ -249,6 +272,10 @@
     def handle_one_response(self):
         """Send the response; disconnect a client that accepts no data."""
         self.socket.settimeout(self.server.limits.write_seconds)
+        if not self.wsgi_input.is_complete():
+            self.enter(client_connections.State.BODY)
+        else:
+            self.enter(client_connections.State.SERVED)
         try:
             super().handle_one_response()
         finally:
@@ -304,6 +331,7 @@
 
     def process_result(self):
         """Write the whole response."""
+        self.enter(client_connections.State.SERVED)
         super().process_result()
         if self._ends_with_connection:
             connection.end_on_close(self.socket)
@@ -329,6 +357,7 @@
         has to make room for is not copied.
         """
         size = len(data)
+        self.enter(client_connections.State.WRITING)
         self._writer = gevent.getcurrent()
         try:
             sent = self._send(data)
@@ -336,6 +365,7 @@
                 self._send_rest(memoryview(data)[sent:])
         finally:
             self._writer = None
+        self.enter(client_connections.State.SERVED)
         self.response_length += size
 
     def _send(self, data):
@@ -357,6 +387,7 @@
         while view:
             sent = self._send(view[:WRITE_BYTES])
             view = view[sent:]
+            self.enter(client_connections.State.WRITING)
 
     def abort_writing(self):
         """End the connection of a client that does not take its answer.
@@ -423,10 +454,14 @@
         self.account = room.account
         self.body_stage = room.body_stage
         self.report = room.report
+        most = min(limits.connections, room.connections)
+        self.connections = client_connections.ClientConnections(most)
+        self._by_descriptor = {}
+        self._room_maker = None
         super().__init__(
             address,
             app,
-            spawn=pool.Pool(limits.connections),
+            spawn=pool.Pool(most),
             log=None,
             error_log=logger,
             # Otherwise the base class looks up the name of the address, in a
@@ -435,6 +470,9 @@
             environ={"SERVER_NAME": ""},
             **options,
         )
+        if self.ssl_enabled:
+            self._shake_hands = self.wrap_socket
+            self.wrap_socket = self._shake_hands_in_time
 
     def start(self):
         """Listen; what the kernel holds of an unread connection is bounded."""
@@ -445,6 +483,31 @@
             client_limits.RECEIVE_BUFFER_BYTES,
         )
 
+    def connection_of(self, sock):
+        """Return the record of a connection that is being served."""
+        return self._by_descriptor[sock.fileno()]
+
+    def wrap_socket_and_handle(self, client_socket, address):
+        """Serve a connection after its TLS handshake."""
+        with self._counted(client_socket):
+            try:
+                super().wrap_socket_and_handle(client_socket, address)
+            except _HandshakeFailed as exc:
+                self.report.note("tls_handshake_failed", str(exc))
+
+    def _shake_hands_in_time(self, client_socket, **options):
+        """Return the socket of a TLS session; its handshake is bounded."""
+        timeout = gevent.Timeout(self.limits.header_seconds)
+        try:
+            with timeout:
+                return self._shake_hands(client_socket, **options)
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            raise _HandshakeFailed("it took too long")
+        except OSError as exc:
+            raise _HandshakeFailed(str(exc))
+
     def handle(self, client_socket, address):
         """Serve one connection, with TCP keep-alive probes enabled."""
         try:
@@ -452,7 +515,58 @@
         except OSError:
             # The client has disconnected; serving the connection detects that.
             pass
-        super().handle(client_socket, address)
+        with self._counted(client_socket):
+            super().handle(client_socket, address)
+
+    @contextlib.contextmanager
+    def _counted(self, sock):
+        """Have a connection closed if others need its place.
+
+        One with TLS was counted before its handshake.
+        """
+        descriptor = sock.fileno()
+        if descriptor in self._by_descriptor:
+            yield
+            return
+        conn = client_connections.ClientConnection(
+            time.monotonic(), lambda: _shut_down(descriptor)
+        )
+        self._by_descriptor[descriptor] = conn
+        self.connections.add(conn)
+        if self.connections.is_full and self._room_maker is None:
+            self._room_maker = gevent.spawn(self._make_room)
+        try:
+            yield
+        finally:
+            self.connections.remove(conn)
+            del self._by_descriptor[descriptor]
+
+    def _make_room(self):
+        """Close connections until there is room for another one."""
+        while self.connections.is_full:
+            closed = self.connections.make_room(time.monotonic())
+            if closed is None:
+                gevent.sleep(ROOM_POLL_SECONDS)
+                continue
+            self.report.note(f"connection_closed_{closed.value}")
+            gevent.sleep(0)
+        self._room_maker = None
+
+
+class _HandshakeFailed(Exception):
+    """A client did not complete its TLS handshake."""
+
+
+def _shut_down(descriptor):
+    """End a connection in both directions; whoever waits for it wakes up."""
+    raw_socket = socket.socket(fileno=descriptor)
+    try:
+        raw_socket.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The client has closed it.
+        pass
+    finally:
+        raw_socket.detach()
 
 
 def _read_head(rfile, limit):
