Crowds at the own interface and in the soak; small bodies are read at once

test_crowds_own_interface: dandeliond as a process, plain and with TLS, 112 MB and 200 descriptors, silent crowds at all listeners (with TLS they never begin their handshake) and bodies that stop short.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
@@ -19,6 +19,8 @@
 from dandeliontrail.decisions import held_bytes
 
 READ_BYTES = 64 * 1024
+# An announced body up to this size is charged and read at once.
+MAX_WHOLE_BYTES = 16 * 1024
 # After so many bytes of one body others have their turn.
 TURN_BYTES = 64 * 1024
 # A body may take longer than its limit if it comes faster than this.
@@ -107,7 +109,7 @@
 def read(source, holds, limit, seconds):
     """Return the body as ``bytes``.
 
-    ``source`` has ``read_part(size)``, ``wire_bytes`` and ``body_bytes``;
+    ``source`` is :class:`.http_server.BodySource`;
     ``holds`` (:class:`.client_holds.RequestHolds`) is charged until the
     request has ended.  Raises ``OSError`` if the body is broken, and the
     exceptions above.
@@ -131,6 +133,10 @@
 
 
 def _read_parts(source, hold, limit, timer):
+    length = source.length()
+    if length is not None and length <= MAX_WHOLE_BYTES:
+        _take_room(hold, length, limit)
+        return source.read_whole() if length else b""
     first = source.read_part(READ_BYTES)
     _take_room(hold, len(first), limit)
     if source.is_complete():
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -53,7 +53,7 @@
 # The limits of the libraries, on the request line and the number of headers,
 # would be met inside the one in bytes.
 pywsgi.MAX_REQUEST_LINE = 1024 * 1024
-_head_parser = email.parser.Parser(_class=pywsgi.OldMessage)
+_head_parser = email.parser.HeaderParser(_class=pywsgi.OldMessage)
 # How long to wait for a client's own close alert.
 CLOSE_ALERT_SECONDS = 1.0
 ERROR_RESPONSE_HEAD = (
@@ -70,7 +70,7 @@
         self.problem = problem
 
 
-class _BodySource(pywsgi.Input):
+class BodySource(pywsgi.Input):
     """The body of a request; an unread rest is discarded within limits."""
 
     __slots__ = ("handler", "chunks")
@@ -95,6 +95,25 @@
             return self.chunks.ended
         return self.position >= (self.content_length or 0)
 
+    def length(self):
+        """Return how many bytes are announced, ``None`` with chunks."""
+        return None if self.chunked_input else self.content_length or 0
+
+    def read_whole(self):
+        """Return a body that is announced; raises as :meth:`read_part`.
+
+        A body of a few kilobytes costs a third less than in parts.
+        """
+        self._send_100_continue()
+        length = self.content_length
+        data = self.rfile.read(length)
+        if len(data) < length:
+            self.handler.close_connection = True
+            raise OSError("the connection ended before the body")
+        self.position = length
+        self.handler.enter(client_connections.State.SERVED)
+        return data
+
     def read_part(self, size):
         """Return some of the next ``size`` bytes, ``b""`` at the end.
 
@@ -252,7 +271,7 @@
         """Return the WSGI environment with a body that is bounded."""
         environ = super().get_environ()
         original = self.wsgi_input
-        bounded = _BodySource(
+        bounded = BodySource(
             original.rfile,
             original.content_length,
             original.socket,
--- a/tests/common/crowd_world.py
+++ b/tests/common/crowd_world.py
@@ -183,7 +183,7 @@
 
     def is_served(self, entry, request_id, body=b"small"):
         """Ask until one ordinary request is answered; tell whether it is."""
-        return _becomes_true(lambda: self._asks(entry, request_id, body))
+        return becomes_true(lambda: self._asks(entry, request_id, body))
 
     def _asks(self, entry, request_id, body):
         reply = self.call(entry, "POST", "/read/", request_id, body=body)
@@ -191,16 +191,16 @@
 
     def is_ready(self, entry):
         """Return whether an entry is soon ready."""
-        return _becomes_true(lambda: self.ready(entry) == 200)
+        return becomes_true(lambda: self.ready(entry) == 200)
 
     def control_answers(self):
         """Return whether the keeper soon answers a read of its manifest."""
-        return _becomes_true(
+        return becomes_true(
             lambda: self.control("GET", "/api/config").status == 200
         )
 
 
-def _becomes_true(ask):
+def becomes_true(ask):
     """Ask again and again; a try that is not answered counts as false."""
     deadline = time.monotonic() + PATIENCE_SECONDS
     while time.monotonic() < deadline:
@@ -213,7 +213,7 @@
 
 
 def _wait(ask):
-    assert _becomes_true(ask), "waited in vain"
+    assert becomes_true(ask), "waited in vain"
 
 
 def accepts(address):
--- a/tests/cover/test_platform_soak.py
+++ b/tests/cover/test_platform_soak.py
@@ -39,3 +39,11 @@
     assert report.end == "all_lose_power"
     replaced = {"keeper_replaced", "keeper_succeeded", "seeds_changed"}
     assert replaced <= set(report.faults)
+
+
+def test_no_promise_is_broken_beside_clients_that_misbehave():
+    # Guards against programs that outgrow their memory or stop serving.
+    report = run.soak(70001, 6.0, mix=faults.CROWD_MIX)
+    assert report.findings == {}, "\n".join(report.timeline)
+    assert report.ended["200"] > 20
+    assert sum(report.crowds.values()) > 0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,7 +37,8 @@
     with ``has_parts`` some requests crash their servers; with
     ``has_troubled`` servers ask for rest, leave by their answers and send
     without end.  With ``has_prompts`` long prompts are sent to model engines,
-    with ``has_open`` answers that have no length are sent and reset.
+    with ``has_open`` answers that have no length are sent and reset, with
+    ``has_crowds`` clients misbehave.
     """
 
     kinds: tuple
@@ -47,6 +48,7 @@
     has_troubled: bool = False
     has_prompts: bool = False
     has_open: bool = False
+    has_crowds: bool = False
 
 
 def plan(seed, seconds, kinds):
@@ -296,4 +298,13 @@
     has_prompts=True,
     has_open=True,
 )
-MIXES = {"first": FIRST_MIX, "keepers": KEEPER_MIX, "all": ALL_MIX}
+# Programs with little memory, beside clients that misbehave.
+CROWD_MIX = Mix(
+    FIRST_KINDS, strikes_early=False, has_end=False, has_crowds=True
+)
+MIXES = {
+    "first": FIRST_MIX,
+    "keepers": KEEPER_MIX,
+    "all": ALL_MIX,
+    "crowds": CROWD_MIX,
+}
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -141,6 +141,7 @@
             data_dir=data_dir,
             **settings,
         )
+        text += self._settings.get("more_settings", "")
         if not self._is_first_start:
             text = text.replace("bootstrap=true", "bootstrap=false")
         self._config.write_text(text)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from tests.soak import crowds as crowds_module
 from tests.soak import ends
 from tests.soak import faults as faults_module
 from tests.soak import limits as limits_module
@@ -35,7 +36,8 @@
     ``open_answers`` counts the answers without a length by how they ended at
     callers, and at servers those that were reset and sent early.
     ``prompts`` counts the long prompts, and has the faults in the span in
-    which only they are judged.
+    which only they are judged.  ``crowds`` counts those of clients that
+    misbehave, and has the largest memory of entries and keepers, in MB.
     ``end`` is the final fault, and ``recovered`` the seconds until the
     operator read and changed the configuration after it; ``longest_wait`` is
     the longest time between two accepted changes.  ``timeline`` has the events
@@ -58,6 +60,7 @@
     most_growth_mb: float
     open_answers: dict
     prompts: dict
+    crowds: dict
     end: str
     recovered: tuple
     longest_wait: float
@@ -79,7 +82,8 @@
     violated, or with ``keep_all``, the programs' logs are copied to ``logs``.
     """
     with tempfile.TemporaryDirectory() as folder:
-        with world_module.World(folder, seed, entries) as world:
+        more_settings = crowds_module.SETTINGS if mix.has_crowds else ""
+        with world_module.World(folder, seed, entries, more_settings) as world:
             for _ in range(world_module.CALLERS):
                 world.spawn(world.send_requests_forever)
             world.spawn(
@@ -106,6 +110,9 @@
             if mix.has_troubled:
                 world.spawn(world.troubled.run_forever)
             world.spawn(world.troubled.watch_memory)
+            crowds = crowds_module.Crowds(world, seed)
+            if mix.has_crowds:
+                crowds.start()
             faults = faults_module.Faults(world, seed, mix)
             faults.run(seconds)
             end = ""
@@ -125,6 +132,8 @@
             world.troubled.check()
             if mix.has_open:
                 world.open_answers.check()
+            if mix.has_crowds:
+                crowds.check()
             if mix.has_prompts:
                 prompts.check()
             if logs and (world.findings or keep_all):
@@ -151,6 +160,7 @@
                 troubled.most_growth_mb,
                 world.open_answers.summary(),
                 prompts.summary(),
+                crowds.summary(),
                 end,
                 recovered,
                 round(world.longest_wait, 2),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -68,7 +68,7 @@
 class World:
     """All programs, servers and callers of a run, and the violations."""
 
-    def __init__(self, folder, seed, entries=ENTRIES):
+    def __init__(self, folder, seed, entries=ENTRIES, more_settings=""):
         self.rng = processes.seeded_random(seed, "world")
         self.runs = collections.defaultdict(list)
         self.findings = collections.defaultdict(list)
@@ -97,7 +97,11 @@
         self._count = 0
         self._stack = contextlib.ExitStack()
         self.ports = platform_world.new_ports()
-        settings = {"revoke_ms": REVOKE_SECONDS * 1000.0, **self.ports}
+        settings = {
+            "revoke_ms": REVOKE_SECONDS * 1000.0,
+            "more_settings": more_settings,
+            **self.ports,
+        }
         base = self._reserve_network(self.rng.randrange(10, 250))
         self.fleet = fleet_module.Fleet(
             folder, base, settings, entries, self.note
