--- a/packages/dandeliontrail-node/src/dandeliontrail_node/client_holds.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/client_holds.py
@@ -17,22 +17,20 @@
 class RequestHolds:
     """The holds of one request, from its body to the end of its response.
 
-    ``stage`` is that of its body while it is read; ``abort_writing`` is called
-    if the caller takes its answer too slowly.
+    ``room`` is that of its listener (:class:`.listener_room.ListenerRoom`);
+    ``abort_writing`` is called if the caller takes its answer too slowly.
     """
 
     __slots__ = (
-        "_account",
-        "_stage",
+        "_room",
         "_abort_writing",
         "_head",
         "_body",
         "_answers",
     )
 
-    def __init__(self, account, stage, abort_writing):
-        self._account = account
-        self._stage = stage
+    def __init__(self, room, abort_writing):
+        self._room = room
         self._abort_writing = abort_writing
         self._head = None
         self._body = None
@@ -40,12 +38,12 @@
 
     def take_head(self, size):
         """Hold ``size`` bytes for the head; return whether there is room."""
-        self._head = self._account.open(held_bytes.Stage.REQUEST)
+        self._head = self._room.account.open(held_bytes.Stage.REQUEST)
         return self._head.resize(size, time.monotonic())
 
     def open_body(self, on_cut):
         """Return the hold of the body; ``on_cut`` is called if it is cut."""
-        self._body = self._account.open(self._stage, on_cut)
+        self._body = self._room.account.open(self._room.body_stage, on_cut)
         return self._body
 
     def body_is_read(self):
@@ -61,7 +59,7 @@
 
     def open_answer(self):
         """Return an :class:`AnswerHold`."""
-        hold = AnswerHold(self._account)
+        hold = AnswerHold(self._room.account)
         self._answers += (hold,)
         return hold
 
@@ -69,7 +67,15 @@
         """Have an answer cut if its caller is too slow and others wait."""
         if hold not in self._answers:
             self._answers += (hold,)
-        hold.deliver(self._abort_writing)
+        hold.deliver(self._cut_answer)
+
+    def _cut_answer(self):
+        self._room.report.note("answer_not_taken")
+        self._abort_writing()
+
+    def note_refused(self, problem):
+        """Report a request that is refused before it was read whole."""
+        self._room.report.note(problem.code, problem.message)
 
     def note_taken(self, size):
         """Record that the caller has taken ``size`` bytes of its answer."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -258,7 +258,7 @@
         """Parse a request's head; the base class requires this name."""
         head = _read_head(rfile, self.server.limits.header_bytes)
         self._holds = client_holds.RequestHolds(
-            self.server.account, self.server.body_stage, self.abort_writing
+            self.server.room, self.abort_writing
         )
         cost = len(head) + HEADER_BYTES * head.count(b"\n")
         if cost > FREE_HEAD_BYTES and not self._holds.take_head(cost):
@@ -431,7 +431,7 @@
 
     def _handle_client_error(self, exc):
         problem = _client_error_problem(exc)
-        self.server.report.note(problem.code, problem.message)
+        self.server.room.report.note(problem.code, problem.message)
         body = wsgi.error_body(problem)
         status = wsgi.status_line(problem.status).encode()
         headers = b""
@@ -466,14 +466,11 @@
         room=None,
         **options,
     ):
-        room = room or listener_room.standalone()
+        self.room = room or listener_room.standalone()
         self.limits = limits
         self.closing = closing
         self.logger = logger
-        self.account = room.account
-        self.body_stage = room.body_stage
-        self.report = room.report
-        most = min(limits.connections, room.connections)
+        most = min(limits.connections, self.room.connections)
         self.connections = client_connections.ClientConnections(most)
         self._by_descriptor = {}
         self._room_maker = None
@@ -512,7 +509,7 @@
             try:
                 super().wrap_socket_and_handle(client_socket, address)
             except _HandshakeFailed as exc:
-                self.report.note("tls_handshake_failed", str(exc))
+                self.room.report.note("tls_handshake_failed", str(exc))
 
     def _shake_hands_in_time(self, client_socket, **options):
         """Return the socket of a TLS session; its handshake is bounded."""
@@ -567,7 +564,7 @@
             if closed is None:
                 gevent.sleep(ROOM_POLL_SECONDS)
                 continue
-            self.report.note(f"connection_closed_{closed.value}")
+            self.room.report.note(f"connection_closed_{closed.value}")
             gevent.sleep(0)
         self._room_maker = None
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -158,12 +158,20 @@
     too large, too slow or broken, or if the instance has no room for it. The
     HTTP server has already checked that ``Content-Length`` is a number.
     """
+    holds = environ[HOLDS]
+    try:
+        return _read_body(environ, holds, limit, seconds)
+    except Problem as problem:
+        holds.note_refused(problem)
+        raise
+
+
+def _read_body(environ, holds, limit, seconds):
     length = environ.get("CONTENT_LENGTH")
     if length and int(length) > limit:
         raise _body_too_large(limit)
-    source = environ["wsgi.input"]
     try:
-        return body_reader.read(source, environ[HOLDS], limit, seconds)
+        return body_reader.read(environ["wsgi.input"], holds, limit, seconds)
     except body_reader.TooLarge:
         raise _body_too_large(limit)
     except body_reader.TooSlow:
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/held_bytes.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/held_bytes.py
@@ -177,7 +177,9 @@
         else:
             self._holds.discard(hold)
         invariants.check(
-            self.total >= 0, "held-bytes-are-given-back-once", self.total
+            0 <= self.total <= self.capacity,
+            "held-bytes-stay-within-the-account",
+            self.total,
         )
 
     def limit_of(self, stage, size):
