Heads and bodies have modules of their own; a refused head gives back its hold

The head of a request and its refusals are request_head, the body as the server reads it is body_source.

On the way, by reading, three faults that no test had shown: - a head that was charged and then refused for its framing kept its hold, as no response followed that would have closed it: many of them would have filled the account for good; - an eviction that failed would have ended the greenlet that makes room, after which a full listener stayed full; - a listener that made room closed another connection while the first one was still ending.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/body_reader.py
@@ -109,7 +109,7 @@
 def read(source, holds, limit, seconds):
     """Return the body as ``bytes``.
 
-    ``source`` is :class:`.http_server.BodySource`;
+    ``source`` is :class:`.body_source.BodySource`;
     ``holds`` (:class:`.client_holds.RequestHolds`) is charged until the
     request has ended.  Raises ``OSError`` if the body is broken, and the
     exceptions above.
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/client_connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/client_connections.py
@@ -55,7 +55,7 @@
 
     def close(self):
         """End it; a part of an answer does not look complete."""
-        if self.state is State.WRITING:
+        if self.state is State.WRITING and self.abort_writing is not None:
             self.abort_writing()
         else:
             self._shut_down()
@@ -87,15 +87,12 @@
         self._closing.discard(conn)
 
     @property
-    def is_full(self):
-        """Whether no further connection can be accepted."""
-        return len(self._open) >= self.most
+    def needs_room(self):
+        """Whether all are taken, also when those that end have ended."""
+        return len(self._open) - len(self._closing) >= self.most
 
     def make_room(self, now):
-        """Close one connection; return its state, ``None`` if none may be.
-
-        It counts until it has ended.
-        """
+        """Close one connection; return its state, ``None`` if none may be."""
         victim = self._victim(now)
         if victim is None:
             return None
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -18,7 +18,6 @@
 """
 
 import contextlib
-import email.parser
 import socket
 import ssl
 import time
@@ -29,31 +28,21 @@
 
 from dandeliontrail.decisions import client_limits
 
+from . import body_source
 from . import client_connections
 from . import client_holds
 from . import connection
 from . import listener_room
 from . import request_framing
+from . import request_head
 from . import wsgi
 
-LINGER_BYTES = 1024 * 1024
-LINGER_SECONDS = 2.0
-LINGER_READ_BYTES = 16 * 1024
-# Leaves a client that is still sending the time to look for the response.
-LINGER_PAUSE_SECONDS = 0.01
-READ_BYTES = 64 * 1024
 # Writes of this size tell soon whether a client takes its response.
 WRITE_BYTES = 64 * 1024
 # How often a full listener looks for a connection to close.
 ROOM_POLL_SECONDS = 0.1
-# What a header takes once it is parsed, in bytes beside its text; a head that
-# takes more than a connection allows for is charged to the account.
-HEADER_BYTES = 512
+# A head that takes more once it is parsed is charged to the account.
 FREE_HEAD_BYTES = 16 * 1024
-# The limits of the libraries, on the request line and the number of headers,
-# would be met inside the one in bytes.
-pywsgi.MAX_REQUEST_LINE = 1024 * 1024
-_head_parser = email.parser.HeaderParser(_class=pywsgi.OldMessage)
 # How long to wait for a client's own close alert.
 CLOSE_ALERT_SECONDS = 1.0
 ERROR_RESPONSE_HEAD = (
@@ -62,134 +51,6 @@
 )
 
 
-class Rejected(ValueError):
-    """The head of a request cannot be served; ``problem`` says why."""
-
-    def __init__(self, problem):
-        super().__init__(problem.message)
-        self.problem = problem
-
-
-class BodySource(pywsgi.Input):
-    """The body of a request; an unread rest is discarded within limits."""
-
-    __slots__ = ("handler", "chunks")
-
-    @property
-    def wire_bytes(self):
-        """How many bytes of the connection were read for the body."""
-        if self.chunked_input:
-            return self.chunks.wire_bytes
-        return self.position
-
-    @property
-    def body_bytes(self):
-        """How many bytes of the body were read."""
-        if self.chunked_input:
-            return self.chunks.body_bytes
-        return self.position
-
-    def is_complete(self):
-        """Return whether the whole body was read."""
-        if self.chunked_input:
-            return self.chunks.ended
-        return self.position >= (self.content_length or 0)
-
-    def length(self):
-        """Return how many bytes are announced, ``None`` with chunks."""
-        return None if self.chunked_input else self.content_length or 0
-
-    def read_whole(self):
-        """Return a body that is announced; raises as :meth:`read_part`.
-
-        A body of a few kilobytes costs a third less than in parts.
-        """
-        self._send_100_continue()
-        length = self.content_length
-        data = self.rfile.read(length)
-        if len(data) < length:
-            self.handler.close_connection = True
-            raise OSError("the connection ended before the body")
-        self.position = length
-        self.handler.enter(client_connections.State.SERVED)
-        return data
-
-    def read_part(self, size):
-        """Return some of the next ``size`` bytes, ``b""`` at the end.
-
-        Raises ``OSError`` if the body is broken.
-        """
-        if self.is_complete():
-            return b""
-        self._send_100_continue()
-        if self.chunked_input:
-            data = self._read_chunked(size)
-        else:
-            data = self._read_counted(size)
-        if self.is_complete():
-            self.handler.enter(client_connections.State.SERVED)
-        return data
-
-    def _read_chunked(self, size):
-        try:
-            return self.chunks.read_part(size)
-        except request_framing.Malformed as exc:
-            self.handler.close_connection = True
-            raise OSError(str(exc))
-
-    def _read_counted(self, size):
-        data = self.rfile.read1(min(size, self.content_length - self.position))
-        if not data:
-            self.handler.close_connection = True
-            raise OSError("the connection ended before the body")
-        self.position += len(data)
-        return data
-
-    def _chunked_read(self, length=None, use_readline=False):
-        """Return bytes of a chunked body; the apps read no lines of one."""
-        parts = []
-        while length is None or length > 0:
-            part = self.read_part(READ_BYTES if length is None else length)
-            if not part:
-                break
-            parts.append(part)
-            if length is not None:
-                length -= len(part)
-        return b"".join(parts)
-
-    def _discard(self):
-        try:
-            self._discard_bounded()
-        except OSError:
-            # Where the next request starts is not known.
-            self.handler.close_connection = True
-
-    def _discard_bounded(self):
-        """Read on while the client may still read the response.
-
-        Where the connection is closed anyway, framing is of no interest.
-        """
-        self.send_100_continue_enabled = False
-        if self.is_complete():
-            return
-        with gevent.Timeout(LINGER_SECONDS, False):
-            if self.handler.close_connection:
-                self._discard_raw()
-                return
-            for _ in range(LINGER_BYTES // LINGER_READ_BYTES):
-                if not self.read_part(LINGER_READ_BYTES):
-                    return
-                gevent.sleep(0)
-        # The rest of the body exceeds the limits: close the connection.
-        self.handler.close_connection = True
-
-    def _discard_raw(self):
-        for _ in range(LINGER_BYTES // LINGER_READ_BYTES):
-            if not self.rfile.read1(LINGER_READ_BYTES):
-                return
-            gevent.sleep(LINGER_PAUSE_SECONDS)
-
-
 class Handler(pywsgi.WSGIHandler):
     """Serves one client connection."""
 
@@ -217,6 +78,9 @@
         finally:
             # They refer to each other.
             self._connection.abort_writing = None
+            if self._holds is not None:
+                # Of a head that was refused.
+                self._holds.close()
 
     def enter(self, state):
         """Record what the connection is used for from now on."""
@@ -225,7 +89,7 @@
     def read_requestline(self):
         """Wait for a request and return its first line."""
         if self._connection.state is not client_connections.State.SILENT:
-            if self.server.connections.is_full:
+            if self.server.connections.needs_room:
                 # Others wait for a connection, and this one is idle.
                 return ""
             self.enter(client_connections.State.IDLE)
@@ -242,7 +106,7 @@
         """Read the head of a request within ``header_seconds``."""
         limit = self.server.limits.header_bytes
         if len(raw_requestline) > limit:
-            raise Rejected(_head_too_large(limit))
+            raise request_head.Rejected(request_head.too_large(limit))
         request_framing.check_request_line(raw_requestline.encode("latin-1"))
         seconds = self.server.limits.header_seconds
         timeout = gevent.Timeout(seconds)
@@ -252,18 +116,18 @@
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
-            raise Rejected(_head_too_slow(seconds))
+            raise request_head.Rejected(request_head.too_slow(seconds))
 
     def MessageClass(self, rfile, seekable):
         """Parse a request's head; the base class requires this name."""
-        head = _read_head(rfile, self.server.limits.header_bytes)
+        head = request_head.read(rfile, self.server.limits.header_bytes)
         self._holds = client_holds.RequestHolds(
             self.server.room, self.abort_writing
         )
-        cost = len(head) + HEADER_BYTES * head.count(b"\n")
+        cost = request_head.memory_cost(head)
         if cost > FREE_HEAD_BYTES and not self._holds.take_head(cost):
-            raise Rejected(wsgi.no_room())
-        headers = _head_parser.parsestr(head.decode("latin-1"))
+            raise request_head.Rejected(wsgi.no_room())
+        headers = request_head.parse(head)
         request_framing.check_headers(headers, self.request_version)
         return headers
 
@@ -271,7 +135,7 @@
         """Return the WSGI environment with a body that is bounded."""
         environ = super().get_environ()
         original = self.wsgi_input
-        bounded = BodySource(
+        bounded = body_source.BodySource(
             original.rfile,
             original.content_length,
             original.socket,
@@ -430,7 +294,7 @@
         self._send_error_response_if_possible(500)
 
     def _handle_client_error(self, exc):
-        problem = _client_error_problem(exc)
+        problem = request_head.problem_of(exc)
         self.server.room.report.note(problem.code, problem.message)
         body = wsgi.error_body(problem)
         status = wsgi.status_line(problem.status).encode()
@@ -549,7 +413,7 @@
         )
         self._by_descriptor[descriptor] = conn
         self.connections.add(conn)
-        if self.connections.is_full and self._room_maker is None:
+        if self.connections.needs_room and self._room_maker is None:
             self._room_maker = gevent.spawn(self._make_room)
         try:
             yield
@@ -559,14 +423,16 @@
 
     def _make_room(self):
         """Close connections until there is room for another one."""
-        while self.connections.is_full:
-            closed = self.connections.make_room(time.monotonic())
-            if closed is None:
-                gevent.sleep(ROOM_POLL_SECONDS)
-                continue
-            self.room.report.note(f"connection_closed_{closed.value}")
-            gevent.sleep(0)
-        self._room_maker = None
+        try:
+            while self.connections.needs_room:
+                closed = self.connections.make_room(time.monotonic())
+                if closed is None:
+                    gevent.sleep(ROOM_POLL_SECONDS)
+                    continue
+                self.room.report.note(f"connection_closed_{closed.value}")
+                gevent.sleep(0)
+        finally:
+            self._room_maker = None
 
 
 class _HandshakeFailed(Exception):
@@ -583,69 +449,3 @@
         pass
     finally:
         raw_socket.detach()
-
-
-def _read_head(rfile, limit):
-    """Return the checked lines of a head; raises :class:`Rejected`.
-
-    Raises ``request_framing.Malformed`` if a line is no header line, also at
-    the end of the connection.
-    """
-    head = bytearray()
-    line = b""
-    while line != b"\r\n":
-        line = rfile.readline(limit + 1 - len(head))
-        if len(head) + len(line) > limit:
-            raise Rejected(_head_too_large(limit))
-        head += request_framing.check_header_line(line)
-    return head
-
-
-def _client_error_problem(exc):
-    if isinstance(exc, Rejected):
-        return exc.problem
-    if isinstance(exc, request_framing.Malformed):
-        return _bad_framing(exc)
-    return wsgi.Problem(
-        400,
-        "malformed_http",
-        f"The request is not HTTP: {_single_line(exc)}.",
-        "send a well-formed HTTP/1.1 request",
-        outcome="not-run",
-    )
-
-
-def _bad_framing(exc):
-    return wsgi.Problem(
-        400,
-        "bad_framing",
-        f"The request has {exc}.",
-        "write each line as in RFC 9112, and send one Content-Length, or"
-        " Transfer-Encoding: chunked alone",
-        outcome="not-run",
-    )
-
-
-def _single_line(exc):
-    return " ".join(str(exc).split())[:200]
-
-
-def _head_too_large(limit):
-    return wsgi.Problem(
-        431,
-        "head_too_large",
-        f"The request line and headers exceed {limit} bytes.",
-        "send fewer or shorter headers, or ask an operator to raise"
-        " limits.header_bytes",
-        outcome="not-run",
-    )
-
-
-def _head_too_slow(seconds):
-    return wsgi.Problem(
-        408,
-        "slow_head",
-        f"The headers did not arrive within {seconds:g} s.",
-        "send the request again over a faster connection",
-        outcome="not-run",
-    )
--- a/tests/cover/test_client_connections.py
+++ b/tests/cover/test_client_connections.py
@@ -65,11 +65,13 @@
     table = client_connections.ClientConnections(1)
     conn = ended.connection("only", State.SILENT)
     table.add(conn)
+    assert table.needs_room
     assert table.make_room(1.0) is State.SILENT
     assert table.make_room(2.0) is None
-    assert table.is_full
+    # Others are not closed for the room that it is about to give.
+    assert not table.needs_room
     table.remove(conn)
-    assert not table.is_full
+    assert not table.needs_room
     assert ended == ["only"]
 
 
--- a/tests/cover/test_truncated_heads.py
+++ b/tests/cover/test_truncated_heads.py
@@ -8,7 +8,9 @@
 import itertools
 import socket
 
+from dandeliontrail.decisions import held_bytes
 from dandeliontrail import effects
+from dandeliontrail_node import client_holds
 from dandeliontrail_node import connection
 from dandeliontrail_node import engine_client
 from dandeliontrail_node.forwarding import backend_request
@@ -20,6 +22,7 @@
 from tests.common import sockets
 from tests.soak import proxy
 
+MEMORY_BYTES = 1024 * 1024
 FIRST = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 HEADS = {
     "length": b"Content-Type: text/plain\r\nContent-Length: 11\r\n\r\n",
@@ -97,7 +100,8 @@
     try:
         request.send()
         request.read_head()
-        return request.read_whole_body()
+        account = held_bytes.HeldBytes(MEMORY_BYTES)
+        return request.read_whole_body(client_holds.AnswerHold(account))
     finally:
         request.release()
 
