--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -29,6 +29,7 @@
 ID = "X-Dandeliontrail-Request-Id"
 SEAL = "X-Dandeliontrail-Response-Seal"
 HEARTBEAT_SECONDS = 1.2
+ZONES = ("hall-a", "hall-b", "hall-c")
 
 SETTINGS = """\
 node_name={name}
@@ -36,9 +37,11 @@
 machine_class={machine_class}
 serves={serves}
 ip={ip}
-zone=hall-a
+zone={zone}
 region=gulf-south
 zones.hall-a=gulf-south
+zones.hall-b=gulf-south
+zones.hall-c=gulf-south
 listen_addrs.frontend_addr={frontend}
 listen_addrs.ready={ready}
 listen_addrs.control_plane={control}
@@ -101,9 +104,10 @@
 class Process:
     """One program of the project with its settings."""
 
-    def __init__(self, role, ip, settings, folder):
+    def __init__(self, role, ip, zone, settings, folder):
         self.role = role
         self.ip = ip
+        self.zone = zone
         self._folder = folder
         self._path = folder / f"{ip}.conf"
         self._path.write_text(settings)
@@ -125,6 +129,23 @@
     def send(self, number):
         self.popen.send_signal(number)
 
+    def kill(self):
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def lose_disk(self):
+        """Empty the data folder; the process must not run."""
+        settings = self._path.read_text()
+        self._path.write_text(
+            settings.replace("bootstrap=true", "bootstrap=false")
+        )
+        for line in settings.splitlines():
+            key, _, value = line.partition("=")
+            if key == "data_dir":
+                shutil.rmtree(value)
+                os.mkdir(value)
+
     def rss_mb(self):
         """Return the memory that the process has used at most, in MB."""
         text = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text()
@@ -156,10 +177,21 @@
         self._memory_mb = memory_mb
         seeds = [f"{self.network}.{n + 1}" for n in range(min(keepers, 3))]
         self._seeds = ",".join(f"{ip}:{self.ports['control']}" for ip in seeds)
-        self.keepers = [self._new("keeper", n + 1) for n in range(keepers)]
-        self.entries = [self._new("entry", n + 101) for n in range(entries)]
-
-    def _new(self, role, number):
+        self.keepers = [
+            self._new("keeper", n + 1, ZONES[n % 3]) for n in range(keepers)
+        ]
+        self.entries = [
+            self._new("entry", n + 101, ZONES[n % 3]) for n in range(entries)
+        ]
+
+    def add_keeper(self, number, zone):
+        """Start another keeper, with an empty disk, and return it."""
+        keeper = self._new("keeper", number, zone, bootstrap="false")
+        self.keepers.append(keeper)
+        keeper.start()
+        return keeper
+
+    def _new(self, role, number, zone, bootstrap="true"):
         ip = f"{self.network}.{number}"
         is_entry = role == "entry"
         data_dir = ""
@@ -172,13 +204,14 @@
             machine_class="front" if is_entry else "core",
             serves="front" if is_entry else "control",
             ip=ip,
+            zone=zone,
             frontend=f"{ip}:{self.ports['frontend']}" if is_entry else "",
             ready=f"{ip}:{self.ports['ready']}" if is_entry else "",
             control="" if is_entry else f"{ip}:{self.ports['control']}",
             inner=self.ports["inner"],
             inner_last=self.ports["inner"],
             seeds=self._seeds,
-            bootstrap="true",
+            bootstrap=bootstrap,
             counts="false" if is_entry else "true",
             data_dir=data_dir,
             memory_mb=self._memory_mb,
@@ -189,7 +222,7 @@
         else:
             settings = settings.replace("listen_addrs.frontend_addr=\n", "")
             settings = settings.replace("listen_addrs.ready=\n", "")
-        return Process(role, ip, settings, self.folder)
+        return Process(role, ip, zone, settings, self.folder)
 
     def __enter__(self):
         for item in (*self.keepers, *self.entries):
@@ -203,6 +236,11 @@
 
     async def control(self, method, path, body=None, keeper=0, seconds=1.0):
         """Send one call to a keeper; return its status, 0 for no answer."""
+        answer = await self.ask(method, path, body, keeper, seconds)
+        return answer.status
+
+    async def ask(self, method, path, body=None, keeper=0, seconds=1.0):
+        """Send one call to a keeper; return its answer."""
         data = json.dumps(body).encode() if body is not None else b""
         address = (self.keepers[keeper].ip, self.ports["control"])
         try:
@@ -212,9 +250,9 @@
                 await conn.send(method, path, head, data, host="control")
                 answer = await conn.answer()
                 conn.close()
-                return answer.status
+                return answer
         except (OSError, TimeoutError, EOFError):
-            return 0
+            return Answer()
 
     async def apply(self, manifest, seconds=20.0):
         """Send a manifest until a keeper acknowledges it."""
