--- a/review/10/case.py
+++ b/review/10/case.py
@@ -17,7 +17,7 @@
 
 import deployment as parts  # noqa: E402
 
-REQUESTERS = 40
+REQUESTERS = 60
 GARBLE_SECONDS = 6.0
 # One in so many answers of a garbling worker is spoiled (x = .02).
 GARBLE_EVERY = 50
@@ -26,6 +26,8 @@
 EVENTS = 24
 EVENT_SECONDS = 0.1
 STREAM_ROUNDS = 3
+# Requesters don't keep step.
+MAX_PAUSE_SECONDS = 0.05
 # The rule allows three.
 ALLOWED = 3
 
@@ -73,6 +75,7 @@
         if answer.channel_ended or answer.headers.get("connection") == "close":
             channel.close()
             channel = await world.channel()
+        await asyncio.sleep(parts.RANDOM.uniform(0, MAX_PAUSE_SECONDS))
     for count in range(1, STREAM_ROUNDS + 1):
         request_id = f"stream-{number}-{count}"
         headers = parts.caller_headers(request_id, STREAM_DEADLINE_MS)
