An answer that cannot be written leaves nothing open

A sound server's 299 or 529 came as a 500; after a status of 000 or 099 a request waited until its time limit.

Cause: Forwarder.serve read the answer inside its try and began the response outside of it. wsgi.status_line raised ValueError for a status that http.HTTPStatus doesn't list, so the exchange, the watch and the deadline's timer stayed. The timer is one of the connection's greenlet and fired in the next request there. A head with a length beside 204 or 304, to HEAD, was refused by the server of HTTP with the same result, and a stream that it never began to read closed nothing, as a generator that has not begun runs no finally. A status below 200 counted as interim.

Now one exit stack owns what a request opens, until the iterable of the body has taken it over. A status of 100 to 599 is passed on; any other is no answer, so that the attempt fails at once and what may be repeated is. The own interface's relay and client likewise.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -176,6 +176,9 @@
             answer = ServerResponse(response, pool.watched_socket)
         except CONNECTION_ERRORS as exc:
             raise _broken_error(exc)
+        if answer.status not in http_library.FINAL_STATUSES:
+            answer.close()
+            raise Broken(f"the status {answer.status:03} is no answer")
         refused = _is_not_run(answer)
         dispatch.head_received(answer, refused)
         if refused:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/answer_parser.py
@@ -22,6 +22,10 @@
     """The body has a transfer coding that cannot be decoded here."""
 
 
+class InvalidStatus(ParseError):
+    """The status is none of HTTP's, so that the message is no answer."""
+
+
 class AnswerEnd(enum.Enum):
     """What told that an answer is complete (RFC 9112, section 6.3).
 
@@ -58,6 +62,11 @@
         self.head_done = False
         self.end = None
 
+    @property
+    def is_interim(self):
+        """Whether the final answer follows."""
+        return self.status in http_library.INTERIM_STATUSES
+
     @property
     def complete(self):
         """Whether the answer has ended as its sender meant it."""
@@ -95,8 +104,8 @@
     """Turns the bytes of a connection into :class:`Answer` objects.
 
     :meth:`feed` raises ``answer_bounds.TooLarge`` if a head, or the framing of
-    a body, goes beyond its bound, and ``UnknownCoding`` for a body that cannot
-    be decoded.
+    a body, goes beyond its bound, ``InvalidStatus`` for a status that is none,
+    and ``UnknownCoding`` for a body that cannot be decoded.
 
     With ``answers_head`` they answer a HEAD request, and have no body whatever
     their head says.
@@ -119,6 +128,7 @@
         self._in_head = True
         self._connection_ended = False
         self._has_unknown_coding = False
+        self._invalid_status = None
 
     def feed(self, data):
         """Parse the next bytes."""
@@ -126,6 +136,7 @@
         super().feed(data)
         self._other_bytes += len(data) - (self._body_bytes - bodies)
         self._check_bounds()
+        self._check_status()
         self._check_codings()
 
     def end_connection(self):
@@ -157,6 +168,10 @@
         ):
             raise answer_bounds.TooLarge("the answer has too many headers")
 
+    def _check_status(self):
+        if self._invalid_status is not None:
+            raise InvalidStatus(f"the status {self._invalid_status:03}")
+
     def _check_codings(self):
         if not self._has_unknown_coding:
             return
@@ -208,7 +223,11 @@
         answer = self.answers[-1]
         answer.status = self.get_code()
         answer.head_done = True
-        self._in_head = answer.status < 200
+        self._in_head = answer.is_interim
+        if not answer.is_interim and (
+            answer.status not in http_library.FINAL_STATUSES
+        ):
+            self._invalid_status = answer.status
         self._has_unknown_coding = not self._is_decoded(answer)
         # Whether the answer has no body.
         return self._answers_head
@@ -221,15 +240,19 @@
 
     def _on_message_complete(self):
         answer = self.answers[-1]
-        if answer.status < 200:
-            # An interim (1xx) answer; the final one follows.
+        if answer.is_interim:
             self.answers.pop()
             self._interim_answers += 1
             return
         answer.end = self._end_of(answer)
 
     def _end_of(self, answer):
-        """Return the end of an answer, ``None`` if it is cut short."""
+        """Return the end of an answer, ``None`` if it is cut short.
+
+        What follows a message that is no answer is none either.
+        """
+        if self._invalid_status is not None:
+            return None
         if self._is_bodiless(answer):
             return AnswerEnd.HEAD
         if self._has_unknown_coding:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from .. import problems
 from .. import tokens
 from .. import wsgi
+from . import answer_parser
 from . import attempt as attempt_module
 from . import attempt_readers
 from . import backend_request
@@ -87,16 +88,28 @@
     # -- the caller's side ------------------------------------------------
 
     def serve(self, start_response):
-        """Serve the request; return the WSGI iterable of the response."""
-        try:
-            self._begin()
-            output = self._next_output()
-        except BaseException as exc:
-            problem = self._problem_after(exc)
-            self._close()
-            if problem is None:
-                raise
-            return self._refuse(start_response, problem)
+        """Serve the request; return the WSGI iterable of the response.
+
+        Whatever the request opens is closed with the iterable, or here if
+        there is none: a timer left behind would end a later request on the
+        same connection.
+        """
+        with contextlib.ExitStack() as unanswered:
+            unanswered.callback(self._close)
+            try:
+                self._begin()
+                body = self._start_answer(start_response, self._next_output())
+            except BaseException as exc:
+                problem = self._problem_after(exc)
+                self._close()
+                if problem is None:
+                    raise
+                return self._refuse(start_response, problem)
+            unanswered.pop_all()
+            return body
+
+    def _start_answer(self, start_response, output):
+        """Start the response with the head of an answer; return its body."""
         answer = output.answer
         headers = [
             (name, value)
@@ -105,19 +118,21 @@
         ]
         status = wsgi.status_line(answer.status)
         if output.events is None:
-            headers.append(("Content-Length", self._length_of(output)))
+            headers.extend(self._length_headers(output))
             self._holds.deliver(output.hold)
             start_response(status, headers)
-            return _WholeBody(output.body, self._close)
+            return _Body((part for part in [output.body]), self._close)
         start_response(status, headers)
-        return self._stream(output.events)
+        return _Body(self._stream(output.events), self._abandon)
 
-    def _length_of(self, output):
+    def _length_headers(self, output):
         """Return the length of a body, to HEAD as the server declares it."""
+        if output.answer.status in answer_parser.BODILESS_STATUSES:
+            return []
         declared = output.answer.get("content-length")
         if self._incoming.method == "HEAD" and declared:
-            return declared
-        return str(len(output.body))
+            return [("Content-Length", declared)]
+        return [("Content-Length", str(len(output.body)))]
 
     def _begin(self):
         """Submit the request to the reducer and start the deadline timer.
@@ -225,6 +240,12 @@
             # stay until the next search for garbage.
             self._context.body = b""
 
+    def _abandon(self):
+        """Close a stream that has not ended by itself."""
+        if self._open:
+            self._report_caller_left()
+            self._close()
+
     # -- attempts ---------------------------------------------------------
 
     def _next_output(self):
@@ -493,21 +514,26 @@
             self._close()
 
 
-class _WholeBody:
-    """The WSGI iterable of a whole body.
+class _Body:
+    """The WSGI iterable of a body, which the server closes in any case.
 
-    The request stays in flight until the body has been written and the server
-    calls ``close``.
+    The request stays in flight until then.  A generator alone would close
+    nothing if the server had not begun to read it.
     """
 
-    __slots__ = ("_body", "close")
+    __slots__ = ("_parts", "_on_close")
 
-    def __init__(self, body, close):
-        self._body = body
-        self.close = close
+    def __init__(self, parts, on_close):
+        self._parts = parts
+        self._on_close = on_close
 
     def __iter__(self):
-        yield self._body
+        return self._parts
+
+    def close(self):
+        """Close the generator of the parts and what the request opened."""
+        self._parts.close()
+        self._on_close()
 
 
 class _Overdue(wsgi.Aborted):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/relay.py
@@ -49,7 +49,6 @@
         self._event = event
         self._caller = caller
         self._started = time.monotonic()
-        self._begun = False
 
     def run(self, start_response):
         """Start the request and return the WSGI response iterable."""
@@ -57,13 +56,17 @@
         self._exchange.worker = gevent.spawn(self._worker.run)
         try:
             head = self._next_item()
+            return self._start_answer(start_response, head)
         except CallerLeft:
             self._report_caller_gone()
             raise problems.caller_gone(self._event.request_id, begun=True)
         except BaseException:
+            # Also of a head that cannot be written.
             self._report_caller_gone()
             raise
-        self._begun = True
+
+    def _start_answer(self, start_response, head):
+        """Start the response with the head of an answer; return its body."""
         if head.body is not None:
             self._channel.close_reader()
             for hold in self._exchange.holds:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/wsgi.py
@@ -11,6 +11,7 @@
 SOCKET = "dandeliontrail.socket"
 
 
+_PHRASES = {int(item): item.phrase for item in http.HTTPStatus}
 # The key in the WSGI environment of the request's :class:`Head`.
 HEAD = "dandeliontrail.head"
 # The key of the request's :class:`.client_holds.RequestHolds`.
@@ -113,8 +114,12 @@
 
 
 def status_line(status):
-    """Return the status line, such as ``404 Not Found`` for 404."""
-    return f"{status} {http.HTTPStatus(status).phrase}"
+    """Return the status line, such as ``404 Not Found`` for 404.
+
+    The reason phrase of a status that has no name is empty (RFC 9112,
+    section 4).
+    """
+    return f"{status} {_PHRASES.get(status, '')}"
 
 
 def problem_headers(problem):
