A vote that was lent comes back to the keeper that lent it

Cause: a voter that another one replaced was marked as one that gave way, whether it had a successor or was only silent. The successor got the mark while its predecessor stood in for it, so that it never took its vote back, and the predecessor went with it.

The voters' log keeps the order of first votes now. It is what tells the newer of two keepers of a failure domain, and a lent vote doesn't change it. The newest spare takes the place of the oldest voter of its domain; who gave way is only remembered for older releases, whose logs and checkpoints have no such order: it follows from their former voters.

Why it works: a change within a domain always moves a vote to a newer keeper, so voters come to rest, and at rest the newest that runs votes.

The tests of the choice name seniorities in the place of "gave way", with three situations more; the one on "gives_way" of an uneven domain checks the next change in its place.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_core.py
@@ -345,6 +345,7 @@
             list(voter_set.outgoing),
             list(voter_set.former),
             dict(self.addresses),
+            list(voter_set.seniority),
         )
 
     def maybe_checkpoint(self):
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_entries.py
@@ -46,11 +46,15 @@
     voters: list[Voter]
     outgoing: list[Voter] = []
     former: list[Voter] = []
+    seniority: list[str] = []
 
     def voter_set(self):
         """Return the voters from this entry on."""
         return voter_sets.VoterSet(
-            tuple(self.voters), tuple(self.outgoing), tuple(self.former)
+            tuple(self.voters),
+            tuple(self.outgoing),
+            tuple(self.former),
+            tuple(self.seniority),
         )
 
 
@@ -60,6 +64,7 @@
         list(voter_set.incoming),
         list(voter_set.outgoing),
         list(voter_set.former),
+        list(voter_set.seniority),
     )
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_machine.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_machine.py
@@ -66,9 +66,9 @@
 class Checkpoint(msgspec.Struct):
     """The state after the entries up to ``index`` (a Raft snapshot).
 
-    ``voters``, ``outgoing`` and ``former`` are the voters at ``index``, as in
-    an :class:`.quorum_log_entries.VoterChange`.  ``addresses`` are those of
-    the keepers by name, as its writer knows them.
+    ``voters``, ``outgoing``, ``former`` and ``seniority`` are the voters at
+    ``index``, as in an :class:`.quorum_log_entries.VoterChange`.
+    ``addresses`` are those of the keepers by name, as its writer knows them.
     """
 
     log_id: str
@@ -80,11 +80,15 @@
     outgoing: list[entries.Voter] = []
     former: list[entries.Voter] = []
     addresses: dict[str, str] = {}
+    seniority: list[str] = []
 
     def voter_set(self):
         """Return the voters at ``index``."""
         return entries.VoterSet(
-            tuple(self.voters), tuple(self.outgoing), tuple(self.former)
+            tuple(self.voters),
+            tuple(self.outgoing),
+            tuple(self.former),
+            tuple(self.seniority),
         )
 
 
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_reconfiguration.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_reconfiguration.py
@@ -24,7 +24,6 @@
 
     It takes the place of ``replaces``, if that is not ``None``.  A leader does
     not replace itself: then ``has_caught_up`` tells that the next leader can.
-    Unless ``gives_way`` is false, the replaced voter is a former one then.
     ``is_wanted(now)`` tells whether the reason of the change still holds.  It
     is asked ``settle`` seconds after the keeper first replied, at
     ``replied_at``.
@@ -34,7 +33,6 @@
     replaces: entries.Voter | None
     started_at: float
     has_caught_up: bool = False
-    gives_way: bool = True
     is_wanted: typing.Callable = lambda now: True
     settle: float = 0.0
     replied_at: float | None = None
@@ -70,7 +68,7 @@
             and core.log.term_at(core.commit) == core.term
         )
 
-    def change(self, voters, now, gives_way=True):
+    def change(self, voters, now):
         """Append a change that adds, removes or replaces one voter."""
         present = self._core.log.voter_set
         added = set(voters) - set(present.incoming)
@@ -84,7 +82,7 @@
             f"change of voters from {present.incoming} to {voters}",
         )
         if added and removed:
-            changed = present.begin_change(voters, gives_way)
+            changed = present.begin_change(voters)
         else:
             changed = present.with_voters(voters)
         self._append(entries.voter_change(changed), "", now)
@@ -136,7 +134,7 @@
                 return
             self.joining = None
             voters = self._next_voters(joining)
-            self.change(voters, now, joining.gives_way)
+            self.change(voters, now)
 
     def _next_voters(self, joining):
         """Return the voters after the joining one took its place.
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
@@ -128,7 +128,7 @@
             self._leadership.is_leaving(voter),
             self._new_folder(voter, alive, now),
             voter == self._core.own_voter,
-            voter.name in self._core.log.voter_set.former_names,
+            self._core.log.voter_set.seniority_of(voter.name),
         )
 
     def _is_lost(self, voter, alive, now):
@@ -154,16 +154,15 @@
         """Return the available keepers that do not vote, sorted by name."""
         names = self._core.voter_names()
         alive = self._neighbours.alive(now)
-        former_names = self._core.log.voter_set.former_names
+        voter_set = self._core.log.voter_set
         found = []
         for name, folder in sorted(self._founding.folders.items()):
             voter = entries.Voter(name, folder)
             avoided = now < self._avoid_until.get(voter, now)
             if name in alive and name not in names and not avoided:
                 domain = self._neighbours.domain_of(name)
-                found.append(
-                    voter_choice.Spare(voter, domain, name in former_names)
-                )
+                seniority = voter_set.seniority_of(name)
+                found.append(voter_choice.Spare(voter, domain, seniority))
         return found
 
     def _begin(self, change, now):
@@ -195,7 +194,7 @@
 
     def _join(self, change, now):
         joining = reconfiguration_module.Joining(
-            change.add, change.remove, now, gives_way=change.gives_way
+            change.add, change.remove, now
         )
         if change.reason == voter_choice.SILENT:
             # After a cut, the voter's first reply may come after that of the
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_choice.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_choice.py
@@ -8,14 +8,17 @@
 * a voter too many is removed, and one too few is added;
 * a failure domain with two voters more than another one, which has a spare,
   gives one up;
-* a spare that never gave way to another voter, if it is the only such one in
-  its failure domain, takes the place of the longest-serving voter there.  It
-  is probably the successor of a keeper that is about to go, which then may go
-  at any moment;
+* a spare that is newer than a voter of its failure domain takes the place of
+  the oldest voter there.  It is probably the successor of a keeper that is
+  about to go, which then may go at any moment;
 * a voter beside a newer keeper in its failure domain, which may be its
   successor although it took another one's vote, gives its own to a spare of
   another failure domain where no keeper is as new.
 
+Which keeper is newer is told by the order of their first votes.  That doesn't
+change when a voter is lost for a while and another keeper votes in its place,
+so the vote comes back to its owner and not to the keeper that it succeeds.
+
 A voter that is lost stays one if there is no spare, since removing it would
 not make the log any safer.
 """
@@ -44,7 +47,7 @@
     is_leaving: bool = False
     new_folder: str = ""
     is_leader: bool = False
-    gave_way: bool = False
+    seniority: int = voter_sets.NEVER_VOTED
 
 
 class Spare(msgspec.Struct, frozen=True):
@@ -52,29 +55,27 @@
 
     voter: voter_sets.Voter
     domain: str
-    gave_way: bool = False
+    seniority: int = voter_sets.NEVER_VOTED
 
 
 class Change(msgspec.Struct, frozen=True):
     """A change of voters; ``remove`` or ``add`` may be ``None``.
 
-    One that is urgent answers a loss, and goes before one that is not.  Unless
-    ``gives_way`` is false, the removed voter does not take its place back.
+    One that is urgent answers a loss, and goes before one that is not.
     """
 
     remove: voter_sets.Voter | None
     add: voter_sets.Voter | None
     reason: str
     is_urgent: bool = False
-    gives_way: bool = True
 
 
 def next_change(voters, spares, target):
     """Return the next :class:`Change`, or ``None`` if all is well.
 
-    ``voters`` are the :class:`VoterState` of all voters, the longest-serving
-    first, ``spares`` the available :class:`Spare`, and ``target`` is the
-    number of voters to maintain.
+    ``voters`` are the :class:`VoterState` of all voters, ``spares`` the
+    available :class:`Spare`, and ``target`` is the number of voters to
+    maintain.
     """
     return (
         _replace_folder(voters)
@@ -92,7 +93,7 @@
         if item.new_folder:
             renewed = voter_sets.Voter(item.voter.name, item.new_folder)
             reason = "lost its data folder"
-            return Change(item.voter, renewed, reason, True, gives_way=False)
+            return Change(item.voter, renewed, reason, True)
     return None
 
 
@@ -118,7 +119,7 @@
 def _best_spare(voters, spares, domain=""):
     """Return the spare whose failure domain has the fewest voters.
 
-    Of several, one in ``domain`` is preferred, then one that never gave way.
+    Of several, one in ``domain`` is preferred, then the newest.
     """
     counts = _voters_by_domain(voters)
     return min(
@@ -126,7 +127,7 @@
         key=lambda item: (
             counts[item.domain],
             item.domain != domain,
-            item.gave_way,
+            -item.seniority,
             item.voter,
         ),
     )
@@ -150,7 +151,7 @@
             item.is_leaving,
             not item.is_leader,
             counts[item.domain],
-            item.gave_way,
+            -item.seniority,
         ),
     )
 
@@ -160,26 +161,27 @@
     if not voters or not spares:
         return None
     new = _best_spare(voters, spares)
-    # One that gave way before only stands in for another domain's voter.
-    old = max(voters, key=lambda item: (counts[item.domain], item.gave_way))
+    # The oldest may only stand in for another domain's voter.
+    old = max(voters, key=lambda item: (counts[item.domain], -item.seniority))
     if counts[old.domain] < counts[new.domain] + 2:
         return None
-    later = voters[voters.index(old) + 1 :]
-    has_junior = any(item.domain == old.domain for item in later)
-    reason = "uneven over failure domains"
-    return Change(old.voter, new.voter, reason, gives_way=has_junior)
+    return Change(old.voter, new.voter, "uneven over failure domains")
 
 
 def _let_successor_vote(voters, spares):
-    fresh = [item for item in spares if not item.gave_way]
-    counts = collections.Counter(item.domain for item in fresh)
-    for new in fresh:
-        if counts[new.domain] > 1:
+    newcomers = _newcomers_by_domain(spares)
+    for new in sorted(spares, key=lambda item: (-item.seniority, item.voter)):
+        if _is_newcomer(new) and newcomers[new.domain] > 1:
             # Several stand by there; which one is a successor is unknown.
             continue
-        for old in voters:
-            if old.domain == new.domain:
-                return Change(old.voter, new.voter, "has a successor")
+        older = [
+            item
+            for item in voters
+            if item.domain == new.domain and item.seniority < new.seniority
+        ]
+        if older:
+            old = min(older, key=lambda item: item.seniority)
+            return Change(old.voter, new.voter, "has a successor")
     return None
 
 
@@ -193,7 +195,10 @@
     """
     ages = _Ages(voters, spares)
     counts = _voters_by_domain(voters)
-    for old in sorted(voters, key=ages.successor_rank, reverse=True):
+    by_need = sorted(
+        voters, key=lambda item: (-ages.successor_rank(item), item.seniority)
+    )
+    for old in by_need:
         fitting = [
             item
             for item in spares
@@ -207,37 +212,35 @@
 
 
 class _Ages:
-    """Which keepers came after others, as far as the log tells.
-
-    One that never gave way came after one that did; of voters that never did,
-    the later voter came later, and a spare after them.
-    """
+    """Which keepers came after others of their failure domains."""
 
     def __init__(self, voters, spares):
-        self._ranks = {
-            item.voter: rank
-            for rank, item in enumerate(voters)
-            if not item.gave_way
-        }
-        fresh = [item for item in spares if not item.gave_way]
-        self._ranks.update((item.voter, len(voters)) for item in fresh)
+        self._newcomers = _newcomers_by_domain(spares)
         self._newest = collections.defaultdict(lambda: NO_SUCCESSOR)
-        self._fresh_counts = collections.Counter(item.domain for item in fresh)
-        for item in (*voters, *fresh):
-            rank = self._ranks.get(item.voter, NO_SUCCESSOR)
-            self._newest[item.domain] = max(self._newest[item.domain], rank)
+        for item in (*voters, *spares):
+            newest = max(self._newest[item.domain], item.seniority)
+            self._newest[item.domain] = newest
 
     def successor_rank(self, keeper):
-        """Return the rank of the newest keeper that may succeed ``keeper``.
+        """Return the seniority of the newest that may succeed ``keeper``.
 
         ``NO_SUCCESSOR`` if it is the newest one in its failure domain itself.
         """
         newest = self._newest[keeper.domain]
-        is_newest = self._ranks.get(keeper.voter) == newest
-        if is_newest and self._fresh_counts[keeper.domain] <= 1:
+        if keeper.seniority == newest and self._newcomers[keeper.domain] <= 1:
             return NO_SUCCESSOR
         return newest
 
 
+def _is_newcomer(keeper):
+    return keeper.seniority == voter_sets.NEVER_VOTED
+
+
+def _newcomers_by_domain(spares):
+    return collections.Counter(
+        item.domain for item in spares if _is_newcomer(item)
+    )
+
+
 def _voters_by_domain(voters):
     return collections.Counter(item.domain for item in voters)
--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_sets.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_voter_sets.py
@@ -18,6 +18,8 @@
 
 # Former voters that are remembered; a deployment replaces a few a day.
 MAX_FORMER_VOTERS = 32
+# Above the seniority of every keeper that has voted.
+NEVER_VOTED = 1 << 32
 
 
 class Voter(msgspec.Struct, frozen=True, order=True):
@@ -36,13 +38,20 @@
     """The voters from one log entry on.
 
     ``outgoing`` is empty unless a change is in progress.  ``former`` are
-    voters that gave way to another one, the latest last: they do not take
-    their places back.  One that stands in for a lost voter may vote again.
+    voters whose places others have taken, the latest last.  One of them may
+    vote again.  ``seniority`` are the names of all these keepers in the order
+    of their first votes: a keeper succeeds none that first voted after it.
+
+    >>> a, b, c = (Voter(name, f"folder-{name}") for name in "abc")
+    >>> lent = VoterSet((a, b)).with_voters((b, c)).with_voters((b, a))
+    >>> lent.seniority_of("a") < lent.seniority_of("c") < NEVER_VOTED
+    True
     """
 
     incoming: tuple[Voter, ...] = ()
     outgoing: tuple[Voter, ...] = ()
     former: tuple[Voter, ...] = ()
+    seniority: tuple[str, ...] = ()
 
     @property
     def members(self):
@@ -54,11 +63,24 @@
 
     @property
     def former_names(self):
-        """The names of former voters.
+        """The names of former voters."""
+        return frozenset(item.name for item in self.former)
+
+    def seniority_of(self, name):
+        """Return a keeper's place among the first votes, or NEVER_VOTED.
 
         One that has lost its disk since has another folder, but is no newer.
         """
-        return frozenset(item.name for item in self.former)
+        order = self._names_by_seniority()
+        return order.index(name) if name in order else NEVER_VOTED
+
+    def _names_by_seniority(self):
+        """Return the names of all known voters, the first to vote first.
+
+        A release that kept no seniority knew who had given way before.
+        """
+        others = (item.name for item in (*self.former, *self.members))
+        return tuple(dict.fromkeys((*self.seniority, *others)))
 
     @property
     def is_joint(self):
@@ -88,28 +110,47 @@
         groups = (self.incoming, self.outgoing)
         return [item for item in groups if item] or [()]
 
-    def begin_change(self, voters, gives_way=True):
-        """Return the joint set in which ``voters`` come in.
-
-        Unless ``gives_way`` is false, the voter that goes out is a former one
-        from then on.
-        """
-        former = self._former_after(voters) if gives_way else self.former
-        return VoterSet(tuple(voters), self.incoming, former)
+    def begin_change(self, voters):
+        """Return the joint set in which ``voters`` come in."""
+        return VoterSet(
+            tuple(voters),
+            self.incoming,
+            self._former_after(voters),
+            self._seniority_after(voters),
+        )
 
     def finish_change(self):
         """Return the set after the outgoing voters have gone."""
-        return VoterSet(self.incoming, (), self.former)
+        return VoterSet(self.incoming, (), self.former, self.seniority)
 
     def with_voters(self, voters):
         """Return the set of ``voters``, which remembers who has gone."""
-        return VoterSet(tuple(voters), (), self._former_after(voters))
+        return VoterSet(
+            tuple(voters),
+            (),
+            self._former_after(voters),
+            self._seniority_after(voters),
+        )
 
     def _former_after(self, voters):
         gone = [item for item in self.incoming if item not in voters]
         former = [item for item in self.former if item not in gone]
         return (*former, *gone)[-MAX_FORMER_VOTERS:]
 
+    def _seniority_after(self, voters):
+        """Return the seniority once ``voters`` have voted.
+
+        The oldest that don't vote are forgotten first.
+        """
+        voting = {item.name for item in (*self.members, *voters)}
+        known = self._names_by_seniority()
+        names = dict.fromkeys((*known, *(item.name for item in voters)))
+        most = MAX_FORMER_VOTERS + len(voting)
+        for name in list(names):
+            if len(names) > most and name not in voting:
+                del names[name]
+        return tuple(names)
+
 
 def majority(voters):
     """Return the size of the smallest majority of ``voters``."""
--- a/tests/cover/test_joint_voters.py
+++ b/tests/cover/test_joint_voters.py
@@ -65,6 +65,7 @@
         {},
         list(JOINT.outgoing),
         list(JOINT.former),
+        seniority=list(JOINT.seniority),
     )
     keeper = records.Keeper("k1-0", records.encode(checkpoint))
     assert records.restore(keeper).log.voter_set == JOINT
@@ -169,8 +170,41 @@
     assert voters.former[-1] == entries.Voter("n", f"n-{count - 2}")
     back = voters.begin_change((K1, K2, voters.former[-1])).finish_change()
     assert back.incoming[-1] in back.former
-    uneven = back.begin_change((K1, K2, K3), gives_way=False)
-    assert uneven.finish_change().former == back.former
+
+
+def test_voters_are_ordered_by_their_first_votes_whoever_votes_again():
+    # Guards against a successor that counts as older than its predecessor.
+    voters = entries.VoterSet((K1, K2, K3)).begin_change((K2, K3, K4))
+    voters = voters.finish_change().with_voters((K2, K3, K1))
+    ranks = [voters.seniority_of(f"k{number}") for number in range(1, 5)]
+    assert ranks == sorted(set(ranks))
+    assert voters.seniority_of("k5") == voter_sets.NEVER_VOTED
+    assert voters.seniority_of("k4") < voter_sets.NEVER_VOTED
+
+
+def test_a_lost_folder_makes_a_voter_no_newer():
+    voters = entries.VoterSet((K1, K2, K3))
+    renewed = entries.Voter("k1", "k1-1")
+    after = voters.begin_change((K2, K3, renewed)).finish_change()
+    assert after.seniority_of("k1") == voters.seniority_of("k1")
+
+
+def test_seniority_follows_from_the_former_voters_of_an_older_release():
+    voters = entries.VoterSet((K2, K3, K1), former=(K1, K4))
+    ranks = [voters.seniority_of(name) for name in ("k1", "k4", "k2", "k3")]
+    assert ranks == [0, 1, 2, 3]
+
+
+def test_seniority_forgets_the_oldest_but_no_voter():
+    voters = entries.VoterSet((K1, K2, K3))
+    count = voter_sets.MAX_FORMER_VOTERS + 3
+    for number in range(count):
+        new = entries.Voter(f"n{number}", f"n-{number}")
+        voters = voters.begin_change((K1, K2, new)).finish_change()
+    assert len(voters.seniority) <= voter_sets.MAX_FORMER_VOTERS + 4
+    assert voters.seniority_of("k1") < voters.seniority_of("k2")
+    assert voters.seniority_of("k2") < voters.seniority_of(f"n{count - 1}")
+    assert voters.seniority_of("n0") == voter_sets.NEVER_VOTED
 
 
 def test_keeper_does_not_vote_for_its_lost_folder():
--- a/tests/cover/test_voter_choice.py
+++ b/tests/cover/test_voter_choice.py
@@ -11,6 +11,10 @@
 # More changes than this in a row are a swap without end.
 MAX_CHANGES = 24
 RANDOM_SITUATIONS = 400
+# Of a keeper that voted before all others of a test.
+OLDEST = -1
+# Voters are made in the order of their first votes.
+_seniorities = itertools.count()
 
 
 def voter(name, folder=""):
@@ -18,11 +22,12 @@
 
 
 def state(name, domain, **facts):
+    facts.setdefault("seniority", next(_seniorities))
     return choice.VoterState(voter(name), domain, **facts)
 
 
-def spare(name, domain, gave_way=False):
-    return choice.Spare(voter(name), domain, gave_way)
+def spare(name, domain, seniority=voter_sets.NEVER_VOTED):
+    return choice.Spare(voter(name), domain, seniority)
 
 
 def names_of(change):
@@ -35,21 +40,25 @@
     """Return the voters and spares after a change.
 
     Whoever has gone is a spare, unless it is lost, leaves or has another
-    folder; whether it gave way is known from then on.
+    folder; who has voted has its seniority from then on.
     """
-    domains = {item.voter.name: item.domain for item in (*voters, *spares)}
-    gave_way = {item.voter for item in (*voters, *spares) if item.gave_way}
+    keepers = (*voters, *spares)
+    domains = {item.voter.name: item.domain for item in keepers}
+    seniorities = {item.voter.name: item.seniority for item in keepers}
     stay = [item for item in voters if item.voter != change.remove]
     spares = [item for item in spares if item.voter != change.add]
     gone = [item for item in voters if item.voter == change.remove]
     for item in gone:
         if not (item.is_lost or item.is_leaving or item.new_folder):
-            is_former = change.gives_way or item.gave_way
-            spares.append(choice.Spare(item.voter, item.domain, is_former))
+            spares.append(
+                choice.Spare(item.voter, item.domain, item.seniority)
+            )
     if change.add:
         domain = domains[change.add.name]
-        is_former = change.add in gave_way
-        stay.append(choice.VoterState(change.add, domain, gave_way=is_former))
+        seniority = seniorities[change.add.name]
+        if seniority == voter_sets.NEVER_VOTED:
+            seniority = next(_seniorities)
+        stay.append(choice.VoterState(change.add, domain, seniority=seniority))
     return stay, spares
 
 
@@ -76,7 +85,9 @@
     """Return three voters, one of them with other ``facts``."""
     voters = list(THREE)
     old = voters[position]
-    voters[position] = choice.VoterState(old.voter, old.domain, **facts)
+    voters[position] = choice.VoterState(
+        old.voter, old.domain, seniority=old.seniority, **facts
+    )
     return voters
 
 
@@ -105,7 +116,7 @@
 def test_spare_of_a_domain_without_a_voter_comes_before_a_doubled_one(fact):
     # Guards against two of three voters that fail together.
     voters = replaced(1, **{fact: True})
-    spares = [spare("k4", "fd1"), spare("k5", "fd4", gave_way=True)]
+    spares = [spare("k4", "fd1"), spare("k5", "fd4", OLDEST)]
     change = choice.next_change(voters, spares, 3)
     assert names_of(change) == ("k2", "k5")
 
@@ -136,7 +147,7 @@
 
 def test_spare_that_never_voted_is_chosen_of_two_in_a_domain():
     # Guards against the return of a keeper that is about to go.
-    spares = [spare("k4", "fd2", gave_way=True), spare("k5", "fd2")]
+    spares = [spare("k4", "fd2", OLDEST), spare("k5", "fd2")]
     change = choice.next_change(replaced(1, is_lost=True), spares, 3)
     assert names_of(change) == ("k2", "k5")
 
@@ -196,7 +207,7 @@
 
 def test_uneven_domains_give_a_voter_to_one_without():
     voters = [state("k1", "fd1"), state("k2", "fd1"), state("k3", "fd2")]
-    spares = [spare("k4", "fd3", gave_way=True)]
+    spares = [spare("k4", "fd3", OLDEST)]
     change = choice.next_change(voters, spares, 3)
     assert change.remove.name in ("k1", "k2")
     assert change.add.name == "k4"
@@ -219,7 +230,7 @@
 
 def test_keeper_that_gave_its_vote_to_a_successor_does_not_get_it_back():
     # Guards against two keepers that swap a vote for ever.
-    change = choice.next_change(THREE, [spare("k0", "fd2", True)], 3)
+    change = choice.next_change(THREE, [spare("k0", "fd2", OLDEST)], 3)
     assert change is None
 
 
@@ -234,7 +245,7 @@
         state("k2", "fd2"),
         state("n3", "fd3"),
     ]
-    spares = [spare("k3", "fd3", gave_way=True)]
+    spares = [spare("k3", "fd3", OLDEST)]
     voters, spares = settle(voters, spares, 3)
     assert [item.voter.name for item in voters] == ["k2", "n3", "k3"]
     spares = [spare("k1", "fd1")]
@@ -242,6 +253,36 @@
     assert {item.voter.name for item in voters} == {"k1", "k2", "n3"}
 
 
+def test_a_vote_comes_back_to_the_keeper_that_lent_it():
+    # Guards against a predecessor that keeps the vote of its successor.
+    voters = [
+        state("k2", "fd2"),
+        state("k3", "fd3"),
+        state("k1", "fd1", seniority=OLDEST),
+    ]
+    change = choice.next_change(voters, [spare("k4", "fd1", 3)], 3)
+    assert names_of(change) == ("k1", "k4")
+
+
+def test_the_newest_of_two_that_lent_a_vote_gets_it():
+    voters = [
+        state("k2", "fd2"),
+        state("k3", "fd3"),
+        state("k1", "fd1", seniority=OLDEST),
+    ]
+    spares = [spare("k4", "fd1", 3), spare("k5", "fd1", 4)]
+    change = choice.next_change(voters, spares, 3)
+    assert names_of(change) == ("k1", "k5")
+    voters, spares = settle(voters, spares, 3)
+    assert {item.voter.name for item in voters} == {"k2", "k3", "k5"}
+
+
+def test_a_keeper_that_lent_its_vote_takes_none_of_a_newer_one():
+    voters = [state("k2", "fd2"), state("k3", "fd3"), state("k5", "fd1")]
+    spares = [spare("k4", "fd1", OLDEST)]
+    assert choice.next_change(voters, spares, 3) is None
+
+
 # -- series of changes -------------------------------------------------------
 
 
@@ -273,7 +314,10 @@
         spares = [item for item in spares if item.voter.name != old]
         voters = [
             choice.VoterState(
-                item.voter, item.domain, is_leaving=item.voter.name == old
+                item.voter,
+                item.domain,
+                is_leaving=item.voter.name == old,
+                seniority=item.seniority,
             )
             for item in voters
         ]
@@ -301,12 +345,20 @@
         for name in names[:count]
     ]
     spares = [
-        spare(name, rng.choice(domains), rng.random() < 0.4)
+        spare(name, rng.choice(domains), random_seniority(rng))
         for name in names[count:]
     ]
     return voters, spares, target
 
 
+def random_seniority(rng):
+    """Return that of a keeper that never voted, or voted at some time."""
+    if rng.random() < 0.5:
+        return voter_sets.NEVER_VOTED
+    # Between those of any two voters.
+    return next(_seniorities) - rng.randint(0, 12) - 0.5
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_any_situation_comes_to_rest(seed):
     # Guards against voters that are swapped without end.
--- a/tests/cover/test_voter_spread.py
+++ b/tests/cover/test_voter_spread.py
@@ -11,11 +11,11 @@
 def test_stand_in_goes_when_the_lost_voter_is_back():
     # Guards against a predecessor that gets its vote back from its successor.
     voters = [
-        choice.VoterState(voter("b"), "fd2"),
-        choice.VoterState(voter("new"), "fd1"),
-        choice.VoterState(voter("old"), "fd1", gave_way=True),
+        choice.VoterState(voter("b"), "fd2", seniority=1),
+        choice.VoterState(voter("new"), "fd1", seniority=3),
+        choice.VoterState(voter("old"), "fd1", seniority=0),
     ]
-    spares = [choice.Spare(voter("c"), "fd3", gave_way=True)]
+    spares = [choice.Spare(voter("c"), "fd3", seniority=2)]
     change = choice.next_change(voters, spares, 3)
     assert change.remove == voter("old")
     assert change.add == voter("c")
@@ -24,11 +24,13 @@
 def test_successor_that_stands_in_still_takes_its_predecessors_vote():
     # Guards against a successor that counts as one that gave way.
     voters = [
-        choice.VoterState(voter("old"), "fd1"),
-        choice.VoterState(voter("b"), "fd2"),
-        choice.VoterState(voter("new"), "fd1"),
+        choice.VoterState(voter("old"), "fd1", seniority=0),
+        choice.VoterState(voter("b"), "fd2", seniority=1),
+        choice.VoterState(voter("new"), "fd1", seniority=2),
     ]
     spares = [choice.Spare(voter("c"), "fd3")]
     change = choice.next_change(voters, spares, 3)
     assert change.remove == voter("old")
-    assert change.gives_way
+    spares = [choice.Spare(voter("old"), "fd1", seniority=0)]
+    voters = [*voters[1:], choice.VoterState(voter("c"), "fd3", seniority=3)]
+    assert choice.next_change(voters, spares, 3) is None
