A leader that is told to stop stays while it counts

Cause: a former leader that shuts down ended as soon as no spare was left that could take its vote. In the change that takes it out the spare is a voter that comes in, so it ended between the change's two entries, while a majority of the outgoing voters, it among them, was still needed.

Now a voter of a joint set waits for the change's end, as long as its grace period lasts. Then the lost disk is the only loss.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_hand_over.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_hand_over.py
@@ -56,7 +56,11 @@
         if core.is_voter() and not core.leader:
             # Its vote may be needed to elect the leader that replaces it.
             return now - self._began_at < NO_LEADER_SECONDS
-        return core.is_voter() and bool(self._successors(now))
+        if not core.is_voter():
+            return False
+        # In a change whoever comes in is no spare any more, and this keeper
+        # counts until the change has ended.
+        return core.log.voter_set.is_joint or bool(self._successors(now))
 
     def _successors(self, now):
         return self._repair.spares(now) if self._repairs_voters else []
