A keeper that lost its disk and went leaves its place to a spare

Cause: a voter with a new data folder is replaced by itself first. The leader tried that again every 0.6 s for as long as the membership took the keeper for alive (6 s), since only spares were avoided after a failed attempt.

Now a folder that was given up is avoided for the same time; the voter counts as lost then, and the spare takes its place.

The second test of test_leaving_in_a_change failed before: after the time to catch up the voters were those of before.

--- a/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
+++ b/packages/dandeliontrail/src/dandeliontrail/coordination/quorum_log_repair.py
@@ -146,10 +146,16 @@
             return ""
         if voter.name not in alive:
             return ""
+        if self._is_avoided(entries.Voter(voter.name, folder), now):
+            # It may have gone after it had lost its folder.
+            return ""
         # A keeper that still replies as this voter has not lost its folder.
         silence = self._leadership.silent_for(voter, now)
         return folder if silence > CHECK_INTERVAL_SECONDS else ""
 
+    def _is_avoided(self, voter, now):
+        return now < self._avoid_until.get(voter, now)
+
     def spares(self, now):
         """Return the available keepers that do not vote, sorted by name."""
         names = self._core.voter_names()
@@ -158,8 +164,8 @@
         found = []
         for name, folder in sorted(self._founding.folders.items()):
             voter = entries.Voter(name, folder)
-            avoided = now < self._avoid_until.get(voter, now)
-            if name in alive and name not in names and not avoided:
+            is_avoided = self._is_avoided(voter, now)
+            if name in alive and name not in names and not is_avoided:
                 domain = self._neighbours.domain_of(name)
                 seniority = voter_set.seniority_of(name)
                 found.append(voter_choice.Spare(voter, domain, seniority))
--- a/tests/cover/test_leaving_in_a_change.py
+++ b/tests/cover/test_leaving_in_a_change.py
@@ -1,7 +1,8 @@
 """A keeper that goes while the voters are being changed.
 
 Guards against a configuration that ends for good: a leader that was told to
-stop ended between the two entries of the change that takes it out.
+stop ended between the two entries of the change that takes it out, and a
+keeper that had lost its disk was tried again and again after it had gone.
 """
 
 from dandeliontrail import events
@@ -44,3 +45,17 @@
     net.run(1.0)
     net.restart(wiped)
     assert net.recovers()
+
+
+def test_a_keeper_that_lost_its_disk_and_went_leaves_its_place_in_time():
+    net = replacement_network.ReplacementNetwork(1, entries=1)
+    net.kill("k1")
+    net.lose_disk("k1")
+    net.run(0.2)
+    net.restart("k1")
+    net.run(0.8)
+    net.add_keeper("k4", "fd1")
+    net.run(0.2)
+    net.kill("k1")
+    net.run(CATCH_UP_SECONDS - 0.2)
+    assert net.voters() == ["k2", "k3", "k4"]
