Only streams are repeated for being resumable

Cause: intake took a request for repeatable if its route was repeatable or resumable, whether or not it streams. Retries and hedges go by that.

Now a route answers itself whether its requests may be repeated, and the check of a configuration asks the same.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -18,6 +18,7 @@
 from . import refusal_rest
 
 EVENT_STREAM = "text/event-stream"
+FIRST_SERVER_ERROR = 500
 # How often an attempt that waits looks whether its path was found to be lost.
 LOOK_UP_SECONDS = 0.25
 # An attempt whose path was found to be lost counts as silent after this long:
@@ -117,6 +118,16 @@
         """The id of the last whole event."""
         return self._splitter.last_id
 
+    @property
+    def is_unstreamed(self):
+        """Whether an answer has begun that is no stream and no error."""
+        answer = self._answer
+        return (
+            answer is not None
+            and not self._is_stream
+            and answer.status < FIRST_SERVER_ERROR
+        )
+
     def received(self):
         """Return the ``events.AnswerReceived`` of this attempt."""
         answer = self._answer
@@ -296,7 +307,7 @@
         body, hold = self._read_body()
         output = Output(answer, body=body, hold=hold)
         self._release_if_complete(request)
-        if answer.status >= 500 and self.dispatch.repeatable:
+        if answer.status >= FIRST_SERVER_ERROR and self.dispatch.repeatable:
             raise ServerFailed(output)
         return output
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -354,7 +354,11 @@
         pending = {silent_attempt.number: silent_attempt}
         with attempt_readers.AttemptReaders(self._exchange) as readers:
             readers.read(silent_attempt)
-            self._submit(events.AttemptSilent, silent_attempt)
+            self._submit(
+                events.AttemptSilent,
+                silent_attempt,
+                unstreamed=silent_attempt.is_unstreamed,
+            )
             while pending:
                 item = self._next_item()
                 if isinstance(item, attempt_readers.ReadResult):
@@ -470,6 +474,7 @@
             answered=answered,
             closed=getattr(exc, "closed", False),
             received=attempt.received(),
+            unstreamed=attempt.is_unstreamed,
         )
 
     def _submit(self, event_type, attempt, **fields):
--- a/packages/dandeliontrail/src/dandeliontrail/components/intake.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/intake.py
@@ -151,7 +151,7 @@
         deadline=received + timeout,
         prompt_tokens=event.prompt_tokens,
         max_output_tokens=event.max_output_tokens,
-        repeatable=route.repeatable or route.resumable,
+        repeatable=route.allows_repeats,
         first_token_ms=route.target * 1000.0 or None,
         between_tokens_ms=route.longest_pause * 1000.0 or None,
         parts=event.parts,
--- a/packages/dandeliontrail/src/dandeliontrail/components/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/requests.py
@@ -288,7 +288,8 @@
         request = self._find_current(event)
         if request is None:
             return []
-        self._hedges.seek(request, now)
+        if request.work.allows_repeat_after(event.unstreamed):
+            self._hedges.seek(request, now)
         out = [answers.attempt_line(request, "attempt silent", now)]
         return out + (self._run_policy(now) if request.seeking_hedge else [])
 
@@ -425,7 +426,7 @@
         self._count_usage(
             request.work, usage.Totals(wasted_tokens=event.relayed)
         )
-        if not request.work.repeatable:
+        if not request.work.allows_repeat_after(event.unstreamed):
             nothing = sentinels.Nothing(sentinels.Reason.SERVER_FAILED)
             return self._refuse(request, nothing, now)
         out = self._endings.cancel(request, request.server)
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/work.py
@@ -95,6 +95,14 @@
             self.streamed and self.repeatable and self.software_version is None
         )
 
+    def allows_repeat_after(self, unstreamed):
+        """Return whether the work may be sent again after it may have begun.
+
+        ``unstreamed`` tells that its answer turned out to be no stream.  Then
+        a stream that could be resumed is none, and the work may have run.
+        """
+        return self.repeatable and not (self.streamed and unstreamed)
+
     def note_path_failure(self, now):
         """Record that a tunnel through a peer was not opened."""
         if not self.path_failures:
--- a/packages/dandeliontrail/src/dandeliontrail/events/requests.py
+++ b/packages/dandeliontrail/src/dandeliontrail/events/requests.py
@@ -99,10 +99,12 @@
     """The attempt sent nothing within its silence timeout.
 
     The attempt continues; a hedged request to another server may be started.
+    ``unstreamed`` is as in :class:`AttemptFailed`.
     """
 
     request_id: str
     attempt: int
+    unstreamed: bool = False
 
 
 class AttemptSpoke(msgspec.Struct):
@@ -161,6 +163,8 @@
     ``closed`` is true if the connection was closed during the exchange,
     which is the only visible sign of a server process that ended.
     ``received`` is for the log, as in :class:`AnswerFinished`.
+    ``unstreamed`` is true if an answer had begun that is no stream and no
+    error of the server: it cannot be resumed.
     """
 
     request_id: str
@@ -170,6 +174,7 @@
     answered: int = 0
     closed: bool = False
     received: AnswerReceived | None = None
+    unstreamed: bool = False
 
 
 class CallerGone(msgspec.Struct):
--- a/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
@@ -28,7 +28,8 @@
     stream exceeds ``longest_pause``.  ``priority`` 0 is the highest.  A
     request may be sent to up to ``max_attempts`` backend servers.
     ``repeatable`` means that it may run more than once, ``resumable`` that a
-    stream may be continued at another server after the last event received.
+    stream may be continued at another server after the last event received;
+    of a route that is not ``streamed`` it says nothing.
     """
 
     name: str
@@ -45,6 +46,11 @@
     public: bool = False
     longest_pause: float = 0.0
 
+    @property
+    def allows_repeats(self):
+        """Whether a request may be sent again after it may have run."""
+        return self.repeatable or (self.streamed and self.resumable)
+
 
 class Engine(msgspec.Struct):
     """The declared properties of the model engines of a service."""
--- a/packages/dandeliontrail/src/dandeliontrail/resources/route_findings.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/route_findings.py
@@ -94,12 +94,11 @@
             f"{route.max_attempts} attempts are allowed.",
             "allow at least one attempt",
         )
-    repeated = route.repeatable or route.resumable
-    if route.max_attempts > 1 and not repeated:
+    if route.max_attempts > 1 and not route.allows_repeats:
         yield (
             "attempts-unused",
             f"{route.max_attempts} attempts are allowed, but the route is"
-            " neither repeatable nor resumable.",
+            " neither repeatable nor a resumable stream.",
             "allow one attempt, or make the route repeatable or resumable",
         )
 
--- a/tests/cover/test_revision_findings.py
+++ b/tests/cover/test_revision_findings.py
@@ -73,6 +73,7 @@
         ("routes.longest_pause", 2.1, "pause-beyond-timeout", ROUTE),
         ("routes.max_attempts", 0, "no-attempt", ROUTE),
         ("routes.resumable", False, "attempts-unused", ROUTE),
+        ("routes.streamed", False, "attempts-unused", ROUTE),
         ("routes.target", -1.0, "negative", ROUTE),
         ("routes.priority", -1, "negative", ROUTE),
         ("services.engine.slots", -1, "negative", SERVICE),
@@ -116,7 +117,8 @@
 def test_a_route_that_is_not_streamed_has_no_settings_of_streams():
     revision = sound()
     revision.routes[0].streamed = False
-    assert codes(revision) == [("stream-only", ROUTE)] * 2
+    expected = [("attempts-unused", ROUTE), *[("stream-only", ROUTE)] * 2]
+    assert codes(revision) == expected
 
 
 def test_a_service_of_weight_zero_counts_as_not_used():
