An empty list of tenants lets nobody in

Cause: the manifest's tenants had the default [], and whether requests need a key was whether there are organisations. So a list without tenants was the same as no list, which asks for no key.

Now the revision says whether requests need a key. One of an older release, in a log or a checkpoint, doesn't; its document does then, in doubt with yes.

--- a/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/components/revisions.py
@@ -8,6 +8,7 @@
 """
 
 import hashlib
+import typing
 
 import msgspec
 
@@ -22,7 +23,7 @@
 
 
 class RoutingOptions(msgspec.Struct, frozen=True):
-    """How old the replicated state may be to be acted on, in seconds.
+    """How routes and keys are read, and how old they may be, in seconds.
 
     The age is the time since the state was last proven to be current.
 
@@ -33,10 +34,14 @@
     ``refusal_proof`` is the greatest age at which a key or a route is
     reported not to exist: an instance that missed a change must not refuse
     permanently what the other instances accept.
+
+    ``document_needs_key`` tells from the document of a revision whether
+    requests need a key, for revisions of releases that don't tell.
     """
 
     key_proof: float | None = None
     refusal_proof: float = 2.0
+    document_needs_key: typing.Callable | None = None
 
 
 class RoutingState:
@@ -63,7 +68,9 @@
             "revision-in-force-never-reverts",
             f"{revision.number} after {self.number}",
         )
-        self.table = routing.RoutingTable(revision)
+        self.table = routing.RoutingTable(
+            revision, self.options.document_needs_key
+        )
 
 
 # An instance reports that it is not ready once the age of its state exceeds
--- a/packages/dandeliontrail/src/dandeliontrail/decisions/routing.py
+++ b/packages/dandeliontrail/src/dandeliontrail/decisions/routing.py
@@ -4,12 +4,16 @@
 
 
 class RoutingTable:
-    """The routes and keys of one revision, indexed for lookups."""
+    """The routes and keys of one revision, indexed for lookups.
 
-    __slots__ = ("revision", "_hosts", "_owners")
+    ``keyed`` tells whether requests need a key, unless their route is public.
+    """
+
+    __slots__ = ("revision", "keyed", "_hosts", "_owners")
 
-    def __init__(self, revision):
+    def __init__(self, revision, document_needs_key=None):
         self.revision = revision
+        self.keyed = _needs_key(revision, document_needs_key)
         self._owners = {
             key: item for item in revision.organisations for key in item.keys
         }
@@ -18,11 +22,6 @@
             by_prefix = self._hosts.setdefault(route.host.lower(), {})
             by_prefix[route.path_prefix] = route
 
-    @property
-    def keyed(self):
-        """Whether requests need a key, unless their route is public."""
-        return bool(self.revision.organisations)
-
     def find(self, host, path):
         """Return the route with the longest prefix of ``path``, or None.
 
@@ -52,6 +51,19 @@
         return self._owners.get(key_hash)
 
 
+def _needs_key(revision, document_needs_key):
+    """Return whether requests need a key.
+
+    A revision of an older release may not tell; its document does, by
+    ``document_needs_key(document)``.
+    """
+    if revision.needs_key is not None:
+        return revision.needs_key
+    if revision.organisations or document_needs_key is None:
+        return bool(revision.organisations)
+    return document_needs_key(revision.document)
+
+
 def without_port(host):
     """Return a host without its port, in lower case."""
     name, colon, port = host.rpartition(":")
--- a/packages/dandeliontrail/src/dandeliontrail/resources/revision_findings.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/revision_findings.py
@@ -44,10 +44,13 @@
             )
     keyed = any(not route.public for route in revision.routes)
     if keyed and not revision.organisations:
+        outcome = "accepted without a key"
+        if revision.needs_key:
+            outcome = "refused but those of public routes"
         yield findings.warning(
             "no-organisation",
             "organisations",
-            "there are none, so every request is accepted without a key.",
+            f"there are none, so every request is {outcome}.",
             "declare an organisation with a key, or make all routes public",
         )
 
--- a/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
@@ -105,7 +105,12 @@
 
 
 class Revision(msgspec.Struct, tag="revision"):
-    """All routes, services and organisations of one revision number."""
+    """All routes, services and organisations of one revision number.
+
+    ``needs_key`` tells whether requests need a key where their route is not
+    public; without organisations nobody has one.  It is ``None`` in a
+    revision of a release that did not tell an empty list from none.
+    """
 
     number: int
     document: str
@@ -113,6 +118,7 @@
     services: list[Service] = []
     organisations: list[Organisation] = []
     limits: CallerLimits = msgspec.field(default_factory=CallerLimits)
+    needs_key: bool | None = None
 
 
 def check(revision):
