A stop answers each request that was sent whole, and ends in time

Cause: a drain ended while bodies were still arriving, as only requests in flight counted. The listeners then ended their connections, whose readers read on for up to 2 s and threw the rest away.

A drain waits for bodies that began before requests were refused, as long as it may last. Then listeners accept nothing more, close what was not read whole, and have the rest answered. A client that sends on gets a reset in the middle of its request and no silence after its end.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/client_connections.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/client_connections.py
@@ -35,6 +35,8 @@
     State.IDLE: 2,
     State.WRITING: 3,
 }
+# No request was read whole that was not answered.
+UNREAD = (State.SILENT, State.HEAD, State.BODY, State.IDLE)
 _ONLY_IF_SLOW = (State.HEAD, State.BODY, State.WRITING)
 
 
@@ -86,6 +88,24 @@
         self._open.discard(conn)
         self._closing.discard(conn)
 
+    def is_reading(self, since):
+        """Return whether a body is being read whose head came before."""
+        return any(
+            item.state is State.BODY and item.since < since
+            for item in self._open
+        )
+
+    def close_unread(self):
+        """Close all that have no request that was read whole."""
+        for item in list(self._open):
+            if item.state in UNREAD:
+                item.close()
+
+    def close_all(self):
+        """Close all, also in the middle of an answer."""
+        for item in list(self._open):
+            item.close()
+
     @property
     def needs_room(self):
         """Whether all are taken, also when those that end have ended."""
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/drain.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/drain.py
@@ -3,11 +3,14 @@
 As soon as a drain begins, ``readyz`` returns 503.  New requests are still
 served until the platform's load balancer has noticed; after that they are
 refused as not run.  Accepted requests, queued or streaming, are finished and
-none is interrupted before the maximum duration of a drain.  Then each caller
+none is interrupted before the maximum duration of a drain; nor is one whose
+body is still arriving when others begin to be refused.  Then each caller
 that still waits receives the actual outcome of its request.  A keeper stays
 until its vote and its leadership are handed over, within the same time.
 """
 
+import time
+
 import gevent
 
 from dandeliontrail import events
@@ -50,16 +53,21 @@
 
         return wrapped
 
-    def wait(self, host):
+    def wait(self, host, is_reading):
         """Block until no request is in flight or ``drain_seconds`` are over.
 
-        The requests that are left then are ended.
+        ``is_reading(since)`` tells whether the body of a request is being read
+        whose head came before ``since``, by ``time.monotonic()``.  The
+        requests that are left at the end are ended.
         """
         with gevent.Timeout(self._limits.drain_seconds, False):
             self._wait_for_balancer()
             self.refuses_requests = True
+            since = time.monotonic()
             while not self.end_at_once and (
-                host.open_exchange_count() or host.open_tunnels
+                host.open_exchange_count()
+                or host.open_tunnels
+                or is_reading(since)
             ):
                 gevent.sleep(POLL_SECONDS)
             while not self.end_at_once and _is_handing_over(host):
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_server.py
@@ -43,6 +43,9 @@
 ROOM_POLL_SECONDS = 0.1
 # A head that takes more once it is parsed is charged to the account.
 FREE_HEAD_BYTES = 16 * 1024
+# How long a listener that ends reads what has arrived.
+ARRIVED_SECONDS = 0.05
+END_POLL_SECONDS = 0.01
 # How long to wait for a client's own close alert.
 CLOSE_ALERT_SECONDS = 1.0
 ERROR_RESPONSE_HEAD = (
@@ -364,6 +367,22 @@
             client_limits.RECEIVE_BUFFER_BYTES,
         )
 
+    def end_connections(self, seconds):
+        """Accept nothing more, and end all connections.
+
+        Requests that were read whole have ``seconds`` to be answered.  The
+        others cannot have run: their connections are closed at once, since a
+        client that sends slowly may take longer than this process has.
+        """
+        self.close()
+        # What has arrived by now is read first.
+        gevent.sleep(ARRIVED_SECONDS)
+        self.connections.close_unread()
+        with gevent.Timeout(seconds, False):
+            while len(self.connections):
+                gevent.sleep(END_POLL_SECONDS)
+        self.connections.close_all()
+
     def connection_of(self, sock):
         """Return the record of a connection that is being served."""
         return self._by_descriptor[sock.fileno()]
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/instance.py
@@ -45,6 +45,8 @@
 
 # Time for the final messages to be sent; the connections are open already.
 LEAVE_SECONDS = 0.1
+# Time for the answers to requests that came while the instance left.
+LAST_ANSWERS_SECONDS = 0.1
 
 
 class Instance:
@@ -270,8 +272,24 @@
     def drain(self):
         """Finish the accepted requests, then leave the group of instances."""
         self.begin_drain()
-        self.drain_state.wait(self.host)
+        self.drain_state.wait(self.host, self._is_reading)
         self._leave()
+        self._end_connections()
+
+    def _is_reading(self, since):
+        return any(
+            server.connections.is_reading(since)
+            for server in self._servers.values()
+        )
+
+    def _end_connections(self):
+        """End the listeners and their connections, all at the same time."""
+        gevent.joinall(
+            [
+                gevent.spawn(server.end_connections, LAST_ANSWERS_SECONDS)
+                for server in self._servers.values()
+            ]
+        )
 
     def _leave(self):
         """Announce the departure and allow time for sending the message."""
