Short answers are bounded where they come without end

Cause: only answers to requests were bounded. These calls trusted the platform, or whatever listens at the address of a peer that has gone.

They go over sockets that bound an answer to 1 MB now, and the answer to a request for a tunnel has 64 KB for its head and 64 KB for a refusal.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/connection.py
@@ -1,5 +1,6 @@
 """Connections to backend servers, with limits on silence and on size."""
 
+import copy
 import socket
 import struct
 
@@ -82,6 +83,16 @@
         self._pool.release_socket(watched_socket.sock)
 
 
+def send_once(client, pool, method, path, body=b"", headers=None):
+    """Send a request of ``client`` over the connection of a single-use pool.
+
+    Returns the library's response, whose parts are bounded.
+    """
+    single_use_client = copy.copy(client)
+    single_use_client._connection_pool = pool
+    return single_use_client.request(method, path, body, headers or {})
+
+
 class _TooLarge(OSError):
     """The server sent more than the limit without an end."""
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/engine_client.py
@@ -5,7 +5,6 @@
 server's own ``X-Outcome: not-run``, proves that it did not begin.
 """
 
-import copy
 import enum
 
 import gevent
@@ -247,7 +246,7 @@
         client = self._new_client(url)
         try:
             with gevent.Timeout(PROBE_SECONDS):
-                client.get("/health").read()
+                _read_short_answer(client, "GET", "/health")
                 return Probe.ANSWERS
         except ConnectionRefusedError:
             return Probe.REFUSES
@@ -266,10 +265,13 @@
             client.close()
 
     def _send(self, client, pool, outgoing):
-        single_use_client = copy.copy(client)
-        single_use_client._connection_pool = pool
-        return single_use_client.request(
-            outgoing.method, outgoing.path, outgoing.body, outgoing.headers
+        return connection.send_once(
+            client,
+            pool,
+            outgoing.method,
+            outgoing.path,
+            outgoing.body,
+            outgoing.headers,
         )
 
     def _connect(self, client, monitor):
@@ -306,7 +308,8 @@
         client = self._client(url)
         try:
             with gevent.Timeout(CANCEL_TIMEOUT_SECONDS):
-                client.delete(f"/v1/streams/{request_id}").read()
+                path = f"/v1/streams/{request_id}"
+                _read_short_answer(client, "DELETE", path)
         except CONNECTION_ERRORS:
             return
 
@@ -316,6 +319,14 @@
             client.close()
 
 
+def _read_short_answer(client, method, path):
+    """Send a request and read its answer, which may come without end."""
+    pool = connection.SingleUsePool(
+        client._connection_pool, connection.SilenceMonitor()
+    )
+    connection.send_once(client, pool, method, path).read()
+
+
 def _is_not_run(answer):
     return (
         answer.status in NOT_RUN_STATUSES
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/tunnels.py
@@ -16,6 +16,8 @@
 # The peer connects to the server within 0.2 s.
 OPEN_TIMEOUT_SECONDS = 0.5
 RECEIVE_BYTES = 4 * 1024
+# A refusal is below 1 KB.
+MAX_REFUSAL_BYTES = 64 * 1024
 FAILURES = (
     OSError,
     gevent.Timeout,
@@ -160,6 +162,8 @@
     """Return the answer to a request for a tunnel."""
     data = b""
     while b"\r\n\r\n" not in data:
+        if len(data) > answer_bounds.MAX_HEAD_BYTES:
+            raise answer_bounds.TooLarge("the head of the answer is too long")
         data += _receive(sock)
     head, _, body = data.partition(b"\r\n\r\n")
     status = int(head.split(None, 2)[1])
@@ -168,7 +172,11 @@
     parser = answer_parser.AnswerParser()
     parser.feed(data)
     while not (parser.answers and parser.answers[0].complete):
-        parser.feed(_receive(sock))
+        if len(data) > MAX_REFUSAL_BYTES:
+            raise answer_bounds.TooLarge("the refusal is too long")
+        part = _receive(sock)
+        data += part
+        parser.feed(part)
     return _Answer(status, parser.answers[0].take())
 
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/leased_call.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/leased_call.py
@@ -6,6 +6,7 @@
 meanwhile, or connecting took too long, the call is not made.
 """
 
+import contextlib
 import socket
 
 import gevent
@@ -40,19 +41,22 @@
             url,
             connection_timeout=min(CONNECT_SECONDS, seconds),
         )
-        pool = client._connection_pool
-        try:
-            with gevent.Timeout(seconds):
-                sock = pool.get_socket()
-                _limit_delivery(sock, seconds)
-                pool.return_socket(sock)
-                now = self._clock.now()
-                if not self._lease.may_send(fencing, checks_fencing, now):
-                    raise MayNotCall()
-                response = client.post(path, body, headers)
-                return response.status_code, response.read()
-        finally:
-            client.close()
+        with contextlib.ExitStack() as stack:
+            stack.callback(client.close)
+            stack.enter_context(gevent.Timeout(seconds))
+            # It also bounds the answer, which may come without end.
+            pool = connection.SingleUsePool(
+                client._connection_pool, connection.SilenceMonitor()
+            )
+            stack.callback(pool.sock.close)
+            _limit_delivery(pool.sock, seconds)
+            now = self._clock.now()
+            if not self._lease.may_send(fencing, checks_fencing, now):
+                raise MayNotCall()
+            response = connection.send_once(
+                client, pool, "POST", path, body, headers
+            )
+            return response.status_code, response.read()
 
 
 def _limit_delivery(sock, seconds):
--- a/tests/cover/test_platform_calls.py
+++ b/tests/cover/test_platform_calls.py
@@ -1,5 +1,6 @@
 """Calls to the platform: their wire format and their outcomes."""
 
+import contextlib
 import types
 
 import dandeliontrail
@@ -16,12 +17,16 @@
 from dandeliontrail_platform import settings_file
 import gevent
 from gevent import pywsgi
+from gevent import server as gevent_server
 import msgspec
 import pytest
 
 from tests.common import platform_world
 
 DutyAnswer = events.DutyAnswer
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# What is read, and what the buffers of a connection hold.
+MAX_SENT_BYTES = 16 * 1024 * 1024
 REPORT = effects.ReportUsage(353445120, {"hule930": 412, "fida11": 7})
 SCALE = effects.SetServerCount(
     server_counts.Group("huvo11a", "sandybay-a", True), 6, 9
@@ -185,3 +190,46 @@
         with_duties.terms.lease,
         with_duties.terms.turn,
     ) == (5.0, 1.5, 3.0)
+
+
+class EndlessPlatform:
+    """Sends a head or a body without end; ``sent`` counts its bytes."""
+
+    def __init__(self, prefix, repeated):
+        self._prefix = prefix
+        self._repeated = repeated
+        self.sent = 0
+        self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.url = f"http://127.0.0.1:{self.server.server_port}"
+
+    def _serve(self, sock, address):
+        sock.recv(65536)
+        with contextlib.suppress(OSError):
+            sock.sendall(self._prefix)
+            while True:
+                sock.sendall(self._repeated)
+                self.sent += len(self._repeated)
+
+
+@pytest.mark.parametrize(
+    "prefix, repeated",
+    [
+        (HEAD + b"X: ", b"x" * 65536),
+        (HEAD, b"X: y\r\n" * 8192),
+        (HEAD + b"\r\n", b"x" * 65536),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1;x=y\r\nz\r\n" * 8192,
+        ),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 100 C\r\n\r\n" * 4096),
+    ],
+    ids=["a header", "headers", "a body", "chunks", "interim answers"],
+)
+def test_an_answer_without_end_is_cut_off(prefix, repeated):
+    # Guards against a keeper that runs out of memory.
+    endless = EndlessPlatform(prefix, repeated)
+    caller = Caller(endless)
+    assert caller.call(REPORT) is DutyAnswer.NO_ANSWER
+    assert endless.sent < MAX_SENT_BYTES
+    endless.server.stop(0.1)
