Bytes that name no request are nobody's answer

Cause: an answer without a request's id counted as the answer to the present one, and a success was passed on without the server's seal.

On a used connection a success without an id is passed over now, and any other answer without one breaks the attempt, but a refusal, which may name none.

--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/attempt.py
@@ -11,6 +11,7 @@
 
 from dandeliontrail import events
 
+from .. import http_library
 from .. import server_report
 from . import backend_request
 from . import dialect as dialect_module
@@ -240,6 +241,7 @@
         if refused:
             self._finish_refusal(answer)
             raise NotExecuted(answer, is_other_server)
+        self._check_confirmed(answer)
         self._is_stream = _is_stream(answer)
         if self._resuming and not self._is_stream:
             self._read_body()
@@ -249,6 +251,19 @@
         self._answer = answer
         return answer
 
+    def _check_confirmed(self, answer):
+        """Raise ``Broken`` for a success that its server did not confirm.
+
+        A caller that resumes keeps the confirmation of the first server.
+        """
+        is_success = answer.status in http_library.SUCCESS_STATUSES
+        if self._resuming or not is_success:
+            return
+        if not self._context.dialect.is_confirmed(answer):
+            raise backend_request.Broken(
+                f"an answer {answer.status} without its server's confirmation"
+            )
+
     def _finish_refusal(self, answer):
         """Have the rest of a refusal read, so that its connection is kept."""
         if answer.complete or self.dispatch.peer:
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/backend_request.py
@@ -10,6 +10,7 @@
 from dandeliontrail import invariants
 import gevent
 
+from .. import http_library
 from .. import server_socket
 from . import answer_bounds
 from . import answer_parser
@@ -163,17 +164,33 @@
         while True:
             self._read_until(lambda answers: answers and answers[0].head_done)
             answer = self._parser.answers[0]
-            answered_id = self._dialect.request_id_of(answer)
-            if not answered_id or answered_id == self._request_id:
+            if self._is_own(answer):
                 self.answer = answer
                 return answer
             # A late answer to an earlier request on this connection, whose
-            # caller has been answered already.
+            # caller has been answered already, or bytes of no request.
             skipped += 1
             if skipped > MAX_STALE_ANSWERS:
                 raise Broken("all answers received were for other requests")
             self._skip_answer()
 
+    def _is_own(self, answer):
+        """Return whether an answer belongs to this request.
+
+        On a connection that was used before, one that names no request may be
+        bytes that followed an earlier answer.  A success is passed over then,
+        as this request's own may follow; after any other it is not known what
+        happened.  Servers may refuse without naming the request.
+        """
+        answered_id = self._dialect.request_id_of(answer)
+        if answered_id:
+            return answered_id == self._request_id
+        if not self._conn.used or self._dialect.not_executed(answer):
+            return True
+        if answer.status in http_library.SUCCESS_STATUSES:
+            return False
+        raise Broken(f"an answer {answer.status} names no request")
+
     def read_whole_body(self, hold):
         """Return the whole body; raises :class:`Broken` if it is truncated.
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/dialect.py
@@ -69,6 +69,13 @@
     def is_other_server(self, answer):
         """Return whether another server than the intended one answered."""
 
+    def is_confirmed(self, answer):
+        """Return whether a success has what servers confirm theirs with.
+
+        Without it an answer is none, whatever its status says.
+        """
+        return True
+
     def limits_of(self, answer):
         """Return the values that name the server's limit, if there are any.
 
--- a/packages/dandeliontrail-node/src/dandeliontrail_node/http_library.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/http_library.py
@@ -12,6 +12,7 @@
 # RFC 9110, section 15: the first digit is 1 to 5, of an interim answer 1.
 INTERIM_STATUSES = range(100, 200)
 FINAL_STATUSES = range(200, 600)
+SUCCESS_STATUSES = range(200, 300)
 
 HTTPParseError = _parser.HTTPParseError
 HTTPResponseParser = _parser.HTTPResponseParser
