A manifest with one place twice is refused, whatever the case of its host

Cause: places were compared as written, while requests are routed by the host in lower case.

Places are compared in lower case now.

The test of findings on two spellings expected the warning at the earlier route alone; it expects the error at the later one beside it.

--- a/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
+++ b/packages/dandeliontrail/src/dandeliontrail/resources/revisions.py
@@ -133,7 +133,8 @@
     addresses = set()
     for route in revision.routes:
         yield from _route_errors(route, services)
-        address = (route.host, route.path_prefix)
+        # Hosts are compared without regard to case (RFC 9110, section 4.2.3).
+        address = (route.host.lower(), route.path_prefix)
         if address in addresses:
             yield _error(
                 f"routes.{route.name}",
@@ -147,7 +148,7 @@
 
 def _route_errors(route, services):
     field = f"routes.{route.name}"
-    yield from _split_errors(field, route.split, services)
+    yield from find_split_errors(field, route.split, services)
     if not route.timeout > 0:
         yield _error(
             field,
@@ -156,7 +157,11 @@
         )
 
 
-def _split_errors(field, split, services):
+def find_split_errors(field, split, services):
+    """Yield a ``ResourceInvalid`` for each error of a split.
+
+    ``services`` are the names of those declared.
+    """
     for share in split:
         if share.service not in services:
             yield _error(
@@ -183,11 +188,11 @@
     owners = {}
     for organisation in organisations:
         for key in organisation.keys:
-            owner = owners.setdefault(key, organisation.name)
-            if owner != organisation.name:
+            owner = owners.setdefault(key, organisation)
+            if owner is not organisation:
                 yield _error(
                     f"organisations.{organisation.name}",
-                    f"it shares a key with {owner}",
+                    f"it shares a key with {owner.name}",
                     "give each organisation keys of its own",
                 )
 
--- a/tests/cover/test_revision_findings.py
+++ b/tests/cover/test_revision_findings.py
@@ -138,12 +138,13 @@
     assert codes(revision) == [("scaling-bounds", SERVICE)]
 
 
-def test_the_earlier_of_two_spellings_of_a_host_is_hidden():
+def test_two_spellings_of_a_host_are_one_and_the_earlier_is_hidden():
     revision = sound()
     later = copy.deepcopy(revision.routes[0])
     later.name, later.host = "later", "SHOP.example"
     revision.routes.append(later)
-    assert codes(revision) == [("never-matches", ROUTE)]
+    expected = [("invalid", "routes.later"), ("never-matches", ROUTE)]
+    assert codes(revision) == expected
 
 
 def test_errors_of_each_entry_are_reported_before_warnings():
