--- a/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
+++ b/packages/dandeliontrail-node/src/dandeliontrail_node/forwarding/forwarder.py
@@ -28,8 +28,8 @@
 from . import attempt_readers
 from . import backend_request
 from . import caller_watch
-from . import events_splitter
 from . import exchange as exchange_module
+from . import failed_attempts
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1) or that
 # this instance's HTTP server writes itself.
@@ -49,19 +49,6 @@
 )
 
 
-# Errors that end one attempt; the reducer decides whether the request is
-# retried.
-FAILURES = (
-    backend_request.NotSent,
-    backend_request.Broken,
-    attempt_module.NotExecuted,
-    attempt_module.ServerRests,
-    attempt_module.ServerFailed,
-    events_splitter.EventTooLong,
-    events_splitter.NotResumed,
-)
-
-
 class Forwarder:
     """Forwards one request and relays its answer."""
 
@@ -331,7 +318,7 @@
             raise self._problem_of(
                 self._next_item(attempt_readers.ReadResult, effects.Withdraw)
             )
-        except FAILURES as exc:
+        except failed_attempts.FAILURES as exc:
             self._report_failure(self._attempt, exc)
             self._attempt = None
         return None
@@ -397,7 +384,7 @@
         if isinstance(result.error, attempt_module.Superseded):
             return None
         if result.error is not None:
-            if not isinstance(result.error, FAILURES):
+            if not isinstance(result.error, failed_attempts.FAILURES):
                 raise result.error
             self._report_failure(attempt, result.error)
             return None
@@ -434,47 +421,13 @@
     def _report_failure(self, attempt, exc):
         """Close an attempt and report to the reducer how it failed."""
         attempt.close()
-        if isinstance(exc, backend_request.NotSent):
-            self._submit(
-                events.NotBegun,
-                attempt,
-                server_said=False,
-                detail=str(exc),
-                path_failure=exc.path_failure,
-            )
-            return
-        if isinstance(exc, attempt_module.ServerRests):
-            self._submit(
-                events.NotBegun,
-                attempt,
-                server_said=False,
-                detail=str(exc),
-                rests=True,
-            )
-            return
-        if isinstance(exc, attempt_module.NotExecuted):
-            self._submit(
-                events.NotBegun,
-                attempt,
-                server_said=True,
-                detail=str(exc),
-                gone=exc.server_replaced,
-            )
-            return
-        answered = 0
         if isinstance(exc, attempt_module.ServerFailed):
             self._submit(events.FirstOutput, attempt)
             self._fallback_output = exc.output
-            answered = exc.output.answer.status
-        self._submit(
-            events.AttemptFailed,
-            attempt,
-            relayed=self._events_relayed,
-            detail=str(exc),
-            answered=answered,
-            closed=getattr(exc, "closed", False),
-            received=attempt.received(),
-            unstreamed=attempt.is_unstreamed,
+        self._host.submit(
+            failed_attempts.event_of(
+                exc, self._incoming.request_id, attempt, self._events_relayed
+            )
         )
 
     def _submit(self, event_type, attempt, **fields):
