--- a/tests/common/platform_world.py
+++ b/tests/common/platform_world.py
@@ -412,6 +412,20 @@
         yield platform
 
 
+@contextlib.contextmanager
+def served(routes, *scripts):
+    """Yield a platform, its entry, and a server for each of ``scripts``.
+
+    The entry knows the servers.
+    """
+    with declared(routes) as platform:
+        entry = platform.entry()
+        servers = [platform.server(script) for script in scripts]
+        for server in servers:
+            platform.knows(entry, server)
+        yield platform, entry, servers
+
+
 def caller_headers(request_id, key=KEY, **more):
     """Return the headers of a caller's request."""
     headers = [("X-Dandeliontrail-Request-Id", request_id)]
--- a/tests/cover/test_answers_of_nobody.py
+++ b/tests/cover/test_answers_of_nobody.py
@@ -4,7 +4,6 @@
 order: a server sends bytes after a complete answer, which name no request.
 """
 
-import contextlib
 import enum
 
 import pytest
@@ -32,17 +31,6 @@
     NOT_FOUND = b"HTTP/1.1 404 X\r\nContent-Length: 5\r\n\r\nstray"
 
 
-@contextlib.contextmanager
-def site(*scripts):
-    """Yield a platform, its entry and a server for each script."""
-    with platform_world.declared(ROUTES) as platform:
-        entry = platform.entry()
-        servers = [platform.server(script) for script in scripts]
-        for server in servers:
-            platform.knows(entry, server)
-        yield platform, entry, servers
-
-
 def serve(server, sock, head):
     request_id = platform_world.id_of(head)
     body = f"own {request_id}".encode()
@@ -60,7 +48,11 @@
 
 @pytest.mark.parametrize("stray", [Stray.SUCCESS, Stray.SEALED, Stray.CREATED])
 def test_a_success_that_names_no_request_is_passed_over(stray):
-    with site(strays_before_the_second(stray)) as (platform, entry, servers):
+    with platform_world.served(ROUTES, strays_before_the_second(stray)) as (
+        platform,
+        entry,
+        servers,
+    ):
         for name in ("r1", "r2"):
             reply = platform.call(entry, "POST", "/order/x", name)
             assert (reply.status, reply.body) == (200, f"own {name}".encode())
@@ -69,7 +61,11 @@
 
 @pytest.mark.parametrize("stray", [Stray.ERROR, Stray.NOT_FOUND])
 def test_an_error_that_names_no_request_is_nobodys(stray):
-    with site(strays_before_the_second(stray)) as (platform, entry, servers):
+    with platform_world.served(ROUTES, strays_before_the_second(stray)) as (
+        platform,
+        entry,
+        servers,
+    ):
         platform.call(entry, "POST", "/order/x", "r1")
         reply = platform.call(entry, "POST", "/order/x", "r2")
         assert reply.status == 502
@@ -98,7 +94,7 @@
     ],
 )
 def test_a_success_without_its_seal_is_none(path, script):
-    with site(script) as (platform, entry, _):
+    with platform_world.served(ROUTES, script) as (platform, entry, _):
         reply = platform.call(entry, "POST", path)
         assert reply.status == 502
         assert b"bare" not in reply.body
@@ -111,7 +107,7 @@
 def test_what_may_be_repeated_is_after_a_success_without_its_seal(
     method, path, script
 ):
-    with site(script, serve) as (platform, entry, _):
+    with platform_world.served(ROUTES, script, serve) as (platform, entry, _):
         for number in range(4):
             reply = platform.call(entry, method, path, f"r{number}")
             assert reply.body == f"own r{number}".encode()
@@ -122,6 +118,6 @@
         whole = platform_world.whole(404, b"none", platform_world.id_of(head))
         sock.sendall(whole.replace(platform_world.SEAL.encode(), b"X-Other"))
 
-    with site(fail) as (platform, entry, _):
+    with platform_world.served(ROUTES, fail) as (platform, entry, _):
         reply = platform.call(entry, "POST", "/order/x")
         assert (reply.status, reply.body) == (404, b"none")
--- a/tests/cover/test_answers_that_cannot_be_written.py
+++ b/tests/cover/test_answers_that_cannot_be_written.py
@@ -4,7 +4,6 @@
 that is none (RFC 9110, section 15) must not reach a caller.
 """
 
-import contextlib
 import time
 
 from dandeliontrail_lab import client
@@ -34,17 +33,6 @@
 INVALID_STATUSES = ("000", "001", "099", "600", "999")
 
 
-@contextlib.contextmanager
-def site(*scripts):
-    """Yield a platform, its entry and a server for each script."""
-    with platform_world.declared(ROUTES) as platform:
-        entry = platform.entry()
-        servers = [platform.server(script) for script in scripts]
-        for server in servers:
-            platform.knows(entry, server)
-        yield platform, entry, servers
-
-
 def status_server(status):
     """Return a script that answers orders and reads with ``status``."""
 
@@ -86,7 +74,11 @@
 
 @pytest.mark.parametrize("status", UNKNOWN_STATUSES)
 def test_a_status_that_python_does_not_list_is_passed_on(status):
-    with site(status_server(status)) as (platform, entry, _):
+    with platform_world.served(ROUTES, status_server(status)) as (
+        platform,
+        entry,
+        _,
+    ):
         reply = platform.call(entry, "POST", "/order/x")
         assert (reply.status, reply.body) == (status, b"body")
         assert not entry.host.open_exchange_count()
@@ -94,7 +86,11 @@
 
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 def test_a_status_beyond_its_range_is_no_answer(status):
-    with site(status_server(status)) as (platform, entry, _):
+    with platform_world.served(ROUTES, status_server(status)) as (
+        platform,
+        entry,
+        _,
+    ):
         began = time.monotonic()
         reply = platform.call(entry, "POST", "/order/x", left="1500")
         assert reply.status == 502
@@ -103,7 +99,9 @@
 
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 def test_a_read_is_repeated_after_a_status_beyond_its_range(status):
-    with site(status_server(status), sound_script) as (platform, entry, _):
+    with platform_world.served(
+        ROUTES, status_server(status), sound_script
+    ) as (platform, entry, _):
         for number in range(6):
             began = time.monotonic()
             reply = platform.call(entry, "GET", "/read/x", f"r{number}")
@@ -151,7 +149,11 @@
 
 @pytest.mark.parametrize("status", ["600", "299"])
 def test_the_timer_of_an_odd_answer_cuts_no_later_stream(status):
-    with site(status_server(status)) as (platform, entry, _):
+    with platform_world.served(ROUTES, status_server(status)) as (
+        platform,
+        entry,
+        _,
+    ):
         expected = 502 if status == "600" else 299
         reply = stream_after_order(platform, entry, expected)
         assert_whole_stream(reply)
@@ -161,7 +163,11 @@
     monkeypatch,
 ):
     refuse_status(monkeypatch, REFUSED_STATUS)
-    with site(status_server(REFUSED_STATUS)) as (platform, entry, _):
+    with platform_world.served(ROUTES, status_server(REFUSED_STATUS)) as (
+        platform,
+        entry,
+        _,
+    ):
         reply = stream_after_order(platform, entry, 500)
         assert_whole_stream(reply)
 
@@ -173,7 +179,7 @@
         whole = platform_world.whole(status, b"body", request_id)
         sock.sendall(whole.partition(b"\r\n\r\n")[0] + b"\r\n\r\n")
 
-    with site(script) as (platform, entry, _):
+    with platform_world.served(ROUTES, script) as (platform, entry, _):
         for method in ("HEAD", "GET"):
             reply = platform.call(entry, method, "/read/x", method)
             assert (reply.status, reply.body) == (status, b"")
@@ -185,7 +191,11 @@
     def refuse_to_iterate(handler):
         raise OSError("the connection has ended")
 
-    with site(status_server(200)) as (platform, entry, _):
+    with platform_world.served(ROUTES, status_server(200)) as (
+        platform,
+        entry,
+        _,
+    ):
         monkeypatch.setattr(
             http_server.Handler, "process_result", refuse_to_iterate
         )
--- a/tests/cover/test_what_may_be_repeated.py
+++ b/tests/cover/test_what_may_be_repeated.py
@@ -4,8 +4,6 @@
 ``resumable``, which speaks of streams alone.
 """
 
-import contextlib
-
 import gevent
 import pytest
 
@@ -57,15 +55,9 @@
     sock.sendall(platform_world.whole(500, b'{"error": 1}', request_id))
 
 
-@contextlib.contextmanager
 def site(script):
-    """Yield a platform, its entry and two servers that do the same."""
-    with platform_world.declared(ROUTES) as platform:
-        entry = platform.entry()
-        servers = [platform.server(script) for _ in range(2)]
-        for server in servers:
-            platform.knows(entry, server)
-        yield platform, entry, servers
+    """Return a platform with an entry and two servers that do the same."""
+    return platform_world.served(ROUTES, script, script)
 
 
 def runs_of(servers):
