Tests: statuses of plain services; who goes out for evenness ages no other way

In test_joint_voters the assertion on a change that makes no former voter had gone with that notion; the seniority is the same after such a change, which is what it stands for now.

--- a/tests/cover/test_bad_servers.py
+++ b/tests/cover/test_bad_servers.py
@@ -61,6 +61,8 @@
     ),
     "cut stream": (RESPONSE_HEAD + b"Content-Length: 99\r\n\r\ndata: {}\n\n",),
     "bad length": (RESPONSE_HEAD + b"Content-Length: -5\r\n\r\n",),
+    "status 600": (b"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok",),
+    "status 099": (b"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",),
 }
 
 
--- a/tests/cover/test_joint_voters.py
+++ b/tests/cover/test_joint_voters.py
@@ -170,6 +170,8 @@
     assert voters.former[-1] == entries.Voter("n", f"n-{count - 2}")
     back = voters.begin_change((K1, K2, voters.former[-1])).finish_change()
     assert back.incoming[-1] in back.former
+    uneven = back.begin_change((K1, K2, K3)).finish_change()
+    assert uneven.seniority == back.seniority
 
 
 def test_voters_are_ordered_by_their_first_votes_whoever_votes_again():
